Lay out the workspace, design, schemas and shared packages

Cause: an empty repository; parallel work needs fixed messages, error kinds and protocols.

Conclusion: the decision packages and the thin path can start.

--- /dev/null
+++ b/internal/ring/ring_test.go
@@ -0,0 +1,19 @@
+package ring
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a full ring blocking its producer or losing an accepted item.
+func TestFullRingRefuses(t *testing.T) {
+	r := New[int](2)
+	assert.Assert(t, r.Offer(1))
+	assert.Assert(t, r.Offer(2))
+	assert.Assert(t, !r.Offer(3))
+	assert.Equal(t, r.Refused(), uint64(1))
+	assert.Equal(t, <-r.Items(), 1)
+	assert.Equal(t, <-r.Items(), 2)
+	assert.Equal(t, r.Len(), 0)
+}
--- /dev/null
+++ b/internal/schemacheck/schemacheck_test.go
@@ -0,0 +1,56 @@
+package schemacheck
+
+import (
+	"errors"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/api"
+)
+
+const validSettings = `{"role":"entry","instance":"e1","failureDomain":"a","region":"r",
+ "listen":{"health":"127.0.0.1:1","peer":"127.0.0.1:2"},"platform":{"url":"http://127.0.0.1:3"}}`
+
+// Guards against a document being decoded without its defaults.
+func TestDecodeFillsDefaults(t *testing.T) {
+	raw := `{"schemaVersion":1,"operators":[{"name":"op","keyHash":"` + hash + `"}],"customers":[{"name":"c","keyHashes":["` + hash + `"]}],
+	 "models":[{"name":"m","versions":[{"name":"m-1","phase":"serving","costPerKiloToken":1}]}],
+	 "classes":[{"name":"q","qualityTarget":0.5,"deadlineMs":10,"weighting":"latency"}]}`
+	var m api.Manifest
+	assert.NilError(t, MustLoad("manifest").Decode([]byte(raw), &m))
+	assert.Equal(t, m.Customers[0].Weight, 1)
+	assert.Equal(t, m.Models[0].Versions[0].FirstTokenMs, 200.0)
+	assert.Equal(t, m.Classes[0].Priority, 5)
+}
+
+const hash = "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+
+// Guards against only the first of several faults being reported.
+func TestDecodeReportsEveryFault(t *testing.T) {
+	raw := `{"role":"router","instance":"E 1","failureDomain":"a","region":"r","colour":1,
+	 "listen":{"health":"127.0.0.1:1"},"platform":{"url":"x"}}`
+	var s api.Settings
+	err := MustLoad("settings").Decode([]byte(raw), &s)
+	var faults Faults
+	assert.Assert(t, errors.As(err, &faults))
+	paths := map[string]bool{}
+	for _, f := range faults {
+		paths[f.Path] = true
+	}
+	for _, want := range []string{"$.role", "$.instance", "$.colour", "$.listen"} {
+		assert.Assert(t, paths[want], "no fault for %s in %v", want, faults)
+	}
+}
+
+func FuzzDecodeSettings(f *testing.F) {
+	f.Add([]byte(validSettings))
+	f.Add([]byte(`{"role":[]}`))
+	s := MustLoad("settings")
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var out api.Settings
+		if err := s.Decode(raw, &out); err == nil && out.Instance == "" {
+			t.Fatalf("accepted settings without instance: %q", raw)
+		}
+	})
+}
--- /dev/null
+++ b/schema/schema.go
@@ -0,0 +1,10 @@
+// Package schema embeds the JSON Schemas of settings, manifest, peer messages,
+// status, usage records and traces.
+package schema
+
+import "embed"
+
+// Files holds every schema as "<name>.json".
+//
+//go:embed *.json
+var Files embed.FS
