Add the object API client and the platform stand-in

Cause: every duty that reads or writes durable state needs a Store, and tests need its faults (outage, slowness, rate limits, lost answers, restore).

Change: platform.NewClient speaks docs/protocols.md over HTTP. A PUT counts as not written only when the connection was never established, or on 409, 429, 503 or another 4xx; every other failure is ambiguous. ConflictError and RateLimitError carry the present object and the retry time; ErrRefused is new. memstore.Store is the in-memory Store with faults; standin/platform serves the same store over HTTP, so both behave alike.

Conclusion: the HTTP client and the in-memory store can replace each other.

--- /dev/null
+++ b/internal/standin/platform/server_test.go
@@ -0,0 +1,162 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/platform"
+	"github.com/borageflow/borageflow/internal/standin/memstore"
+)
+
+func start(t *testing.T) (*memstore.Store, *platform.Client, string) {
+	t.Helper()
+	store := memstore.New()
+	server := New(store)
+	url, err := server.Start("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	client, err := platform.NewClient(api.PlatformSettings{URL: url, TimeoutMs: 300})
+	assert.NilError(t, err)
+	t.Cleanup(client.Close)
+	return store, client, url
+}
+
+// Guards against client and stand-in disagreeing on versions, conflicts, keys
+// with slashes, and the bytes of a value.
+func TestConditionalUpdates(t *testing.T) {
+	_, client, _ := start(t)
+	ctx := context.Background()
+	_, err := client.Get(ctx, "a/b c")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	written, err := client.Put(ctx, "a/b c", []byte(`{"x": "<&>"}`), 0)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, written, platform.Object{Key: "a/b c", Version: 1, Generation: 1})
+	_, err = client.Put(ctx, "a/b c", []byte(`{}`), 0)
+	var conflict *platform.ConflictError
+	assert.Assert(t, errors.As(err, &conflict))
+	assert.Equal(t, conflict.Present.Version, int64(1))
+	got, err := client.Get(ctx, "a/b c")
+	assert.NilError(t, err)
+	assert.Equal(t, string(got.Value), `{"x":"<&>"}`)
+	list, err := client.List(ctx, "a/")
+	assert.NilError(t, err)
+	assert.Equal(t, len(list), 1)
+	_, err = client.Put(ctx, "big", bytes.Repeat([]byte("1"), platform.MaxValueBytes+1), 0)
+	assert.ErrorIs(t, err, platform.ErrRefused)
+}
+
+// Guards against a lost answer being taken for a failure without effect, and an
+// outage for an unknown outcome.
+func TestWriteErrors(t *testing.T) {
+	store, client, url := start(t)
+	ctx := context.Background()
+	store.SetFaults(memstore.Faults{LoseAnswers: 1})
+	_, err := client.Put(ctx, "k", []byte(`1`), 0)
+	assert.ErrorIs(t, err, platform.ErrAmbiguous)
+	assert.Equal(t, store.Ledger().Written["k"], 1)
+	store.SetFaults(memstore.Faults{DropWrites: 1})
+	_, err = client.Put(ctx, "k", []byte(`2`), 1)
+	assert.ErrorIs(t, err, platform.ErrAmbiguous)
+	assert.Equal(t, store.Ledger().Written["k"], 1)
+	store.SetFaults(memstore.Faults{Unavailable: true})
+	_, err = client.Put(ctx, "k", []byte(`2`), 1)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	store.SetFaults(memstore.Faults{DelayMs: 1000})
+	_, err = client.Put(ctx, "k", []byte(`2`), 1)
+	assert.ErrorIs(t, err, platform.ErrAmbiguous)
+	_, err = client.Get(ctx, "k")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	store.SetFaults(memstore.Faults{WritesPerSecond: 1})
+	_, err = client.Put(ctx, "k", []byte(`2`), 1)
+	assert.NilError(t, err)
+	_, err = client.Put(ctx, "k", []byte(`3`), 2)
+	var limited *platform.RateLimitError
+	assert.Assert(t, errors.As(err, &limited), "%v", err)
+	assert.Equal(t, limited.RetryAfter, time.Second)
+	down, err := platform.NewClient(api.PlatformSettings{URL: "http://127.0.0.1:1"})
+	assert.NilError(t, err)
+	_, err = down.Put(ctx, "k", []byte(`3`), 2)
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	res, err := http.Post(url+"/standin/faults", "application/json", bytes.NewBufferString(`{"faults":{"unavailable":true}}`))
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, http.StatusOK)
+	assert.Assert(t, store.Faults().Unavailable)
+}
+
+// Guards against a watch missing a change, a restore that keeps the version, or
+// the end of its wait.
+func TestWatch(t *testing.T) {
+	store, client, _ := start(t)
+	ctx := context.Background()
+	_, err := client.Watch(ctx, "k", 0, 10*time.Millisecond)
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	go func() { _, _ = store.Put(ctx, "k", []byte(`1`), 0) }()
+	o, err := client.Watch(ctx, "k", 0, 5*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, o.Version, int64(1))
+	store.Restore(store.Save())
+	o, err = client.Watch(ctx, "k", 1, 5*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, o.Generation, int64(2))
+	_, err = client.Watch(ctx, "k", 1, 10*time.Millisecond)
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	empty := memstore.New().Save()
+	_, err = client.Put(ctx, "k", []byte(`2`), 1)
+	assert.NilError(t, err)
+	store.Rollback(empty)
+	_, err = client.Get(ctx, "k")
+	assert.ErrorIs(t, err, platform.ErrNotFound)
+	assert.Equal(t, store.Generation(), int64(2))
+}
+
+// Guards against the instance list showing changes at once when a lag is set.
+func TestInstanceListLags(t *testing.T) {
+	now := time.Unix(1000, 0)
+	store := memstore.NewWithClock(func() time.Time { return now })
+	store.SetInstanceLag(5 * time.Second)
+	store.RegisterInstance(platform.Instance{Name: "i1"})
+	seen := func() int {
+		list, err := store.Instances(context.Background())
+		assert.NilError(t, err)
+		return len(list)
+	}
+	assert.Equal(t, seen(), 0)
+	now = now.Add(5 * time.Second)
+	assert.Equal(t, seen(), 1)
+	store.RemoveInstance("i1")
+	assert.Equal(t, seen(), 1)
+	now = now.Add(5 * time.Second)
+	assert.Equal(t, seen(), 0)
+}
+
+// Guards against a replaced token file or an oversized answer going unnoticed.
+func TestTokenAndAnswerSize(t *testing.T) {
+	var token string
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token = r.Header.Get("Authorization")
+		_, _ = w.Write(bytes.Repeat([]byte("x"), platform.MaxValueBytes+1<<20))
+	}))
+	defer server.Close()
+	path := filepath.Join(t.TempDir(), "token")
+	assert.NilError(t, os.WriteFile(path, []byte("one\n"), 0o600))
+	client, err := platform.NewClient(api.PlatformSettings{URL: server.URL, TokenFile: path})
+	assert.NilError(t, err)
+	_, err = client.Get(context.Background(), "k")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Equal(t, token, "Bearer one")
+	assert.NilError(t, os.WriteFile(path, []byte("two\n"), 0o600))
+	assert.NilError(t, os.Chtimes(path, time.Time{}, time.Now().Add(time.Hour)))
+	_, err = client.Get(context.Background(), "k")
+	assert.ErrorIs(t, err, platform.ErrUnavailable)
+	assert.Equal(t, token, "Bearer two")
+}
