--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -104,6 +104,81 @@
 	Role string `json:"role"`
 }
 
+// ClaimHead is a hint where a shard's log begins and ends, object
+// claims/head/{shard}.
+type ClaimHead struct {
+	// Oldest is the first window within the retention.
+	Oldest int `json:"oldest"`
+
+	// Window was open when the hint was written.
+	Window int `json:"window"`
+}
+
+// ClaimRecord is one state change of a key; the last valid record of a key is its
+// state.
+type ClaimRecord struct {
+	// Answer is the base64 of the stored answer.
+	Answer string `json:"answer,omitempty,omitzero"`
+
+	// AnswerDigest is the hex SHA-256 of an answer too large to store.
+	AnswerDigest string `json:"answerDigest,omitempty,omitzero"`
+
+	// Body is the digest of the request body of a claimed record.
+	Body string `json:"body,omitempty,omitzero"`
+
+	// Entry is the instance and incarnation that wrote a claimed record.
+	Entry string `json:"entry,omitempty,omitzero"`
+
+	// Key is the hex prefix of the SHA-256 of customer, service, operation and
+	// idempotency key.
+	Key string `json:"key"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+
+	// Sidecar is the sidecar that was chosen first.
+	Sidecar string `json:"sidecar,omitempty,omitzero"`
+
+	// SidecarIncarnation corresponds to the JSON schema field "sidecarIncarnation".
+	SidecarIncarnation int `json:"sidecarIncarnation,omitempty,omitzero"`
+
+	// State corresponds to the JSON schema field "state".
+	State ClaimState `json:"state"`
+
+	// Status is the HTTP status of the stored answer.
+	Status int `json:"status,omitempty,omitzero"`
+
+	// Until is when a claimed request counts as unknown, in Unix milliseconds.
+	Until int `json:"until,omitempty,omitzero"`
+}
+
+// ClaimSegment is one segment of a shard's append-only log of claims, object
+// claims/{window}/{shard}.
+type ClaimSegment struct {
+	// Records corresponds to the JSON schema field "records".
+	Records []ClaimRecord `json:"records"`
+
+	// Sealed means that no record is added any more and the next window may be
+	// opened.
+	Sealed bool `json:"sealed,omitempty,omitzero"`
+
+	// SealedAt is in Unix milliseconds of the sealing entry's clock.
+	SealedAt int `json:"sealedAt,omitempty,omitzero"`
+
+	// Shard corresponds to the JSON schema field "shard".
+	Shard int `json:"shard"`
+
+	// Window numbers the segments of a shard from 0 without gaps.
+	Window int `json:"window"`
+}
+
+type ClaimState string
+
+const ClaimStateClaimed ClaimState = "claimed"
+const ClaimStateCompleted ClaimState = "completed"
+const ClaimStateReleased ClaimState = "released"
+const ClaimStateUnknown ClaimState = "unknown"
+
 // Class is a class of request with a quality target.
 type Class struct {
 	// CostCeiling bounds the cost of one request in cost units; 0 means no bound.
@@ -248,6 +323,37 @@
 	Revision Revision `json:"revision"`
 }
 
+// Evidence counts what one origin has seen of one version at its present share.
+// Counters only grow within an origin.
+type Evidence struct {
+	// Bad counts ratings below one half.
+	Bad int `json:"bad,omitempty,omitzero"`
+
+	// Failed corresponds to the JSON schema field "failed".
+	Failed int `json:"failed,omitempty,omitzero"`
+
+	// Origin is an instance and incarnation, or empty for a sum.
+	Origin string `json:"origin"`
+
+	// Rated corresponds to the JSON schema field "rated".
+	Rated int `json:"rated,omitempty,omitzero"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision Revision `json:"revision"`
+
+	// Samples corresponds to the JSON schema field "samples".
+	Samples int `json:"samples,omitempty,omitzero"`
+
+	// Slow counts answers later than the tolerated latency.
+	Slow int `json:"slow,omitempty,omitzero"`
+
+	// Step corresponds to the JSON schema field "step".
+	Step int `json:"step,omitempty,omitzero"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version string `json:"version"`
+}
+
 // Hello opens a connection between daemons; both sides send one.
 type Hello struct {
 	// Member corresponds to the JSON schema field "member".
@@ -685,6 +791,42 @@
 	Version string `json:"version"`
 }
 
+// RolloutProgress is the object rollout/{version}.
+type RolloutProgress struct {
+	// Evidence corresponds to the JSON schema field "evidence".
+	Evidence *Evidence `json:"evidence,omitempty,omitzero"`
+
+	// Holder is the instance and incarnation of the last writer.
+	Holder string `json:"holder"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// RenewedAt is in Unix milliseconds.
+	RenewedAt int `json:"renewedAt"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision Revision `json:"revision"`
+
+	// State corresponds to the JSON schema field "state".
+	State *RolloutState `json:"state,omitempty,omitzero"`
+
+	// Step indexes the manifest's steps.
+	Step int `json:"step"`
+
+	// SteppedAt is in Unix milliseconds.
+	SteppedAt int `json:"steppedAt"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version string `json:"version"`
+}
+
+type RolloutState string
+
+const RolloutStateAdvancing RolloutState = "advancing"
+const RolloutStateBackedOut RolloutState = "backed_out"
+const RolloutStateComplete RolloutState = "complete"
+
 // RolloutStatus describes one rollout.
 type RolloutStatus struct {
 	// Evidence corresponds to the JSON schema field "evidence".
@@ -846,6 +988,28 @@
 	Operations []Operation `json:"operations"`
 }
 
+// SessionKey signs and verifies session tokens with HMAC-SHA-256.
+type SessionKey struct {
+	// Id corresponds to the JSON schema field "id".
+	Id string `json:"id"`
+
+	// Secret is the base64 of 32 random bytes.
+	Secret string `json:"secret"`
+
+	// SignFrom is when the key may sign, in Unix seconds.
+	SignFrom int `json:"signFrom"`
+
+	// VerifyUntil is when its last token has expired, in Unix seconds; 0 while the
+	// key has no successor.
+	VerifyUntil int `json:"verifyUntil"`
+}
+
+// SessionKeys is the object keys/session.
+type SessionKeys struct {
+	// Keys corresponds to the JSON schema field "keys".
+	Keys []SessionKey `json:"keys"`
+}
+
 // Settings configures one borageflowd process.
 type Settings struct {
 	// Advertise is the host:port at which peers reach this process; empty means the
