Add stand-ins for the model engine and the plain service

Cause: entry, sidecar and platform work needs counterparts that speak the protocols of docs/protocols.md before the fault tests can be written.

Change: internal/standin/base holds the listener, the ledger and the fault controls. internal/standin/engine batches in steps, queues by priority, caches prefixes in limited memory, resumes, cancels, loads versions through the weight store and checks fencing tokens when told to. internal/standin/service answers operations as a function of operation and body.

--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,232 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/standin/base"
+)
+
+type token struct {
+	Request string `json:"request"`
+	Index   int    `json:"index"`
+	Text    string `json:"text"`
+}
+
+// reply is one answer as the client saw it.
+type reply struct {
+	status int
+	tokens []token
+	end    *endData
+	err    error
+}
+
+func (r reply) text() string {
+	var b strings.Builder
+	for _, t := range r.tokens {
+		b.WriteString(t.Text)
+	}
+	return b.String()
+}
+
+func start(t *testing.T, config Config) (*Engine, *Server) {
+	t.Helper()
+	if config.StepTime == 0 {
+		config.StepTime = 200 * time.Microsecond
+	}
+	if config.Versions == nil {
+		config.Versions = []string{"m-1"}
+	}
+	e := New(config)
+	server, err := e.Start("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	return e, server
+}
+
+func post(ctx context.Context, server *Server, path string, body any) (*http.Response, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL()+path, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	return http.DefaultClient.Do(request)
+}
+
+func generate(ctx context.Context, server *Server, body generateBody) reply {
+	response, err := post(ctx, server, "/v1/generate", body)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer response.Body.Close()
+	r := reply{status: response.StatusCode}
+	if r.status != http.StatusOK {
+		return r
+	}
+	for ev, err := range sse.Read(response.Body, nil) {
+		if err != nil {
+			r.err = err
+			return r
+		}
+		if ev.Type == "end" {
+			r.end = &endData{}
+			r.err = json.Unmarshal([]byte(ev.Data), r.end)
+			return r
+		}
+		var tok token
+		if r.err = json.Unmarshal([]byte(ev.Data), &tok); r.err != nil {
+			return r
+		}
+		r.tokens = append(r.tokens, tok)
+	}
+	return r
+}
+
+func ask(request, content string) generateBody {
+	return generateBody{
+		Request: request, Attempt: 1, Version: "m-1", Customer: "c", MaxTokens: 8, Priority: 5,
+		Messages: []api.ChatMessage{{Role: "system", Content: "be brief"}, {Role: "user", Content: content}},
+	}
+}
+
+// Guards against answers that a test cannot compare byte for byte, and against
+// a resumed stream that does not continue the same answer.
+func TestAnswerIsDeterministicAndResumes(t *testing.T) {
+	e, server := start(t, Config{})
+	body := ask("r1", "hello")
+	whole := generate(t.Context(), server, body)
+	assert.NilError(t, whole.err)
+	want := Answer("m-1", body.Messages, 8)
+	assert.Equal(t, whole.text(), want)
+	assert.Equal(t, whole.end.OutputTokens, 8)
+	assert.Equal(t, whole.end.FinishReason, "length")
+
+	body.Attempt, body.Offset = 2, 3
+	rest := generate(t.Context(), server, body)
+	assert.NilError(t, rest.err)
+	assert.Equal(t, rest.tokens[0].Index, 3)
+	assert.Equal(t, rest.text(), strings.Join(Tokens("m-1", body.Messages, 8)[3:], ""))
+
+	view := e.Ledger().View()
+	assert.Equal(t, view.Requests["r1"], 2)
+	assert.Equal(t, view.Runs[1].Outcome, base.OutcomeFinished)
+	assert.Equal(t, view.Runs[1].Tokens, 5)
+}
+
+// Guards against refused requests that ran, or that are refused with a status
+// whose meaning in the protocol is another.
+func TestRefusalsDoNotRun(t *testing.T) {
+	e, server := start(t, Config{Slots: 1, Queue: 1, StepTime: time.Hour})
+	unknown := ask("r1", "x")
+	unknown.Version = "m-9"
+	assert.Equal(t, generate(t.Context(), server, unknown).status, http.StatusNotFound)
+
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go generate(ctx, server, ask("r2", "x"))
+	waitFor(t, e, "first runs", func(l load) bool { return l.Running == 1 })
+	go generate(ctx, server, ask("r3", "x"))
+	waitFor(t, e, "second waits", func(l load) bool { return l.Queued == 1 })
+	assert.Equal(t, generate(t.Context(), server, ask("r4", "x")).status, http.StatusTooManyRequests)
+	view := e.Ledger().View()
+	assert.Equal(t, view.Requests["r4"], 0)
+	assert.Equal(t, view.Refused, 2)
+}
+
+func waitFor(t *testing.T, e *Engine, what string, ok func(load) bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		if ok(e.measure()) {
+			return poll.Success()
+		}
+		return poll.Continue("%s: %+v", what, e.measure())
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(10*time.Second))
+}
+
+// Guards against an abandoned or cancelled request keeping its slot.
+func TestCancelFreesTheSlot(t *testing.T) {
+	e, server := start(t, Config{Slots: 1, StepTime: 5 * time.Millisecond})
+	long := ask("r1", "x")
+	long.MaxTokens = 100000
+	done := make(chan reply, 1)
+	go func() { done <- generate(t.Context(), server, long) }()
+	waitFor(t, e, "runs", func(l load) bool { return l.Running == 1 })
+	response, err := post(t.Context(), server, "/v1/cancel", map[string]any{"request": "r1", "attempt": 1})
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, (<-done).end.FinishReason, "cancelled")
+
+	ctx, leave := context.WithCancel(t.Context())
+	long.Attempt = 2
+	go generate(ctx, server, long)
+	waitFor(t, e, "runs again", func(l load) bool { return l.Running == 1 })
+	leave()
+	waitFor(t, e, "is abandoned", func(l load) bool { return l.Running == 0 })
+}
+
+// Guards against urgent requests waiting behind less urgent ones.
+func TestPriorityOrdersTheQueue(t *testing.T) {
+	e, server := start(t, Config{Slots: 1, StepTime: time.Millisecond})
+	e.Faults().Set(base.Fault{Kind: base.FaultFreeze})
+	done := make(chan struct{}, 3)
+	for _, q := range []struct {
+		request  string
+		priority int
+	}{{"late", 9}, {"soon", 1}, {"middle", 5}} {
+		body := ask(q.request, "x")
+		body.Priority = q.priority
+		_, out, refused := e.accept(body, nil)
+		assert.Assert(t, refused == nil)
+		go func() { <-out.ready; done <- struct{}{} }()
+	}
+	e.Faults().Set()
+	for range 3 {
+		<-done
+	}
+	waitFor(t, e, "all finish", func(l load) bool { return l.Running+l.Queued == 0 })
+	_ = server
+	byEnd := map[string]int64{}
+	for _, r := range e.Ledger().View().Runs {
+		byEnd[r.Request] = r.FinishedUs
+	}
+	assert.Assert(t, byEnd["soon"] < byEnd["middle"] && byEnd["middle"] < byEnd["late"], "%v", byEnd)
+}
+
+// Guards against prefixes that are never cached, never evicted, or hidden from
+// the event feed.
+func TestPrefixCacheIsLimited(t *testing.T) {
+	_, server := start(t, Config{KVTokens: 60, EventDropNth: 2})
+	first := ask("r1", "x")
+	assert.Equal(t, generate(t.Context(), server, first).end.CachedTokens, 0)
+	first.Request = "r2"
+	assert.Equal(t, generate(t.Context(), server, first).end.CachedTokens, 3)
+	other := ask("r3", "x")
+	other.Messages[0].Content = strings.Repeat("long prompt ", 14)
+	assert.Equal(t, generate(t.Context(), server, other).status, http.StatusOK)
+
+	response, err := http.Get(server.URL() + "/v1/events?after=0")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	assert.NilError(t, err)
+	var feed struct{ Events []CacheEvent }
+	assert.NilError(t, json.Unmarshal(raw, &feed))
+	assert.Equal(t, len(feed.Events), 2, "events 1 and 3 of 3, with a gap: %s", raw)
+	assert.Equal(t, feed.Events[0].Prefix, Fingerprint(first.Messages))
+}
