--- a/internal/standin/base/faults.go
+++ b/internal/standin/base/faults.go
@@ -36,12 +36,14 @@
 	FaultSlow FaultKind = "slow"
 	// FaultPoor makes the answer a poor one.
 	FaultPoor FaultKind = "poor"
+	// FaultBias adds Bias to the scores of a rating service.
+	FaultBias FaultKind = "bias"
 )
 
 var faultKinds = map[FaultKind]bool{
 	FaultRepeat: true, FaultCross: true, FaultTruncate: true, FaultDelay: true,
 	FaultCut: true, FaultRefuse: true, FaultError: true, FaultFreeze: true,
-	FaultSlow: true, FaultPoor: true,
+	FaultSlow: true, FaultPoor: true, FaultBias: true,
 }
 
 // Fault is one injected fault. Empty match fields match everything.
@@ -65,6 +67,8 @@
 	Status int `json:"status,omitempty"`
 	// Factor is the slowdown of FaultSlow.
 	Factor float64 `json:"factor,omitempty"`
+	// Bias is added to scores by FaultBias.
+	Bias float64 `json:"bias,omitempty"`
 }
 
 // FaultSet is the body of POST and GET /standin/faults. A POST replaces the set.
--- a/internal/standin/base/server.go
+++ b/internal/standin/base/server.go
@@ -103,3 +103,18 @@
 func WriteError(w http.ResponseWriter, status int, message string) {
 	WriteJSON(w, status, map[string]string{"error": message})
 }
+
+// Sleep waits for d and reports false when ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/faults_test.go
@@ -0,0 +1,160 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/standin/base"
+	"github.com/borageflow/borageflow/internal/standin/weights"
+)
+
+// Guards against a fault control that does nothing or more than it says.
+func TestStreamFaults(t *testing.T) {
+	cases := []struct {
+		fault base.Fault
+		check func(*testing.T, reply)
+	}{
+		{base.Fault{Kind: base.FaultRepeat, AfterTokens: 2}, func(t *testing.T, r reply) {
+			assert.Equal(t, len(r.tokens), 9)
+			assert.Equal(t, r.tokens[2].Index, r.tokens[3].Index)
+		}},
+		{base.Fault{Kind: base.FaultTruncate, AfterTokens: 3}, func(t *testing.T, r reply) {
+			assert.NilError(t, r.err)
+			assert.Equal(t, len(r.tokens), 3)
+			assert.Assert(t, r.end == nil)
+		}},
+		{base.Fault{Kind: base.FaultCut, AfterTokens: 3}, func(t *testing.T, r reply) {
+			assert.Assert(t, r.err != nil)
+			assert.Equal(t, len(r.tokens), 3)
+		}},
+		{base.Fault{Kind: base.FaultRefuse}, func(t *testing.T, r reply) {
+			assert.Equal(t, r.status, http.StatusServiceUnavailable)
+		}},
+		{base.Fault{Kind: base.FaultError}, func(t *testing.T, r reply) {
+			assert.Equal(t, r.status, http.StatusInternalServerError)
+		}},
+		{base.Fault{Kind: base.FaultPoor}, func(t *testing.T, r reply) {
+			assert.Equal(t, r.text(), PoorAnswer("m-1", ask("", "x").Messages, 8))
+			assert.Assert(t, r.end.Confidence < 0.5)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(string(c.fault.Kind), func(t *testing.T) {
+			e, server := start(t, Config{})
+			c.fault.Target = "m-1"
+			e.Faults().Set(c.fault)
+			c.check(t, generate(t.Context(), server, ask("r1", "x")))
+			runs := e.Ledger().View().Requests["r1"]
+			if c.fault.Kind == base.FaultRefuse {
+				assert.Equal(t, runs, 0, "a refused request ran")
+			} else {
+				assert.Equal(t, runs, 1)
+			}
+			e.Faults().Set()
+			assert.Equal(t, generate(t.Context(), server, ask("r2", "x")).text(), Answer("m-1", ask("", "x").Messages, 8))
+		})
+	}
+}
+
+// Guards against crossed answers that a reader cannot tell by their identifiers.
+func TestCrossedAnswersKeepTheirIdentifiers(t *testing.T) {
+	e, server := start(t, Config{Slots: 2, StepTime: time.Millisecond})
+	e.Faults().Set(base.Fault{Kind: base.FaultCross})
+	done := make(chan reply, 1)
+	long := ask("r1", "first")
+	long.MaxTokens = 200
+	go func() { done <- generate(t.Context(), server, long) }()
+	waitFor(t, e, "runs", func(l load) bool { return l.Running == 1 })
+	second := generate(t.Context(), server, ask("r2", "second"))
+	first := <-done
+	assert.Equal(t, second.end.Request, "r1")
+	assert.Equal(t, first.end.Request, "r2")
+}
+
+// Guards against a frozen engine that answers, and one that stays frozen.
+func TestFreezeHoldsEveryCall(t *testing.T) {
+	e, server := start(t, Config{})
+	response, err := post(t.Context(), server, "/standin/faults", base.FaultSet{Faults: []base.Fault{{Kind: base.FaultFreeze}}})
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	client := &http.Client{Timeout: 50 * time.Millisecond}
+	_, err = client.Get(server.URL() + "/v1/load")
+	assert.Assert(t, err != nil)
+	done := make(chan reply, 1)
+	go func() { done <- generate(t.Context(), server, ask("r1", "x")) }()
+	e.Faults().Set()
+	assert.Equal(t, (<-done).end.OutputTokens, 8)
+}
+
+// Guards against an engine with a check obeying an old fencing token, and
+// against one without a check refusing it.
+func TestOrdersAndFencing(t *testing.T) {
+	store := weights.New(weights.Config{PerSecond: 1000, Burst: 10})
+	weightServer, err := store.Start("127.0.0.1:0")
+	assert.NilError(t, err)
+	defer weightServer.Close()
+	for _, check := range []bool{true, false} {
+		e, server := start(t, Config{CheckFence: check, WeightStore: weightServer.URL()})
+		assert.Equal(t, send(t, server, orderBody{7, "load", "m-2"}), http.StatusOK)
+		old := send(t, server, orderBody{6, "unload", "m-2"})
+		body := ask("r1", "x")
+		body.Version = "m-2"
+		got := generate(t.Context(), server, body).status
+		if check {
+			assert.Equal(t, old, http.StatusConflict)
+			assert.Equal(t, got, http.StatusOK)
+		} else {
+			assert.Equal(t, old, http.StatusOK)
+			assert.Equal(t, got, http.StatusNotFound)
+		}
+		orders := e.Ledger().View().Orders
+		assert.Equal(t, len(orders), 2)
+		assert.Equal(t, orders[1].Done, !check)
+	}
+	assert.Equal(t, store.Ledger().View().Requests["m-2"], 2, "weights are read once for each load")
+}
+
+func send(t *testing.T, server *Server, body orderBody) int {
+	t.Helper()
+	response, err := post(t.Context(), server, "/v1/orders", body)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+// Guards against a quality model under which a better version answers worse, or
+// whose measured share of good answers is not the configured one.
+func TestQualityIsTheShareOfGoodAnswers(t *testing.T) {
+	e := New(Config{Versions: []string{"m-1"}, Quality: map[string]float64{"m-1": 0.7}})
+	defer e.Close()
+	good := 0
+	const prompts = 4000
+	for i := range prompts {
+		s := e.newSequence(attemptID{}, ask("r", strings.Repeat("x", i)), nil)
+		if !s.poor {
+			good++
+		}
+	}
+	share := float64(good) / prompts
+	// Three standard deviations of a share of 0.7 over 4,000 prompts are 0.022.
+	assert.Assert(t, share > 0.678 && share < 0.722, "%v", share)
+}
+
+// Guards against load reports without lag.
+func TestLoadReportLags(t *testing.T) {
+	_, server := start(t, Config{LoadPeriod: time.Hour, StepTime: time.Hour})
+	go generate(t.Context(), server, ask("r1", "x"))
+	response, err := http.Get(server.URL() + "/v1/load")
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	var report load
+	assert.NilError(t, json.NewDecoder(response.Body).Decode(&report))
+	assert.Equal(t, report.Running, 0)
+	assert.Equal(t, report.Slots, 8)
+	assert.DeepEqual(t, report.Versions, []string{"m-1"})
+}
