--- /dev/null
+++ b/internal/cascade/control.go
@@ -0,0 +1,64 @@
+package cascade
+
+import (
+	"math"
+	"time"
+)
+
+// controller holds the measured quality of delivered answers at the target by
+// raising or lowering a margin on the quality that plans must reach.
+type controller struct {
+	margin float64
+	at     time.Time
+}
+
+func (c *controller) observe(now time.Time, good bool, aim float64, o *Options) {
+	measured := 0.0
+	if good {
+		measured = 1
+	}
+	c.margin += o.ControlGain * (aim - measured)
+	c.margin = min(max(c.margin, o.MinMargin), o.MaxMargin)
+	c.at = now
+}
+
+// effective is the margin to use now. A negative margin fades when ratings
+// stop, so that the plan becomes more careful.
+func (c *controller) effective(now time.Time, halfLife time.Duration) float64 {
+	if c.margin >= 0 {
+		return c.margin
+	}
+	return c.margin * freshness(now, c.at, halfLife)
+}
+
+// tokenUse estimates which part of MaxTokens answers use.
+type tokenUse struct {
+	mean float64
+	// high is exceeded by about one answer in twenty.
+	high float64
+}
+
+// newTokenUse assumes that an answer may use every token, and expects half.
+func newTokenUse() tokenUse { return tokenUse{mean: 0.5, high: 1} }
+
+// Gains of the estimates of token use, per answer.
+const (
+	useMeanGain = 0.02
+	useHighGain = 0.01
+	useHighRank = 0.95
+)
+
+func (u *tokenUse) observe(output, limit int) {
+	if output <= 0 || limit <= 0 {
+		return
+	}
+	x := min(float64(output)/float64(limit), 1)
+	u.mean += useMeanGain * (x - u.mean)
+	// Stochastic approximation of a quantile.
+	if x > u.high {
+		u.high += useHighGain * useHighRank
+	} else {
+		u.high -= useHighGain * (1 - useHighRank)
+	}
+	u.high = math.Min(math.Max(u.high, u.mean), 1)
+}
--- /dev/null
+++ b/internal/cascade/explore.go
@@ -0,0 +1,55 @@
+package cascade
+
+import "time"
+
+// explore returns a plan that gathers evidence, for a small share of requests.
+// surplus is what the bound of the chosen plan's quality has beyond the target;
+// the share is small enough that the expected quality over both plans stays at
+// the target.
+func (p *Planner) explore(now time.Time, options []option, r PlanRequest, best draft, surplus float64) (draft, bool) {
+	e, ok := p.leastKnown(now, options, r, best)
+	if !ok {
+		return draft{}, false
+	}
+	share := p.opts.Explore
+	if loss := best.quality - e.quality; loss > 0 {
+		share = min(share, surplus/loss)
+	}
+	return e, p.rng.Float64() < share
+}
+
+// leastKnown returns a draft that would be cheaper than the best one if its
+// quality were proven: the best cascade with a lower threshold, or the least
+// rated other version in front of the strongest that fits.
+func (p *Planner) leastKnown(now time.Time, options []option, r PlanRequest, best draft) (draft, bool) {
+	if best.second != nil && best.bin > 1 && p.rng.Float64() < 0.5 {
+		return p.pair(best.first, best.second, best.bin-1), true
+	}
+	strong := strongestOf(options)
+	var pick *option
+	least := 0.0
+	for i := range options {
+		o := &options[i]
+		if o.Version == best.first.Version || !pairFits(o, strong, r) {
+			continue
+		}
+		known := p.estimator.Estimate(now, r.Class.Name, o.Version).Evidence
+		if pick == nil || known < least {
+			pick, least = o, known
+		}
+	}
+	if pick == nil {
+		return draft{}, false
+	}
+	return p.pair(pick, strong, pick.upperHalf()), true
+}
+
+// upperHalf returns the bin from which about half of the answers are accepted.
+func (o *option) upperHalf() int {
+	for k := confidenceBins - 1; k > 1; k-- {
+		if o.curve.share[k] >= 0.5 {
+			return k
+		}
+	}
+	return 1
+}
