--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -136,6 +136,17 @@
 	Weighting Weighting `json:"weighting"`
 }
 
+// CommitRecord names the write that stored a manifest.
+type CommitRecord struct {
+	// Generation is the generation of the manifest's revision. Content that a restore
+	// brings back keeps the generation it was committed under.
+	Generation int `json:"generation"`
+
+	// Token is unique to the write; reading it back resolves a write whose response
+	// was lost.
+	Token string `json:"token"`
+}
+
 // ConfigOffer carries a manifest and its revision.
 type ConfigOffer struct {
 	// Manifest is the manifest as committed.
@@ -246,6 +257,9 @@
 
 	// Revision corresponds to the JSON schema field "revision".
 	Revision Revision `json:"revision"`
+
+	// Watchers are processes known to watch the store.
+	Watchers []WatcherAge `json:"watchers,omitempty,omitzero"`
 }
 
 // Hello opens a connection between daemons; both sides send one.
@@ -361,6 +375,9 @@
 	// Classes corresponds to the JSON schema field "classes".
 	Classes []Class `json:"classes"`
 
+	// Commit is filled in by the commit; operators leave it out.
+	Commit *CommitRecord `json:"commit,omitempty,omitzero"`
+
 	// Customers corresponds to the JSON schema field "customers".
 	Customers []Customer `json:"customers"`
 
@@ -1243,6 +1260,15 @@
 	Share float64 `json:"share,omitempty,omitzero"`
 }
 
+// WatcherAge states when a process last called the store.
+type WatcherAge struct {
+	// AgeMs is the age of the last call, answered or not, in milliseconds.
+	AgeMs int `json:"ageMs"`
+
+	// Instance corresponds to the JSON schema field "instance".
+	Instance string `json:"instance"`
+}
+
 type Weighting string
 
 const WeightingExposure Weighting = "exposure"
