Serve a request end to end through separate processes

Cause: the first thing to stand is the whole path: caller, entry, sidecar, engine and back, with usage and configuration in the platform. Change: entry and sidecar cores, JSON-RPC links with length-framed messages, caller API in the shape of the OpenAI API, engine client, administration API, health endpoints, TLS configuration, daemon wiring with fx, stand-in deployment on loopback and an end-to-end test with separate processes. Conclusion: configuration still comes from a poll of the store in every process; the peer exchange replaces it next.

--- /dev/null
+++ b/internal/daemon/entryadmin.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/admin"
+	"github.com/borageflow/borageflow/internal/manifest"
+	"github.com/borageflow/borageflow/internal/observe"
+	"github.com/borageflow/borageflow/internal/platform"
+)
+
+// adminConnections bounds the open connections of operators.
+const adminConnections = 64
+
+// adminBackend gives the administration API what it needs of the entry.
+type adminBackend struct{ d *entryDaemon }
+
+// Snapshot implements admin.Backend.
+func (b adminBackend) Snapshot() *manifest.Snapshot { return b.d.loop.Snapshot() }
+
+// Status implements admin.Backend.
+func (b adminBackend) Status(ctx context.Context) (api.Status, error) {
+	status, err := b.d.loop.status(ctx)
+	if err != nil {
+		return status, err
+	}
+	b.d.control.addStatus(&status)
+	return status, nil
+}
+
+// Committed implements admin.Backend. The manifest is in force here without
+// waiting for the watch.
+func (b adminBackend) Committed(offer api.ConfigOffer) { b.d.control.offer(offer) }
+
+// serveAdmin opens the administration API when settings name a listener.
+func (d *entryDaemon) serveAdmin() error {
+	s := d.settings
+	if s.Listen.Admin == "" {
+		return nil
+	}
+	var pair *api.TLSPair
+	if s.TLS != nil {
+		pair = s.TLS.Admin
+	}
+	listener, err := listen(s.Listen.Admin, adminConnections, pair)
+	if err != nil {
+		return err
+	}
+	d.admin = &http.Server{
+		Handler: admin.NewHandler(admin.Options{
+			Backend: adminBackend{d}, Store: d.store, BodyBytes: platform.MaxValueBytes, Bootstrap: true,
+		}),
+		ReadHeaderTimeout: ms(s.Limits.ReadTimeoutMs), ReadTimeout: ms(s.Limits.ReadTimeoutMs), IdleTimeout: time.Minute,
+		MaxHeaderBytes: s.Limits.HeaderBytes, ErrorLog: zap.NewStdLog(observe.Part(d.log, "admin")),
+	}
+	go d.serve(d.admin, listener)
+	return nil
+}
+
+func (d *entryDaemon) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		d.log.Error("listener has failed", zap.String("address", listener.Addr().String()), zap.Error(err))
+	}
+}
+
+// listen opens a listener with a bound on connections, with TLS when pair is set.
+func listen(address string, connections int, pair *api.TLSPair) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "listener %s cannot be opened", address)
+	}
+	listener = netutil.LimitListener(listener, connections)
+	config, err := serverTLS(pair)
+	if err != nil {
+		return nil, err
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	return listener, nil
+}
--- /dev/null
+++ b/internal/daemon/entryloop.go
@@ -0,0 +1,261 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/callerapi"
+	"github.com/borageflow/borageflow/internal/entry"
+	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/manifest"
+	"github.com/borageflow/borageflow/internal/observe"
+	"github.com/borageflow/borageflow/internal/peer"
+	"github.com/borageflow/borageflow/internal/platform"
+	"github.com/borageflow/borageflow/internal/ring"
+)
+
+const (
+	entryRingSize = 16384
+	// storeTimeout bounds one call of the platform from the main loop's workers.
+	storeTimeout = 5 * time.Second
+	// attemptGrace is how long an attempt's result may follow its deadline.
+	attemptGrace = 10 * time.Second
+)
+
+// entryLoop gives the core of an entry its clock and connections.
+type entryLoop struct {
+	core     *entry.Core
+	events   *ring.Ring[entry.Event]
+	inspect  chan func(*entry.Core)
+	beat     *observe.Heartbeat
+	node     *peer.Node
+	store    platform.Store
+	outbox   *outbox
+	rater    *rater
+	recorder func(api.TraceRecord)
+	publish  func(entry.Publish)
+	offer    func(api.ConfigOffer)
+	log      *zap.Logger
+	ids      *requestIDs
+
+	ctx      context.Context
+	snapshot atomic.Pointer[manifest.Snapshot]
+	ready    atomic.Pointer[readiness]
+	drained  chan struct{}
+	stats    atomic.Pointer[entry.Stats]
+	// nextStats is when the main loop publishes its figures again.
+	nextStats time.Time
+
+	mu      sync.Mutex
+	streams map[string]*callerapi.Stream
+}
+
+type readiness struct {
+	ok     bool
+	reason string
+}
+
+// Submit implements callerapi.Backend.
+func (l *entryLoop) Submit(r entry.RequestArrived, s *callerapi.Stream) bool {
+	l.mu.Lock()
+	l.streams[r.Request] = s
+	l.mu.Unlock()
+	if l.events.Offer(r) {
+		return true
+	}
+	l.dropStream(r.Request)
+	return false
+}
+
+// CallerGone implements callerapi.Backend.
+func (l *entryLoop) CallerGone(request string) {
+	l.dropStream(request)
+	l.events.Put(l.ctx, entry.CallerGone{Request: request})
+}
+
+// Snapshot implements callerapi.Backend.
+func (l *entryLoop) Snapshot() *manifest.Snapshot { return l.snapshot.Load() }
+
+// NewRequestID implements callerapi.Backend.
+func (l *entryLoop) NewRequestID() string { return l.ids.next() }
+
+func (l *entryLoop) dropStream(request string) {
+	l.mu.Lock()
+	delete(l.streams, request)
+	l.mu.Unlock()
+}
+
+func (l *entryLoop) stream(request string) *callerapi.Stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.streams[request]
+}
+
+// run is the main loop: one event at a time, then its effects.
+func (l *entryLoop) run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-l.events.Items():
+			l.handle(e)
+		case f := <-l.inspect:
+			f(l.core)
+		case <-timer.C:
+			l.handle(entry.Tick{})
+		}
+		now := time.Now()
+		l.beat.Beat(now)
+		l.publishStats(now)
+		timer.Reset(l.core.NextTick(now).Sub(now))
+	}
+}
+
+func (l *entryLoop) handle(e entry.Event) {
+	if applied, ok := e.(entry.SnapshotApplied); ok {
+		l.snapshot.Store(applied.Snapshot)
+	}
+	for _, effect := range l.core.Handle(time.Now(), e) {
+		l.apply(effect)
+	}
+	ok, reason := l.core.Ready()
+	l.ready.Store(&readiness{ok, reason})
+}
+
+func (l *entryLoop) apply(effect entry.Effect) {
+	switch e := effect.(type) {
+	case entry.Deliver:
+		l.deliver(e)
+	case entry.Answer:
+		l.answer(e)
+	case entry.StartAttempt:
+		go l.runAttempt(e)
+	case entry.CancelAttempt:
+		l.outbox.send(notice{e.Address, peer.MethodCancel, e.Cancel})
+	case entry.ConfirmUsage:
+		l.outbox.send(notice{e.Address, peer.MethodUsageConfirm, e.Confirm})
+	case entry.ReadObject:
+		go l.readObject(e)
+	case entry.WriteObject:
+		go l.writeObject(e)
+	case entry.Probe:
+		go l.probe(e)
+	case entry.Rate:
+		l.rater.submit(e)
+	case entry.Publish:
+		l.publish(e)
+	case entry.OfferConfig:
+		l.offer(e.Offer)
+	case entry.Trace:
+		l.recorder(e.Record)
+	case entry.Drained:
+		close(l.drained)
+	}
+}
+
+func (l *entryLoop) deliver(e entry.Deliver) {
+	s := l.stream(e.Request)
+	if s == nil || s.Deliver(e) {
+		return
+	}
+	l.log.Info("caller reads too slowly, request is stopped", zap.String("request", e.Request))
+	l.dropStream(e.Request)
+	s.Finish(entry.Answer{Request: e.Request, Err: errkind.New(errkind.Truncated, "caller reads too slowly")})
+	l.events.Offer(entry.CallerGone{Request: e.Request})
+}
+
+func (l *entryLoop) answer(e entry.Answer) {
+	if e.Err != nil {
+		l.log.Info("request is not answered", zap.String("request", e.Request), zap.String("kind", string(e.Err.Kind)),
+			zap.String("run_state", string(e.Err.RunState)), zap.String("reason", e.Err.Message))
+	}
+	if s := l.stream(e.Request); s != nil {
+		l.dropStream(e.Request)
+		s.Finish(e)
+	}
+}
+
+// runAttempt sends an attempt and waits for its result.
+func (l *entryLoop) runAttempt(e entry.StartAttempt) {
+	p := e.Params
+	ctx, cancel := context.WithTimeout(l.ctx, ms(p.DeadlineMs)+attemptGrace)
+	defer cancel()
+	ended := entry.AttemptEnded{Request: p.Request, Attempt: p.Attempt}
+	link, err := l.node.Link(ctx, e.Address)
+	if err == nil {
+		err = link.Call(ctx, peer.MethodRun, p, &ended.Result)
+	}
+	if err == nil && (ended.Result.Request != p.Request || ended.Result.Attempt != p.Attempt) {
+		err = errkind.New(errkind.UpstreamFailed, "sidecar answered another attempt")
+		ended.Result = api.RunResult{}
+	}
+	if err != nil {
+		ended.NotSent = peer.NotSent(err)
+		ended.Err = errkind.From(err)
+		if ended.NotSent {
+			ended.Err = errkind.Wrap(err, errkind.UpstreamFailed, "sidecar cannot be reached").WithRunState(api.RunStateNotRun)
+		}
+	}
+	l.events.Put(l.ctx, ended)
+}
+
+func (l *entryLoop) probe(e entry.Probe) {
+	ctx, cancel := context.WithTimeout(l.ctx, notifyTimeout)
+	defer cancel()
+	answered := entry.ProbeAnswered{BackendServer: e.BackendServer}
+	link, err := l.node.Link(ctx, e.Address)
+	if err == nil {
+		err = link.Call(ctx, peer.MethodProbe, api.ProbeParams{Revision: l.revision()}, &answered.Result)
+	}
+	answered.Err = err
+	l.events.Put(l.ctx, answered)
+}
+
+func (l *entryLoop) revision() api.Revision {
+	if s := l.snapshot.Load(); s != nil {
+		return s.Revision
+	}
+	return api.Revision{}
+}
+
+func (l *entryLoop) readObject(e entry.ReadObject) {
+	ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
+	defer cancel()
+	o, err := l.store.Get(ctx, e.Key)
+	l.events.Put(l.ctx, entry.StoreRead{Key: e.Key, Version: o.Version, Value: o.Value, Err: err})
+}
+
+func (l *entryLoop) writeObject(e entry.WriteObject) {
+	ctx, cancel := context.WithTimeout(l.ctx, storeTimeout)
+	defer cancel()
+	o, err := l.store.Put(ctx, e.Key, e.Value, e.IfVersion)
+	l.events.Put(l.ctx, entry.StoreWritten{Key: e.Key, Version: o.Version, Err: err})
+}
+
+// Status asks the main loop for the status.
+func (l *entryLoop) status(ctx context.Context) (api.Status, error) {
+	answer := make(chan api.Status, 1)
+	ask := func(c *entry.Core) { answer <- c.Status(time.Now()) }
+	select {
+	case l.inspect <- ask:
+		return <-answer, nil
+	case <-ctx.Done():
+		return api.Status{}, errkind.Wrap(ctx.Err(), errkind.Overloaded, "main loop does not answer")
+	}
+}
+
+// isReady implements observe.Readiness.
+func (l *entryLoop) isReady() (bool, string) {
+	r := l.ready.Load()
+	if r == nil {
+		return false, "main loop has not started"
+	}
+	return r.ok, r.reason
+}
--- /dev/null
+++ b/internal/observe/log.go
@@ -0,0 +1,57 @@
+// Package observe provides logs, metrics and the health endpoints.
+package observe
+
+import (
+	"github.com/rotisserie/eris"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// NewLogger returns a logger that writes JSON lines to standard error. Level is
+// debug, info, warn or error; empty means info.
+func NewLogger(level, instance string) (*zap.Logger, error) {
+	parsed := zapcore.InfoLevel
+	if level != "" {
+		if err := parsed.Set(level); err != nil {
+			return nil, eris.Wrapf(err, "log level %q is unknown", level)
+		}
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(parsed)
+	cfg.Sampling = nil
+	cfg.DisableStacktrace = true
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.EncoderConfig.NameKey = "part"
+	logger, err := cfg.Build(zap.WrapCore(func(c zapcore.Core) zapcore.Core { return prefixCore{c} }))
+	if err != nil {
+		return nil, eris.Wrap(err, "logger cannot be built")
+	}
+	return logger.With(zap.String("instance", instance)), nil
+}
+
+// Part returns the logger of one part; its messages start with the part's name.
+func Part(l *zap.Logger, name string) *zap.Logger { return l.Named(name) }
+
+// prefixCore starts each message with the name of its part.
+type prefixCore struct{ zapcore.Core }
+
+// With implements zapcore.Core.
+func (c prefixCore) With(fields []zapcore.Field) zapcore.Core {
+	return prefixCore{c.Core.With(fields)}
+}
+
+// Check implements zapcore.Core.
+func (c prefixCore) Check(e zapcore.Entry, ce *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(e.Level) {
+		return ce.AddCore(e, c)
+	}
+	return ce
+}
+
+// Write implements zapcore.Core.
+func (c prefixCore) Write(e zapcore.Entry, fields []zapcore.Field) error {
+	if e.LoggerName != "" {
+		e.Message = e.LoggerName + ": " + e.Message
+	}
+	return c.Core.Write(e, fields)
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -1,8 +1,11 @@
 // Package ring provides the bounded queue that joins two goroutines. A full
-// ring refuses an item; it never blocks the producer.
+// ring refuses an item, or holds back a producer that asked to wait.
 package ring
 
-import "sync/atomic"
+import (
+	"context"
+	"sync/atomic"
+)
 
 // Ring is a bounded first-in, first-out queue for any number of producers and
 // consumers.
@@ -29,6 +32,19 @@
 	}
 }
 
+// Put adds an item and waits while the ring is full. It is for items that must
+// not be lost, such as the result of an attempt. It reports false when ctx ends
+// first.
+func (r *Ring[T]) Put(ctx context.Context, item T) bool {
+	select {
+	case r.items <- item:
+		r.accepted.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // Items returns the receiving side.
 func (r *Ring[T]) Items() <-chan T { return r.items }
 
