Add the load generator and the trace reader and writer

Cause: the acceptance figures need latencies as callers see them, and lost, doubled and untruly refused requests counted without help from the router.

Conclusion: latencies count from the scheduled arrival; a server that handles one request in 10 ms under arrivals every 2 ms shows its full queue.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -4,6 +4,15 @@
 
 import "encoding/json"
 
+// AllowedVersions lists the versions of a customer.
+type AllowedVersions struct {
+	// Customer names the customer.
+	Customer string `json:"customer"`
+
+	// Versions lists the allowed versions.
+	Versions []string `json:"versions"`
+}
+
 // Backend describes the backend server beside a sidecar.
 type Backend struct {
 	// ChecksFencing states that the engine refuses an order with an old fencing
@@ -136,6 +145,29 @@
 	Weighting Weighting `json:"weighting"`
 }
 
+// ClassOutcomes are the bounds of one class.
+type ClassOutcomes struct {
+	// Class names the class.
+	Class string `json:"class"`
+
+	// MaxCostPerRequest bounds the mean cost of a completed request.
+	MaxCostPerRequest *float64 `json:"maxCostPerRequest,omitempty,omitzero"`
+
+	// MaxErrorShare bounds the share of requests that ended with an error.
+	MaxErrorShare *float64 `json:"maxErrorShare,omitempty,omitzero"`
+
+	// MaxFirstTokenP99Ms bounds the 99th percentile of the time to first token, in
+	// milliseconds.
+	MaxFirstTokenP99Ms *float64 `json:"maxFirstTokenP99Ms,omitempty,omitzero"`
+
+	// MaxTotalP99Ms bounds the 99th percentile of the time to the end, in
+	// milliseconds.
+	MaxTotalP99Ms *float64 `json:"maxTotalP99Ms,omitempty,omitzero"`
+
+	// MinQuality bounds the share of good answers among the rated ones.
+	MinQuality *float64 `json:"minQuality,omitempty,omitzero"`
+}
+
 // ConfigOffer carries a manifest and its revision.
 type ConfigOffer struct {
 	// Manifest is the manifest as committed.
@@ -248,6 +280,18 @@
 	Revision Revision `json:"revision"`
 }
 
+// ExposureBound bounds the attempts on a version from a time on.
+type ExposureBound struct {
+	// AfterUs is the time since the start of the trace, in microseconds.
+	AfterUs int `json:"afterUs"`
+
+	// MaxAttempts bounds the attempts.
+	MaxAttempts int `json:"maxAttempts"`
+
+	// Version names the version.
+	Version string `json:"version"`
+}
+
 // Hello opens a connection between daemons; both sides send one.
 type Hello struct {
 	// Member corresponds to the JSON schema field "member".
@@ -257,6 +301,33 @@
 	Revision Revision `json:"revision"`
 }
 
+// LatencySummary holds percentiles of a time, in microseconds.
+type LatencySummary struct {
+	// Count is the number of values.
+	Count int `json:"count"`
+
+	// Max is the largest value.
+	Max int `json:"max"`
+
+	// Mean is the arithmetic mean.
+	Mean float64 `json:"mean"`
+
+	// P50 is the median.
+	P50 int `json:"p50"`
+
+	// P90 is the 90th percentile.
+	P90 int `json:"p90"`
+
+	// P95 is the 95th percentile.
+	P95 int `json:"p95"`
+
+	// P99 is the 99th percentile.
+	P99 int `json:"p99"`
+
+	// P999 is the 99.9th percentile.
+	P999 int `json:"p999"`
+}
+
 // LeavingParams announces a graceful stop.
 type LeavingParams struct {
 	// Incarnation corresponds to the JSON schema field "incarnation".
@@ -305,6 +376,184 @@
 	Peer string `json:"peer"`
 }
 
+// LoadClass is one kind of request of the mix.
+type LoadClass struct {
+	// Class is the request class of the manifest; empty sends none.
+	Class string `json:"class,omitempty,omitzero"`
+
+	// Customer sends the requests; its key is in keys.
+	Customer string `json:"customer"`
+
+	// DeadlineMs is sent as X-Borageflow-Deadline-Ms; 0 sends none.
+	DeadlineMs int `json:"deadlineMs,omitempty,omitzero"`
+
+	// Idempotent states that the operation may run more than once.
+	Idempotent bool `json:"idempotent,omitempty,omitzero"`
+
+	// Kind corresponds to the JSON schema field "kind".
+	Kind LoadKind `json:"kind"`
+
+	// MaxTokens bounds an answer.
+	MaxTokens int `json:"maxTokens,omitempty,omitzero"`
+
+	// Model is a model, a version or auto.
+	Model string `json:"model,omitempty,omitzero"`
+
+	// Name labels the class in the result.
+	Name string `json:"name"`
+
+	// Operation is the operation of kind service.
+	Operation string `json:"operation,omitempty,omitzero"`
+
+	// PrefixTokens is the length of the shared first message; 0 sends none.
+	PrefixTokens int `json:"prefixTokens,omitempty,omitzero"`
+
+	// Prefixes is the number of different shared first messages.
+	Prefixes int `json:"prefixes,omitempty,omitzero"`
+
+	// PromptTokens is the length of the unique part of a prompt.
+	PromptTokens int `json:"promptTokens,omitempty,omitzero"`
+
+	// RepeatShare is the share of calls sent twice at once with the same key.
+	RepeatShare float64 `json:"repeatShare,omitempty,omitzero"`
+
+	// Service is the plain service of kind service.
+	Service string `json:"service,omitempty,omitzero"`
+
+	// Sessions is the number of concurrent sessions; 0 uses none.
+	Sessions int `json:"sessions,omitempty,omitzero"`
+
+	// Turns is the number of requests of one session.
+	Turns int `json:"turns,omitempty,omitzero"`
+
+	// Weight is the share of arrivals relative to the other classes.
+	Weight float64 `json:"weight,omitempty,omitzero"`
+
+	// Whole asks for a complete response in place of a stream.
+	Whole bool `json:"whole,omitempty,omitzero"`
+}
+
+// LoadCounts is the outcome of one class. Latencies count from the scheduled
+// arrival.
+type LoadCounts struct {
+	// BetweenTokens corresponds to the JSON schema field "betweenTokens".
+	BetweenTokens LatencySummary `json:"betweenTokens"`
+
+	// Completed counts the complete answers.
+	Completed int `json:"completed"`
+
+	// Cost is the sum of the known costs of answers.
+	Cost float64 `json:"cost"`
+
+	// CostKnown counts the answers whose cost is known.
+	CostKnown int `json:"costKnown"`
+
+	// Doubled counts non-idempotent calls that ran more than once, by the ledgers.
+	Doubled int `json:"doubled"`
+
+	// FirstToken corresponds to the JSON schema field "firstToken".
+	FirstToken LatencySummary `json:"firstToken"`
+
+	// Lost counts the requests with neither a complete answer nor an error of the
+	// closed list.
+	Lost int `json:"lost"`
+
+	// Name is the class, or all.
+	Name string `json:"name"`
+
+	// NotSent counts the arrivals above maxInFlight.
+	NotSent int `json:"notSent"`
+
+	// Offered counts the arrivals.
+	Offered int `json:"offered"`
+
+	// Poor counts the answers of low quality.
+	Poor int `json:"poor"`
+
+	// Quality is the share of answers that are good.
+	Quality float64 `json:"quality"`
+
+	// Refused counts the errors by kind.
+	Refused LoadCountsRefused `json:"refused"`
+
+	// SessionMoves counts the answers of a session by another version than its first.
+	SessionMoves int `json:"sessionMoves"`
+
+	// Tokens counts the output tokens of answers that state them.
+	Tokens int `json:"tokens"`
+
+	// Total corresponds to the JSON schema field "total".
+	Total LatencySummary `json:"total"`
+
+	// UntrueRefusals counts the refusals with run state not_run of requests that ran,
+	// by the ledgers.
+	UntrueRefusals int `json:"untrueRefusals"`
+
+	// Versions counts the answers by version.
+	Versions LoadCountsVersions `json:"versions"`
+
+	// Wrong counts the answers whose text is not the answer of the stated version to
+	// the request.
+	Wrong int `json:"wrong"`
+}
+
+// Refused counts the errors by kind.
+type LoadCountsRefused map[string]int
+
+// Versions counts the answers by version.
+type LoadCountsVersions map[string]int
+
+type LoadKind string
+
+const LoadKindChat LoadKind = "chat"
+const LoadKindService LoadKind = "service"
+
+// LoadPlan states what the load generator sends.
+type LoadPlan struct {
+	// Classes is the mix; with a trace it may be empty.
+	Classes []LoadClass `json:"classes"`
+
+	// Count bounds the number of arrivals; 0 means no bound.
+	Count int `json:"count,omitempty,omitzero"`
+
+	// Keys are the API keys by customer.
+	Keys LoadPlanKeys `json:"keys,omitempty,omitzero"`
+
+	// MaxInFlight bounds the requests in flight; arrivals above it are counted as not
+	// sent.
+	MaxInFlight int `json:"maxInFlight,omitempty,omitzero"`
+
+	// OperationPrices are costs of one call by service/operation.
+	OperationPrices LoadPlanOperationPrices `json:"operationPrices,omitempty,omitzero"`
+
+	// Prices are costs of 1,000 tokens by version; they price answers.
+	Prices LoadPlanPrices `json:"prices,omitempty,omitzero"`
+
+	// Rate is the mean number of arrivals per second (Poisson); unused with a trace.
+	Rate float64 `json:"rate,omitempty,omitzero"`
+
+	// Seconds bounds the time in which requests arrive.
+	Seconds float64 `json:"seconds,omitempty,omitzero"`
+
+	// Seed makes arrivals and prompts repeatable.
+	Seed int `json:"seed,omitempty,omitzero"`
+
+	// Speed scales the times of a trace; 2 plays it twice as fast.
+	Speed float64 `json:"speed,omitempty,omitzero"`
+
+	// TimeoutMs bounds one request, in milliseconds.
+	TimeoutMs int `json:"timeoutMs,omitempty,omitzero"`
+}
+
+// Keys are the API keys by customer.
+type LoadPlanKeys map[string]string
+
+// OperationPrices are costs of one call by service/operation.
+type LoadPlanOperationPrices map[string]float64
+
+// Prices are costs of 1,000 tokens by version; they price answers.
+type LoadPlanPrices map[string]float64
+
 // LoadReport is the load of one backend server.
 type LoadReport struct {
 	// AgeMs is the age of the engine's own report, in milliseconds.
@@ -341,6 +590,24 @@
 	Versions []string `json:"versions,omitempty,omitzero"`
 }
 
+// LoadResult is the outcome of one load run.
+type LoadResult struct {
+	// Classes holds one entry for each class and last one for all together.
+	Classes []LoadCounts `json:"classes"`
+
+	// Ledgers counts the stand-ins whose ledger was read.
+	Ledgers int `json:"ledgers"`
+
+	// Runs counts the runs of the sent requests in the ledgers; 0 without ledgers.
+	Runs int `json:"runs"`
+
+	// ScheduleLagUs is how late the generator itself sent requests.
+	ScheduleLag LatencySummary `json:"scheduleLag"`
+
+	// Seconds is the time from the first scheduled arrival to the last end.
+	Seconds float64 `json:"seconds"`
+}
+
 // LogSettings configure the log.
 type LogSettings struct {
 	// Level is debug, info, warn or error; empty means info.
@@ -523,6 +790,64 @@
 	Name string `json:"name"`
 }
 
+// Outcomes are the stated outcomes that a recorded trace must meet. An absent
+// bound is not checked.
+type Outcomes struct {
+	// Allowed lists the versions that a customer may use; a customer without an entry
+	// is not checked.
+	Allowed []AllowedVersions `json:"allowed,omitempty,omitzero"`
+
+	// Classes state further bounds for single classes.
+	Classes []ClassOutcomes `json:"classes,omitempty,omitzero"`
+
+	// Exposure bounds the use of versions from a time on.
+	Exposure []ExposureBound `json:"exposure,omitempty,omitzero"`
+
+	// GoodRating is the least rating of a good answer.
+	GoodRating float64 `json:"goodRating,omitempty,omitzero"`
+
+	// MaxAmplification bounds the attempts per request.
+	MaxAmplification *float64 `json:"maxAmplification,omitempty,omitzero"`
+
+	// MaxCostPerRequest bounds the mean cost of a completed request.
+	MaxCostPerRequest *float64 `json:"maxCostPerRequest,omitempty,omitzero"`
+
+	// MaxDoubled bounds the non-idempotent requests with more than one attempt that
+	// ran or may have run.
+	MaxDoubled *int `json:"maxDoubled,omitempty,omitzero"`
+
+	// MaxErrorShare bounds the share of requests that ended with an error.
+	MaxErrorShare *float64 `json:"maxErrorShare,omitempty,omitzero"`
+
+	// MaxErrors bounds the requests that ended with an error.
+	MaxErrors *int `json:"maxErrors,omitempty,omitzero"`
+
+	// MaxFirstTokenP95Ms bounds the 95th percentile of the time to first token, in
+	// milliseconds.
+	MaxFirstTokenP95Ms *float64 `json:"maxFirstTokenP95Ms,omitempty,omitzero"`
+
+	// MaxFirstTokenP99Ms bounds the 99th percentile of the time to first token, in
+	// milliseconds.
+	MaxFirstTokenP99Ms *float64 `json:"maxFirstTokenP99Ms,omitempty,omitzero"`
+
+	// MaxLost bounds the arrivals without an end.
+	MaxLost *int `json:"maxLost,omitempty,omitzero"`
+
+	// MaxTotalP99Ms bounds the 99th percentile of the time to the end, in
+	// milliseconds.
+	MaxTotalP99Ms *float64 `json:"maxTotalP99Ms,omitempty,omitzero"`
+
+	// MinQuality bounds the share of good answers among the rated ones.
+	MinQuality *float64 `json:"minQuality,omitempty,omitzero"`
+
+	// MinRatings is the number of ratings that a quality bound needs.
+	MinRatings int `json:"minRatings,omitempty,omitzero"`
+
+	// NonIdempotent lists the operations, as service/operation, that may run once
+	// only.
+	NonIdempotent []string `json:"nonIdempotent,omitempty,omitzero"`
+}
+
 // Part carries streamed text; parts of one attempt are numbered from 1.
 type Part struct {
 	// Attempt corresponds to the JSON schema field "attempt".
--- a/internal/standin/base/ledger.go
+++ b/internal/standin/base/ledger.go
@@ -25,6 +25,9 @@
 	Customer  string `json:"customer,omitempty"`
 	Version   string `json:"version,omitempty"`
 	Operation string `json:"operation,omitempty"`
+	// Body is a digest of what the caller asked; it tells a caller's requests
+	// apart when the router names them differently.
+	Body string `json:"body,omitempty"`
 	// StartedUs and FinishedUs are microseconds since the stand-in was made;
 	// FinishedUs is 0 while the run goes on.
 	StartedUs  int64  `json:"startedUs"`
--- a/internal/standin/engine/answer.go
+++ b/internal/standin/engine/answer.go
@@ -66,6 +66,11 @@
 	return strings.Repeat("0", 16-len(hex)) + hex
 }
 
+// Digest returns the digest of a prompt that the ledger records.
+func Digest(messages []api.ChatMessage) string {
+	return strconv.FormatUint(seedOf("", messages), 16)
+}
+
 // PromptTokens returns the length of a prompt in tokens.
 func PromptTokens(messages []api.ChatMessage) int {
 	total := 0
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -97,7 +97,7 @@
 		out:    newStream(),
 		handle: e.ledger.Start(base.Run{
 			Request: body.Request, Attempt: body.Attempt, Customer: body.Customer,
-			Version: body.Version, Offset: body.Offset,
+			Version: body.Version, Offset: body.Offset, Body: Digest(body.Messages),
 		}),
 	}
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -92,14 +92,18 @@
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.handler.ServeHTTP(w, r) }
 
-// Answer returns the answer of an operation to a body: the operation, the body
-// and a reference that is a function of both.
+// Digest returns the digest of a call that the ledger records.
+func Digest(operation string, body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64String(operation+"\x00"+string(body)), 16)
+}
+
+// Answer returns the answer of an operation to a body: the operation and a
+// reference that is a function of operation and body.
 func Answer(operation string, body []byte) []byte {
-	reference := xxhash.Sum64String(operation + "\x00" + string(body))
 	// Encoding strings cannot fail.
 	raw, _ := json.Marshal(map[string]string{
 		"operation": operation,
-		"reference": strconv.FormatUint(reference, 16),
+		"reference": Digest(operation, body),
 	})
 	return raw
 }
@@ -122,7 +126,9 @@
 		return
 	}
 	defer s.release()
-	handle := s.ledger.Start(base.Run{Request: request, Attempt: attempt, Operation: operation})
+	handle := s.ledger.Start(base.Run{
+		Request: request, Attempt: attempt, Operation: operation, Body: Digest(operation, body),
+	})
 	time.Sleep(s.latency(operation, hit))
 	outcome := base.OutcomeFinished
 	if hit.Has(base.FaultError) {
--- a/schema/schema.go
+++ b/schema/schema.go
@@ -1,5 +1,5 @@
 // Package schema embeds the JSON Schemas of settings, manifest, peer messages,
-// status, usage records and traces.
+// status, usage records, traces, load plans, load results and stated outcomes.
 package schema
 
 import "embed"
