Report the burn of service-level objectives

Cause: operators read status and get alerts, so the objectives of the manifest need burn rates over several windows and a verdict.

Change: internal/burn counts good and total requests in 30 s buckets over 3 d (207 KB for one objective), from trace records or from cumulative counters, and writes text and one HTML page. schema/ gains counters (additive). Errors that the caller or an operator brought about do not count; an arrival without an end by its class's deadline is bad.

Conclusion: alerts follow the usual multi-window rule (14.4 over 1 h and 5 min, 6 over 6 h and 30 min, 1 over 3 d and 6 h) and need two bad requests.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -177,6 +177,28 @@
 	Revision Revision `json:"revision"`
 }
 
+// CounterSample is one reading of the good and total requests of an objective, as
+// JSON lines.
+type CounterSample struct {
+	// At is the time since the start of the readings, in microseconds.
+	At int `json:"at"`
+
+	// Class names the objective's class.
+	Class string `json:"class"`
+
+	// Good counts the good requests since the start of the process.
+	Good int `json:"good"`
+
+	// Instance is where the counters were read.
+	Instance string `json:"instance,omitempty,omitzero"`
+
+	// Objective counts the objectives of the class from 0, in manifest order.
+	Objective int `json:"objective,omitempty,omitzero"`
+
+	// Total counts the requests since the start of the process.
+	Total int `json:"total"`
+}
+
 // Customer is a team that sends requests.
 type Customer struct {
 	// Burst is the fleet-wide burst in requests; 0 means one second of the rate.
