Judge recorded traces against stated outcomes

Cause: a recorded trace needs a verdict that names every broken outcome, so that a change can be held against the same requests again.

A trace from which the recorder dropped records can show requests as lost.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -80,6 +80,21 @@
 	Versions []string `json:"versions,omitempty,omitzero"`
 }
 
+// BrokenOutcome is one outcome that the trace breaks.
+type BrokenOutcome struct {
+	// Examples names some of the requests behind it.
+	Examples []string `json:"examples"`
+
+	// Outcome is the path of the bound, such as classes[quick].minQuality.
+	Outcome string `json:"outcome"`
+
+	// Seen is what the trace shows.
+	Seen string `json:"seen"`
+
+	// Stated is the bound.
+	Stated string `json:"stated"`
+}
+
 // BurnWindow is the burn rate over one window.
 type BurnWindow struct {
 	// Burn is the error rate divided by the error budget.
@@ -994,6 +1009,21 @@
 	Revision Revision `json:"revision"`
 }
 
+// ReplayVerdict says which stated outcomes a recorded trace breaks.
+type ReplayVerdict struct {
+	// Broken corresponds to the JSON schema field "broken".
+	Broken []BrokenOutcome `json:"broken"`
+
+	// Checked counts the outcomes that were checked.
+	Checked int `json:"checked"`
+
+	// Met is true when no outcome is broken.
+	Met bool `json:"met"`
+
+	// Requests counts the arrivals.
+	Requests int `json:"requests"`
+}
+
 // Revision orders manifests: by store generation, then by object version.
 type Revision struct {
 	// Generation rises when the store is restored.
