Add the command line: load, replay, report and standin

Cause: operators and pipelines need the load generator, the verdict on traces, the burn report and the stand-ins from a shell, with exit codes they can act on.

Change: cmd/borageflow with one file for each subcommand and a registry that lists them. Exit codes: 0 well, 1 outcome not met or fault, 2 wrong command line.

--- /dev/null
+++ b/cmd/borageflow/standin.go
@@ -0,0 +1,146 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/borageflow/borageflow/internal/standin/base"
+	"github.com/borageflow/borageflow/internal/standin/engine"
+	"github.com/borageflow/borageflow/internal/standin/rating"
+	"github.com/borageflow/borageflow/internal/standin/service"
+	"github.com/borageflow/borageflow/internal/standin/weights"
+)
+
+// stopTime bounds the graceful stop of the stand-ins.
+const stopTime = 5 * time.Second
+
+// standinFlags are the flags of the subcommand standin.
+type standinFlags struct {
+	engines, services, ratings, weightStores []string
+	versions, quality                        []string
+
+	engine  engine.Config
+	service service.Config
+	rating  rating.Config
+	weights weights.Config
+}
+
+// standinKind is one kind of stand-in: its addresses and how to start it.
+type standinKind struct {
+	name      string
+	addresses []string
+	start     func(address string) (*base.Server, error)
+}
+
+func newStandin() command {
+	f := &standinFlags{}
+	c := newCommand("standin", "Runs stand-ins of the outside systems until it is interrupted.", f.run)
+	c.sub.AdditionalHelpAppend = "\n  An address is host:port; port 0 picks one. Each stand-in prints its kind and URL."
+	c.sub.StringSlice(&f.engines, "", "engine", "Address of a model engine; may be repeated.")
+	c.sub.StringSlice(&f.services, "", "service", "Address of a plain service; may be repeated.")
+	c.sub.StringSlice(&f.ratings, "", "rating", "Address of a rating service; may be repeated.")
+	c.sub.StringSlice(&f.weightStores, "", "weights", "Address of a weight store; may be repeated.")
+	f.engineFlags(c)
+	c.sub.Int(&f.service.Capacity, "", "service-capacity", "Calls at once of a service (default 32).")
+	c.sub.Duration(&f.service.Latency, "", "service-latency", "Time of one call of a service (default 1ms).")
+	c.sub.Duration(&f.rating.Latency, "", "rating-latency", "Time of one rating.")
+	c.sub.Float64(&f.rating.Noise, "", "rating-noise", "Width of the noise of a rating.")
+	c.sub.Float64(&f.rating.Bias, "", "rating-bias", "Bias of a rating.")
+	c.sub.Float64(&f.weights.PerSecond, "", "weights-per-second", "Loads per second of a weight store (default 1).")
+	c.sub.Int(&f.weights.Burst, "", "weights-burst", "Loads at once of a weight store (default 1).")
+	return c
+}
+
+func (f *standinFlags) engineFlags(c command) {
+	c.sub.StringSlice(&f.versions, "", "version-loaded", "Version that engines hold from the start; may be repeated.")
+	c.sub.StringSlice(&f.quality, "", "quality", "Share of prompts that a version answers well, as version=share; may be repeated.")
+	c.sub.Int(&f.engine.Slots, "", "slots", "Requests in the batch of an engine (default 8).")
+	c.sub.Int(&f.engine.Queue, "", "queue", "Waiting requests of an engine (default 64).")
+	c.sub.Duration(&f.engine.StepTime, "", "step", "Time of one step of an engine (default 2ms).")
+	c.sub.Int(&f.engine.PrefillTokens, "", "prefill-tokens", "Prompt tokens read in one step (default 512).")
+	c.sub.Int(&f.engine.KVTokens, "", "kv-tokens", "Memory of an engine in tokens (default 65536).")
+	c.sub.Duration(&f.engine.LoadPeriod, "", "load-period", "Time between two load reports; 0 reports at once.")
+	c.sub.Duration(&f.engine.EventDelay, "", "event-delay", "Delay of cache events.")
+	c.sub.Int(&f.engine.EventDropNth, "", "event-drop-nth", "Loses every n-th cache event.")
+	c.sub.Bool(&f.engine.CheckFence, "", "check-fence", "Refuses orders with an old fencing token.")
+	c.sub.String(&f.engine.WeightStore, "", "weight-store", "URL of the weight store of the engines; the first --weights without it.")
+	c.sub.Duration(&f.engine.LoadTime, "", "load-time", "Time to load a version after its weights arrived.")
+	c.sub.Duration(&f.engine.StartTime, "", "start-time", "Time after the start in which engines answer 503.")
+}
+
+// kinds lists the stand-ins in the order in which they start: engines need the
+// address of the weight store.
+func (f *standinFlags) kinds() []standinKind {
+	return []standinKind{
+		{"weights", f.weightStores, f.startWeights},
+		{"engine", f.engines, func(a string) (*base.Server, error) { return engine.New(f.engine).Start(a) }},
+		{"service", f.services, func(a string) (*base.Server, error) { return service.New(f.service).Start(a) }},
+		{"rating", f.ratings, func(a string) (*base.Server, error) { return rating.New(f.rating).Start(a) }},
+	}
+}
+
+func (f *standinFlags) startWeights(address string) (*base.Server, error) {
+	server, err := weights.New(f.weights).Start(address)
+	if err == nil && f.engine.WeightStore == "" {
+		f.engine.WeightStore = server.URL()
+	}
+	return server, err
+}
+
+func (f *standinFlags) run(ctx context.Context, s streams) error {
+	if err := f.complete(); err != nil {
+		return err
+	}
+	var servers []*base.Server
+	defer func() { stopAll(servers) }()
+	for _, kind := range f.kinds() {
+		for _, address := range kind.addresses {
+			server, err := kind.start(address)
+			if err != nil {
+				return err
+			}
+			servers = append(servers, server)
+			if _, err := fmt.Fprintf(s.out, "%s %s\n", kind.name, server.URL()); err != nil {
+				return eris.Wrap(err, "address cannot be written")
+			}
+		}
+	}
+	if len(servers) == 0 {
+		return usageError{"at least one of --engine, --service, --rating and --weights is required"}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+// complete checks the versions and their qualities.
+func (f *standinFlags) complete() error {
+	f.engine.Versions = f.versions
+	f.engine.Quality = map[string]float64{}
+	for _, text := range f.quality {
+		version, share, found := strings.Cut(text, "=")
+		quality, err := strconv.ParseFloat(share, 64)
+		if !found || err != nil || quality < 0 || quality > 1 {
+			return usageError{fmt.Sprintf("--quality %q is not version=share with a share from 0 to 1", text)}
+		}
+		f.engine.Quality[version] = quality
+	}
+	if len(f.engines) > 0 && len(f.versions) == 0 && len(f.weightStores) == 0 && f.engine.WeightStore == "" {
+		return usageError{"--engine needs --version-loaded or a weight store"}
+	}
+	return nil
+}
+
+// stopAll lets running calls finish for stopTime.
+func stopAll(servers []*base.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	for _, server := range servers {
+		// A call that outlives stopTime is cut off.
+		_ = server.Shutdown(ctx)
+	}
+}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -230,3 +231,22 @@
 	assert.Equal(t, len(feed.Events), 2, "events 1 and 3 of 3, with a gap: %s", raw)
 	assert.Equal(t, feed.Events[0].Prefix, Fingerprint(first.Messages))
 }
+
+// BenchmarkTokens measures how many tokens a second one engine streams when its
+// steps take no time.
+func BenchmarkTokens(b *testing.B) {
+	e := New(Config{Versions: []string{"m-1"}, Slots: 64, StepTime: time.Nanosecond})
+	server, err := e.Start("127.0.0.1:0")
+	assert.NilError(b, err)
+	defer server.Close()
+	var attempts, tokens atomic.Int64
+	b.SetParallelism(4)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			body := ask("r", "x")
+			body.Attempt, body.MaxTokens = int(attempts.Add(1)), 500
+			tokens.Add(int64(len(generate(b.Context(), server, body).tokens)))
+		}
+	})
+	b.ReportMetric(float64(tokens.Load())/b.Elapsed().Seconds(), "tokens/s")
+}
