Time engine steps to their end, and measure direct calls as a baseline

Cause: a run of `borageflow load` against an engine with 5 ms steps showed a first token after 3.9 ms at the median: the stand-in emitted tokens at the start of a step. And "what the router adds" needs a direct call in the same run.

Change: the batch loop now waits for the step and then emits. The load plan gains the kind engine, which calls an engine without the router and is judged by the same rules (additive in schema/loadplan.json).

Conclusion: latencies of the stand-in are those of its steps.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -463,6 +463,9 @@
 	// Turns is the number of requests of one session.
 	Turns int `json:"turns,omitempty,omitzero"`
 
+	// URL is the base URL of the engine of kind engine; its model names a version.
+	URL string `json:"url,omitempty,omitzero"`
+
 	// Weight is the share of arrivals relative to the other classes.
 	Weight float64 `json:"weight,omitempty,omitzero"`
 
@@ -543,6 +546,7 @@
 type LoadKind string
 
 const LoadKindChat LoadKind = "chat"
+const LoadKindEngine LoadKind = "engine"
 const LoadKindService LoadKind = "service"
 
 // LoadPlan states what the load generator sends.
--- a/internal/loadgen/collect.go
+++ b/internal/loadgen/collect.go
@@ -104,7 +104,7 @@
 		n.Cost += s.cost
 		n.CostKnown++
 	}
-	if class.Kind == api.LoadKindChat {
+	if class.Kind != api.LoadKindService {
 		n.Versions[s.version]++
 	}
 	if s.first > 0 {
--- a/internal/loadgen/loadgen_test.go
+++ b/internal/loadgen/loadgen_test.go
@@ -266,3 +266,23 @@
 		b.ReportMetric(float64(got.Total.P99), "end-p99-us")
 	}
 }
+
+// Guards against a baseline that is judged by other rules than the entry: the
+// same engine answers directly and through a router that does nothing.
+func TestDirectCallsAreTheBaseline(t *testing.T) {
+	e := engine.New(engine.Config{Versions: []string{version}, StepTime: time.Millisecond})
+	server, err := e.Start("127.0.0.1:0")
+	assert.NilError(t, err)
+	defer server.Close()
+	p := plan(t, fmt.Sprintf(`{"rate":200,"count":40,"seed":3,"keys":{"c":"k"},"prices":{"m-1":2},"classes":[
+	 {"name":"routed","kind":"chat","customer":"c","maxTokens":8},
+	 {"name":"direct","kind":"engine","customer":"c","model":"m-1","url":%q,"maxTokens":8}]}`, server.URL()))
+	result := run(t, &entry{}, Options{Plan: p, Ledgers: []string{server.URL()}})
+	direct := result.Classes[1]
+	assert.Assert(t, direct.Completed > 5)
+	assert.Equal(t, direct.Completed, direct.Offered)
+	assert.Equal(t, direct.Wrong+direct.Lost, 0)
+	assert.Equal(t, direct.CostKnown, direct.Completed)
+	assert.Equal(t, result.Runs, direct.Completed)
+	assert.Equal(t, direct.BetweenTokens.Count, 7*direct.Completed, "8 tokens have 7 gaps")
+}
--- a/internal/loadgen/plan.go
+++ b/internal/loadgen/plan.go
@@ -33,6 +33,12 @@
 
 func checkClass(plan api.LoadPlan, class api.LoadClass, path string) schemacheck.Faults {
 	var faults schemacheck.Faults
+	if class.Kind == api.LoadKindEngine {
+		if class.URL == "" {
+			faults = append(faults, schemacheck.Fault{Path: path, Problem: "kind engine needs url"})
+		}
+		return faults
+	}
 	if _, ok := plan.Keys[class.Customer]; !ok {
 		faults = append(faults, schemacheck.Fault{
 			Path: path + ".customer", Problem: fmt.Sprintf("customer %q has no entry in keys", class.Customer),
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -127,9 +127,12 @@
 	timeout := time.Duration(g.plan.TimeoutMs) * time.Millisecond
 	ctx, cancel := context.WithDeadline(ctx, scheduled.Add(timeout))
 	defer cancel()
-	if g.plan.Classes[a.class].Kind == api.LoadKindService {
+	switch g.plan.Classes[a.class].Kind {
+	case api.LoadKindService:
 		g.service(ctx, a, scheduled, s)
-	} else {
+	case api.LoadKindEngine:
+		g.direct(ctx, a, scheduled, s)
+	default:
 		g.chat(ctx, a, scheduled, s)
 	}
 	s.total = time.Since(scheduled)
--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -68,25 +68,37 @@
 	return taken
 }
 
-// runBatch makes one step after another while there is work.
+// runBatch makes one step after another while there is work. Tokens come out at
+// the end of a step.
 func (e *Engine) runBatch() {
 	due := time.Now()
-	for {
-		if !e.waitForWork() {
-			return
-		}
-		step, busy := e.step()
+	for e.waitForWork() {
+		took, busy := e.beginStep()
 		if !busy {
 			continue
 		}
-		due = due.Add(step)
+		// A late step is not caught up: the engine would run faster than it can.
 		if now := time.Now(); due.Before(now) {
 			due = now
 		}
-		if !e.sleep(time.Until(due)) {
+		due = due.Add(took)
+		if !e.sleep(time.Until(due)) || !e.waitForThaw() {
 			return
 		}
+		e.endStep()
+	}
+}
+
+// waitForThaw blocks while the engine is frozen.
+func (e *Engine) waitForThaw() bool {
+	for thaw := e.faults.Frozen(); thaw != nil; thaw = e.faults.Frozen() {
+		select {
+		case <-thaw:
+		case <-e.quit:
+			return false
+		}
 	}
+	return true
 }
 
 func (e *Engine) sleep(d time.Duration) bool {
@@ -127,9 +139,8 @@
 	return e.wake
 }
 
-// step fills the batch, advances every request by one step and returns the time
-// that the step takes.
-func (e *Engine) step() (time.Duration, bool) {
+// beginStep fills the batch and returns the time that the step takes.
+func (e *Engine) beginStep() (took time.Duration, busy bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fill()
@@ -137,8 +148,15 @@
 		return 0, false
 	}
 	load := float64(len(e.running)) / float64(e.config.Slots)
-	took := time.Duration(float64(e.config.StepTime) * (1 + e.config.BatchSlowdown*load))
+	took = time.Duration(float64(e.config.StepTime) * (1 + e.config.BatchSlowdown*load))
 	e.timing.step(took)
+	return took, true
+}
+
+// endStep advances every request of the batch by one step.
+func (e *Engine) endStep() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	kept := e.running[:0]
 	for _, s := range e.running {
 		if e.advance(s) {
@@ -147,7 +165,6 @@
 	}
 	clear(e.running[len(kept):])
 	e.running = kept
-	return took, true
 }
 
 // fill moves waiting requests into free slots, the most urgent first.
--- a/internal/standin/engine/faults_test.go
+++ b/internal/standin/engine/faults_test.go
@@ -158,3 +158,20 @@
 	assert.Equal(t, report.Slots, 8)
 	assert.DeepEqual(t, report.Versions, []string{"m-1"})
 }
+
+// Guards against a first token before the prompt is read: the first token of an
+// idle engine comes after as many steps as the prompt takes, and a slow version
+// takes its factor longer.
+func TestFirstTokenTakesItsSteps(t *testing.T) {
+	const step = 5 * time.Millisecond
+	e, server := start(t, Config{StepTime: step, PrefillTokens: 10})
+	body := ask("r1", strings.Repeat("abcd", 26)) // 3 and 27 prompt tokens: 3 steps
+	began := time.Now()
+	assert.Equal(t, generate(t.Context(), server, body).end.InputTokens, 30)
+	assert.Assert(t, time.Since(began) >= 10*step, "3 steps to the first of 8 tokens")
+	e.Faults().Set(base.Fault{Kind: base.FaultSlow, Target: "m-1", Factor: 3})
+	body.Request, body.Messages = "r2", ask("", "x").Messages
+	began = time.Now()
+	assert.Equal(t, generate(t.Context(), server, body).end.OutputTokens, 8)
+	assert.Assert(t, time.Since(began) >= 8*3*step, "8 tokens at a third of the speed")
+}
