Bin evidence on escalated requests by the first answer's confidence

Cause: the quality of the strong version on escalated requests depends on the threshold that escalated them, so evidence taken under one threshold was wrong under the next and some runs stayed on the strong version for good. The pooled quality of a version whose delivered answers a threshold selects was too high and could make it the strongest. The controller also wound up its margin while a single-stage plan had quality to spare.

Change: evidence of later stages is kept by previous version and confidence; quality is weighted by the distribution of confidence; the excess of single-stage plans is left out of the margin.

--- a/internal/cascade/control.go
+++ b/internal/cascade/control.go
@@ -9,7 +9,24 @@
 // raising or lowering a margin on the quality that plans must reach.
 type controller struct {
 	margin float64
-	at     time.Time
+	// at is the time of the last rating in Unix nanoseconds.
+	at int64
+	// excess is how far the bound of recent single-stage plans is from the aim.
+	// It is not an error of the estimates, so it is left out of the margin.
+	excess float64
+}
+
+// excessGain averages the excess over some dozens of requests.
+const excessGain = 0.03
+
+// planned records a plan before its answer is measured. A cascade is tuned to
+// the aim and has no excess.
+func (c *controller) planned(d draft, aim float64) {
+	excess := 0.0
+	if d.second == nil {
+		excess = d.quality - aim
+	}
+	c.excess += excessGain * (excess - c.excess)
 }
 
 func (c *controller) observe(now time.Time, good bool, aim float64, o *Options) {
@@ -17,9 +34,9 @@
 	if good {
 		measured = 1
 	}
-	c.margin += o.ControlGain * (aim - measured)
+	c.margin += o.ControlGain * (aim + c.excess - measured)
 	c.margin = min(max(c.margin, o.MinMargin), o.MaxMargin)
-	c.at = now
+	c.at = now.UnixNano()
 }
 
 // effective is the margin to use now. A negative margin fades when ratings
--- a/internal/cascade/estimator.go
+++ b/internal/cascade/estimator.go
@@ -88,12 +88,11 @@
 // Estimate returns the quality of a version on unselected requests of a class.
 func (e *Estimator) Estimate(now time.Time, class, version string) Estimate {
 	c := e.cell(class, version)
-	b := c.overall(now, e.opts.EvidenceHalfLife)
-	sum := c.total()
+	b := c.curve(now, e.opts.EvidenceHalfLife).quality
 	return Estimate{
 		Mean:     b.mean,
 		Lower:    betaQuantile(b, lowerQuantile),
-		Evidence: (sum.count() + c.later.count()) * freshness(now, latest(sum.at, c.later.at), e.opts.EvidenceHalfLife),
+		Evidence: c.evidence(now, e.opts.EvidenceHalfLife),
 	}
 }
 
@@ -104,10 +103,3 @@
 	}
 	return distuv.Beta{Alpha: b.mean * b.weight, Beta: (1 - b.mean) * b.weight}.Quantile(p)
 }
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/internal/cascade/evidence.go
+++ b/internal/cascade/evidence.go
@@ -22,31 +22,51 @@
 // binCentre is the middle of a bin.
 func binCentre(bin int) float64 { return (float64(bin) + 0.5) / confidenceBins }
 
-// tally counts good and bad answers with forgetting.
+// tally counts good and bad answers with forgetting. It is kept small because
+// there are many per class and version.
 type tally struct {
-	good float64
-	bad  float64
-	at   time.Time
+	good float32
+	bad  float32
+	// at is the time of the last rating in Unix nanoseconds.
+	at int64
 }
 
 func (t *tally) add(now time.Time, good bool, memory float64) {
-	keep := 1 - 1/memory
-	t.good *= keep
-	t.bad *= keep
+	t.scale(1 - 1/memory)
 	if good {
 		t.good++
 	} else {
 		t.bad++
 	}
-	t.at = now
+	t.at = now.UnixNano()
 }
 
 func (t *tally) scale(factor float64) {
-	t.good *= factor
-	t.bad *= factor
+	t.good *= float32(factor)
+	t.bad *= float32(factor)
 }
 
-func (t *tally) count() float64 { return t.good + t.bad }
+func (t *tally) count() float64 { return float64(t.good) + float64(t.bad) }
+
+// tallies holds evidence by confidence.
+type tallies [confidenceBins]tally
+
+// sum adds up all evidence.
+func (t *tallies) sum() tally {
+	var out tally
+	for i := range t {
+		out.good += t[i].good
+		out.bad += t[i].bad
+		out.at = max(out.at, t[i].at)
+	}
+	return out
+}
+
+func (t *tallies) scale(factor float64) {
+	for i := range t {
+		t[i].scale(factor)
+	}
+}
 
 // belief is a Beta distribution by its mean and weight.
 type belief struct {
@@ -62,15 +82,15 @@
 	if n == 0 {
 		return b
 	}
-	mean := (b.mean*b.weight + t.good) / (b.weight + n)
+	mean := (b.mean*b.weight + float64(t.good)) / (b.weight + n)
 	return belief{mean: mean, weight: b.weight + n*freshness(now, t.at, halfLife)}
 }
 
 func (b belief) variance() float64 { return b.mean * (1 - b.mean) / (b.weight + 1) }
 
 // freshness falls from 1 to 0 with the age of the last rating.
-func freshness(now, at time.Time, halfLife time.Duration) float64 {
-	age := max(now.Sub(at), 0)
+func freshness(now time.Time, at int64, halfLife time.Duration) float64 {
+	age := max(now.UnixNano()-at, 0)
 	return math.Exp2(-float64(age) / float64(halfLife))
 }
 
@@ -78,21 +98,22 @@
 type cell struct {
 	prior belief
 	// first holds ratings of answers to unselected requests by confidence.
-	first [confidenceBins]tally
-	// later holds ratings of answers to requests that an earlier stage
-	// escalated, which are harder.
-	later tally
+	first tallies
+	// later holds ratings of answers to requests that another version escalated,
+	// by that version and its confidence. Binned in this way the evidence does
+	// not depend on the threshold that escalated the requests.
+	later map[string]*tallies
 	// seen is the distribution of confidence over unselected requests.
-	seen [confidenceBins]float64
-	// shortfall is the drift test's sum.
-	shortfall float64
+	seen [confidenceBins]float32
+	// drift is the sum of the drift test.
+	drift float64
 }
 
 // Pseudo-counts of the shrinkage between related estimates. They are small so
 // that a few dozen ratings outweigh them.
 const (
 	binPriorWeight   = 2
-	crossPriorWeight = 4
+	laterPriorWeight = 4
 	seenMemory       = 2000
 )
 
@@ -103,43 +124,45 @@
 	c.seen[binOf(confidence)]++
 }
 
-// total sums the unselected evidence.
-func (c *cell) total() tally {
-	var sum tally
-	for i := range c.first {
-		sum.good += c.first[i].good
-		sum.bad += c.first[i].bad
-		if c.first[i].at.After(sum.at) {
-			sum.at = c.first[i].at
-		}
+// evidence sums the ratings that count.
+func (c *cell) evidence(now time.Time, halfLife time.Duration) float64 {
+	sum := c.first.sum()
+	n := sum.count() * freshness(now, sum.at, halfLife)
+	for _, t := range c.later {
+		sum := t.sum()
+		n += sum.count() * freshness(now, sum.at, halfLife)
 	}
-	return sum
+	return n
 }
 
-// overall is the belief about the version's quality on unselected requests.
+// overall pools the ratings of every confidence. Where a threshold selected the
+// delivered answers its mean is too high; curve weighs by confidence instead.
 func (c *cell) overall(now time.Time, halfLife time.Duration) belief {
-	sum := c.total()
-	b := c.prior
-	if n := c.later.count(); n > 0 {
-		// Escalated requests are harder, so this errs on the careful side.
-		weight := min(n, crossPriorWeight)
-		b.mean = (b.mean*b.weight + weight*c.later.good/n) / (b.weight + weight)
-		b.weight += weight * freshness(now, c.later.at, halfLife)
+	sum := c.first.sum()
+	return c.prior.update(now, &sum, halfLife)
+}
+
+// laterFrom returns the evidence on requests that a version escalated.
+func (c *cell) laterFrom(version string) *tallies {
+	t := c.later[version]
+	if t == nil {
+		t = &tallies{}
+		if c.later == nil {
+			c.later = map[string]*tallies{}
+		}
+		c.later[version] = t
 	}
-	return b.update(now, &sum, halfLife)
-}
-
-// escalated is the belief about the version's quality on escalated requests.
-func (c *cell) escalated(now time.Time, halfLife time.Duration) belief {
-	b := c.prior
-	sum := c.total()
-	if n := sum.count(); n > 0 {
-		weight := min(n, crossPriorWeight)
-		mean := min(sum.good/n, b.mean)
-		b.mean = (b.mean*b.weight + weight*mean) / (b.weight + weight)
-		b.weight += weight * freshness(now, sum.at, halfLife)
+	return t
+}
+
+// laterBin is the belief about answers to requests that another version
+// escalated with a confidence in bin k.
+func laterBin(now time.Time, t *tallies, k int, overall belief, halfLife time.Duration) belief {
+	prior := belief{mean: overall.mean, weight: min(overall.weight, laterPriorWeight)}
+	if t == nil {
+		return prior
 	}
-	return b.update(now, &c.later, halfLife)
+	return prior.update(now, &t[k], halfLife)
 }
 
 // curve holds the quality of a version's answers above each confidence.
@@ -149,27 +172,33 @@
 	share    [confidenceBins + 1]float64
 	mean     [confidenceBins + 1]float64
 	variance [confidenceBins + 1]float64
-	overall  belief
+	// shares is the distribution of confidence by bin.
+	shares [confidenceBins]float64
+	// quality is the belief about unselected requests: the mean over all bins
+	// with the weight of all ratings.
+	quality belief
 }
 
 func (c *cell) curve(now time.Time, halfLife time.Duration) curve {
-	out := curve{overall: c.overall(now, halfLife)}
-	shares := c.shares()
+	out := curve{shares: c.shares()}
+	overall := c.overall(now, halfLife)
 	for k := confidenceBins - 1; k >= 0; k-- {
-		b := c.bin(now, k, out.overall, halfLife)
-		out.share[k] = out.share[k+1] + shares[k]
-		out.mean[k] = out.mean[k+1] + shares[k]*b.mean
-		out.variance[k] = out.variance[k+1] + shares[k]*shares[k]*b.variance()
+		b := c.bin(now, k, overall, halfLife)
+		out.share[k] = out.share[k+1] + out.shares[k]
+		out.mean[k] = out.mean[k+1] + out.shares[k]*b.mean
+		out.variance[k] = out.variance[k+1] + out.shares[k]*out.shares[k]*b.variance()
 	}
+	out.quality = belief{mean: out.mean[0], weight: overall.weight}
 	return out
 }
 
 // shares is the distribution of confidence, even before any observation.
 func (c *cell) shares() [confidenceBins]float64 {
-	out := c.seen
+	var out [confidenceBins]float64
 	sum := 0.0
-	for _, s := range out {
-		sum += s
+	for i, s := range c.seen {
+		out[i] = float64(s)
+		sum += out[i]
 	}
 	for i := range out {
 		if sum == 0 {
@@ -181,16 +210,28 @@
 	return out
 }
 
+func (c *cell) hasSeen() bool {
+	for _, s := range c.seen {
+		if s > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // bin is the belief about answers of one confidence. Its prior is the lower of
 // the version's quality and the stated confidence, because bins below the
 // accepted confidence get few ratings.
 func (c *cell) bin(now time.Time, k int, overall belief, halfLife time.Duration) belief {
-	prior := belief{mean: min(overall.mean, binCentre(k)), weight: binPriorWeight}
+	prior := belief{mean: overall.mean, weight: binPriorWeight}
+	if c.hasSeen() {
+		prior.mean = min(prior.mean, binCentre(k))
+	}
 	return prior.update(now, &c.first[k], halfLife)
 }
 
 // varianceFrom bounds the variance of the quality above bin k from below by
 // that of the whole version, whose error the bins share.
 func (u *curve) varianceFrom(k int) float64 {
-	return max(u.variance[k], u.share[k]*u.share[k]*u.overall.variance())
+	return max(u.variance[k], u.share[k]*u.share[k]*u.quality.variance())
 }
--- a/internal/cascade/explore.go
+++ b/internal/cascade/explore.go
@@ -23,7 +23,7 @@
 // rated other version in front of the strongest that fits.
 func (p *Planner) leastKnown(now time.Time, options []option, r PlanRequest, best draft) (draft, bool) {
 	if best.second != nil && best.bin > 1 && p.rng.Float64() < 0.5 {
-		return p.pair(best.first, best.second, best.bin-1), true
+		return p.pairAt(now, best.first, best.second, best.bin-1), true
 	}
 	strong := strongestOf(options)
 	var pick *option
@@ -33,7 +33,8 @@
 		if o.Version == best.first.Version || !pairFits(o, strong, r) {
 			continue
 		}
-		known := p.estimator.Estimate(now, r.Class.Name, o.Version).Evidence
+		sum := o.cell.first.sum()
+		known := sum.count() * freshness(now, sum.at, p.opts.EvidenceHalfLife)
 		if pick == nil || known < least {
 			pick, least = o, known
 		}
@@ -41,7 +42,7 @@
 	if pick == nil {
 		return draft{}, false
 	}
-	return p.pair(pick, strong, pick.upperHalf()), true
+	return p.pairAt(now, pick, strong, pick.upperHalf()), true
 }
 
 // upperHalf returns the bin from which about half of the answers are accepted.
@@ -53,3 +54,8 @@
 	}
 	return 1
 }
+
+func (p *Planner) pairAt(now time.Time, first, second *option, bin int) draft {
+	escalated := p.escalatedCurve(now, first, second)
+	return p.pair(first, second, &escalated, bin)
+}
--- a/internal/cascade/next.go
+++ b/internal/cascade/next.go
@@ -39,7 +39,7 @@
 	if stage >= len(plan.Stages)-1 {
 		return Decision{Accept: true, Stage: stage, Reason: ReasonLastStage}
 	}
-	good, reason := p.judge(plan.Stages[stage], r)
+	good, reason := p.judge(plan, stage, r)
 	if good {
 		return Decision{Accept: true, Stage: stage, Reason: reason}
 	}
@@ -52,14 +52,14 @@
 }
 
 // judge prefers a rating to the engine's confidence.
-func (p *Planner) judge(s Stage, r StageResult) (bool, Reason) {
+func (p *Planner) judge(plan Plan, stage int, r StageResult) (bool, Reason) {
 	if r.Rating != nil {
-		if *r.Rating >= p.opts.GoodScore {
+		if p.class(plan.Class).scores.good(*r.Rating, &p.opts) {
 			return true, ReasonRatedGood
 		}
 		return false, ReasonRatedBad
 	}
-	if r.Confidence >= s.AcceptConfidence {
+	if r.Confidence >= plan.Stages[stage].AcceptConfidence {
 		return true, ReasonConfident
 	}
 	return false, ReasonLowConfidence
--- a/internal/cascade/observe.go
+++ b/internal/cascade/observe.go
@@ -1,6 +1,7 @@
 package cascade
 
 import (
+	"math"
 	"time"
 
 	"github.com/borageflow/borageflow/api"
@@ -16,9 +17,10 @@
 	Confidence float64
 	// Rating is the rating service's score; nil without one.
 	Rating *float64
-	// Stage is the index of the stage in its plan; answers of later stages are
-	// to harder requests.
-	Stage int
+	// PreviousVersion and PreviousConfidence are those of the answer that was
+	// escalated to this stage; empty for a first stage.
+	PreviousVersion    string
+	PreviousConfidence float64
 	// Escalated states that the answer was not delivered.
 	Escalated bool
 	// Late states that the answer was observed before without its rating.
@@ -34,14 +36,15 @@
 	c := p.estimator.cell(o.Class.Name, o.Version)
 	if !o.Late {
 		state.use.observe(o.OutputTokens, o.MaxTokens)
-		if o.Stage == 0 {
+		if o.PreviousVersion == "" {
 			c.observeConfidence(o.Confidence)
 		}
 	}
 	if o.Rating == nil {
 		return
 	}
-	good := *o.Rating >= p.opts.GoodScore
+	state.scores.observe(*o.Rating, &p.opts)
+	good := state.scores.good(*o.Rating, &p.opts)
 	c.rate(now, o, good, &p.opts)
 	if !o.Escalated {
 		state.control.observe(now, good, o.Class.QualityTarget+p.opts.Reserve, &p.opts)
@@ -50,10 +53,12 @@
 
 // rate adds a rating to the evidence and discards evidence after a drift.
 func (c *cell) rate(now time.Time, o Observation, good bool, opts *Options) {
+	overall := c.curve(now, opts.EvidenceHalfLife).quality
 	expected := 0.0
-	if o.Stage > 0 {
-		expected = c.escalated(now, opts.EvidenceHalfLife).mean
-		c.later.add(now, good, opts.Memory)
+	if o.PreviousVersion != "" {
+		t, k := c.laterFrom(o.PreviousVersion), binOf(o.PreviousConfidence)
+		expected = laterBin(now, t, k, overall, opts.EvidenceHalfLife).mean
+		t[k].add(now, good, opts.Memory)
 	} else {
 		k := binOf(o.Confidence)
 		expected = c.bin(now, k, c.overall(now, opts.EvidenceHalfLife), opts.EvidenceHalfLife).mean
@@ -65,18 +70,28 @@
 // driftKeep is the part of the evidence that is kept after a drift.
 const driftKeep = 0.1
 
-// testDrift is a one-sided cumulative sum test for answers worse than expected.
+// driftOdds is the ratio by which a drift is expected to lower the odds of a
+// good answer.
+const driftOdds = 0.4
+
+// testDrift is a sequential likelihood ratio test for answers worse than
+// expected.
 func (c *cell) testDrift(expected float64, good bool, opts *Options) {
+	before := min(max(expected, 0.01), 0.99)
+	odds := driftOdds * before / (1 - before)
+	after := odds / (1 + odds)
 	if good {
-		expected--
+		c.drift += math.Log(after / before)
+	} else {
+		c.drift += math.Log((1 - after) / (1 - before))
 	}
-	c.shortfall = max(0, c.shortfall+expected-opts.DriftSlack)
-	if c.shortfall < opts.DriftLimit {
+	c.drift = max(c.drift, 0)
+	if c.drift < opts.DriftLimit {
 		return
 	}
-	c.shortfall = 0
-	c.later.scale(driftKeep)
-	for k := range c.first {
-		c.first[k].scale(driftKeep)
+	c.drift = 0
+	c.first.scale(driftKeep)
+	for _, t := range c.later {
+		t.scale(driftKeep)
 	}
 }
--- a/internal/cascade/options.go
+++ b/internal/cascade/options.go
@@ -7,9 +7,9 @@
 
 // Options tune a Planner. The zero value selects the defaults.
 type Options struct {
-	// GoodScore is the lowest score of the rating service that counts as good:
-	// the middle of the scale plus the largest bias that the target must hold
-	// under.
+	// GoodScore is the lowest score of the rating service that counts as good
+	// while the scores do not show two groups: the middle of the scale plus the
+	// largest bias that the target must hold under.
 	GoodScore float64
 	// LowerZ is the number of standard deviations between the expected quality
 	// and the lower confidence bound.
@@ -31,24 +31,22 @@
 	MaxMargin float64
 	// Explore is the largest share of requests that gather evidence.
 	Explore float64
-	// DriftSlack and DriftLimit set the test that discards evidence after a
-	// drift: the sum of shortfalls beyond the slack that is tolerated.
-	DriftSlack float64
+	// DriftLimit is the log likelihood ratio at which a drift is assumed and
+	// evidence discarded.
 	DriftLimit float64
 }
 
 func (o Options) withDefaults() Options {
 	setDefault(&o.GoodScore, 0.6)
 	setDefault(&o.LowerZ, 1)
-	setDefault(&o.Reserve, 0.01)
+	setDefault(&o.Reserve, 0.005)
 	setDefault(&o.Memory, 400)
 	setDefault(&o.EvidenceHalfLife, 10*time.Minute)
 	setDefault(&o.ControlGain, 0.004)
-	setDefault(&o.MinMargin, -0.03)
+	setDefault(&o.MinMargin, -0.05)
 	setDefault(&o.MaxMargin, 0.15)
 	setDefault(&o.Explore, 0.03)
-	setDefault(&o.DriftSlack, 0.1)
-	setDefault(&o.DriftLimit, 5)
+	setDefault(&o.DriftLimit, 9)
 	return o
 }
 
--- a/internal/cascade/planner.go
+++ b/internal/cascade/planner.go
@@ -71,6 +71,7 @@
 // classState is the state of one class.
 type classState struct {
 	control controller
+	scores  scoreSplit
 	use     tokenUse
 }
 
@@ -107,8 +108,8 @@
 // option is a candidate with what planning needs to know of it.
 type option struct {
 	Candidate
-	curve     curve
-	escalated belief
+	cell  *cell
+	curve curve
 	// meanCost is the expected cost, maxCost the cost at MaxTokens.
 	meanCost float64
 	maxCost  float64
@@ -137,7 +138,8 @@
 		return Plan{}, refusal
 	}
 	aim := r.Class.QualityTarget + p.opts.Reserve + state.control.effective(now, p.opts.EvidenceHalfLife)
-	best, meets := p.choose(options, r, aim)
+	best, meets := p.choose(now, options, r, aim)
+	state.control.planned(best, aim)
 	if meets {
 		// What the plan's bound has beyond the target may be spent on evidence.
 		surplus := best.quality - aim + p.opts.Reserve
@@ -192,8 +194,8 @@
 	start := c.WaitMs + c.FirstTokenMs
 	return option{
 		Candidate: c,
+		cell:      known,
 		curve:     known.curve(now, p.opts.EvidenceHalfLife),
-		escalated: known.escalated(now, p.opts.EvidenceHalfLife),
 		meanCost:  c.CostPerKiloToken * (float64(r.PromptTokens) + meanTokens) / 1000,
 		maxCost:   c.CostPerKiloToken * float64(r.PromptTokens+r.MaxTokens) / 1000,
 		meanTime:  milliseconds(start + c.TokenMs*meanTokens),
@@ -203,7 +205,7 @@
 
 // choose returns the cheapest draft that reaches the aim, else the single
 // version of the highest expected quality.
-func (p *Planner) choose(options []option, r PlanRequest, aim float64) (draft, bool) {
+func (p *Planner) choose(now time.Time, options []option, r PlanRequest, aim float64) (draft, bool) {
 	strongest := p.single(strongestOf(options))
 	var best draft
 	found := false
@@ -215,7 +217,7 @@
 	for i := range options {
 		consider(p.single(&options[i]))
 		for j := range options {
-			p.considerPair(&options[i], &options[j], r, strongest.cost, consider)
+			p.considerPair(now, &options[i], &options[j], r, strongest.cost, consider)
 		}
 	}
 	if found {
@@ -228,7 +230,7 @@
 	best := &options[0]
 	for i := range options {
 		o := &options[i]
-		if o.curve.overall.mean > best.curve.overall.mean {
+		if o.curve.quality.mean > best.curve.quality.mean {
 			best = o
 		}
 	}
@@ -238,12 +240,13 @@
 // considerPair offers every threshold of a cheap first and a dearer second
 // stage. A cascade that costs more than the strongest version alone is left
 // out, so that growing caution never makes a plan cheaper.
-func (p *Planner) considerPair(first, second *option, r PlanRequest, limit float64, consider func(draft)) {
+func (p *Planner) considerPair(now time.Time, first, second *option, r PlanRequest, limit float64, consider func(draft)) {
 	if !pairFits(first, second, r) {
 		return
 	}
+	escalated := p.escalatedCurve(now, first, second)
 	for k := 1; k < confidenceBins; k++ {
-		if d := p.pair(first, second, k); d.cost <= limit {
+		if d := p.pair(first, second, &escalated, k); d.cost <= limit {
 			consider(d)
 		}
 	}
@@ -264,10 +267,28 @@
 	return draft{first: o, quality: mean - p.opts.LowerZ*math.Sqrt(variance), cost: o.meanCost}
 }
 
-func (p *Planner) pair(first, second *option, bin int) draft {
+// escalatedCurve holds, for each threshold bin, the share of good answers of a
+// second version over the requests below the threshold, and its variance.
+type escalatedCurve struct {
+	mean     [confidenceBins + 1]float64
+	variance [confidenceBins + 1]float64
+}
+
+func (p *Planner) escalatedCurve(now time.Time, first, second *option) escalatedCurve {
+	var out escalatedCurve
+	evidence := second.cell.later[first.Version]
+	for k, share := range first.curve.shares {
+		b := laterBin(now, evidence, k, second.curve.quality, p.opts.EvidenceHalfLife)
+		out.mean[k+1] = out.mean[k] + share*b.mean
+		out.variance[k+1] = out.variance[k] + share*share*b.variance()
+	}
+	return out
+}
+
+func (p *Planner) pair(first, second *option, escalated *escalatedCurve, bin int) draft {
 	passed := 1 - first.curve.share[bin]
-	mean := first.curve.mean[bin] + passed*second.escalated.mean
-	variance := first.curve.varianceFrom(bin) + passed*passed*second.escalated.variance()
+	mean := first.curve.mean[bin] + escalated.mean[bin]
+	variance := first.curve.varianceFrom(bin) + max(escalated.variance[bin], passed*passed*second.curve.quality.variance())
 	return draft{
 		first: first, second: second, bin: bin,
 		quality: mean - p.opts.LowerZ*math.Sqrt(variance),
--- /dev/null
+++ b/internal/cascade/policy_test.go
@@ -0,0 +1,132 @@
+package cascade_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/cascade"
+	"github.com/borageflow/borageflow/internal/policybench"
+)
+
+const policyRequests = 40_000
+
+var policyClass = &api.Class{Name: "quick", QualityTarget: 0.9, DeadlineMs: 30_000}
+
+// ratingServices are the states of the rating service named in the acceptance
+// figures.
+var ratingServices = []policybench.Ratings{
+	{Name: "prompt", Share: 1, Delay: time.Second},
+	{Name: "late", Share: 1, Delay: time.Minute},
+	{Name: "sparse 5%", Share: 0.05, Delay: time.Second},
+	{Name: "biased +0.1", Share: 1, Delay: time.Second, Bias: 0.1},
+	{Name: "biased -0.1", Share: 1, Delay: time.Second, Bias: -0.1},
+	{Name: "late, sparse, +0.1", Share: 0.05, Delay: time.Minute, Bias: 0.1},
+	{Name: "absent", Share: 0},
+	{Name: "absent from half", Share: 1, Delay: time.Second, AbsentFrom: policyRequests / 2, AbsentTo: policyRequests},
+}
+
+// Guards against a planner that misses the quality target under any state of
+// the rating service, or that costs as much as always using the strong version
+// while ratings are there.
+func TestPolicyCascadeCostAtTarget(t *testing.T) {
+	for _, seed := range []uint64{1, 2, 3} {
+		trace := policybench.DefaultQualityTrace(seed, policyRequests)
+		requests := trace.Generate()
+		strong := trace.RunSingle(requests, len(trace.Versions)-1)
+		var table policybench.Table
+		table.Row("policy", "ratings", "quality", "cost", "cost, 2nd half", "of always strong", "explored", "late")
+		baselines(t, &table, trace, requests)
+		for _, ratings := range ratingServices {
+			r := trace.RunPlanner(requests, policyClass, ratings, cascade.Options{})
+			row(&table, "planner", ratings.Name, r, strong)
+			assert.Check(t, r.Quality(0) >= policyClass.QualityTarget, "seed %d, ratings %s: quality %.4f", seed, ratings.Name, r.Quality(0))
+			assert.Check(t, r.Late == 0, "seed %d, ratings %s: %d late", seed, ratings.Name, r.Late)
+			if ratings.Share == 1 {
+				assert.Check(t, r.MeanCost(0) < strong.MeanCost(0), "seed %d, ratings %s", seed, ratings.Name)
+			}
+		}
+		t.Log(fmt.Sprintf("seed %d, target %.2f", seed, policyClass.QualityTarget), table.String())
+	}
+}
+
+func baselines(t *testing.T, table *policybench.Table, trace policybench.QualityTrace, requests []policybench.QualityRequest) {
+	strong := trace.RunSingle(requests, len(trace.Versions)-1)
+	for i, v := range trace.Versions {
+		row(table, "always "+v.Name, "-", trace.RunSingle(requests, i), strong)
+	}
+	static, ok := trace.BestStatic(requests, policyClass.QualityTarget)
+	assert.Assert(t, ok)
+	name := fmt.Sprintf("static %s-%s at %.2f", trace.Versions[static.First].Name, trace.Versions[static.Second].Name, static.Threshold)
+	row(table, name, "hindsight", static.Result, strong)
+}
+
+func row(table *policybench.Table, policy, ratings string, r, strong policybench.CascadeResult) {
+	half := len(r.Good) / 2
+	table.Row(policy, ratings, r.Quality(0), r.MeanCost(0), r.MeanCost(half), r.MeanCost(0)/strong.MeanCost(0), r.Explored, r.Late)
+}
+
+const (
+	driftSeeds    = 8
+	driftRequests = 20_000
+	driftAt       = driftRequests / 2
+	driftWindow   = 250
+)
+
+// Guards against a class that stays below its target after a version's quality
+// drifts while its stated confidence does not.
+func TestPolicyCascadeDrift(t *testing.T) {
+	var table policybench.Table
+	table.Row("drifting", "ratings", "before", "after", "worst 250", "recovery requests", "recovery s", "cost before", "cost after")
+	// The large version drifts less, because no plan reaches the target without
+	// it and a larger drift would put the target out of reach.
+	drifts := map[string]float64{"small": -1.2, "medium": -1.2, "large": -0.5}
+	for _, version := range []string{"small", "medium", "large"} {
+		for _, ratings := range ratingServices[:3] {
+			before, after, costs := driftRuns(t, version, drifts[version], ratings)
+			recovery, lowest := recoveryOf(after)
+			table.Row(version, ratings.Name, policybench.Mean(before), policybench.Mean(after), lowest,
+				recovery, float64(recovery)/policybench.DefaultQualityTrace(0, 0).RequestsPerSecond, costs[0], costs[1])
+			assert.Check(t, policybench.Mean(after) >= policyClass.QualityTarget, "%s, ratings %s: quality after the drift %.4f", version, ratings.Name, policybench.Mean(after))
+		}
+	}
+	t.Log(table.String())
+}
+
+// driftRuns returns the mean over the seeds of each request's quality before
+// and after the drift, and the mean costs.
+func driftRuns(t *testing.T, version string, skill float64, ratings policybench.Ratings) (before, after []float64, costs [2]float64) {
+	t.Helper()
+	sum := make([]float64, driftRequests)
+	for seed := range uint64(driftSeeds) {
+		trace := policybench.DefaultQualityTrace(seed+1, driftRequests)
+		trace.DriftAt, trace.DriftVersion, trace.DriftSkill = driftAt, version, skill
+		r := trace.RunPlanner(trace.Generate(), policyClass, ratings, cascade.Options{})
+		for i, good := range r.Good {
+			sum[i] += good / driftSeeds
+		}
+		costs[0] += policybench.Mean(r.Cost[:driftAt]) / driftSeeds
+		costs[1] += r.MeanCost(driftAt) / driftSeeds
+	}
+	return sum[:driftAt], sum[driftAt:], costs
+}
+
+// recoveryOf returns the requests after the drift until the last window whose
+// quality is below the target by more than two standard errors, and the lowest
+// quality of a window.
+func recoveryOf(after []float64) (int, float64) {
+	noise := 2 * math.Sqrt(policyClass.QualityTarget*(1-policyClass.QualityTarget)/(driftWindow*driftSeeds))
+	recovery, lowest := 0, 1.0
+	for i := 0; i+driftWindow <= len(after); i += driftWindow {
+		quality := policybench.Mean(after[i : i+driftWindow])
+		lowest = min(lowest, quality)
+		if quality < policyClass.QualityTarget-noise {
+			recovery = i + driftWindow
+		}
+	}
+	return recovery, lowest
+}
--- /dev/null
+++ b/internal/policybench/fleet.go
@@ -0,0 +1,211 @@
+package policybench
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/borageflow/borageflow/internal/routing"
+)
+
+// FleetRun simulates several entries in front of a fleet of engines.
+type FleetRun struct {
+	Options routing.Options
+	Seed    uint64
+	Entries int
+	Servers int
+	// Domains are the failure domains; entries and servers are spread over them.
+	Domains []string
+	// Engine is the average server. Speeds are spread evenly from 1/Unevenness
+	// to Unevenness.
+	Engine     EngineModel
+	Unevenness float64
+	// CacheEventDelay and CacheEventLoss degrade the cache events.
+	CacheEventDelay time.Duration
+	CacheEventLoss  float64
+	// ProbeEvery and ProbeLimit bound the probes of stale reports per entry.
+	ProbeEvery time.Duration
+	ProbeLimit int
+	// Drain is the time after the last arrival in which requests may end.
+	Drain time.Duration
+	// Warmup excludes the requests that arrive before it from the result.
+	Warmup time.Duration
+}
+
+// DefaultFleetRun returns the fleet of the published policy benchmark.
+func DefaultFleetRun(algorithm routing.Algorithm, seed uint64) FleetRun {
+	return FleetRun{
+		Options: routing.Options{Algorithm: algorithm},
+		Seed:    seed,
+		Entries: 4, Servers: 32,
+		Domains: []string{"a", "b", "c", "d"},
+		Engine: EngineModel{
+			Slots: 24, Speed: 1, StepMs: 6, SequenceMs: 0.35, PrefillTokenMs: 0.1,
+			PrefillChunk: 512, CachedPrefixes: 24, ReportEvery: 250 * time.Millisecond,
+		},
+		Unevenness:      1.5,
+		CacheEventDelay: time.Second, CacheEventLoss: 0.2,
+		ProbeEvery: 500 * time.Millisecond, ProbeLimit: 4,
+		Drain: time.Minute, Warmup: 10 * time.Second,
+	}
+}
+
+// FleetResult holds times to first token in milliseconds.
+type FleetResult struct {
+	Lookups []float64
+	Drafts  []float64
+	// Hits is the number of requests whose prefix was cached, of Requests.
+	Hits     int
+	Requests int
+	// Unanswered counts requests without a first token at the end.
+	Unanswered int
+	// Busy is the mean share of time that the servers spent in steps.
+	Busy float64
+}
+
+// All returns the times to first token of every request.
+func (r FleetResult) All() []float64 {
+	return append(append([]float64{}, r.Lookups...), r.Drafts...)
+}
+
+// HitRate is the share of requests whose prefix was cached.
+func (r FleetResult) HitRate() float64 { return float64(r.Hits) / float64(max(r.Requests, 1)) }
+
+// fleetSim is one running simulation.
+type fleetSim struct {
+	FleetRun
+	clock   *Clock
+	rng     *rand.Rand
+	engines map[string]*Engine
+	servers []routing.Server
+	fleets  []*simEntry
+	result  FleetResult
+}
+
+type simEntry struct {
+	fleet  *routing.Fleet
+	rng    *rand.Rand
+	domain string
+}
+
+const simVersion = "model-1"
+
+// Run plays the arrivals against the fleet.
+func (r FleetRun) Run(arrivals []Arrival) FleetResult {
+	s := &fleetSim{FleetRun: r, clock: NewClock(), engines: map[string]*Engine{}}
+	s.rng = rand.New(rand.NewPCG(r.Seed, 2)) //nolint:gosec // a reproducible run
+	s.buildServers()
+	s.buildEntries()
+	end := time.Duration(0)
+	for i, a := range arrivals {
+		entry := s.fleets[i%len(s.fleets)]
+		s.clock.After(a.At, func() { s.arrive(entry, a) })
+		end = a.At
+	}
+	s.clock.RunUntil(Epoch.Add(end + r.Drain))
+	s.result.Unanswered = s.result.Requests - len(s.result.Lookups) - len(s.result.Drafts)
+	for _, e := range s.engines {
+		s.result.Busy += float64(e.BusyTime) / float64(end+r.Drain) / float64(len(s.engines))
+	}
+	return s.result
+}
+
+func (s *fleetSim) buildServers() {
+	for i := range s.Servers {
+		name := fmt.Sprintf("server-%02d", i)
+		model := s.Engine
+		model.Speed *= s.speed(i)
+		engine := NewEngine(s.clock, model)
+		engine.CacheChanged = func(prefix uint64, cached bool) { s.cacheChanged(name, prefix, cached) }
+		s.engines[name] = engine
+		s.servers = append(s.servers, routing.Server{
+			Name: name, Instance: name, Incarnation: 1, Region: "r",
+			FailureDomain: s.Domains[i%len(s.Domains)], Versions: []string{simVersion}, Slots: model.Slots,
+		})
+	}
+}
+
+// speed spreads the servers' speeds from 1/Unevenness to Unevenness, mixed over
+// the failure domains.
+func (s *fleetSim) speed(i int) float64 {
+	rank := (i * 7) % s.Servers
+	x := float64(rank) / float64(max(s.Servers-1, 1))
+	return 1/s.Unevenness + x*(s.Unevenness-1/s.Unevenness)
+}
+
+func (s *fleetSim) buildEntries() {
+	for i := range s.Entries {
+		domain := s.Domains[i%len(s.Domains)]
+		self := routing.Location{Instance: fmt.Sprintf("entry-%d", i), FailureDomain: domain, Region: "r"}
+		e := &simEntry{fleet: routing.NewFleet(self, s.Options), domain: domain}
+		e.rng = rand.New(rand.NewPCG(s.Seed, uint64(10+i))) //nolint:gosec // a reproducible run
+		e.fleet.SetServers(s.clock.Now(), s.servers)
+		s.fleets = append(s.fleets, e)
+		s.probe(e)
+	}
+}
+
+// probe refreshes stale reports within the limit.
+func (s *fleetSim) probe(e *simEntry) {
+	for _, name := range e.fleet.StaleReports(s.clock.Now(), s.ProbeLimit) {
+		e.fleet.Report(s.clock.Now(), name, s.engines[name].Load())
+	}
+	s.clock.After(s.ProbeEvery, func() { s.probe(e) })
+}
+
+func (s *fleetSim) cacheChanged(server string, prefix uint64, cached bool) {
+	for _, e := range s.fleets {
+		if s.rng.Float64() < s.CacheEventLoss {
+			continue
+		}
+		s.clock.After(s.CacheEventDelay, func() { e.fleet.CacheEvent(s.clock.Now(), server, prefix, cached) })
+	}
+}
+
+func (s *fleetSim) arrive(e *simEntry, a Arrival) {
+	now := s.clock.Now()
+	q := routing.Query{Version: simVersion, Prefix: a.Prefix, PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Short: a.Short}
+	pick, ok := e.fleet.Pick(now, q, e.rng)
+	if !ok {
+		panic("every simulated server is open")
+	}
+	work := e.fleet.Start(now, pick.Server, routing.Work{Prefix: a.Prefix, PromptTokens: a.PromptTokens, MaxTokens: a.MaxTokens, Short: a.Short})
+	counted := a.At >= s.Warmup
+	if counted {
+		s.result.Requests++
+	}
+	outcome := routing.Outcome{OK: true, InputTokens: a.PromptTokens, OutputTokens: a.OutputTokens}
+	job := &Job{Prefix: a.Prefix, PrefixTokens: a.PrefixTokens, PromptTokens: a.PromptTokens, OutputTokens: a.OutputTokens, Short: a.Short}
+	job.FirstToken = func(cached int) {
+		outcome.CachedTokens = cached
+		outcome.FirstTokenMs = ms(s.clock.Now().Sub(now))
+		if counted {
+			s.record(a, outcome, e.domain != pick.FailureDomain)
+		}
+	}
+	job.Done = func() {
+		e.fleet.End(s.clock.Now(), pick.Server, work, outcome)
+		e.fleet.Report(s.clock.Now(), pick.Server, s.engines[pick.Server].Load())
+	}
+	s.engines[pick.Server].Submit(job)
+}
+
+// crossDomainMs is the round trip to another failure domain.
+const crossDomainMs = 2.5
+
+func (s *fleetSim) record(a Arrival, o routing.Outcome, crossed bool) {
+	first := o.FirstTokenMs
+	if crossed {
+		first += crossDomainMs
+	}
+	if a.Short {
+		s.result.Lookups = append(s.result.Lookups, first)
+	} else {
+		s.result.Drafts = append(s.result.Drafts, first)
+	}
+	if o.CachedTokens > 0 {
+		s.result.Hits++
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
