--- /dev/null
+++ b/internal/membership/exchange_test.go
@@ -0,0 +1,93 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/api"
+)
+
+const (
+	targetSize = 1280
+	// inForce is the stated bound on the time until a change is in force everywhere.
+	inForce = 3 * time.Second
+	// maxRate is the stated bound on the bytes a process sends or receives each second.
+	maxRate = 5000
+)
+
+func (s *sim) check(t *testing.T) {
+	t.Helper()
+	assert.Equal(t, len(s.violations), 0, "%v", s.violations)
+}
+
+// started returns a simulation in which every process holds the first manifest.
+func started(t *testing.T, size int, loss float64, seed uint64) *sim {
+	t.Helper()
+	s := newSim(size, loss, seed)
+	first := s.commit(1, false)
+	took := s.runUntil(first, 20*time.Second)
+	assert.Assert(t, s.all(first), "processes without a manifest after %v", took)
+	s.run(5 * time.Second)
+	return s
+}
+
+// Guards against a change taking more than 3 s, against a step back, and against
+// the exchange exceeding its bytes, at the target size.
+func TestPropagationAtTargetSize(t *testing.T) {
+	size := targetSize
+	if testing.Short() {
+		size = 160
+	}
+	for _, loss := range []float64{0, 0.1, 0.3} {
+		t.Run(fmt.Sprintf("loss=%v", loss), func(t *testing.T) {
+			t.Parallel()
+			testPropagation(t, size, loss)
+		})
+	}
+}
+
+func testPropagation(t *testing.T, size int, loss float64) {
+	s := started(t, size, loss, 1)
+	s.bytes, s.configBytes, s.fetches, s.storeCalls = 0, 0, 0, 0
+	from := s.now
+	s.run(5 * time.Second)
+	idle := s.rate(from, s.bytes)
+
+	took := s.runUntil(s.commit(1, false), 10*time.Second)
+	fetches := s.fetches
+	s.run(time.Second)
+
+	for i := range s.procs {
+		if i%simDomains == 0 {
+			s.restart(i)
+		}
+	}
+	restarted := s.runUntil(s.commit(1, false), 10*time.Second)
+
+	from, s.bytes = s.now, 0
+	var last api.Revision
+	for range 10 {
+		last = s.commit(1, false)
+		s.run(simTick)
+	}
+	burst := s.runUntil(last, 10*time.Second)
+	s.run(5*time.Second - s.now.Sub(from))
+	burstRate := s.rate(from, s.bytes)
+	t.Logf("%d processes, loss %.0f%%: change %v (%d manifests handed over), with a failure domain restarted %v, ten changes %v after the last; "+
+		"sent+received per process: idle %.0f B/s, 5 s with ten changes %.0f B/s; watching the store at most %d",
+		size, 100*loss, took, fetches, restarted, burst, idle, burstRate, s.maxWatching)
+	assert.Assert(t, took <= inForce, "change took %v", took)
+	assert.Assert(t, restarted <= inForce, "change with restart took %v", restarted)
+	assert.Assert(t, burst <= inForce, "burst took %v", burst)
+	assert.Assert(t, idle <= maxRate, "idle processes exchange %.0f B/s", idle)
+	assert.Assert(t, burstRate <= maxRate, "processes exchange %.0f B/s in a burst", burstRate)
+	s.check(t)
+}
+
+// rate returns the bytes that one process sent and received per second.
+func (s *sim) rate(from time.Time, bytes int) float64 {
+	return 2 * float64(bytes) / float64(len(s.procs)) / s.now.Sub(from).Seconds()
+}
