Exchange configuration and members between daemons; add dev, manifest, status and usage

Cause: every process polled the store, which costs one watch per process and leaves a starting process without configuration while the store is away. Conclusion: a state change lost in the exchange is repaired by direct probes.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -388,6 +388,63 @@
 	Sequence int `json:"sequence"`
 }
 
+// DevEngines are equal model engines of one failure domain.
+type DevEngines struct {
+	// Count corresponds to the JSON schema field "count".
+	Count int `json:"count"`
+
+	// FailureDomain corresponds to the JSON schema field "failureDomain".
+	FailureDomain string `json:"failureDomain"`
+
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool,omitempty,omitzero"`
+
+	// Slots corresponds to the JSON schema field "slots".
+	Slots int `json:"slots,omitempty,omitzero"`
+
+	// StepMs is the time of one decoding step, in milliseconds.
+	StepMs float64 `json:"stepMs,omitempty,omitzero"`
+
+	// Versions corresponds to the JSON schema field "versions".
+	Versions []string `json:"versions"`
+}
+
+// DevServices are equal plain service instances of one failure domain.
+type DevServices struct {
+	// Count corresponds to the JSON schema field "count".
+	Count int `json:"count"`
+
+	// FailureDomain corresponds to the JSON schema field "failureDomain".
+	FailureDomain string `json:"failureDomain"`
+
+	// LatencyMs is the time of one call, in milliseconds.
+	LatencyMs float64 `json:"latencyMs,omitempty,omitzero"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+}
+
+// DevTopology describes the stand-ins of borageflow dev.
+type DevTopology struct {
+	// Engines corresponds to the JSON schema field "engines".
+	Engines []DevEngines `json:"engines"`
+
+	// Entries lists the failure domain of each entry.
+	Entries []string `json:"entries"`
+
+	// Quality is the share of good answers of each version; the default is 1.
+	Quality DevTopologyQuality `json:"quality,omitempty,omitzero"`
+
+	// Region corresponds to the JSON schema field "region".
+	Region string `json:"region"`
+
+	// Services corresponds to the JSON schema field "services".
+	Services []DevServices `json:"services,omitempty,omitzero"`
+}
+
+// Quality is the share of good answers of each version; the default is 1.
+type DevTopologyQuality map[string]float64
+
 // Digest is one exchange of state between two daemons.
 type Digest struct {
 	// CutBacks corresponds to the JSON schema field "cutBacks".
--- a/cmd/borageflow/registry.go
+++ b/cmd/borageflow/registry.go
@@ -15,6 +15,10 @@
 // registry lists the subcommands in the order of the help text. Each has a file
 // of its own.
 var registry = []func() command{
+	newDev,
+	newManifest,
+	newStatus,
+	newUsage,
 	newLoad,
 	newReplay,
 	newReport,
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -34,6 +34,7 @@
 	callers *http.Server
 	admin   *http.Server
 	leaving atomic.Bool
+	members atomic.Pointer[[]api.Member]
 }
 
 func newEntryDaemon(c *common, store platform.Store) (*entryDaemon, error) {
@@ -49,7 +50,12 @@
 	d.outbox = newOutbox(node, observe.Part(c.log, "outbox"))
 	d.loop = d.newLoop()
 	d.control.onSnapshot = func(s *manifest.Snapshot) { d.loop.events.Put(c.ctx, entry.SnapshotApplied{Snapshot: s}) }
-	d.control.onMembers = func(m []api.Member) { d.loop.events.Put(c.ctx, entry.MembersChanged{Members: m}) }
+	d.control.onMembers = func(m []api.Member) {
+		d.members.Store(&m)
+		d.loop.events.Put(c.ctx, entry.MembersChanged{Members: m})
+	}
+	d.control.onDigest = func(e entry.DigestReceived) { d.loop.events.Put(c.ctx, e) }
+	d.control.greeter = newGreeter(node)
 	handler.controlHandler = controlHandler{d.control}
 	handler.loop = d.loop
 	return d, nil
@@ -66,7 +72,7 @@
 		beat: d.beat, node: d.node, store: d.store, outbox: d.outbox, log: observe.Part(d.log, "entry"),
 		ids: newRequestIDs(s.Instance, d.self.Incarnation), ctx: d.ctx, drained: make(chan struct{}),
 		streams: map[string]*callerapi.Stream{},
-		publish: func(e entry.Publish) { d.control.publish(e) }, offer: d.control.offer, recorder: func(api.TraceRecord) {},
+		publish: d.control.publish, offer: d.control.offer, control: d.control, recorder: func(api.TraceRecord) {},
 	}
 	loop.rater = newRater(s.Rating, func(e entry.RatingArrived) { loop.events.Put(d.ctx, e) })
 	if s.Rating != nil {
@@ -109,6 +115,8 @@
 	d.registerMetrics()
 	d.duty(d.loop.run)
 	d.duty(d.control.run)
+	d.duty(d.control.greeter.run)
+	d.duty(d.recheck)
 	d.duty(d.outbox.run)
 	d.duty(d.refreshSessionKeys)
 	if d.loop.rater != nil {
--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -13,6 +13,7 @@
 	"github.com/borageflow/borageflow/internal/entry"
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/manifest"
+	"github.com/borageflow/borageflow/internal/membership"
 	"github.com/borageflow/borageflow/internal/observe"
 	"github.com/borageflow/borageflow/internal/peer"
 	"github.com/borageflow/borageflow/internal/platform"
@@ -23,6 +24,9 @@
 	entryRingSize = 16384
 	// storeTimeout bounds one call of the platform from the main loop's workers.
 	storeTimeout = 5 * time.Second
+	// probeTimeout bounds a probe. A sidecar that does not answer in this time is
+	// held back until it does.
+	probeTimeout = time.Second
 	// attemptGrace is how long an attempt's result may follow its deadline.
 	attemptGrace = 10 * time.Second
 )
@@ -37,6 +41,7 @@
 	store    platform.Store
 	outbox   *outbox
 	rater    *rater
+	control  *control
 	recorder func(api.TraceRecord)
 	publish  func(entry.Publish)
 	offer    func(api.ConfigOffer)
@@ -207,7 +212,7 @@
 }
 
 func (l *entryLoop) probe(e entry.Probe) {
-	ctx, cancel := context.WithTimeout(l.ctx, notifyTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
 	defer cancel()
 	answered := entry.ProbeAnswered{BackendServer: e.BackendServer}
 	link, err := l.node.Link(ctx, e.Address)
@@ -215,6 +220,12 @@
 		err = link.Call(ctx, peer.MethodProbe, api.ProbeParams{Revision: l.revision()}, &answered.Result)
 	}
 	answered.Err = err
+	switch {
+	case err == nil:
+		l.control.observed(answered.Result)
+	case ctx.Err() != nil:
+		l.control.silent(membership.MemberObserved{Instance: e.Instance, Incarnation: e.Incarnation})
+	}
 	l.events.Put(l.ctx, answered)
 }
 
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -1,41 +1,63 @@
 package daemon
 
 import (
+	"context"
+	"time"
+
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/entry"
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/membership"
 	"github.com/borageflow/borageflow/internal/peer"
 	"github.com/borageflow/borageflow/internal/sidecar"
 )
 
+func errNothingHeld() error { return errkind.New(errkind.NotReady, "no manifest is in force") }
+
+func unknownMethod(call *peer.Call) {
+	call.Fail(errkind.New(errkind.InvalidRequest, "method "+call.Method+" does not exist"))
+}
+
 // controlHandler answers what every daemon answers.
 type controlHandler struct{ control *control }
 
+// LinkOpened implements peer.Handler.
+func (h controlHandler) LinkOpened(link *peer.Link) {
+	h.control.put(membership.MemberSeen{Member: link.Remote})
+}
+
 // serve reports false for a method that belongs to a role.
-func (h controlHandler) serve(_ *peer.Link, call *peer.Call) bool {
+func (h controlHandler) serve(link *peer.Link, call *peer.Call) bool {
+	from := membership.Peer{Instance: link.Remote.Instance, Address: link.Remote.Address}
 	switch call.Method {
-	case peer.MethodConfigFetch:
-		if offer, ok := h.control.held(); ok {
-			call.Respond(offer)
+	case peer.MethodDigest:
+		var digest api.Digest
+		if err := call.Decode(&digest); err != nil {
+			call.Fail(err)
 			return true
 		}
-		call.Fail(errkind.New(errkind.NotReady, "no manifest is in force"))
-		return true
+		h.answer(call, membership.DigestReceived{From: from, Digest: digest})
+	case peer.MethodConfigFetch:
+		h.answer(call, membership.ConfigRequested{From: from})
 	case peer.MethodConfigOffer:
 		var offer api.ConfigOffer
 		if err := call.Decode(&offer); err != nil {
 			call.Fail(err)
 			return true
 		}
-		h.control.offer(offer)
+		h.control.put(membership.ConfigReceived{From: from, Offer: offer})
 		call.Respond(struct{}{})
-		return true
+	default:
+		return false
 	}
-	return false
+	return true
 }
 
-func unknownMethod(call *peer.Call) {
-	call.Fail(errkind.New(errkind.InvalidRequest, "method "+call.Method+" does not exist"))
+// answer queues a call for the exchange, which answers it.
+func (h controlHandler) answer(call *peer.Call, e membership.ExchangeEvent) {
+	if !h.control.events.Offer(controlEvent{event: e, call: call}) {
+		call.Fail(errkind.New(errkind.Overloaded, "exchange is overloaded"))
+	}
 }
 
 // entryHandler answers the calls of other daemons to an entry.
@@ -65,8 +87,21 @@
 }
 
 // LinkClosed implements peer.Handler. The calls that waited on the link have
-// failed by themselves.
-func (h *entryHandler) LinkClosed(*peer.Link) {}
+// failed by themselves. A process that refuses a new connection is gone.
+func (h *entryHandler) LinkClosed(link *peer.Link) {
+	if link.Remote.Role == string(api.RoleSidecar) && !link.ClosedHere() {
+		go h.control.checkGone(link.Remote)
+	}
+}
+
+// checkGone reports a member as dead when its address refuses connections.
+func (c *control) checkGone(m api.Member) {
+	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+	defer cancel()
+	if _, err := c.node.Link(ctx, m.Address); peer.Refused(err) {
+		c.put(membership.MemberFailed{Instance: m.Instance, Incarnation: m.Incarnation})
+	}
+}
 
 // sidecarHandler answers the calls of other daemons to a sidecar.
 type sidecarHandler struct {
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -53,6 +53,12 @@
 	if err := settingsSchema.Decode(raw, &s); err != nil {
 		return api.Settings{}, err
 	}
+	return FillDefaults(s)
+}
+
+// FillDefaults checks settings that were built in memory and fills in the
+// defaults.
+func FillDefaults(s api.Settings) (api.Settings, error) {
 	if faults := checkSettings(s); len(faults) > 0 {
 		return api.Settings{}, faults
 	}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -323,6 +323,7 @@
 	c.observeAnswer(now, r, result, !decision.Accept)
 	if !decision.Accept {
 		r.stage = decision.Stage
+		r.previousVersion, r.previousConfidence = r.version, result.Confidence
 		if err := c.startStage(now, r); err != nil {
 			c.fail(now, r, err)
 		}
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -195,6 +195,8 @@
 type Probe struct {
 	Address       string
 	BackendServer string
+	Instance      string
+	Incarnation   int
 }
 
 // Rate sends an answer to the rating service.
--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -64,7 +64,8 @@
 // observeAnswer teaches the planner an answer and sends a sample for rating.
 func (c *Core) observeAnswer(now time.Time, r *request, result *api.RunResult, escalated bool) {
 	o := cascade.Observation{
-		Class: r.class, Version: r.version, Confidence: result.Confidence, Stage: r.stage, Escalated: escalated,
+		Class: r.class, Version: r.version, Confidence: result.Confidence, Escalated: escalated,
+		PreviousVersion: r.previousVersion, PreviousConfidence: r.previousConfidence,
 		OutputTokens: result.OutputTokens, MaxTokens: r.MaxTokens,
 	}
 	c.planner.Observe(now, o)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -43,7 +43,11 @@
 	plan    cascade.Plan
 	stage   int
 	version string
-	machine *retry.Request
+	// previousVersion and previousConfidence are those of the answer that was
+	// escalated to this stage.
+	previousVersion    string
+	previousConfidence float64
+	machine            *retry.Request
 	// firstAttempt is the number of attempts of the stages before this one.
 	firstAttempt int
 	attempts     map[int]*attempt
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -58,7 +58,7 @@
 func (c *Core) probe(now time.Time) {
 	for _, name := range c.fleet.StaleReports(now, probesPerInterval) {
 		if s, ok := c.servers[name]; ok {
-			c.emit(Probe{Address: s.Address, BackendServer: name})
+			c.emit(Probe{Address: s.Address, BackendServer: name, Instance: s.Instance, Incarnation: s.Incarnation})
 		}
 	}
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -50,6 +50,8 @@
 type Handler interface {
 	// Serve handles one message. Params are the raw JSON of its method.
 	Serve(link *Link, call *Call)
+	// LinkOpened is called once when the other side has said hello.
+	LinkOpened(link *Link)
 	// LinkClosed is called once when a link that said hello is gone.
 	LinkClosed(link *Link)
 }
@@ -108,6 +110,11 @@
 	// Revision is the revision of the other side's hello.
 	Revision api.Revision
 	conn     *jsonrpc2.Conn
+	// used is when the last call or notification began, in Unix nanoseconds, and
+	// pending the number of calls that wait for their result.
+	used    atomic.Int64
+	pending atomic.Int64
+	closed  atomic.Bool
 }
 
 // Key identifies the remote process, not only its instance.
@@ -123,6 +130,9 @@
 
 // Call sends a call and waits for its result.
 func (l *Link) Call(ctx context.Context, method string, params, result any) error {
+	l.pending.Add(1)
+	defer l.pending.Add(-1)
+	l.used.Store(time.Now().UnixNano())
 	waiter, err := l.conn.DispatchCall(ctx, method, params)
 	if err != nil {
 		return sendError(err)
@@ -132,15 +142,41 @@
 
 // Notify sends a notification.
 func (l *Link) Notify(ctx context.Context, method string, params any) error {
+	l.used.Store(time.Now().UnixNano())
 	return l.conn.Notify(ctx, method, params)
 }
 
 // Close closes the connection.
-func (l *Link) Close() { _ = l.conn.Close() }
+func (l *Link) Close() {
+	l.closed.Store(true)
+	_ = l.conn.Close()
+}
+
+// ClosedHere reports whether this side closed the link.
+func (l *Link) ClosedHere() bool { return l.closed.Load() }
 
 // Done is closed when the connection is gone.
 func (l *Link) Done() <-chan struct{} { return l.conn.DisconnectNotify() }
 
+// closeWhenIdle returns when the link is gone. It closes a link that made no call
+// for limit; incoming messages do not count, since the other side has its own
+// outgoing link when it needs one.
+func (l *Link) closeWhenIdle(limit, every time.Duration) {
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.Done():
+			return
+		case <-ticker.C:
+			idle := time.Since(time.Unix(0, l.used.Load()))
+			if idle > limit && l.pending.Load() == 0 {
+				l.Close()
+			}
+		}
+	}
+}
+
 // sendError tells a call that cannot have left this process from one that may
 // have been sent in part.
 func sendError(err error) error {
@@ -168,10 +204,9 @@
 	return e
 }
 
-// refused reports whether a dial failed before the other side accepted it.
-func refused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
+// Refused reports whether err is a connection refused by the other side: no
+// process listens at the address.
+func Refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // dispatcher adapts a Handler to jsonrpc2 and answers the hello itself.
 type dispatcher struct {
@@ -210,6 +245,7 @@
 		d.link.Remote = hello.Member
 		d.link.Revision = hello.Revision
 		close(d.said)
+		d.handler.LinkOpened(d.link)
 	})
 	call.Respond(d.local())
 }
@@ -226,9 +262,6 @@
 func (discard) Printf(string, ...any) {}
 
 func wrapDial(err error, address string) error {
-	if refused(err) {
-		return errors.Join(ErrNotSent, eris.Wrapf(err, "peer %s refused the connection", address))
-	}
 	return errors.Join(ErrNotSent, eris.Wrapf(err, "peer %s cannot be reached", address))
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -29,12 +30,20 @@
 	group    sync.WaitGroup
 }
 
+// dial is an outgoing link, or the attempt to open it.
 type dial struct {
 	done chan struct{}
 	link *Link
 	err  error
 }
 
+const (
+	// idleLimit is how long an outgoing link is kept without a call. Digests go to
+	// changing peers, whose links would otherwise add up to one for each daemon.
+	idleLimit = 30 * time.Second
+	reapEvery = 5 * time.Second
+)
+
 // Options configure a Node.
 type Options struct {
 	// Handler answers the calls of other daemons.
@@ -107,19 +116,6 @@
 	}
 }
 
-// Accepted returns the incoming links that said hello.
-func (n *Node) Accepted() []*Link {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	links := make([]*Link, 0, len(n.accepted))
-	for link := range n.accepted {
-		if link.Remote.Instance != "" {
-			links = append(links, link)
-		}
-	}
-	return links
-}
-
 // Link returns the open outgoing link to address and dials when there is none.
 // Concurrent callers share one dial. An error wraps ErrNotSent.
 func (n *Node) Link(ctx context.Context, address string) (*Link, error) {
@@ -133,6 +129,9 @@
 	n.mu.Unlock()
 	select {
 	case <-d.done:
+		if d.err == nil {
+			d.link.used.Store(time.Now().UnixNano())
+		}
 		return d.link, d.err
 	case <-ctx.Done():
 		return nil, wrapDial(ctx.Err(), address)
@@ -143,7 +142,7 @@
 	d.link, d.err = n.connect(address)
 	close(d.done)
 	if d.err == nil {
-		<-d.link.Done()
+		d.link.closeWhenIdle(idleLimit, reapEvery)
 	}
 	n.mu.Lock()
 	delete(n.dialing, address)
@@ -173,6 +172,7 @@
 		link.Remote = hello.Member
 		link.Revision = hello.Revision
 		close(said)
+		n.handler.LinkOpened(link)
 	})
 	return link, nil
 }
