--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -573,7 +573,7 @@
 	// Rate is the mean number of arrivals per second (Poisson); unused with a trace.
 	Rate float64 `json:"rate,omitempty,omitzero"`
 
-	// Seconds bounds the time in which requests arrive.
+	// Seconds bounds the time in which requests arrive, of a trace too.
 	Seconds float64 `json:"seconds,omitempty,omitzero"`
 
 	// Seed makes arrivals and prompts repeatable.
--- a/internal/standin/base/ledger.go
+++ b/internal/standin/base/ledger.go
@@ -85,14 +85,14 @@
 func (l *Ledger) Start(r Run) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.requests[r.Request]++
-	r.Nth = l.requests[r.Request]
-	r.StartedUs = l.now()
-	r.Outcome = OutcomeRunning
 	if len(l.runs) >= maxLedger {
 		l.dropped++
 		return -1
 	}
+	l.requests[r.Request]++
+	r.Nth = l.requests[r.Request]
+	r.StartedUs = l.now()
+	r.Outcome = OutcomeRunning
 	l.runs = append(l.runs, r)
 	return len(l.runs) - 1
 }
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/tmaxmax/go-sse"
+	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -232,6 +233,33 @@
 	assert.Equal(t, feed.Events[0].Prefix, Fingerprint(first.Messages))
 }
 
+// Guards against cache events that are not late.
+func TestCacheEventsAreLate(t *testing.T) {
+	e, server := start(t, Config{EventDelay: time.Hour})
+	assert.Equal(t, generate(t.Context(), server, ask("r1", "x")).status, http.StatusOK)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	soon, _ := e.cache.after(0, time.Now().Add(-e.config.EventDelay))
+	later, _ := e.cache.after(0, time.Now())
+	assert.Equal(t, len(soon), 0)
+	assert.Equal(t, len(later), 1)
+}
+
+// Guards against goroutines and streams that outlive the engine.
+func TestCloseEndsEverything(t *testing.T) {
+	before := goleak.IgnoreCurrent()
+	e := New(Config{Versions: []string{"m-1"}, StepTime: time.Hour, LoadPeriod: time.Hour})
+	server, err := e.Start("127.0.0.1:0")
+	assert.NilError(t, err)
+	done := make(chan reply, 1)
+	go func() { done <- generate(context.Background(), server, ask("r1", "x")) }()
+	waitFor(t, e, "runs", func(l load) bool { return l.Running == 1 })
+	server.Close()
+	assert.Assert(t, (<-done).end == nil)
+	http.DefaultClient.CloseIdleConnections()
+	goleak.VerifyNone(t, before)
+}
+
 // BenchmarkTokens measures how many tokens a second one engine streams when its
 // steps take no time.
 func BenchmarkTokens(b *testing.B) {
