Test the delay fault of the engine stand-in

Change: a test that a delayed stream is held and then complete.

Conclusion: no change to the stand-in was needed.

--- a/internal/standin/engine/faults_test.go
+++ b/internal/standin/engine/faults_test.go
@@ -61,6 +61,16 @@
 	}
 }
 
+// Guards against a delay that holds nothing, or that loses tokens.
+func TestDelayHoldsTheStream(t *testing.T) {
+	e, server := start(t, Config{})
+	e.Faults().Set(base.Fault{Kind: base.FaultDelay, AfterTokens: 4, DelayMs: 60})
+	began := time.Now()
+	r := generate(t.Context(), server, ask("r1", "x"))
+	assert.Assert(t, time.Since(began) >= 60*time.Millisecond)
+	assert.Equal(t, r.text(), Answer("m-1", ask("", "x").Messages, 8))
+}
+
 // Guards against crossed answers that a reader cannot tell by their identifiers.
 func TestCrossedAnswersKeepTheirIdentifiers(t *testing.T) {
 	e, server := start(t, Config{Slots: 2, StepTime: time.Millisecond})
