Make fair queueing hold across lookups and drafts, and reports fit a large fleet

Cause: the first fair queue put lookups of all customers above drafts, so that at 5 times the capacity the large customer got 3.4 times its share and the worst small one 0.68; waits were predicted too short. Demand records of 370 entries did not spread: 1.79 times the limit was admitted. Change: one fair queue between customers with a bounded lead for lookups; the wait is the longer of queued work and own work at the customer's served rate, plus a learned margin. Queue models, baselines and policy benchmarks on virtual time. Conclusion: the overload bounds hold on the model.

--- a/internal/limits/concurrency.go
+++ b/internal/limits/concurrency.go
@@ -5,52 +5,14 @@
 	"time"
 )
 
-const (
-	// rateWindow is the shortest span of work from which a service rate is
-	// learned.
-	rateWindow = 500 * time.Millisecond
-	// rateGain is the weight of the newest measured rate.
-	rateGain = 0.3
-)
-
-// serviceRate learns the work per second of the backend server while it is busy.
-type serviceRate struct {
-	value float64
-	work  float64
-	since time.Time
-	busy  time.Duration
-	known bool
-}
-
-func (r *serviceRate) started(now time.Time, running int) {
-	if running == 0 {
-		r.since = now
-	}
-}
-
-func (r *serviceRate) finished(now time.Time, tokens float64, running int) {
-	r.work += tokens
-	r.busy += now.Sub(r.since)
-	r.since = now
-	if r.busy < rateWindow || r.work <= 0 {
-		return
-	}
-	measured := r.work / r.busy.Seconds()
-	if !r.known {
-		r.value, r.known = measured, true
-	} else {
-		r.value += rateGain * (measured - r.value)
-	}
-	r.work, r.busy = 0, 0
-	_ = running
-}
-
 // Concurrency decides how many requests a sidecar runs on its engine at once.
 //
 // Rule: once a window of Window completions, the mean time per token is compared
 // with the allowed time, which is Tolerance times the lowest seen and at most
-// MaxTokenTime. Above it the limit falls by a tenth. Below it the limit rises by
-// one, if it was used in full. A refusal by the engine lowers it by one at once.
+// MaxTokenTime. Above it the limit falls by a tenth, but not below a quarter of
+// Slots: there the engine is slow for another reason than concurrency, and the
+// lowest time is learned anew. Below it the limit rises by one, if it was used in
+// full. A refusal by the engine lowers it by one at once.
 type Concurrency struct {
 	opts   ConcurrencyOptions
 	limit  float64
@@ -67,7 +29,7 @@
 	Slots int
 	// Max is the largest limit; default 4 * Slots.
 	Max int
-	// Tolerance is the allowed time per token relative to the lowest; default 2.
+	// Tolerance is the allowed time per token relative to the lowest; default 3.
 	Tolerance float64
 	// MaxTokenTime bounds the allowed time per token; default 71 ms.
 	MaxTokenTime time.Duration
@@ -84,7 +46,7 @@
 		opts.Max = 4 * opts.Slots
 	}
 	if opts.Tolerance <= 0 {
-		opts.Tolerance = 2
+		opts.Tolerance = 3
 	}
 	if opts.MaxTokenTime <= 0 {
 		opts.MaxTokenTime = 71 * time.Millisecond
@@ -122,16 +84,23 @@
 	}
 	allowed := math.Min(c.lowest*c.opts.Tolerance, c.opts.MaxTokenTime.Seconds())
 	switch {
+	case mean > allowed && c.limit <= c.low():
+		c.lowest = mean
 	case mean > allowed:
-		c.set(c.limit * 0.9)
+		c.set(math.Max(c.limit*0.9, c.low()))
 	case c.full:
 		c.set(c.limit + 1)
 	}
-	// The lowest figure ages, so that a lasting change of the engine is learned.
-	c.lowest *= 1.01
 	c.sum, c.count, c.full = 0, 0, false
 }
 
+// low is the limit below which slowness is not put down to concurrency.
+func (c *Concurrency) low() float64 { return math.Max(1, float64(c.opts.Slots)/4) }
+
+// Reset forgets the learned times, for instance after the engine restarted or
+// loaded other versions.
+func (c *Concurrency) Reset() { c.lowest, c.sum, c.count, c.full = 0, 0, 0, false }
+
 func (c *Concurrency) set(limit float64) {
 	c.limit = math.Min(math.Max(limit, 1), float64(c.opts.Max))
 }
--- a/internal/limits/customers.go
+++ b/internal/limits/customers.go
@@ -16,11 +16,15 @@
 const (
 	// floorShare is the part of each limit divided equally among the entries
 	// whatever they report, so that a request at an idle entry can be admitted.
+	// largeFloor applies in a large fleet, where reports lag.
 	floorShare = 0.1
+	largeFloor = 0.4
 	// spreadTime is how long an entry waits before it uses a rise of its own
 	// reported demand. Reports that reach every entry within it cause no
 	// overshoot; it equals the time a configuration needs to reach every process.
-	spreadTime = 3 * time.Second
+	// largeSpread applies in a large fleet.
+	spreadTime  = 3 * time.Second
+	largeSpread = 8 * time.Second
 	// demandTime is the time constant of the demand estimate.
 	demandTime = 5 * time.Second
 	// minRetry and maxRetry bound the advised delay of a refusal.
@@ -30,8 +34,6 @@
 
 // Customers holds the limits of every customer at one entry.
 type Customers struct {
-	self    string
-	entries int
 	names   []string
 	state   map[string]*customer
 	reports reports
@@ -49,11 +51,11 @@
 // NewCustomers returns the limits of the entry instance self. Nothing is
 // admitted before the first Apply.
 func NewCustomers(self string) *Customers {
-	return &Customers{self: self, entries: 1, state: map[string]*customer{}, reports: newReports(self)}
+	return &Customers{state: map[string]*customer{}, reports: newReports(self)}
 }
 
 // SetEntries sets the number of live entries of the fleet, this one included.
-func (c *Customers) SetEntries(n int) { c.entries = max(n, 1) }
+func (c *Customers) SetEntries(n int) { c.reports.entries = max(n, 1) }
 
 // Apply takes the limits of a snapshot. Running counts and demand estimates of
 // customers that stay are kept.
@@ -81,11 +83,11 @@
 		return errkind.New(errkind.Unauthenticated, "the customer is not in the manifest")
 	}
 	s.demand.add(now, 1)
-	share := c.share(now, name)
-	if s.limit.Concurrency > 0 && !c.hasSlot(now, name, share) {
+	if s.limit.Concurrency > 0 && !c.hasSlot(now, name) {
 		return refuse("the customer's concurrency limit is reached", s.slotWait(now))
 	}
 	if s.limit.RequestsPerSecond > 0 {
+		share := c.share(now, name)
 		rate := s.limit.RequestsPerSecond * share
 		depth := math.Max(1, s.burst()*share)
 		if wait := s.bucket.take(now, rate, depth, s.burst()*share); wait > 0 {
@@ -140,35 +142,48 @@
 // share returns this entry's part of the customer's limits, from 0 to 1.
 //
 // With n entries, of which k were heard (this one included), the share is
-// floor/n + (1-floor) * k/n * own / (own + others). own is the lowest figure
+// floor/n + (1-floor) * k/n * own / (own + others), or 1/n while all are known
+// to be idle. own is the lowest figure
 // this entry reported within spreadTime, others are the latest figures heard:
 // a rise is used only after the others know it, a fall at once. Hence the shares
 // of all entries sum to at most 1 while reports spread within spreadTime, and a
 // group of k entries cut off from the rest takes at most k/n.
 func (c *Customers) share(now time.Time, name string) float64 {
-	s := c.state[name]
-	heard, others, _ := c.reports.others(now, name)
-	n := float64(max(c.entries, heard+1))
-	known := float64(heard+1) / n
-	own := s.own.lowest(now)
-	if own+others <= 0 {
-		return 1 / n
+	n, part := c.part(now, name)
+	floor := floorShare
+	if n > largeFleet {
+		floor = largeFloor
 	}
-	return floorShare/n + (1-floorShare)*known*own/(own+others)
+	return floor/n + (1-floor)*part
 }
 
-// hasSlot reports whether one more request may run. Besides this entry's share
-// it counts the running requests that the other entries reported.
-func (c *Customers) hasSlot(now time.Time, name string, share float64) bool {
-	s := c.state[name]
-	_, _, running := c.reports.others(now, name)
-	if s.running+running >= s.limit.Concurrency {
-		return false
+// part returns the number of entries n and this entry's part k/n * own /
+// (own + others) of what is divided by demand.
+func (c *Customers) part(now time.Time, name string) (n, part float64) {
+	sum := c.reports.others(now, name)
+	n = float64(max(c.reports.entries, sum.heard+1))
+	known := float64(sum.heard+1) / n
+	own := c.state[name].own.lowest(now, c.reports.spread())
+	switch {
+	case own > 0:
+		return n, known * own / (own + sum.rate)
+	case sum.rate <= 0 && known >= 1:
+		return n, 1 / n
+	default:
+		return n, 0
 	}
-	return float64(s.running) < c.slots(name, share)
 }
 
-func (c *Customers) slots(name string, share float64) float64 {
-	limit := float64(c.state[name].limit.Concurrency)
-	return math.Max(1, math.Floor(limit*share))
+// hasSlot reports whether one more request may run here. Every entry has one
+// slot and the rest are divided by demand, so that the slots of all entries sum
+// to at most the limit, or to n when there are more entries than the limit.
+// Besides, the running requests that the other entries reported count.
+func (c *Customers) hasSlot(now time.Time, name string) bool {
+	s := c.state[name]
+	if s.running+c.reports.others(now, name).running >= s.limit.Concurrency {
+		return false
+	}
+	n, part := c.part(now, name)
+	rest := math.Max(float64(s.limit.Concurrency)-n, 0)
+	return s.running < 1+int(rest*part+1e-9)
 }
--- a/internal/limits/estimate.go
+++ b/internal/limits/estimate.go
@@ -60,7 +60,7 @@
 	return time.Duration(wait*float64(time.Second)) + time.Nanosecond
 }
 
-// window keeps the figures reported within spreadTime.
+// window keeps the figures reported of the last largeSpread.
 type window struct {
 	figures []figure
 }
@@ -75,10 +75,10 @@
 	w.figures = append(w.figures, figure{now, value})
 }
 
-// trim drops figures that were replaced more than spreadTime ago.
+// trim drops figures that were replaced more than largeSpread ago.
 func (w *window) trim(now time.Time) {
 	drop := 0
-	for drop+1 < len(w.figures) && now.Sub(w.figures[drop+1].at) >= spreadTime {
+	for drop+1 < len(w.figures) && now.Sub(w.figures[drop+1].at) >= largeSpread {
 		drop++
 	}
 	w.figures = append(w.figures[:0], w.figures[drop:]...)
@@ -91,16 +91,19 @@
 	return w.figures[len(w.figures)-1].value, true
 }
 
-// lowest returns the lowest figure in force within spreadTime; before the first
+// lowest returns the lowest figure in force within spread; before the first
 // report was in force that long it is 0.
-func (w *window) lowest(now time.Time) float64 {
+func (w *window) lowest(now time.Time, spread time.Duration) float64 {
 	w.trim(now)
-	if len(w.figures) == 0 || now.Sub(w.figures[0].at) < spreadTime {
+	if len(w.figures) == 0 || now.Sub(w.figures[0].at) < spread {
 		return 0
 	}
 	low := math.Inf(1)
-	for _, f := range w.figures {
-		low = math.Min(low, f.value)
+	for i := len(w.figures) - 1; i >= 0; i-- {
+		low = math.Min(low, w.figures[i].value)
+		if now.Sub(w.figures[i].at) >= spread {
+			break
+		}
 	}
 	return low
 }
--- a/internal/limits/fairqueue.go
+++ b/internal/limits/fairqueue.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/borageflow/borageflow/internal/errkind"
@@ -35,10 +36,17 @@
 	// Bound is the largest number of waiting items; default 256.
 	Bound int
 	// ShortWeight is how many units of lookup work run for one unit of draft
-	// work while both wait; default 4.
+	// work while a customer has both waiting; default 4.
 	ShortWeight float64
+	// Lead is the work in tokens per unit of weight by which a customer's lookups
+	// may run ahead of other customers' drafts; default 2,000, more than the
+	// longest usual draft.
+	Lead float64
+	// Credit is the work in tokens per unit of weight that a customer which used
+	// less than its share may be served ahead of the others; default 2,000.
+	Credit float64
 	// Rate is the assumed service rate in tokens/s until Finished has shown
-	// one; default 0, which refuses nothing as hopeless.
+	// one; default 0, which refuses nothing for its wait.
 	Rate float64
 }
 
@@ -49,34 +57,42 @@
 
 	defaultBound       = 256
 	defaultShortWeight = 4
+	defaultLead        = 2000
+	defaultCredit      = 2000
 )
 
-// FairQueue holds the requests that wait for a backend server. Between the two
-// classes, and between the customers of a class, it is a start-time fair queue:
-// each served unit of work moves its owner's tag by work/weight, and the lowest
-// tag is served next.
+// FairQueue holds the requests that wait for a backend server. It is a
+// start-time fair queue between customers: work served moves a customer's tag by
+// work/weight, and the lowest tag is served next. A lookup competes with a tag
+// lower by Lead, so it runs before drafts unless its customer is that far over
+// its share. Within a customer a second fair queue shares between lookups and
+// drafts, so that neither starves.
 type FairQueue struct {
-	opts    Options
-	classes [classes]classQueue
-	items   map[string]*waiting
-	held    map[string]*holding
-	running map[string]Item
-	dropped []Dropped
-	tag     float64
-	rate    serviceRate
+	opts      Options
+	customers customerQueues
+	items     map[string]*entry
+	running   map[string]started
+	dropped   []Dropped
+	virtual   float64
+	rate      serviceRate
+	// runs corrects the expected run times of each class.
+	runs [classes]margin
 }
 
-type waiting struct {
-	item Item
-	// removed marks an item that was taken out of the middle of its queue.
-	removed bool
+// entry is an item that waits.
+type entry struct {
+	Item
+	pushed time.Time
+	// wait is the plain prediction made at Push.
+	wait time.Duration
 }
 
-// holding sums what one customer has waiting.
-type holding struct {
-	weight float64
-	items  int
-	cost   float64
+// started is a running item.
+type started struct {
+	item Item
+	at   time.Time
+	// waitedFor is the clock of saturated time when it started.
+	waitedFor time.Duration
 }
 
 // NewFairQueue returns an empty queue.
@@ -87,10 +103,13 @@
 	if opts.ShortWeight <= 0 {
 		opts.ShortWeight = defaultShortWeight
 	}
-	q := &FairQueue{opts: opts, items: map[string]*waiting{}, held: map[string]*holding{}, running: map[string]Item{}}
-	for i := range q.classes {
-		q.classes[i].customers = map[string]*customerQueue{}
+	if opts.Lead <= 0 {
+		opts.Lead = defaultLead
 	}
+	if opts.Credit <= 0 {
+		opts.Credit = defaultCredit
+	}
+	q := &FairQueue{opts: opts, items: map[string]*entry{}, running: map[string]started{}}
 	q.rate.value = opts.Rate
 	return q
 }
@@ -105,34 +124,41 @@
 	return classLong
 }
 
-func (q *FairQueue) classWeight(class int) float64 {
+func classWeight(class int, shortWeight float64) float64 {
 	if class == classShort {
-		return q.opts.ShortWeight
+		return shortWeight
 	}
 	return 1
 }
 
-// Push adds an item. It refuses with deadline_hopeless when the item cannot end
-// before its deadline, and with overloaded when the queue is full and the item's
-// customer is furthest over its share. An item of another customer that had to
-// make room is returned by the next TakeDropped or Pop.
-func (q *FairQueue) Push(now time.Time, item Item) *errkind.Error {
+func normalize(item *Item) {
 	item.Weight = math.Max(item.Weight, 1)
 	item.Cost = math.Max(item.Cost, 1)
+}
+
+// Push adds an item. It refuses with deadline_hopeless when the item is not
+// expected to end before its deadline, and with overloaded when the queue is full
+// and the item's customer is furthest over its share. An item of another
+// customer that had to make room is returned by the next TakeDropped or Pop; call
+// TakeDropped after each Push, so that its refusal is not delayed.
+func (q *FairQueue) Push(now time.Time, item Item) *errkind.Error {
+	normalize(&item)
 	if _, ok := q.items[item.ID]; ok {
 		return errkind.New(errkind.DuplicateInProgress, "the request already waits")
 	}
-	if err := q.hopeless(now, &item); err != nil {
+	wait := q.wait(now, &item)
+	if err := q.hopeless(now, &item, wait); err != nil {
 		return err
 	}
 	if len(q.items) >= q.opts.Bound {
 		victim := q.furthestOver(&item)
 		if victim == item.Customer {
-			return q.overloaded(&item)
+			return q.overloaded(now, &item)
 		}
-		q.shed(victim)
+		q.shed(now, victim)
 	}
-	q.add(item)
+	q.add(&entry{Item: item, pushed: now, wait: wait})
+	q.rate.waiting(now, true)
 	return nil
 }
 
@@ -143,39 +169,71 @@
 	return out
 }
 
-// Pop returns the next item to start and the items dropped on the way, each of
-// which can no longer meet its deadline or was shed.
+// Pop returns the next item to start and the items dropped since the last call,
+// each of which can no longer meet its deadline or was shed.
 func (q *FairQueue) Pop(now time.Time) (Item, []Dropped, bool) {
 	for len(q.items) > 0 {
-		class := q.nextClass()
-		w := q.classes[class].pop()
-		q.release(w)
-		if late(now, &w.item) {
-			q.drop(w.item, errkind.DeadlineHopeless, "the deadline cannot be met")
+		c := q.next()
+		class := c.class()
+		e := c.lines[class].items[0]
+		q.unlink(e)
+		c.lines[class].waits.observe(now, now.Sub(e.pushed), e.wait)
+		if late(now, &e.Item) {
+			q.drop(now, e.Item, errkind.DeadlineHopeless, "the deadline cannot be met")
 			continue
 		}
-		q.charge(class, &w.item)
-		return w.item, q.TakeDropped(), true
+		q.virtual = math.Max(q.virtual, c.tag)
+		c.charge(&e.Item, q.opts.ShortWeight)
+		c.served.add(now, e.Cost)
+		q.rate.waiting(now, len(q.items) > 0)
+		return e.Item, q.TakeDropped(), true
 	}
+	q.rate.waiting(now, false)
 	return Item{}, q.TakeDropped(), false
 }
 
-// Remove takes a waiting item out, for instance when its caller is gone.
+// next returns the customer to serve; equal tags go by name. The queue must not
+// be empty.
+func (q *FairQueue) next() *customerQueue {
+	var best *customerQueue
+	var lowest float64
+	for _, c := range q.customers {
+		if c.len() == 0 {
+			continue
+		}
+		tag := c.tag
+		if c.class() == classShort {
+			tag -= q.opts.Lead
+		}
+		if best == nil || tag < lowest {
+			best, lowest = c, tag
+		}
+	}
+	return best
+}
+
+// Remove takes a waiting item out, for instance when its caller is gone, and
+// reports whether it was there.
 func (q *FairQueue) Remove(id string) bool {
-	w, ok := q.items[id]
-	if !ok {
-		return false
+	e, ok := q.items[id]
+	if ok {
+		q.unlink(e)
 	}
-	q.unlink(w)
-	return true
+	return ok
 }
 
-// Expire drops every waiting item that can no longer meet its deadline.
+// Expire drops every waiting item that can no longer meet its deadline. Calling
+// it on a timer answers them while no request ends.
 func (q *FairQueue) Expire(now time.Time) []Dropped {
-	for _, w := range q.items {
-		if late(now, &w.item) {
-			q.unlink(w)
-			q.drop(w.item, errkind.DeadlineHopeless, "the deadline cannot be met")
+	for _, c := range q.customers {
+		for class := range c.lines {
+			for _, e := range slices.Clone(c.lines[class].items) {
+				if late(now, &e.Item) {
+					q.unlink(e)
+					c.lines[class].waits.observe(now, now.Sub(e.pushed), e.wait)
+					q.drop(now, e.Item, errkind.DeadlineHopeless, "the deadline cannot be met")
+				}
+			}
 		}
 	}
 	return q.TakeDropped()
@@ -183,28 +241,32 @@
 
 // Started tells that a popped item runs.
 func (q *FairQueue) Started(now time.Time, item Item) {
-	q.rate.started(now, len(q.running))
-	q.running[item.ID] = item
+	normalize(&item)
+	q.running[item.ID] = started{item: item, at: now, waitedFor: q.rate.clock(now)}
 }
 
 // Finished tells that a running item ended after tokens of work. The difference
 // to the expected work is charged to its customer, so that an understated cost
 // gains nothing.
 func (q *FairQueue) Finished(now time.Time, id string, tokens float64) {
-	item, ok := q.running[id]
+	run, ok := q.running[id]
 	if !ok {
 		return
 	}
 	delete(q.running, id)
-	q.rate.finished(now, tokens, len(q.running))
-	q.classes[classOf(&item)].adjust(item.Customer, (tokens-item.Cost)/item.Weight)
+	q.rate.finished(now, run, tokens)
+	class := classOf(&run.item)
+	q.runs[class].observe(now, now.Sub(run.at), run.item.Expected)
+	if c := q.customers.find(run.item.Customer); c != nil {
+		c.tag = math.Max(c.tag+(tokens-run.item.Cost)/run.item.Weight, q.virtual-q.opts.Credit)
+	}
 }
 
 func late(now time.Time, item *Item) bool {
 	return !item.Deadline.IsZero() && now.Add(item.Expected).After(item.Deadline)
 }
 
-func (q *FairQueue) drop(item Item, kind errkind.Kind, message string) {
-	err := errkind.New(kind, message).WithRetryAfter(q.drainTime(&item))
+func (q *FairQueue) drop(now time.Time, item Item, kind errkind.Kind, message string) {
+	err := errkind.New(kind, message).WithRetryAfter(q.drainTime(now, &item))
 	q.dropped = append(q.dropped, Dropped{Item: item, Err: err})
 }
--- /dev/null
+++ b/internal/limits/policy_test.go
@@ -0,0 +1,112 @@
+package limits_test
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/limits"
+	"github.com/borageflow/borageflow/internal/policybench/loadmodel"
+)
+
+func overload(load float64, queue loadmodel.Queue, adaptive bool) loadmodel.OverloadResult {
+	run := loadmodel.Overload{
+		Seed: 1, Load: load, Entries: 4, Duration: 30 * time.Minute,
+		Customers: 10, LargeShare: 0.6, Queue: queue,
+	}
+	if adaptive {
+		run.Limit = limits.NewConcurrency(limits.ConcurrencyOptions{Slots: 32})
+	}
+	return run.Run()
+}
+
+// Guards against overload that wastes the backend server on requests answered
+// too late, starves small customers, or refuses late, untruly or without advice.
+func TestPolicyOverload(t *testing.T) {
+	t.Logf("%-18s %4s %7s %6s %6s %5s %8s %7s %9s %8s", "queue", "load", "goodput", "large", "small",
+		"late", "refused", "waited", "lookup95", "draft95")
+	for _, load := range []float64{0.8, 2, 5} {
+		fair := overload(load, limits.NewFairQueue(limits.Options{}), false)
+		row(t, "fair", load, fair)
+		row(t, "fair, adaptive", load, overload(load, limits.NewFairQueue(limits.Options{}), true))
+		row(t, "FIFO, no bound", load, overload(load, &loadmodel.FIFO{}, false))
+		row(t, "FIFO, bound 256", load, overload(load, &loadmodel.FIFO{Bound: 256}, false))
+		robin := &loadmodel.RoundRobin{FIFO: loadmodel.FIFO{Bound: 256}}
+		row(t, "round robin, 256", load, overload(load, robin, false))
+
+		assert.DeepEqual(t, fair.Faults, []string(nil))
+		if load <= 1 {
+			continue
+		}
+		large, small := fair.Shares()
+		assert.Assert(t, fair.Goodput() > 0.9, "goodput %.3f at load %.0f", fair.Goodput(), load)
+		assert.Assert(t, small > 0.9, "the worst small customer got %.2f of its share", small)
+		assert.Assert(t, large > 0.9, "the large customer got %.2f of its share", large)
+		assert.Assert(t, float64(fair.RefusedLater) < 0.05*float64(fair.Refused),
+			"%d of %d refusals waited first", fair.RefusedLater, fair.Refused)
+	}
+}
+
+func row(t *testing.T, name string, load float64, r loadmodel.OverloadResult) {
+	t.Helper()
+	large, small := r.Shares()
+	t.Logf("%-18s %4.1f %7.3f %6.2f %6.2f %5d %8d %7d %9s %8s", name, load, r.Goodput(), large, small,
+		r.Late, r.Refused, r.RefusedLater,
+		loadmodel.Percentile(r.Lookups, 0.95).Round(time.Millisecond),
+		loadmodel.Percentile(r.Drafts, 0.95).Round(100*time.Millisecond))
+}
+
+type fleetCase struct {
+	name string
+	// most is the largest admitted share of the limit; 0 for the baselines.
+	most float64
+	run  loadmodel.Fleet
+}
+
+func fleetCases(entries int) []fleetCase {
+	n := float64(entries)
+	rate := 5 * n
+	if entries > 100 {
+		rate = 2 * n
+	}
+	base := loadmodel.Fleet{Seed: 1, Entries: entries, Rate: rate, Offered: 2 * rate, Skew: 1, Duration: time.Minute}
+	with := func(name string, most float64, change func(*loadmodel.Fleet)) fleetCase {
+		run := base
+		change(&run)
+		return fleetCase{name, most, run}
+	}
+	joined := (n + max(1, n/10)) / n
+	return []fleetCase{
+		with("exchange", 1, func(*loadmodel.Fleet) {}),
+		with("exchange, loss", 1, func(f *loadmodel.Fleet) { f.Loss = 0.3 }),
+		with("exchange, demand moves", 1, func(f *loadmodel.Fleet) { f.MoveEvery = 30 * time.Second }),
+		with("exchange, loss, demand moves", 1, func(f *loadmodel.Fleet) { f.MoveEvery, f.Loss = 30*time.Second, 0.3 }),
+		with("exchange, below limit", 1, func(f *loadmodel.Fleet) { f.Offered = 0.8 * rate }),
+		with("exchange, a tenth more join", joined, func(f *loadmodel.Fleet) { f.JoinAt = 90 * time.Second }),
+		with("baseline: equal split", 0, func(f *loadmodel.Fleet) { f.Share = 1 / n }),
+		with("baseline: equal, below limit", 0, func(f *loadmodel.Fleet) { f.Share, f.Offered = 1/n, 0.8*rate }),
+		with("baseline: whole limit each", 0, func(f *loadmodel.Fleet) { f.Share = 1 }),
+	}
+}
+
+// Guards against a fleet that admits more than a customer's rate when demand is
+// skewed, moves, digests are lost or entries join.
+func TestPolicyFleetRate(t *testing.T) {
+	cases := append(fleetCases(4), fleetCases(370)...)
+	results := make([]loadmodel.FleetResult, len(cases))
+	var wait sync.WaitGroup
+	for i := range cases {
+		wait.Go(func() { results[i] = cases[i].run.Run() })
+	}
+	wait.Wait()
+	t.Logf("%-30s %7s %7s %6s %6s %8s", "case", "entries", "offered", "over", "mean", "bytes/s")
+	for i, c := range cases {
+		r := results[i]
+		t.Logf("%-30s %7d %7.2f %6.2f %6.2f %8.0f", c.name, c.run.Entries, c.run.Offered/c.run.Rate, r.Over, r.Mean, r.BytesPerSecond)
+		if c.most > 0 {
+			assert.Check(t, r.Over <= c.most, "%s: admitted %.2f of the limit", c.name, r.Over)
+		}
+	}
+}
--- a/internal/limits/shed.go
+++ b/internal/limits/shed.go
@@ -2,59 +2,34 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/borageflow/borageflow/internal/errkind"
 )
 
-func (q *FairQueue) add(item Item) {
-	w := &waiting{item: item}
-	q.items[item.ID] = w
-	class := classOf(&item)
-	if q.classes[class].count == 0 {
-		q.classes[class].tag = math.Max(q.classes[class].tag, q.tag)
-	}
-	q.classes[class].push(w)
-	h, ok := q.held[item.Customer]
-	if !ok {
-		h = &holding{}
-		q.held[item.Customer] = h
-	}
-	h.weight = item.Weight
-	h.items++
-	h.cost += item.Cost
-}
+// keepCustomers is the number of customers above which idle ones without debt
+// are forgotten.
+const keepCustomers = 64
 
-// release forgets an item that its class queue has given up.
-func (q *FairQueue) release(w *waiting) {
-	delete(q.items, w.item.ID)
-	h := q.held[w.item.Customer]
-	h.items--
-	h.cost -= w.item.Cost
-	if h.items == 0 {
-		delete(q.held, w.item.Customer)
+func (q *FairQueue) add(e *entry) {
+	if len(q.customers) > keepCustomers {
+		q.customers = slices.DeleteFunc(q.customers, func(c *customerQueue) bool {
+			return c.len() == 0 && c.tag <= q.virtual-q.opts.Credit
+		})
 	}
-}
-
-func (q *FairQueue) unlink(w *waiting) {
-	q.classes[classOf(&w.item)].remove(w)
-	q.release(w)
-}
-
-// nextClass returns the class with the lowest tag; lookups win a tie.
-func (q *FairQueue) nextClass() int {
-	short, long := &q.classes[classShort], &q.classes[classLong]
-	if long.count == 0 || (short.count > 0 && short.tag <= long.tag) {
-		return classShort
+	c := q.customers.findOrAdd(e.Customer)
+	if c.len() == 0 {
+		c.tag = math.Max(c.tag, q.virtual-q.opts.Credit)
 	}
-	return classLong
+	c.weight = e.Weight
+	c.push(e)
+	q.items[e.ID] = e
 }
 
-func (q *FairQueue) charge(class int, item *Item) {
-	c := &q.classes[class]
-	q.tag = math.Max(q.tag, c.tag)
-	c.tag += item.Cost / q.classWeight(class)
-	c.charge(item)
+func (q *FairQueue) unlink(e *entry) {
+	q.customers.find(e.Customer).remove(e)
+	delete(q.items, e.ID)
 }
 
 // furthestOver returns the customer with the most waiting items per weight,
@@ -62,51 +37,47 @@
 func (q *FairQueue) furthestOver(item *Item) string {
 	worst := item.Customer
 	most := 1 / item.Weight
-	if h, ok := q.held[item.Customer]; ok {
-		most = float64(h.items+1) / item.Weight
+	if c := q.customers.find(item.Customer); c != nil {
+		most = float64(c.len()+1) / item.Weight
 	}
-	for name, h := range q.held {
-		if name == item.Customer {
-			continue
-		}
-		over := float64(h.items) / h.weight
-		if over > most || (over == most && worst != item.Customer && name < worst) {
-			worst, most = name, over
+	for _, c := range q.customers {
+		if over := float64(c.len()) / c.weight; c.name != item.Customer && over > most {
+			worst, most = c.name, over
 		}
 	}
 	return worst
 }
 
 // shed drops the newest waiting item of a customer, a draft before a lookup.
-func (q *FairQueue) shed(customer string) {
-	for class := range q.classes {
-		c, ok := q.classes[class].customers[customer]
-		if !ok || c.live == 0 {
+func (q *FairQueue) shed(now time.Time, customer string) {
+	c := q.customers.find(customer)
+	for class := range c.lines {
+		items := c.lines[class].items
+		if len(items) == 0 {
 			continue
 		}
-		for i := len(c.items) - 1; i >= 0; i-- {
-			w := c.items[i]
-			if w.removed {
-				continue
-			}
-			q.unlink(w)
-			q.drop(w.item, errkind.Overloaded, "the queue is full and the customer is over its share")
-			return
-		}
+		e := items[len(items)-1]
+		q.unlink(e)
+		q.drop(now, e.Item, errkind.Overloaded, "the queue is full and the customer is over its share")
+		return
 	}
 }
 
-func (q *FairQueue) overloaded(item *Item) *errkind.Error {
-	return errkind.New(errkind.Overloaded, "the queue is full").WithRetryAfter(q.drainTime(item))
+func (q *FairQueue) overloaded(now time.Time, item *Item) *errkind.Error {
+	return errkind.New(errkind.Overloaded, "the queue is full").WithRetryAfter(q.drainTime(now, item))
 }
 
-// hopeless refuses an item whose expected wait and run pass its deadline.
-func (q *FairQueue) hopeless(now time.Time, item *Item) *errkind.Error {
+// hopeless refuses an item whose expected wait and run pass its deadline. An
+// item that need not wait is never refused for a learned margin.
+func (q *FairQueue) hopeless(now time.Time, item *Item, wait time.Duration) *errkind.Error {
 	if item.Deadline.IsZero() {
 		return nil
 	}
-	wait := q.Wait(*item)
-	over := wait + item.Expected - item.Deadline.Sub(now)
+	need := item.Expected
+	if wait > 0 {
+		need += wait + q.waitMargin(now, item) + q.runs[classOf(item)].of(now)
+	}
+	over := need - item.Deadline.Sub(now)
 	if over <= 0 {
 		return nil
 	}
@@ -114,64 +85,82 @@
 		WithRetryAfter(clampRetry(min(over, max(wait, minRetry))))
 }
 
-// Wait returns the expected wait of an item pushed now: the work that fair
-// queueing serves before it, divided by the service rate. It is 0 while the rate
-// is unknown.
-func (q *FairQueue) Wait(item Item) time.Duration {
-	rate := q.rate.value
-	if rate <= 0 {
-		return 0
+func (q *FairQueue) waitMargin(now time.Time, item *Item) time.Duration {
+	if c := q.customers.find(item.Customer); c != nil {
+		return c.lines[classOf(item)].waits.of(now)
 	}
-	return time.Duration(q.ahead(&item) / rate * float64(time.Second))
+	return 0
 }
 
-// ahead returns the work served before a new item: within its class each other
-// customer gets at most its weighted part while the item's own customer works
-// off what it has waiting, and the other class gets at most its weighted part of
-// that.
-func (q *FairQueue) ahead(item *Item) float64 {
-	class := classOf(item)
-	c := &q.classes[class]
-	own := 0.0
-	if mine, ok := c.customers[item.Customer]; ok {
-		own = math.Max(mine.tag-c.virtual, 0)
-		for _, w := range mine.items {
-			if !w.removed {
-				own += w.item.Cost / w.item.Weight
-			}
-		}
+// Wait returns the expected wait of an item pushed now, with the learned margin.
+// It is 0 while nothing waits or the service rate is unknown.
+func (q *FairQueue) Wait(now time.Time, item Item) time.Duration {
+	normalize(&item)
+	wait := q.wait(now, &item)
+	if wait > 0 {
+		wait += q.waitMargin(now, &item)
 	}
-	total := 0.0
-	for _, other := range c.customers {
-		total += servedBefore(other, item.Customer, c.virtual, own)
+	return wait
+}
+
+// wait predicts the wait of a new item as the longer of two figures: the work
+// that the queue as it stands serves before the item, divided by the service
+// rate; and the work of its own customer before it, divided by the rate at which
+// that customer was served lately, which counts those who arrive later.
+func (q *FairQueue) wait(now time.Time, item *Item) time.Duration {
+	if q.rate.value <= 0 || len(q.items) == 0 {
+		return 0
+	}
+	queued := q.ahead(item) / q.rate.value
+	mine := q.customers.find(item.Customer)
+	if mine == nil {
+		return seconds(queued)
 	}
-	rival := &q.classes[1-class]
-	part := math.Max(c.tag-q.tag, 0) + total/q.classWeight(class)
-	served := (part - math.Max(rival.tag-q.tag, 0)) * q.classWeight(1-class)
-	return total + math.Min(math.Max(served, 0), rival.cost)
+	own := mine.ahead(classOf(item), q.opts.ShortWeight)
+	rate := math.Min(math.Max(mine.served.rate(now), q.share(item)), q.rate.value)
+	return seconds(math.Max(queued, own/rate))
 }
 
-// servedBefore returns the work of one customer served until the fair queue's
-// virtual time has moved by span.
-func servedBefore(c *customerQueue, self string, virtual, span float64) float64 {
-	work, tag := 0.0, math.Max(c.tag-virtual, 0)
-	for _, w := range c.items {
-		if w.removed {
-			continue
+// share returns the service rate that a customer has in any case: its weighted
+// part among the customers that wait.
+func (q *FairQueue) share(item *Item) float64 {
+	sum := item.Weight
+	for _, c := range q.customers {
+		if c.len() > 0 && c.name != item.Customer {
+			sum += c.weight
 		}
-		if c.name != self && tag > span {
-			break
+	}
+	return q.rate.value * item.Weight / sum
+}
+
+// seconds converts a number of seconds.
+func seconds(v float64) time.Duration { return time.Duration(v * float64(time.Second)) }
+
+// ahead returns the work served before a new item: what its own customer has
+// waiting before it, and what the others are served until then.
+func (q *FairQueue) ahead(item *Item) float64 {
+	class := classOf(item)
+	tag, total := q.virtual-q.opts.Credit, 0.0
+	if mine := q.customers.find(item.Customer); mine != nil {
+		tag = math.Max(tag, mine.tag)
+		total = mine.ahead(class, q.opts.ShortWeight)
+	}
+	tag += total / item.Weight
+	if class == classShort {
+		tag -= q.opts.Lead
+	}
+	for _, c := range q.customers {
+		if c.name != item.Customer {
+			total += c.servedUntil(tag, q.opts.Lead)
 		}
-		work += w.item.Cost
-		tag += w.item.Cost / w.item.Weight
 	}
-	return work
+	return total
 }
 
-// drainTime advises when to try again: when the item's customer has worked off
-// half of what it has waiting here.
-func (q *FairQueue) drainTime(item *Item) time.Duration {
-	wait := q.Wait(*item) / 2
+// drainTime advises when to try again: when half of the work before a new item
+// of the customer is done.
+func (q *FairQueue) drainTime(now time.Time, item *Item) time.Duration {
+	wait := q.Wait(now, *item) / 2
 	if wait <= 0 {
 		wait = 100 * time.Millisecond
 	}
--- a/internal/retry/request.go
+++ b/internal/retry/request.go
@@ -31,10 +31,10 @@
 }
 
 type attempt struct {
-	// offset is the number of tokens held when the attempt started.
-	offset   int
-	last     int
-	ended    bool
+	// last is the sequence number of the last delivered part.
+	last  int
+	ended bool
+	// state is not_run until the attempt was sent.
 	state    api.RunState
 	canceled bool
 }
@@ -105,7 +105,14 @@
 }
 
 func (r *Request) attemptStarted(e AttemptStarted) {
-	if r.attempt(e.Attempt) == nil || e.Server == "" {
+	a := r.attempt(e.Attempt)
+	if a == nil || a.ended {
+		return
+	}
+	if a.state == api.RunStateNotRun {
+		a.state = api.RunStateUnknown
+	}
+	if e.Server == "" {
 		return
 	}
 	for _, s := range r.servers {
@@ -131,7 +138,7 @@
 	if e.Sequence != a.last+1 {
 		a.canceled = true
 		drop = append(drop, CancelAttempt{e.Attempt})
-		return append(drop, r.lost(now, e.Attempt, AttemptEnded{Kind: errkind.Truncated, CanResume: true})...)
+		return append(drop, r.lost(now, e.Attempt, AttemptEnded{Kind: errkind.Truncated, CanResume: r.params.CanResume})...)
 	}
 	var out []Decision
 	if r.current == 0 {
@@ -230,7 +237,9 @@
 func (r *Request) again(number int, e AttemptEnded) []Decision {
 	var out []Decision
 	a := r.attempt(number)
-	resume := e.CanResume || (a.state == api.RunStateNotRun && r.params.Streamed)
+	// Parts held before an attempt that did not run came from one that could be
+	// resumed.
+	resume := e.CanResume || a.state == api.RunStateNotRun
 	if r.delivered > 0 && !resume {
 		r.delivered = 0
 		out = append(out, Discard{})
@@ -246,7 +255,7 @@
 }
 
 func (r *Request) start(after time.Duration, offset int, hedge bool) []Decision {
-	r.attempts = append(r.attempts, attempt{offset: offset, state: api.RunStateUnknown})
+	r.attempts = append(r.attempts, attempt{state: api.RunStateNotRun})
 	return []Decision{StartAttempt{
 		Attempt:        len(r.attempts),
 		After:          after,
@@ -301,7 +310,11 @@
 func (r *Request) fail(kind errkind.Kind, retryAfter time.Duration) []Decision {
 	r.over = true
 	out := r.cancelOthers(0)
-	return append(out, Fail{Kind: kind, RunState: r.runState(), RetryAfter: retryAfter})
+	state := r.runState()
+	if state != api.RunStateNotRun && !r.params.Idempotent {
+		retryAfter = 0 // a repeat might run the request twice
+	}
+	return append(out, Fail{Kind: kind, RunState: state, RetryAfter: retryAfter})
 }
 
 // runState joins the states of all attempts.
--- a/internal/retry/types.go
+++ b/internal/retry/types.go
@@ -30,6 +30,9 @@
 	// Streamed states that a delivered part reaches the caller at once. Otherwise
 	// the parts are held until Succeed and Discard may take them back.
 	Streamed bool
+	// CanResume states that engines of the version can continue a stream at an
+	// offset; it decides for a stream in which a part is missing.
+	CanResume bool
 	// Budget grants every attempt but the first; nil grants all.
 	Budget Spender
 }
@@ -37,7 +40,9 @@
 // Event is an input of Handle.
 type Event interface{ isEvent() }
 
-// AttemptStarted tells that an attempt was sent to a server.
+// AttemptStarted tells that an attempt is about to be sent to a server. It must
+// be handled before the first byte is sent, and an attempt cancelled before it
+// must not be sent: until then the attempt counts as proven not run.
 type AttemptStarted struct {
 	Attempt int
 	// Server is the backend server; later attempts avoid it.
