Record decisions and measure objectives in the running entry

Cause: the entry emitted trace records that nothing kept, and status showed no burn; end-to-end results were cached although the daemon had changed, since the test package did not depend on it. Change: a recorder goroutine writes the decision log and keeps the burn of each objective for status; the end-to-end package imports the daemon. Measured: end-to-end tests run again after a change of the daemon (before: reported as cached) and pass. Conclusion: replay and report can read what an entry records.

--- a/cmd/borageflow/status.go
+++ b/cmd/borageflow/status.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/borageflow/borageflow/api"
 )
@@ -85,7 +86,7 @@
 	for _, r := range s.Rejected {
 		fmt.Fprintf(out, "REJECTED %d.%d: %s\n", r.Revision.Generation, r.Revision.Version, strings.Join(r.Reasons, "; "))
 	}
-	for _, t := range []table{customerTable(out, s), versionTable(out, s), serverTable(out, s), rolloutTable(out, s)} {
+	for _, t := range []table{customerTable(out, s), versionTable(out, s), serverTable(out, s), rolloutTable(out, s), objectiveTable(out, s)} {
 		fmt.Fprintln(out)
 		if err := t.w.Flush(); err != nil {
 			return err
@@ -129,3 +130,13 @@
 	}
 	return t
 }
+
+func objectiveTable(out io.Writer, s api.Status) table {
+	t := newTable(out, "OBJECTIVE", "TARGET", "WINDOW", "GOOD", "TOTAL", "BURN")
+	for _, o := range s.Objectives {
+		for _, w := range o.Windows {
+			t.row(o.Class, o.Target, time.Duration(w.Seconds)*time.Second, w.Good, w.Total, fmt.Sprintf("%.2f", w.Burn))
+		}
+	}
+	return t
+}
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -29,6 +29,7 @@
 	control *control
 	node    *peer.Node
 	outbox  *outbox
+	record  *recorder
 	store   platform.Store
 	health  *observe.HealthServer
 	callers *http.Server
@@ -48,8 +49,14 @@
 	d.node = node
 	d.control.node = node
 	d.outbox = newOutbox(node, observe.Part(c.log, "outbox"))
+	if d.record, err = newRecorder(c.settings.Trace, observe.Part(c.log, "trace")); err != nil {
+		return nil, err
+	}
 	d.loop = d.newLoop()
-	d.control.onSnapshot = func(s *manifest.Snapshot) { d.loop.events.Put(c.ctx, entry.SnapshotApplied{Snapshot: s}) }
+	d.control.onSnapshot = func(s *manifest.Snapshot) {
+		d.record.objectives(s.Manifest)
+		d.loop.events.Put(c.ctx, entry.SnapshotApplied{Snapshot: s})
+	}
 	d.control.onMembers = func(m []api.Member) {
 		d.members.Store(&m)
 		d.loop.events.Put(c.ctx, entry.MembersChanged{Members: m})
@@ -72,7 +79,7 @@
 		beat: d.beat, node: d.node, store: d.store, outbox: d.outbox, log: observe.Part(d.log, "entry"),
 		ids: newRequestIDs(s.Instance, d.self.Incarnation), ctx: d.ctx, drained: make(chan struct{}),
 		streams: map[string]*callerapi.Stream{},
-		publish: d.control.publish, offer: d.control.offer, control: d.control, recorder: func(api.TraceRecord) {},
+		publish: d.control.publish, offer: d.control.offer, control: d.control, recorder: d.record.record,
 	}
 	loop.rater = newRater(s.Rating, func(e entry.RatingArrived) { loop.events.Put(d.ctx, e) })
 	if s.Rating != nil {
@@ -118,6 +125,7 @@
 	d.duty(d.control.greeter.run)
 	d.duty(d.recheck)
 	d.duty(d.outbox.run)
+	d.duty(d.record.run)
 	d.duty(d.refreshSessionKeys)
 	if d.loop.rater != nil {
 		for range ratingWorkers {
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -47,6 +47,8 @@
 		gauge(fmt.Sprintf("borageflow_entry_refusals_total{kind=%q}", k), func(s *entry.Stats) int { return s.Kinds[k] })
 	}
 	d.ringMetrics("entry_events", d.loop.events.Len, d.loop.events.Refused)
+	d.ringMetrics("trace", d.record.records.Len, d.record.records.Refused)
+	d.ringMetrics("exchange", d.control.events.Len, d.control.events.Refused)
 	d.ringMetrics("outbox", d.outbox.items.Len, d.outbox.items.Refused)
 	d.byteMetrics(d.node.Counters())
 }
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -21,6 +21,9 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/borageflow/borageflow/api"
+	// The daemon is a dependency of this package so that a cached test result is
+	// not used after the daemon changed.
+	_ "github.com/borageflow/borageflow/internal/daemon"
 	"github.com/borageflow/borageflow/internal/devcluster"
 	"github.com/borageflow/borageflow/internal/manifest"
 )
