--- /dev/null
+++ b/internal/callerapi/handler_test.go
@@ -0,0 +1,135 @@
+package callerapi
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/entry"
+	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/manifest"
+)
+
+// fake answers every request by a function.
+type fake struct {
+	answer func(entry.RequestArrived, *Stream)
+	gone   []string
+	full   bool
+}
+
+// Submit implements Backend.
+func (f *fake) Submit(r entry.RequestArrived, s *Stream) bool {
+	if f.full {
+		return false
+	}
+	f.answer(r, s)
+	return true
+}
+
+// CallerGone implements Backend.
+func (f *fake) CallerGone(request string) { f.gone = append(f.gone, request) }
+
+// Snapshot implements Backend.
+func (f *fake) Snapshot() *manifest.Snapshot { return nil }
+
+// NewRequestID implements Backend.
+func (f *fake) NewRequestID() string { return "r-1" }
+
+func serve(f *fake, path, body string, header map[string]string) *httptest.ResponseRecorder {
+	h := NewHandler(f, Options{BodyBytes: 1024, ReadTimeout: time.Second, WriteTimeout: time.Second})
+	req := httptest.NewRequest(http.MethodPost, path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer key")
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+	return w
+}
+
+const chatPath = "/v1/chat/completions"
+
+// Guards against bad input reaching the core, or being answered without a kind
+// and a run state.
+func TestBadInputIsRefusedWithKind(t *testing.T) {
+	never := &fake{answer: func(entry.RequestArrived, *Stream) { t.Fatal("bad input reached the core") }}
+	for name, c := range map[string]struct {
+		path, body string
+		header     map[string]string
+		kind       errkind.Kind
+	}{
+		"not JSON":         {chatPath, `{`, nil, errkind.InvalidRequest},
+		"no model":         {chatPath, `{"messages":[{"role":"user","content":"x"}]}`, nil, errkind.InvalidRequest},
+		"no messages":      {chatPath, `{"model":"m","messages":[]}`, nil, errkind.InvalidRequest},
+		"unknown role":     {chatPath, `{"model":"m","messages":[{"role":"robot","content":"x"}]}`, nil, errkind.InvalidRequest},
+		"image content":    {chatPath, `{"model":"m","messages":[{"role":"user","content":[{"type":"image_url"}]}]}`, nil, errkind.InvalidRequest},
+		"several answers":  {chatPath, `{"model":"m","n":2,"messages":[{"role":"user","content":"x"}]}`, nil, errkind.InvalidRequest},
+		"tools":            {chatPath, `{"model":"m","tools":[{}],"messages":[{"role":"user","content":"x"}]}`, nil, errkind.InvalidRequest},
+		"negative tokens":  {chatPath, `{"model":"m","max_tokens":-1,"messages":[{"role":"user","content":"x"}]}`, nil, errkind.InvalidRequest},
+		"bad deadline":     {chatPath, `{}`, map[string]string{HeaderDeadlineMs: "soon"}, errkind.InvalidRequest},
+		"long key":         {chatPath, `{}`, map[string]string{HeaderIdempotency: strings.Repeat("k", 257)}, errkind.InvalidRequest},
+		"no authorization": {chatPath, `{}`, map[string]string{"Authorization": "none"}, errkind.Unauthenticated},
+		"large body":       {chatPath, strings.Repeat("x", 2000), nil, errkind.PayloadTooLarge},
+		"service not JSON": {"/v1/services/s/o", `nope`, nil, errkind.InvalidRequest},
+		"unknown path":     {"/v1/other", `{}`, nil, errkind.UnknownModel},
+	} {
+		w := serve(never, c.path, c.body, c.header)
+		assert.Equal(t, w.Code, errkind.Lookup(c.kind).HTTPStatus, name)
+		assert.Assert(t, strings.Contains(w.Body.String(), string(c.kind)), "%s: %s", name, w.Body)
+		assert.Equal(t, w.Header().Get(HeaderRunState), string(api.RunStateNotRun), name)
+	}
+}
+
+// Guards against a full ring holding the caller instead of answering at once.
+func TestFullRingIsAnsweredAtOnce(t *testing.T) {
+	w := serve(&fake{full: true}, chatPath, `{"model":"m","messages":[{"role":"user","content":"x"}]}`, nil)
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable)
+	assert.Equal(t, w.Header().Get("Retry-After"), "1")
+}
+
+// Guards against text being lost or reordered between the core and the caller.
+func TestStreamJoinsPartsInOrder(t *testing.T) {
+	f := &fake{answer: func(r entry.RequestArrived, s *Stream) {
+		go func() {
+			for _, text := range []string{"a", "b", "c"} {
+				s.Deliver(entry.Deliver{Request: r.Request, Version: "v", Text: text, Tokens: 1})
+			}
+			s.Finish(entry.Answer{Request: r.Request, Version: "v", Text: "d", FinishReason: "stop"})
+		}()
+	}}
+	body := `{"model":"m","stream":false,"messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`
+	w := serve(f, chatPath, body, nil)
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Assert(t, strings.Contains(w.Body.String(), `"content":"abcd"`), w.Body.String())
+	assert.Equal(t, w.Header().Get(HeaderVersion), "v")
+}
+
+// Guards against a stream that breaks after its first part looking complete.
+func TestBrokenStreamEndsWithErrorEvent(t *testing.T) {
+	f := &fake{answer: func(r entry.RequestArrived, s *Stream) {
+		s.Deliver(entry.Deliver{Request: r.Request, Version: "v", Text: "a", Tokens: 1})
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			s.Finish(entry.Answer{Request: r.Request, Err: errkind.New(errkind.Truncated, "cut")})
+		}()
+	}}
+	w := serve(f, chatPath, `{"model":"m","stream":true,"messages":[{"role":"user","content":"x"}]}`, nil)
+	assert.Assert(t, strings.Contains(w.Body.String(), `"kind":"truncated"`), w.Body.String())
+	assert.Assert(t, !strings.Contains(w.Body.String(), "[DONE]"))
+}
+
+func FuzzParseChat(f *testing.F) {
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	f.Add([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"x"}]}]}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		r, err := parseChat(raw)
+		if err == nil && (r.Model == "" || len(r.messages()) == 0 || r.maxTokens() < 0) {
+			t.Fatalf("accepted %q", raw)
+		}
+	})
+}
