Confirm the manifest with a peer after a pause of a sidecar

The deadline does not help, since it is relative to the arrival. Ruled out: the entry (it had sent the attempt while the version was allowed) and the queue (the attempt had not been queued). Change: a gap of more than 1 s between two events counts as a pause; waiting attempts are refused with not_run and the instance counts as booting until a digest sent after the pause is answered without a higher revision. Attempts are checked again when they leave the queue. Conclusion: an island of a paused entry and a paused sidecar alone cannot know of a newer manifest; that case stays open.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -52,6 +52,11 @@
 	snapshot atomic.Pointer[manifest.Snapshot]
 	view     atomic.Pointer[controlView]
 
+	// confirmFrom is when the main loop asked for the manifest to be confirmed, in
+	// Unix nanoseconds; 0 when it does not wait for it.
+	confirmFrom atomic.Int64
+	onConfirmed func()
+
 	selfMu  sync.Mutex
 	core    api.Member
 	wedged  bool
@@ -70,6 +75,8 @@
 type controlEvent struct {
 	event membership.ExchangeEvent
 	call  *peer.Call
+	// sent is when the digest that this event answers was sent.
+	sent time.Time
 }
 
 func newControl(c *common, store platform.Store) *control {
@@ -81,7 +88,7 @@
 		}, rand.New(rand.NewPCG(seed, ^seed))),
 		events: ring.New[controlEvent](controlRingSize), store: store, log: observe.Part(c.log, "exchange"),
 		alive: c.alive, ctx: c.ctx, core: c.self,
-		onDigest: func(entry.DigestReceived) {},
+		onDigest: func(entry.DigestReceived) {}, onConfirmed: func() {},
 	}
 	x.self.Store(&c.self)
 	return x
@@ -187,6 +194,9 @@
 	if e.call != nil {
 		e.call.Fail(errNothingHeld())
 	}
+	if answered, ok := e.event.(membership.DigestAnswered); ok {
+		c.confirmed(e.sent, answered.Digest.Revision)
+	}
 	if members {
 		c.onMembers(c.members())
 	}
@@ -230,7 +240,22 @@
 	return members
 }
 
+// confirm asks for a peer's word, newer than this call, that no higher manifest
+// is in force.
+func (c *control) confirm() { c.confirmFrom.Store(time.Now().UnixNano()) }
+
+// confirmed reports the answer to a digest that was sent at the given time.
+func (c *control) confirmed(sent time.Time, answer api.Revision) {
+	from := c.confirmFrom.Load()
+	if from == 0 || sent.UnixNano() < from || manifest.Newer(answer, c.exchange.Revision()) {
+		return
+	}
+	c.confirmFrom.Store(0)
+	c.onConfirmed()
+}
+
 func (c *control) sendDigest(x membership.SendDigest) {
+	sent := time.Now()
 	ctx, cancel := context.WithTimeout(c.ctx, digestTimeout)
 	defer cancel()
 	link, err := c.node.Link(ctx, x.To.Address)
@@ -242,7 +267,7 @@
 		c.log.Debug("digest is not answered", zap.String("peer", x.To.Address), zap.Error(err))
 		return
 	}
-	c.put(membership.DigestAnswered{From: peerOf(link, x.To.Address), Digest: answer})
+	c.events.Put(c.ctx, controlEvent{event: membership.DigestAnswered{From: peerOf(link, x.To.Address), Digest: answer}, sent: sent})
 }
 
 func peerOf(link *peer.Link, address string) membership.Peer {
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -43,7 +43,7 @@
 	d.loop = &sidecarLoop{
 		events: ring.New[sidecar.Event](sidecarRingSize), beat: c.beat, node: node, store: store,
 		backend: engine.NewClient(c.settings.Backend.URL), kind: c.settings.Backend.Kind,
-		member: d.control.setSelf, offer: d.control.offer, log: observe.Part(c.log, "sidecar"),
+		member: d.control.setSelf, offer: d.control.offer, confirm: d.control.confirm, log: observe.Part(c.log, "sidecar"),
 		ctx: c.ctx, drained: make(chan struct{}),
 		links: map[*peer.Link]*entryLink{}, byID: map[sidecar.LinkID]*entryLink{},
 	}
@@ -51,6 +51,7 @@
 		d.loop.events.Put(c.ctx, sidecar.SnapshotApplied{Snapshot: s})
 	}
 	d.control.onMembers = func([]api.Member) {}
+	d.control.onConfirmed = func() { d.loop.events.Put(c.ctx, sidecar.ConfigConfirmed{}) }
 	handler.controlHandler = controlHandler{d.control}
 	handler.loop = d.loop
 	return d, nil
--- a/internal/daemon/sidecarloop.go
+++ b/internal/daemon/sidecarloop.go
@@ -40,6 +40,7 @@
 	kind    api.BackendKind
 	member  func(api.Member)
 	offer   func(api.ConfigOffer)
+	confirm func()
 	log     *zap.Logger
 
 	ctx     context.Context
@@ -106,6 +107,9 @@
 		l.sendResult(e)
 	case sidecar.FetchConfig:
 		go l.fetchConfig(e.Link)
+	case sidecar.ConfirmConfig:
+		l.log.Warn("process was paused, manifest is confirmed with a peer first")
+		l.confirm()
 	case sidecar.AnnounceLeaving:
 		l.announceLeaving()
 	case sidecar.MemberChanged:
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"sort"
 	"time"
 
 	"github.com/borageflow/borageflow/api"
@@ -14,6 +15,10 @@
 const (
 	// configFetchTimeout bounds the wait for the higher manifest of an entry.
 	configFetchTimeout = time.Second
+	// stallLimit is the time between two events after which this process may have
+	// been paused. Its manifest may then be old, and so may the attempts that wait
+	// in its sockets, so nothing starts until a peer confirms the manifest.
+	stallLimit = time.Second
 	// loadReportLimit is the number of failed load reads after which the backend
 	// server counts as not ready.
 	loadReportLimit = 3
@@ -57,6 +62,9 @@
 	loadAt   time.Time
 	loadMiss int
 	drain    drainState
+	lastAt   time.Time
+	// unconfirmed is set after a stall until a peer confirms the manifest.
+	unconfirmed bool
 }
 
 type drainState int
@@ -125,10 +133,19 @@
 
 // Handle applies one event at a time and returns its effects in order.
 func (c *Core) Handle(now time.Time, e Event) []Effect {
+	out := c.detectStall(now)
+	out = append(out, c.handle(now, e)...)
+	return append(out, c.tick(now)...)
+}
+
+func (c *Core) handle(now time.Time, e Event) []Effect {
 	var out []Effect
 	switch e := e.(type) {
 	case SnapshotApplied:
 		out = c.snapshotApplied(now, e.Snapshot)
+	case ConfigConfirmed:
+		c.unconfirmed = false
+		out = c.refreshState()
 	case RunRequested:
 		out = c.runRequested(now, e)
 	case CancelRequested:
@@ -149,10 +166,31 @@
 		c.usage.WriteResult(now, e.Key, usageOutcome(e.Err))
 	case Tick:
 	}
-	out = append(out, c.tick(now)...)
 	return out
 }
 
+// detectStall refuses what waits after a pause of this process.
+func (c *Core) detectStall(now time.Time) []Effect {
+	stalled := !c.lastAt.IsZero() && now.Sub(c.lastAt) > stallLimit
+	c.lastAt = now
+	if !stalled {
+		return nil
+	}
+	c.unconfirmed = true
+	out := append(c.refreshState(), ConfirmConfig{})
+	for _, a := range sortedAttempts(c.attempts, c.waiting) {
+		if !a.running {
+			c.queue.Remove(queueID(a.id))
+			out = append(out, c.refuse(a, errPaused())...)
+		}
+	}
+	return out
+}
+
+func errPaused() *errkind.Error {
+	return errkind.New(errkind.NotReady, "instance was paused and has not confirmed its manifest")
+}
+
 // tick starts queued attempts, expires waiting ones and flushes usage.
 func (c *Core) tick(now time.Time) []Effect {
 	out := c.expireWaiting(now)
@@ -167,11 +205,11 @@
 	}
 	c.snapshot = s
 	out := c.refreshState()
-	for id, a := range c.waiting {
+	for _, a := range sortedAttempts(c.waiting) {
 		if manifest.Newer(a.params.Revision, s.Revision) {
 			continue
 		}
-		delete(c.waiting, id)
+		delete(c.waiting, a.id)
 		out = append(out, c.admit(now, a)...)
 	}
 	return out
@@ -200,6 +238,9 @@
 	if a.params.Incarnation != c.self.Incarnation {
 		return errkind.New(errkind.StaleIncarnation, "attempt is meant for another incarnation of the instance")
 	}
+	if c.unconfirmed {
+		return errPaused()
+	}
 	if c.known(a.id) {
 		return errkind.New(errkind.DuplicateUnknown, "attempt was received before")
 	}
@@ -344,19 +385,19 @@
 			delete(c.waiting, id)
 		}
 	}
-	for id, a := range c.attempts {
+	for _, a := range sortedAttempts(c.attempts) {
 		if a.link != link {
 			continue
 		}
 		a.linkGone = true
-		out = append(out, c.cancelRequested(id)...)
+		out = append(out, c.cancelRequested(a.id)...)
 	}
 	return out
 }
 
 func (c *Core) expireWaiting(now time.Time) []Effect {
 	var out []Effect
-	for _, a := range c.waiting {
+	for _, a := range sortedAttempts(c.waiting) {
 		if now.Sub(a.arrived) < configFetchTimeout {
 			continue
 		}
@@ -382,6 +423,24 @@
 	return []Effect{SendResult{Link: a.link, Result: c.errorResult(a, err)}}
 }
 
+// sortedAttempts lists attempts in the order of their identifiers, so that a
+// replay meets the same decisions.
+func sortedAttempts(sets ...map[attemptID]*attempt) []*attempt {
+	var out []*attempt
+	for _, set := range sets {
+		for _, a := range set {
+			out = append(out, a)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].id.request != out[j].id.request {
+			return out[i].id.request < out[j].id.request
+		}
+		return out[i].id.attempt < out[j].id.attempt
+	})
+	return out
+}
+
 func (c *Core) errorResult(a *attempt, err *errkind.Error) api.RunResult {
 	return api.RunResult{
 		Request: a.id.request, Attempt: a.id.attempt, Kind: string(err.Kind), Message: err.Message,
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -19,6 +19,10 @@
 // SnapshotApplied hands over a higher manifest.
 type SnapshotApplied struct{ Snapshot *manifest.Snapshot }
 
+// ConfigConfirmed says that a peer asked after the last ConfirmConfig holds no
+// higher manifest.
+type ConfigConfirmed struct{}
+
 // RunRequested is an attempt sent by an entry.
 type RunRequested struct {
 	Link   LinkID
@@ -80,6 +84,7 @@
 type Tick struct{}
 
 func (SnapshotApplied) event() {}
+func (ConfigConfirmed) event() {}
 func (RunRequested) event()    {}
 func (CancelRequested) event() {}
 func (LinkClosed) event()      {}
@@ -118,6 +123,9 @@
 // FetchConfig asks the entry of a link for its higher manifest.
 type FetchConfig struct{ Link LinkID }
 
+// ConfirmConfig asks for a ConfigConfirmed.
+type ConfirmConfig struct{}
+
 // AnnounceLeaving tells the entries that this instance leaves.
 type AnnounceLeaving struct{}
 
@@ -138,6 +146,7 @@
 func (SendPart) effect()        {}
 func (SendResult) effect()      {}
 func (FetchConfig) effect()     {}
+func (ConfirmConfig) effect()   {}
 func (AnnounceLeaving) effect() {}
 func (MemberChanged) effect()   {}
 func (WriteUsage) effect()      {}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -46,10 +46,17 @@
 		if !ok {
 			return out
 		}
-		if a := c.byQueueID(item.ID); a != nil {
-			c.queue.Started(now, item)
-			out = append(out, c.start(now, a))
+		a := c.byQueueID(item.ID)
+		if a == nil {
+			continue
+		}
+		// The manifest may have changed while the attempt waited.
+		if err := c.checkAllowed(a); err != nil {
+			out = append(out, c.refuse(a, err)...)
+			continue
 		}
+		c.queue.Started(now, item)
+		out = append(out, c.start(now, a))
 	}
 	return append(out, c.refuseDropped(c.queue.Expire(now))...)
 }
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -40,7 +40,7 @@
 	switch {
 	case c.drain != drainNone:
 		return api.MemberStateLeaving
-	case c.snapshot == nil || c.loadAt.IsZero():
+	case c.snapshot == nil || c.loadAt.IsZero() || c.unconfirmed:
 		return api.MemberStateBooting
 	case c.loadMiss >= loadReportLimit:
 		return api.MemberStateBooting
