--- a/internal/membership/exchange_config.go
+++ b/internal/membership/exchange_config.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/manifest"
 	"github.com/borageflow/borageflow/internal/schemacheck"
@@ -24,6 +26,17 @@
 	bootWaits = 4
 )
 
+// rejection remembers an invalid manifest.
+type rejection struct {
+	api.RejectedManifest
+	// content is the hash of the manifest. After a rollback of the store another
+	// manifest may get the same revision.
+	content uint64
+	// settled is set once a peer handed over the same content. Until then, a peer
+	// that announces the revision may hold another manifest under it.
+	settled bool
+}
+
 // configState is the part of Exchange that concerns manifests.
 type configState struct {
 	held *manifest.Snapshot
@@ -32,7 +45,7 @@
 	pending *manifest.Snapshot
 	// peerHolds is set once a peer named a revision that it holds.
 	peerHolds bool
-	rejected  []api.RejectedManifest
+	rejected  []rejection
 
 	// wanted is the highest revision that a peer announced.
 	wanted     api.Revision
@@ -65,14 +78,20 @@
 	x.fetch()
 }
 
-// applicable reports whether a revision would supersede the one in force and has
-// not been found invalid.
+// applicable reports whether a revision would supersede the one in force and is
+// not known to be invalid wherever it is held.
 func (x *Exchange) applicable(revision api.Revision) bool {
-	return manifest.Newer(revision, x.Revision()) && !x.isRejected(revision)
+	r := x.rejectionOf(revision)
+	return manifest.Newer(revision, x.Revision()) && (r == nil || !r.settled)
 }
 
-func (x *Exchange) isRejected(revision api.Revision) bool {
-	return slices.ContainsFunc(x.config.rejected, func(r api.RejectedManifest) bool { return r.Revision == revision })
+func (x *Exchange) rejectionOf(revision api.Revision) *rejection {
+	for i := range x.config.rejected {
+		if x.config.rejected[i].Revision == revision {
+			return &x.config.rejected[i]
+		}
+	}
+	return nil
 }
 
 // fetch asks a holder for the wanted revision unless a fetch is under way. From
@@ -104,6 +123,9 @@
 	x.config.peerHolds = true
 	x.config.fetchUntil = x.now
 	x.consider(e.Offer.Revision, e.Offer.Manifest)
+	if r := x.rejectionOf(e.Offer.Revision); r != nil && r.content == xxhash.Sum64(e.Offer.Manifest) {
+		r.settled = true
+	}
 	x.fetch()
 }
 
@@ -120,26 +142,38 @@
 	}
 }
 
-// compile returns nil for a manifest that is not applicable or invalid. An
-// invalid one is remembered, so that it is neither fetched nor checked again.
+// compile returns nil for a manifest that is not newer or invalid. An invalid one
+// is remembered, so that it is not checked again.
 func (x *Exchange) compile(revision api.Revision, raw []byte) *manifest.Snapshot {
-	if !x.applicable(revision) {
+	if !manifest.Newer(revision, x.Revision()) {
+		return nil
+	}
+	content := xxhash.Sum64(raw)
+	if r := x.rejectionOf(revision); r != nil && r.content == content {
 		return nil
 	}
 	snapshot, err := x.cfg.Compile(raw, revision)
 	if err == nil {
 		return snapshot
 	}
-	rejected := api.RejectedManifest{Revision: revision, Reasons: reasons(err)}
-	if len(x.config.rejected) >= maxRejected {
-		x.config.rejected = x.config.rejected[1:]
-	}
-	x.config.rejected = append(x.config.rejected, rejected)
-	x.emit(RejectConfig{Rejected: rejected})
-	x.raise(AlarmManifestRejected, fmt.Sprintf("manifest %d.%d is invalid: %s", revision.Generation, revision.Version, rejected.Reasons[0]))
+	x.reject(rejection{
+		RejectedManifest: api.RejectedManifest{Revision: revision, Reasons: reasons(err)},
+		content:          content,
+	})
 	return nil
 }
 
+func (x *Exchange) reject(r rejection) {
+	c := &x.config
+	c.rejected = slices.DeleteFunc(c.rejected, func(old rejection) bool { return old.Revision == r.Revision })
+	if len(c.rejected) >= maxRejected {
+		c.rejected = c.rejected[1:]
+	}
+	c.rejected = append(c.rejected, r)
+	x.emit(RejectConfig{Rejected: r.RejectedManifest})
+	x.raise(AlarmManifestRejected, fmt.Sprintf("manifest %d.%d is invalid: %s", r.Revision.Generation, r.Revision.Version, r.Reasons[0]))
+}
+
 func reasons(err error) []string {
 	var faults schemacheck.Faults
 	if !errors.As(err, &faults) || len(faults) == 0 {
@@ -169,7 +203,7 @@
 }
 
 func (x *Exchange) rejectedAbove(revision api.Revision) bool {
-	return slices.ContainsFunc(x.config.rejected, func(r api.RejectedManifest) bool {
+	return slices.ContainsFunc(x.config.rejected, func(r rejection) bool {
 		return manifest.Newer(r.Revision, revision)
 	})
 }
@@ -189,4 +223,10 @@
 }
 
 // Rejected returns the invalid manifests, oldest first.
-func (x *Exchange) Rejected() []api.RejectedManifest { return slices.Clone(x.config.rejected) }
+func (x *Exchange) Rejected() []api.RejectedManifest {
+	out := make([]api.RejectedManifest, len(x.config.rejected))
+	for i, r := range x.config.rejected {
+		out[i] = r.RejectedManifest
+	}
+	return out
+}
--- a/internal/membership/exchange_fault_test.go
+++ b/internal/membership/exchange_fault_test.go
@@ -21,6 +21,7 @@
 // manifest, against a flood of calls to a store that is down, and against the
 // first change after the outage taking more than 3 s.
 func TestStoreOutage(t *testing.T) {
+	t.Parallel()
 	s := started(t, faultSize, 0.1, 2)
 	held := s.procs[0].Revision()
 	s.setDown(true)
@@ -53,6 +54,7 @@
 // at processes that start afterwards, and against the alarm being missing or
 // staying.
 func TestStoreRestoredOrRolledBack(t *testing.T) {
+	t.Parallel()
 	for _, generation := range []int64{2, 1} {
 		s := started(t, faultSize, 0.1, 3)
 		old := s.object
@@ -93,6 +95,7 @@
 // Guards against an invalid manifest being applied, being checked again and
 // again, or keeping the next valid one out.
 func TestInvalidManifestInStore(t *testing.T) {
+	t.Parallel()
 	s := started(t, faultSize, 0.1, 4)
 	held := s.procs[0].Revision()
 	bad := s.commit(1, true)
@@ -114,6 +117,7 @@
 // Guards against a change staying unseen when watchers die before the instance
 // list shows it, and against many processes watching from then on.
 func TestWatchersDie(t *testing.T) {
+	t.Parallel()
 	s := started(t, faultSize, 0.1, 5)
 	kill := func(domain int) {
 		for i, x := range s.procs {
@@ -144,6 +148,7 @@
 // Guards against a store that starts empty or away leaving processes without a
 // manifest once it is there.
 func TestColdStartDuringOutage(t *testing.T) {
+	t.Parallel()
 	s := newSim(faultSize, 0.1, 6)
 	s.setDown(true)
 	s.run(20 * time.Second)
@@ -159,6 +164,7 @@
 // Guards against a cut-back, a figure of demand or a state change not reaching
 // those who need it within seconds.
 func TestNewsReachMembers(t *testing.T) {
+	t.Parallel()
 	s := started(t, faultSize, 0.1, 7)
 	s.run(30 * time.Second)
 	s.handle(3, CutBackDecided{CutBack: api.CutBack{Version: "draft-large-4", Reason: "errors", Origin: "instance-0003", Revision: s.procs[3].Revision()}})
--- a/internal/membership/exchange_test.go
+++ b/internal/membership/exchange_test.go
@@ -37,6 +37,7 @@
 // Guards against a change taking more than 3 s, against a step back, and against
 // the exchange exceeding its bytes, at the target size.
 func TestPropagationAtTargetSize(t *testing.T) {
+	t.Parallel()
 	size := targetSize
 	if testing.Short() {
 		size = 160
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -75,6 +75,7 @@
 	applied     []api.Revision // highest revision ever applied, by process
 	appliedAt   []time.Time
 	violations  []string
+	commits     []api.Revision          // the valid ones in order
 	valid       map[api.Revision]string // every valid manifest that was committed
 	rejected    map[api.Revision]int
 }
@@ -137,6 +138,7 @@
 	revision := manifest.RevisionOf(s.object)
 	if !invalid {
 		s.valid[revision] = string(s.object.Value)
+		s.commits = append(s.commits, revision)
 	}
 	s.wake()
 	return revision
