--- a/internal/membership/exchange_fault_test.go
+++ b/internal/membership/exchange_fault_test.go
@@ -187,3 +187,33 @@
 	assert.Assert(t, unaware <= faultSize/20, "%d unaware", unaware)
 	s.check(t)
 }
+
+// Guards against a region that was cut off for minutes staying behind once it is
+// back, and against it changing anything of its own meanwhile.
+func TestRegionsLoseContact(t *testing.T) {
+	t.Parallel()
+	s := started(t, faultSize, 0.1, 9)
+	held := s.procs[0].Revision()
+	s.cut = true
+	for i := range s.watches {
+		if s.regionOf(i) != 0 {
+			delete(s.watches, i)
+			s.post(i, s.lives[i], StoreFailed{}, 0)
+		}
+	}
+	next := s.commit(1, false)
+	s.run(inForce)
+	for i, x := range s.procs {
+		if s.regionOf(i) == 0 {
+			assert.Equal(t, x.Revision(), next)
+		} else {
+			assert.Equal(t, x.Revision(), held)
+		}
+	}
+	s.run(3 * time.Minute)
+	s.cut = false
+	took := s.runUntil(next, 20*time.Second)
+	t.Logf("%d processes: a region cut off for 3 min is up to date %v after contact", faultSize, took)
+	assert.Assert(t, took <= inForce, "%v", took)
+	s.check(t)
+}
--- a/internal/membership/sim_test.go
+++ b/internal/membership/sim_test.go
@@ -50,6 +50,7 @@
 // store is one object that processes read and watch.
 type sim struct {
 	now    time.Time
+	sender int // the process whose effects are carried out
 	rng    *rand.Rand
 	loss   float64
 	queue  queue
@@ -62,6 +63,8 @@
 	cfg    ExchangeConfig
 	object platform.Object
 	down   bool
+	// cut separates the regions; the store stays with the first one.
+	cut bool
 	// watches holds the waiting watches as process and incarnation.
 	watches map[int]int
 
@@ -181,7 +184,7 @@
 // send passes a message between processes with 1 to 5 ms delay, or loses it.
 func (s *sim) send(to Peer, event ExchangeEvent) {
 	i, ok := s.names[to.Address]
-	if !ok || s.rng.Float64() < s.loss {
+	if !ok || s.rng.Float64() < s.loss || s.cut && s.regionOf(i) != s.regionOf(s.sender) {
 		return
 	}
 	s.post(i, s.lives[i], event, time.Millisecond+time.Duration(s.rng.IntN(4000))*time.Microsecond)
@@ -248,6 +251,10 @@
 
 func (s *sim) carryOut(i int, effect ExchangeEffect) {
 	me := Peer{Instance: s.list[i].Name, Address: s.list[i].Address}
+	s.sender = i
+	if s.cut && s.regionOf(i) != 0 && s.failCall(i, effect) {
+		return
+	}
 	switch e := effect.(type) {
 	case SendDigest:
 		s.count(e.Digest)
@@ -283,6 +290,22 @@
 	}
 }
 
+func (s *sim) regionOf(i int) int { return i % 2 }
+
+// failCall fails a call to the store and reports whether the effect is one.
+func (s *sim) failCall(i int, effect ExchangeEffect) bool {
+	switch effect.(type) {
+	case ReadStore, WatchStore:
+		s.post(i, s.lives[i], StoreFailed{}, 5*time.Millisecond)
+	case ReadInstances:
+		s.post(i, s.lives[i], InstanceListFailed{}, 5*time.Millisecond)
+	default:
+		return false
+	}
+	s.storeCalls++
+	return true
+}
+
 func (s *sim) watch(i int, e WatchStore) {
 	s.storeCalls++
 	if s.down || s.object.Version != e.After {
