--- a/internal/retry/request.go
+++ b/internal/retry/request.go
@@ -128,13 +128,17 @@
 func (r *Request) part(now time.Time, e PartReceived) []Decision {
 	drop := []Decision{DropPart{e.Attempt, e.Sequence}}
 	a := r.attempt(e.Attempt)
-	if r.over || a == nil || a.ended || a.canceled || e.Sequence <= a.last || e.Tokens < 0 {
+	if a == nil || a.ended {
+		return drop
+	}
+	// Any part, even a repeated one, shows that the attempt ran.
+	a.state = api.RunStateRan
+	if r.over || a.canceled || e.Sequence <= a.last || e.Tokens < 0 {
 		return drop
 	}
 	if r.current != 0 && r.current != e.Attempt {
 		return drop
 	}
-	a.state = api.RunStateRan
 	if e.Sequence != a.last+1 {
 		a.canceled = true
 		drop = append(drop, CancelAttempt{e.Attempt})
@@ -219,6 +223,10 @@
 	case r.expired(now.Add(r.backoff(e))):
 		return false
 	}
+	// A refused connection loads no server, so its retry is not an amplification.
+	if e.ConnectionRefusedBeforeSend && a.state == api.RunStateNotRun {
+		return true
+	}
 	return r.params.Budget == nil || r.params.Budget.Spend(now)
 }
 
--- a/internal/retry/types.go
+++ b/internal/retry/types.go
@@ -33,7 +33,8 @@
 	// CanResume states that engines of the version can continue a stream at an
 	// offset; it decides for a stream in which a part is missing.
 	CanResume bool
-	// Budget grants every attempt but the first; nil grants all.
+	// Budget grants every attempt but the first and those after a refused
+	// connection; nil grants all.
 	Budget Spender
 }
 
