--- a/internal/routing/fleet.go
+++ b/internal/routing/fleet.go
@@ -42,6 +42,10 @@
 	// Started and Incarnation are set by Start and passed on to End.
 	Started     time.Time
 	Incarnation int
+	// load is the load per slot that the attempt found and backlogMs the time
+	// that the own prompts before it took.
+	load      float64
+	backlogMs float64
 }
 
 // Outcome is how an attempt ended. Zero values mean not measured.
@@ -87,12 +91,10 @@
 	leaving bool
 	present bool
 	load    loadView
-	score   cached
+	// penaltyMs is the penalty of the server's location.
+	penaltyMs float64
 }
 
-// cached holds the location penalty, which changes only with SetServers.
-type cached struct{ penaltyMs float64 }
-
 // pool is the set of servers of one version or plain service.
 type pool struct {
 	all    []int32
@@ -111,6 +113,7 @@
 	pools   map[poolKey]*pool
 	cache   *prefixTable
 	mean    fleetMean
+	wait    waitModel
 	probes  []int32
 }
 
@@ -130,6 +133,7 @@
 		pools: map[poolKey]*pool{},
 		cache: newPrefixTable(opts.PrefixEntries, opts.PrefixHalfLife),
 		mean:  fleetMean{tokenMs: opts.DefaultTokenMs, serviceMs: opts.DefaultServiceMs},
+		wait:  newWaitModel(opts.PrefillTokenMs, opts.DefaultTokenMs),
 	}
 }
 
@@ -159,7 +163,7 @@
 	}
 	held.Server = s
 	held.present = true
-	held.score = cached{penaltyMs: f.penaltyMs(s)}
+	held.penaltyMs = f.penaltyMs(s)
 }
 
 func (f *Fleet) allocate() int32 {
@@ -215,6 +219,8 @@
 	w.Incarnation = s.Incarnation
 	i := f.index[name]
 	p := f.cache.probability(now, w.Prefix, i)
+	w.load = f.loadPerSlot(now, s)
+	w.backlogMs = s.load.backlogMs(now)
 	s.load.start(now, f.prefillMs(s, w.PromptTokens, p))
 	f.cache.routed(now, w.Prefix, i)
 	return w
@@ -231,6 +237,10 @@
 	if o.OK && !w.Started.IsZero() {
 		f.mean.served(now.Sub(w.Started))
 	}
+	if o.OK && o.FirstTokenMs > 0 && w.Incarnation != 0 && w.load < 1 {
+		uncached := float64(max(w.PromptTokens-o.CachedTokens, 0))
+		f.wait.observe(uncached*f.speed(s), w.load*f.speed(s), max(o.FirstTokenMs-w.backlogMs, 0))
+	}
 	if o.OK && o.InputTokens > 0 {
 		f.cache.outcome(now, w.Prefix, f.index[name], o.CachedTokens > 0)
 	}
@@ -244,6 +254,14 @@
 	}
 }
 
+// InFlight returns the entry's own attempts in flight at a server.
+func (f *Fleet) InFlight(name string) int {
+	if s := f.lookup(name); s != nil {
+		return s.load.own
+	}
+	return 0
+}
+
 // Serves reports whether a server that accepts work holds a version.
 func (f *Fleet) Serves(version string) bool {
 	p := f.pools[poolKey{name: version}]
--- a/internal/routing/load.go
+++ b/internal/routing/load.go
@@ -12,6 +12,10 @@
 // report covers.
 const maxMarks = 128
 
+// tokenGain averages the reported time between tokens over some dozens of
+// reports, because a single step varies with the prompts processed in it.
+const tokenGain = 0.05
+
 // mark is one start (+1) or end (-1) of an own attempt.
 type mark struct {
 	at    time.Time
@@ -51,7 +55,7 @@
 	l.outstanding = max(r.Running, 0) + max(r.Queued, 0)
 	l.slots = r.Slots
 	if r.TokenMs > 0 {
-		l.tokenMs = r.TokenMs
+		l.tokenMs = ewma(l.tokenMs, r.TokenMs, tokenGain)
 	}
 	l.dropCovered()
 }
@@ -102,6 +106,11 @@
 	}
 }
 
+// backlogMs is the time until the prompts that this entry sent are processed.
+func (l *loadView) backlogMs(now time.Time) float64 {
+	return max(toMs(l.prefillUntil.Sub(now)), 0)
+}
+
 // estimate returns the predicted number of requests at the server. The report,
 // corrected by own starts and ends since, fades with age towards the larger of
 // the fleet's mean and the own attempts in flight.
--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -41,7 +41,7 @@
 	// prefix is cached counts for half.
 	PrefixHalfLife time.Duration
 	// PrefillTokenMs is the time to process one uncached prompt token, in
-	// milliseconds, on a server of average speed.
+	// milliseconds, on a server of average speed, before any measurement.
 	PrefillTokenMs float64
 	// DomainPenaltyMs is added for a server in another failure domain of the
 	// region: the round trip of the network.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -135,40 +135,41 @@
 	c := choice{server: i}
 	c.probability = f.cache.probability(now, q.Prefix, i)
 	c.waitMs = f.queueMs(now, s) + f.prefillMs(s, q.PromptTokens, c.probability)
-	c.scoreMs = c.waitMs + s.score.penaltyMs
+	c.scoreMs = c.waitMs + s.penaltyMs
 	return c
 }
 
-// queueMs predicts the time until the server starts on another request.
+// queueMs predicts the time until the server has processed the prompts before
+// another request.
 func (f *Fleet) queueMs(now time.Time, s *server) float64 {
-	n := s.load.estimate(now, f.opts.ReportHalfLife, f.mean.outstanding)
-	slots := float64(s.slots())
-	wait := max(toMs(s.load.prefillUntil.Sub(now)), 0)
-	step := f.tokenMs(s)
+	load := f.loadPerSlot(now, s)
+	wait := s.load.backlogMs(now) + f.wait.loadMs*load*f.speed(s)
+	if load < 1 {
+		return wait
+	}
 	serviceMs := s.load.serviceMs
 	if serviceMs == 0 {
 		serviceMs = f.mean.serviceMs
 	}
-	if n >= slots {
-		wait += (n - slots + 1) * serviceMs / slots
-	}
-	// A fuller batch takes longer per step; this also spreads load below
-	// saturation.
-	return wait + step*(1+n/slots)
+	return wait + (load-1)*serviceMs
+}
+
+// loadPerSlot is the predicted number of requests per slot of a server.
+func (f *Fleet) loadPerSlot(now time.Time, s *server) float64 {
+	return s.load.estimate(now, f.opts.ReportHalfLife, f.mean.outstanding) / float64(s.slots())
 }
 
-func (f *Fleet) tokenMs(s *server) float64 {
-	if s.load.tokenMs > 0 {
-		return s.load.tokenMs
+// speed is how many times longer the server takes per token than the mean.
+func (f *Fleet) speed(s *server) float64 {
+	if s.load.tokenMs <= 0 {
+		return 1
 	}
-	return f.mean.tokenMs
+	return min(max(s.load.tokenMs/f.mean.tokenMs, 0.25), 4)
 }
 
-// prefillMs predicts the time to process a prompt. A server that is slower per
-// token than the mean is taken to be slower here by the same ratio.
+// prefillMs predicts the time to process a prompt.
 func (f *Fleet) prefillMs(s *server, promptTokens int, probability float64) float64 {
-	speed := min(max(f.tokenMs(s)/f.mean.tokenMs, 0.25), 4)
-	return float64(promptTokens) * f.opts.PrefillTokenMs * speed * (1 - probability)
+	return float64(promptTokens) * f.wait.tokenMs * f.speed(s) * (1 - probability)
 }
 
 // defaultSlots is assumed for a server that states none.
