--- a/internal/cascade/control.go
+++ b/internal/cascade/control.go
@@ -14,8 +14,29 @@
 	// excess is how far the bound of recent single-stage plans is above the aim.
 	// It is not an error of the estimates, so it is left out of the margin.
 	excess float64
+	// recent counts the ratings of delivered answers; it halves with every half
+	// life of evidence.
+	recent float64
 }
 
+// rated is the number of recent ratings at a time.
+func (c *controller) rated(now time.Time, halfLife time.Duration) float64 {
+	return c.recent * freshness(now, c.at, halfLife)
+}
+
+// aim is the quality that the bound of a plan must reach. The fewer recent
+// ratings there are, the later a fall of the quality is noticed and the more is
+// held in reserve.
+func (c *controller) aim(now time.Time, target float64, o *Options) float64 {
+	deviation := math.Sqrt(target * (1 - target) / (c.rated(now, o.EvidenceHalfLife) + 1))
+	reserve := o.Reserve + min(o.BlindReserve, blindDeviations*deviation)
+	return target + reserve + c.effective(now, o.EvidenceHalfLife)
+}
+
+// blindDeviations is the part of the standard error of the measured quality
+// that is held in reserve.
+const blindDeviations = 0.25
+
 // excessGain averages the excess over some dozens of requests.
 const excessGain = 0.03
 
@@ -29,7 +50,9 @@
 	c.excess += excessGain * (excess - c.excess)
 }
 
-func (c *controller) observe(now time.Time, good bool, aim float64, o *Options) {
+func (c *controller) observe(now time.Time, good bool, target float64, o *Options) {
+	aim := c.aim(now, target, o) - c.effective(now, o.EvidenceHalfLife)
+	c.recent = c.rated(now, o.EvidenceHalfLife) + 1
 	measured := 0.0
 	if good {
 		measured = 1
--- a/internal/cascade/evidence.go
+++ b/internal/cascade/evidence.go
@@ -92,9 +92,19 @@
 // variances holds a variance with and without the effect of age.
 type variances struct{ aged, settled float64 }
 
+// widestSpread is the largest value of mean x (1 - mean).
+const widestSpread = 0.25
+
+// variances returns the variance of a belief. What age has taken from it may be
+// about anything by now, so its part of the spread widens.
 func (b belief) variances() variances {
 	spread := b.mean * (1 - b.mean)
-	return variances{aged: spread / (b.weight + 1), settled: spread / (b.weight + b.stale + 1)}
+	total := b.weight + b.stale
+	aged := spread
+	if total > 0 {
+		aged += widestSpread * b.stale / total
+	}
+	return variances{aged: aged / (b.weight + 1), settled: spread / (total + 1)}
 }
 
 // plus adds the variance of an independent part of weight share.
@@ -257,7 +267,7 @@
 // the version's quality and the stated confidence, because bins below the
 // accepted confidence get few ratings.
 func (c *cell) bin(now time.Time, k int, overall belief, halfLife time.Duration) belief {
-	prior := belief{mean: overall.mean, weight: binPriorWeight}
+	prior := belief{mean: overall.mean, weight: max(binPriorWeight, c.prior.weight/confidenceBins)}
 	if c.hasSeen() {
 		prior.mean = min(prior.mean, binCentre(k))
 	}
--- a/internal/cascade/explore.go
+++ b/internal/cascade/explore.go
@@ -12,12 +12,28 @@
 		return draft{}, false
 	}
 	share := p.opts.Explore
+	if e.first.evidence(now, &p.opts) < fewRatings {
+		share *= eagerness
+	}
 	if loss := best.quality - e.quality; loss > 0 {
 		share = min(share, surplus/loss)
 	}
 	return e, p.rng.Float64() < share
 }
 
+// A version with few ratings is tried more often, so that sparse ratings do not
+// keep a cheap version unknown for long.
+const (
+	fewRatings = 50
+	eagerness  = 3
+)
+
+// evidence is the number of ratings of a version as first stage that count.
+func (o *option) evidence(now time.Time, opts *Options) float64 {
+	sum := o.cell.first.sum()
+	return sum.count() * freshness(now, sum.at, opts.EvidenceHalfLife)
+}
+
 // leastKnown returns a draft that would be cheaper than the best one if its
 // quality were proven: the best cascade with a lower threshold, or the least
 // rated other version in front of the last stage of the surest draft.
@@ -33,8 +49,7 @@
 		if o.Version == best.first.Version || !pairFits(o, strong, r) {
 			continue
 		}
-		sum := o.cell.first.sum()
-		known := sum.count() * freshness(now, sum.at, p.opts.EvidenceHalfLife)
+		known := o.evidence(now, &p.opts)
 		if pick == nil || known < least {
 			pick, least = o, known
 		}
--- a/internal/cascade/observe.go
+++ b/internal/cascade/observe.go
@@ -47,7 +47,7 @@
 	good := state.scores.good(*o.Rating, &p.opts)
 	c.rate(now, o, good, &p.opts)
 	if !o.Escalated {
-		state.control.observe(now, good, o.Class.QualityTarget+p.opts.Reserve, &p.opts)
+		state.control.observe(now, good, o.Class.QualityTarget, &p.opts)
 	}
 }
 
--- a/internal/cascade/options.go
+++ b/internal/cascade/options.go
@@ -17,6 +17,9 @@
 	// Reserve is added to the target, so that the noise of the controller does
 	// not take the achieved quality below it.
 	Reserve float64
+	// BlindReserve bounds what is added to the target while there are few recent
+	// ratings.
+	BlindReserve float64
 	// Memory is the number of ratings that evidence in one cell counts for at
 	// most; older ratings are forgotten.
 	Memory float64
@@ -40,6 +43,7 @@
 	setDefault(&o.GoodScore, 0.6)
 	setDefault(&o.LowerZ, 1)
 	setDefault(&o.Reserve, 0.005)
+	setDefault(&o.BlindReserve, 0.03)
 	setDefault(&o.Memory, 400)
 	setDefault(&o.EvidenceHalfLife, 10*time.Minute)
 	setDefault(&o.ControlGain, 0.004)
--- a/internal/cascade/planner.go
+++ b/internal/cascade/planner.go
@@ -143,7 +143,7 @@
 	if refusal != nil {
 		return Plan{}, refusal
 	}
-	aim := r.Class.QualityTarget + p.opts.Reserve + state.control.effective(now, p.opts.EvidenceHalfLife)
+	aim := state.control.aim(now, r.Class.QualityTarget, &p.opts)
 	best, meets, surest := p.choose(p.drafts(now, options, r), aim)
 	state.control.planned(best, aim)
 	if meets {
--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -27,7 +27,7 @@
 // Options tune a Fleet. The zero value selects the defaults.
 type Options struct {
 	Algorithm Algorithm
-	// Choices is d, the number of random members compared.
+	// Choices is d, the number of random members compared, at most 8.
 	Choices int
 	// SubsetSize bounds the members of one version that the entry sends to.
 	SubsetSize int
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -80,9 +80,10 @@
 			}
 		}
 	}
-	for range f.opts.Choices {
-		i := p.subset[rng.IntN(len(p.subset))]
-		if f.eligible(i, q) && f.admitted(i, rng) {
+	var drawn [maxChoices]int
+	for k := range min(f.opts.Choices, len(p.subset), maxChoices) {
+		drawn[k] = drawOther(rng, len(p.subset), drawn[:k])
+		if i := p.subset[drawn[k]]; f.eligible(i, q) && f.admitted(i, rng) {
 			consider(i)
 		}
 	}
@@ -92,6 +93,19 @@
 	return f.scan(now, p.subset, q)
 }
 
+// maxChoices bounds Options.Choices.
+const maxChoices = 8
+
+// drawOther returns a random index below n that is not among the drawn ones,
+// of which there are fewer than n.
+func drawOther(rng *rand.Rand, n int, drawn []int) int {
+	i := rng.IntN(n)
+	for slices.Contains(drawn, i) {
+		i = (i + 1) % n
+	}
+	return i
+}
+
 // admitted lets a server of reduced weight through for that share of requests.
 func (f *Fleet) admitted(i int32, rng *rand.Rand) bool {
 	w := f.servers[i].weight
