--- a/internal/cascade/evidence.go
+++ b/internal/cascade/evidence.go
@@ -218,6 +218,8 @@
 	variance [confidenceBins + 1]variances
 	// shares is the distribution of confidence by bin.
 	shares [confidenceBins]float64
+	// bins is the share of good answers by bin.
+	bins [confidenceBins]float64
 	// quality is the belief about unselected requests: the mean over all bins
 	// with the weight of all ratings.
 	quality belief
@@ -226,8 +228,10 @@
 func (c *cell) curve(now time.Time, halfLife time.Duration) curve {
 	out := curve{shares: c.shares()}
 	overall := c.overall(now, halfLife)
+	priors := c.binPriors(overall, &out.shares)
 	for k := confidenceBins - 1; k >= 0; k-- {
-		b := c.bin(now, k, overall, halfLife)
+		b := priors.at(k).update(now, &c.first[k], halfLife)
+		out.bins[k] = b.mean
 		out.share[k] = out.share[k+1] + out.shares[k]
 		out.mean[k] = out.mean[k+1] + out.shares[k]*b.mean
 		out.variance[k] = out.variance[k+1].plus(out.shares[k], b.variances())
@@ -254,24 +258,36 @@
 	return out
 }
 
-func (c *cell) hasSeen() bool {
-	for _, s := range c.seen {
-		if s > 0 {
-			return true
-		}
-	}
-	return false
+// binPriors are the beliefs about answers of each confidence before ratings of
+// that confidence. Bins below the accepted confidence get few ratings, so a lower
+// confidence is taken to be worse once there are ratings. Without ratings a
+// stated confidence says nothing about a version, and the mean over all answers
+// stays what it was.
+type binPriors struct {
+	base, shift, weight float64
+	// trust is the part of the stated confidence that is used.
+	trust float64
 }
 
-// bin is the belief about answers of one confidence. Its prior is the lower of
-// the version's quality and the stated confidence, because bins below the
-// accepted confidence get few ratings.
-func (c *cell) bin(now time.Time, k int, overall belief, halfLife time.Duration) belief {
-	prior := belief{mean: overall.mean, weight: max(binPriorWeight, c.prior.weight/confidenceBins)}
-	if c.hasSeen() {
-		prior.mean = min(prior.mean, binCentre(k))
+// trustRatings is the number of ratings at which half of the stated confidence
+// is used.
+const trustRatings = 20
+
+func (c *cell) binPriors(overall belief, shares *[confidenceBins]float64) binPriors {
+	sum := c.first.sum()
+	p := binPriors{base: min(c.prior.mean, overall.mean), trust: sum.count() / (sum.count() + trustRatings)}
+	// Without ratings a bin is as sure as the version.
+	p.weight = max(p.trust*binPriorWeight+(1-p.trust)*c.prior.weight, c.prior.weight/confidenceBins)
+	for k, share := range shares {
+		p.shift -= share * p.shape(k)
 	}
-	return prior.update(now, &c.first[k], halfLife)
+	return p
+}
+
+func (p binPriors) shape(k int) float64 { return p.trust * min(0, binCentre(k)-p.base) }
+
+func (p binPriors) at(k int) belief {
+	return belief{mean: min(max(p.base+p.shape(k)+p.shift, 0), 1), weight: p.weight}
 }
 
 // varianceFrom bounds the variance of the quality above bin k from below by
--- a/internal/cascade/observe.go
+++ b/internal/cascade/observe.go
@@ -53,15 +53,15 @@
 
 // rate adds a rating to the evidence and discards evidence after a drift.
 func (c *cell) rate(now time.Time, o Observation, good bool, opts *Options) {
-	overall := c.curve(now, opts.EvidenceHalfLife).quality
+	known := c.curve(now, opts.EvidenceHalfLife)
 	expected := 0.0
 	if o.PreviousVersion != "" {
 		t, k := c.laterFrom(o.PreviousVersion), binOf(o.PreviousConfidence)
-		expected = laterBin(now, t, k, overall, opts.EvidenceHalfLife).mean
+		expected = laterBin(now, t, k, known.quality, opts.EvidenceHalfLife).mean
 		t[k].add(now, good, opts.Memory)
 	} else {
 		k := binOf(o.Confidence)
-		expected = c.bin(now, k, c.overall(now, opts.EvidenceHalfLife), opts.EvidenceHalfLife).mean
+		expected = known.bins[k]
 		c.first[k].add(now, good, opts.Memory)
 	}
 	c.testDrift(expected, good, opts)
