--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -27,7 +27,7 @@
 // Options tune a Fleet. The zero value selects the defaults.
 type Options struct {
 	Algorithm Algorithm
-	// Choices is d, the number of random members compared.
+	// Choices is d, the number of random members compared, at most 8.
 	Choices int
 	// SubsetSize bounds the members of one version that the entry sends to.
 	SubsetSize int
@@ -41,7 +41,7 @@
 	// prefix is cached counts for half.
 	PrefixHalfLife time.Duration
 	// PrefillTokenMs is the time to process one uncached prompt token, in
-	// milliseconds, on a server of average speed.
+	// milliseconds, on a server of average speed, before any measurement.
 	PrefillTokenMs float64
 	// DomainPenaltyMs is added for a server in another failure domain of the
 	// region: the round trip of the network.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -80,9 +80,10 @@
 			}
 		}
 	}
-	for range f.opts.Choices {
-		i := p.subset[rng.IntN(len(p.subset))]
-		if f.eligible(i, q) && f.admitted(i, rng) {
+	var drawn [maxChoices]int
+	for k := range min(f.opts.Choices, len(p.subset), maxChoices) {
+		drawn[k] = drawOther(rng, len(p.subset), drawn[:k])
+		if i := p.subset[drawn[k]]; f.eligible(i, q) && f.admitted(i, rng) {
 			consider(i)
 		}
 	}
@@ -92,6 +93,19 @@
 	return f.scan(now, p.subset, q)
 }
 
+// maxChoices bounds Options.Choices.
+const maxChoices = 8
+
+// drawOther returns a random index below n that is not among the drawn ones,
+// of which there are fewer than n.
+func drawOther(rng *rand.Rand, n int, drawn []int) int {
+	i := rng.IntN(n)
+	for slices.Contains(drawn, i) {
+		i = (i + 1) % n
+	}
+	return i
+}
+
 // admitted lets a server of reduced weight through for that share of requests.
 func (f *Fleet) admitted(i int32, rng *rand.Rand) bool {
 	w := f.servers[i].weight
@@ -135,40 +149,41 @@
 	c := choice{server: i}
 	c.probability = f.cache.probability(now, q.Prefix, i)
 	c.waitMs = f.queueMs(now, s) + f.prefillMs(s, q.PromptTokens, c.probability)
-	c.scoreMs = c.waitMs + s.score.penaltyMs
+	c.scoreMs = c.waitMs + s.penaltyMs
 	return c
 }
 
-// queueMs predicts the time until the server starts on another request.
+// queueMs predicts the time until the server has processed the prompts before
+// another request.
 func (f *Fleet) queueMs(now time.Time, s *server) float64 {
-	n := s.load.estimate(now, f.opts.ReportHalfLife, f.mean.outstanding)
-	slots := float64(s.slots())
-	wait := max(toMs(s.load.prefillUntil.Sub(now)), 0)
-	step := f.tokenMs(s)
+	load := f.loadPerSlot(now, s)
+	wait := s.load.backlogMs(now) + f.wait.loadMs*load*f.speed(s)
+	if load < 1 {
+		return wait
+	}
 	serviceMs := s.load.serviceMs
 	if serviceMs == 0 {
 		serviceMs = f.mean.serviceMs
 	}
-	if n >= slots {
-		wait += (n - slots + 1) * serviceMs / slots
-	}
-	// A fuller batch takes longer per step; this also spreads load below
-	// saturation.
-	return wait + step*(1+n/slots)
+	return wait + (load-1)*serviceMs
+}
+
+// loadPerSlot is the predicted number of requests per slot of a server.
+func (f *Fleet) loadPerSlot(now time.Time, s *server) float64 {
+	return s.load.estimate(now, f.opts.ReportHalfLife, f.mean.outstanding) / float64(s.slots())
 }
 
-func (f *Fleet) tokenMs(s *server) float64 {
-	if s.load.tokenMs > 0 {
-		return s.load.tokenMs
+// speed is how many times longer the server takes per token than the mean.
+func (f *Fleet) speed(s *server) float64 {
+	if s.load.tokenMs <= 0 {
+		return 1
 	}
-	return f.mean.tokenMs
+	return min(max(s.load.tokenMs/f.mean.tokenMs, 0.25), 4)
 }
 
-// prefillMs predicts the time to process a prompt. A server that is slower per
-// token than the mean is taken to be slower here by the same ratio.
+// prefillMs predicts the time to process a prompt.
 func (f *Fleet) prefillMs(s *server, promptTokens int, probability float64) float64 {
-	speed := min(max(f.tokenMs(s)/f.mean.tokenMs, 0.25), 4)
-	return float64(promptTokens) * f.opts.PrefillTokenMs * speed * (1 - probability)
+	return float64(promptTokens) * f.wait.tokenMs * f.speed(s) * (1 - probability)
 }
 
 // defaultSlots is assumed for a server that states none.
