Prove guarantees on running processes under injected failures

Cause: the guarantees of design section 2 had no run of real processes under kills, freezes, cuts and store faults.

Each cluster locks its loopback subnet: the former counter handed out the same subnet again after 16 clusters. A daemon exposes the revision in force as a metric, which the tests and operators read to see whether a manifest is in force everywhere.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -113,6 +113,7 @@
 		return err
 	}
 	d.registerMetrics()
+	d.revisionMetrics(d.control)
 	d.duty(d.loop.run)
 	d.duty(d.control.run)
 	d.duty(d.control.greeter.run)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/entry"
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/peer"
@@ -62,3 +63,12 @@
 	c.metrics.NewGauge("borageflow_peer_sent_bytes_total", func() float64 { return float64(counters.SentBytes.Load()) })
 	c.metrics.NewGauge("borageflow_peer_received_bytes_total", func() float64 { return float64(counters.ReceivedBytes.Load()) })
 }
+
+// revisionMetrics exposes the revision of the manifest in force; 0 means none.
+func (c *common) revisionMetrics(x *control) {
+	gauge := func(name string, value func(api.Revision) int) {
+		c.metrics.NewGauge(name, func() float64 { return float64(value(x.hello().Revision)) })
+	}
+	gauge("borageflow_manifest_generation", func(r api.Revision) int { return r.Generation })
+	gauge("borageflow_manifest_version", func(r api.Revision) int { return r.Version })
+}
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -77,6 +77,7 @@
 	d.health = health
 	d.ringMetrics("sidecar_events", d.loop.events.Len, d.loop.events.Refused)
 	d.byteMetrics(d.node.Counters())
+	d.revisionMetrics(d.control)
 	d.duty(d.loop.run)
 	d.duty(d.loop.pollLoad)
 	d.duty(d.control.run)
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -46,12 +47,28 @@
 	return m.Run()
 }
 
-// subnets gives every cluster of this test process its own loopback addresses.
-var subnets atomic.Uint32
+// nextSubnet is the number of the subnet that is tried next.
+var nextSubnet atomic.Uint32
 
-func nextSubnet() [2]byte {
-	pid := os.Getpid()
-	return [2]byte{byte(10 + pid%100), byte((pid/100%16)*16 + int(subnets.Add(1)%16))}
+// lockPort is bound on the last address of a subnet while a cluster uses it.
+const lockPort = 7000
+
+// takeSubnet reserves loopback addresses for a cluster. The bound port keeps two
+// clusters, of this or another test process, from sharing a subnet.
+func takeSubnet(t *testing.T) [2]byte {
+	t.Helper()
+	const first, size = 10, 100 * 256
+	for range size {
+		n := (uint32(os.Getpid())*257 + nextSubnet.Add(1)) % size
+		subnet := [2]byte{byte(first + n/256), byte(n % 256)}
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.254:%d", subnet[0], subnet[1], lockPort))
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() })
+			return subnet
+		}
+	}
+	t.Fatal("every loopback subnet is in use")
+	return [2]byte{}
 }
 
 // Keys of the test manifest.
@@ -76,16 +93,26 @@
 	*devcluster.Cluster
 	t         *testing.T
 	processes map[string]*process
+	// net is set when the daemons reach each other and the store through relays.
+	net *network
 }
 
 // startCluster starts the stand-ins and every daemon, and waits until all are ready.
 func startCluster(t *testing.T, spec devcluster.Spec) *cluster {
 	t.Helper()
-	spec.Subnet = nextSubnet()
+	return startOn(t, spec, nil)
+}
+
+func startOn(t *testing.T, spec devcluster.Spec, n *network) *cluster {
+	t.Helper()
+	spec.Subnet = takeSubnet(t)
 	stand, err := devcluster.Start(spec)
 	assert.NilError(t, err)
 	t.Cleanup(stand.Close)
-	c := &cluster{Cluster: stand, t: t, processes: map[string]*process{}}
+	c := &cluster{Cluster: stand, t: t, processes: map[string]*process{}, net: n}
+	if n != nil {
+		n.join(t, stand)
+	}
 	t.Cleanup(c.stopAll)
 	dir := t.TempDir()
 	for _, s := range stand.Settings {
--- a/test/e2e/manifest_test.go
+++ b/test/e2e/manifest_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"time"
 
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/devcluster"
@@ -13,6 +15,7 @@
 const (
 	versionSmall = "notes-small-1"
 	versionLarge = "notes-large-1"
+	versionNext  = "notes-large-2"
 )
 
 // testManifest lets customer north use both versions and the booking service, and
@@ -62,3 +65,38 @@
 		LogLevel: "debug",
 	}
 }
+
+// faultSpec has three entries, four engines and two services in two failure
+// domains, with timeouts that a freeze of a few seconds exceeds.
+func faultSpec() devcluster.Spec {
+	spec := smallSpec()
+	spec.Entries = []string{"fd-a", "fd-b", "fd-b"}
+	loaded := engine.Config{Versions: []string{versionSmall, versionLarge, versionNext}, Slots: 16, StepTime: 2 * time.Millisecond}
+	spec.Engines = nil
+	for i, domain := range []string{"fd-a", "fd-b", "fd-a", "fd-b"} {
+		spec.Engines = append(spec.Engines, devcluster.Engine{
+			Name: fmt.Sprintf("engine-%d", i+1), FailureDomain: domain, Pool: "models", Config: loaded,
+		})
+	}
+	spec.Services = append(spec.Services, devcluster.Service{Name: "booking-2", FailureDomain: "fd-b", Service: "booking", Config: service.Config{}})
+	spec.Timing = api.TimingSettings{
+		BalancerWaitMs: 500, UsageFlushMs: 100, UsageConfirmMs: 1500, WatchSilenceMs: 1500, ProbeMs: 500,
+	}
+	return spec
+}
+
+// withNext adds a second version of the large model to the test manifest and
+// sets the phase of the first one.
+func withNext(first api.Phase) api.Manifest {
+	m := testManifest()
+	m.Customers[0].Versions = append(m.Customers[0].Versions, versionNext)
+	m.Models[1].Versions[0].Phase = first
+	m.Models[1].Versions = append(m.Models[1].Versions, api.Version{
+		Name: versionNext, Phase: api.PhaseServing, CostPerKiloToken: 11, PriorQuality: 0.96,
+	})
+	m.Pools[0].Versions = []string{versionSmall, versionLarge, versionNext}
+	if first == api.PhaseWithdrawn {
+		m.Pools[0].Versions = []string{versionSmall, versionNext}
+	}
+	return m
+}
