End an ejection on restart and check the size estimates of digests

Cause: a restarted backend server waited out the ejection of its predecessor, up to 5 min, although its process is new; and nothing checked that the estimates which bound digests are upper ones.

Change: a higher incarnation begins its return at once for servers with at most 2 strikes. A process that is alone in the instance list takes the store's manifest without waiting for peers. Doc comments say who retries dead members, who keeps the instance list and when ServerRemoved applies.

The restart test returns the first 2 of 6 crashes at once and holds the others; before, all 6 waited.

Conclusion: a single crash costs a server no further time out of traffic.

--- a/internal/membership/events.go
+++ b/internal/membership/events.go
@@ -59,7 +59,8 @@
 	}
 
 	// ConfigReceived is a manifest from a peer: a config.offer, the response to a
-	// config.fetch, or the one that came with a refused attempt.
+	// config.fetch, or the one that came with a refused attempt. An entry may also
+	// send what it has just committed, instead of waiting for a watcher.
 	ConfigReceived struct {
 		From  Peer
 		Offer api.ConfigOffer
@@ -88,7 +89,7 @@
 		RetryAfter time.Duration
 	}
 
-	// InstanceList is the outcome of a ReadInstances.
+	// InstanceList is the outcome of a ReadInstances. The table keeps the slice.
 	InstanceList struct{ Instances []platform.Instance }
 
 	// InstanceListFailed is the outcome of a ReadInstances that failed.
@@ -104,7 +105,9 @@
 		Signals     Signals
 	}
 
-	// MemberFailed says that a member's process is gone.
+	// MemberFailed says that a member's process is gone. The daemon goes on trying
+	// to reach a dead member that is listed, at growing intervals; its hello
+	// (MemberSeen) brings it back.
 	MemberFailed struct {
 		Instance    string
 		Incarnation int
--- a/internal/membership/exchange_config.go
+++ b/internal/membership/exchange_config.go
@@ -216,8 +216,9 @@
 		return
 	}
 	waited := x.now.Sub(x.started)
+	alone := x.listSeen && x.table.Len() == 0 && len(x.cfg.Seeds) == 0
 	behind := manifest.Newer(c.wanted, c.pending.Revision)
-	if !behind && (c.peerHolds || waited >= x.cfg.BootWait) || waited >= bootWaits*x.cfg.BootWait {
+	if alone || !behind && (c.peerHolds || waited >= x.cfg.BootWait) || waited >= bootWaits*x.cfg.BootWait {
 		x.apply(c.pending)
 	}
 }
--- a/internal/membership/exchange_test.go
+++ b/internal/membership/exchange_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -92,3 +93,27 @@
 func (s *sim) rate(from time.Time, bytes int) float64 {
 	return 2 * float64(bytes) / float64(len(s.procs)) / s.now.Sub(from).Seconds()
 }
+
+// Guards against digests exceeding their bound because a size is underestimated.
+func TestSizesAreUpperEstimates(t *testing.T) {
+	t.Parallel()
+	size := func(v any) int {
+		raw, err := json.Marshal(v)
+		assert.NilError(t, err)
+		return len(raw)
+	}
+	s := newSim(1, 0, 1)
+	m := s.member(0)
+	m.Sequence, m.Service = 100_000, "bookings"
+	assert.Assert(t, size(m) <= memberBytes(&m))
+	c := api.CutBack{Version: "v", Reason: "r", Origin: "o", Share: 0.0125, Revision: api.Revision{Generation: 10, Version: 100_000}}
+	assert.Assert(t, size(c) <= cutBackBytes(&c))
+	d := heldDemand{demand: api.Demand{Customer: "c", Origin: "o", Rate: 1234.5678, Running: 1000, Sequence: 1_790_000_000_000}}
+	x := s.procs[0]
+	x.gossip.demandsOf[demandKey{}] = d
+	estimate, _ := x.demandSize(demandKey{})
+	assert.Assert(t, size(d.demand) <= estimate)
+	w := []api.WatcherAge{{Instance: "i", AgeMs: 4999}}
+	assert.Assert(t, size(w[0]) <= watcherBytes(w))
+	assert.Assert(t, size(api.Digest{Revision: api.Revision{Generation: 10, Version: 100_000}}) <= digestBase+len("100000"))
+}
--- a/internal/membership/health.go
+++ b/internal/membership/health.go
@@ -42,7 +42,8 @@
 	HealthTick struct{}
 
 	// ServerChanged adds a backend server, or replaces its versions. A higher
-	// incarnation starts with a clean record; its strikes stay.
+	// incarnation starts with a clean record; its strikes stay. So a restart is a
+	// ServerChanged, and ServerRemoved is for servers that the table dropped.
 	ServerChanged struct {
 		Server      string
 		Incarnation int
@@ -157,7 +158,12 @@
 	forgive time.Time // when the next strike is removed
 }
 
-const ejectedStep = -1
+const (
+	ejectedStep = -1
+	// maxRestartStrikes is the number of strikes up to which a restart ends an
+	// ejection.
+	maxRestartStrikes = 2
+)
 
 func fullStep() int { return len(returnSteps) - 1 }
 
@@ -247,6 +253,7 @@
 	if e.Incarnation > s.incarnation || !ok {
 		s.incarnation = e.Incarnation
 		s.stats = map[string]*stat{}
+		h.restarted(s)
 	}
 	if slices.Equal(s.versions, e.Versions) {
 		return
@@ -262,6 +269,19 @@
 	h.keepLast(s.versions)
 }
 
+// restarted lets an ejected server begin its return, because its process is new.
+// One that was ejected often waits all the same, else a process that crashes
+// again and again would get traffic after each start.
+func (h *Health) restarted(s *server) {
+	if s.step == ejectedStep && s.strikes <= maxRestartStrikes {
+		h.change(s, ReasonReturning, func() {
+			s.step = 0
+			s.until = h.now.Add(h.cfg.StepTime)
+			s.forgive = h.now.Add(h.cfg.ForgiveAfter)
+		})
+	}
+}
+
 // leave takes a server out of the lists of its versions.
 func (h *Health) leave(s *server) {
 	for _, v := range s.versions {
--- a/internal/membership/health_test.go
+++ b/internal/membership/health_test.go
@@ -180,6 +180,19 @@
 	assert.Equal(t, p.h.Share("s01"), 1.0)
 }
 
+// Guards against a restarted server waiting out the ejection of its predecessor,
+// and against one that crashes again and again getting traffic at each start.
+func TestRestartEndsEjection(t *testing.T) {
+	t.Parallel()
+	p := newPool(3, "v")
+	for i := range 6 {
+		p.handle(AttemptEnded{Server: "s00", Version: "v", Failure: Unreachable})
+		assert.Equal(t, p.h.Share("s00"), 0.0)
+		p.handle(ServerChanged{Server: "s00", Incarnation: 2 + i, Versions: []string{"v"}})
+		assert.Equal(t, p.h.Share("s00") > 0, i < maxRestartStrikes, "restart %d", i)
+	}
+}
+
 // Fuzzes Health: whatever happens, a version with a server that is ready and
 // alive has one with traffic, and no server gets traffic against its signals.
 func TestHealthFuzz(t *testing.T) {
--- a/internal/membership/table_update.go
+++ b/internal/membership/table_update.go
@@ -130,7 +130,8 @@
 
 // ApplyList takes the platform's instance list and returns the changed records.
 // The list adds members and, for members that have been silent, marks them as
-// leaving or lets them expire; an empty list is taken for a fault and ignored.
+// leaving or lets them expire; an empty list is taken for a fault and ignored. The
+// table keeps the slice.
 func (t *Table) ApplyList(now time.Time, list []platform.Instance) []Record {
 	if len(list) == 0 {
 		return nil
