Eject backend servers that fail or lag, and hold back readiness of a starting entry

Cause: outcomes of attempts did not reach load balancing; a restarted entry was ready before it had heard from the sidecars of the instance list, so the rolling restart test saw four refusals with no_candidate. Change: passive ejection is fed by attempts and by the member list; results carry the time to first token of answers that are not streamed; an entry is ready when every listed sidecar was heard, or after 5 s; dead members are greeted again.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1397,6 +1397,10 @@
 	// FinishReason corresponds to the JSON schema field "finishReason".
 	FinishReason string `json:"finishReason,omitempty,omitzero"`
 
+	// FirstTokenMs is the time from the arrival at the sidecar to the first token, in
+	// milliseconds; 0 when there was none.
+	FirstTokenMs float64 `json:"firstTokenMs,omitempty,omitzero"`
+
 	// InputTokens corresponds to the JSON schema field "inputTokens".
 	InputTokens int `json:"inputTokens,omitempty,omitzero"`
 
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -36,6 +37,7 @@
 	admin   *http.Server
 	leaving atomic.Bool
 	members atomic.Pointer[[]api.Member]
+	started time.Time
 }
 
 func newEntryDaemon(c *common, store platform.Store) (*entryDaemon, error) {
@@ -106,6 +108,7 @@
 	if err := d.listenPeers(d.node); err != nil {
 		return err
 	}
+	d.started = time.Now()
 	d.self.State = api.MemberStateReady
 	d.control.setSelf(d.self)
 	health, err := d.startHealth(d.ready)
@@ -141,7 +144,33 @@
 	if d.leaving.Load() {
 		return false, "instance is leaving"
 	}
-	return d.loop.isReady()
+	if ok, reason := d.loop.isReady(); !ok {
+		return false, reason
+	}
+	if unheard := d.unheard(); unheard > 0 && time.Since(d.started) < settleTime {
+		return false, fmt.Sprintf("%d backend servers of the instance list have not been heard of", unheard)
+	}
+	return true, ""
+}
+
+// settleTime is how long a starting entry waits for the sidecars of the instance
+// list. The list lags, so that some of them may be gone for good.
+const settleTime = 5 * time.Second
+
+// unheard counts the listed sidecars that have not said which versions they
+// serve. Requests for those versions would be refused although a server is there.
+func (d *entryDaemon) unheard() int {
+	members := d.members.Load()
+	if members == nil {
+		return 1
+	}
+	count := 0
+	for _, m := range *members {
+		if m.Role == string(api.RoleSidecar) && m.Incarnation == 0 {
+			count++
+		}
+	}
+	return count
 }
 
 func (d *entryDaemon) serveCallers() error {
--- a/internal/daemon/greeter.go
+++ b/internal/daemon/greeter.go
@@ -85,8 +85,8 @@
 	}
 	var out []api.Member
 	for _, m := range *members {
-		waiting := m.State == api.MemberStateWedged || m.State == api.MemberStateBooting
-		if waiting && m.Role == string(api.RoleSidecar) {
+		waiting := m.State == api.MemberStateWedged || m.State == api.MemberStateBooting || m.State == api.MemberStateDead
+		if waiting && m.Role == string(api.RoleSidecar) && m.Address != "" {
 			out = append(out, m)
 		}
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -40,6 +40,7 @@
 	gauge("borageflow_entry_tokens_total", func(s *entry.Stats) int { return s.Tokens })
 	gauge("borageflow_entry_parts_dropped_total", func(s *entry.Stats) int { return s.DroppedParts })
 	gauge("borageflow_entry_probes_failed_total", func(s *entry.Stats) int { return s.FailedProbes })
+	gauge("borageflow_entry_ejections_total", func(s *entry.Stats) int { return s.Ejections })
 	gauge("borageflow_entry_cutbacks_total", func(s *entry.Stats) int { return s.CutBacks })
 	gauge("borageflow_entry_usage_records_unwritten", func(s *entry.Stats) int { return s.UsageRecords })
 	gauge("borageflow_entry_usage_bytes_unwritten", func(s *entry.Stats) int { return s.UsageBytes })
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -232,6 +232,7 @@
 		kind = e.Err.Kind
 	}
 	outcome := routing.Outcome{OK: kind == "", InputTokens: e.Result.InputTokens, CachedTokens: e.Result.CachedTokens, OutputTokens: e.Result.OutputTokens}
+	outcome.FirstTokenMs = e.Result.FirstTokenMs
 	if !a.first.IsZero() {
 		outcome.FirstTokenMs = milliseconds(a.first.Sub(a.sent))
 	}
@@ -239,9 +240,7 @@
 		outcome.TokenMs = milliseconds(now.Sub(a.first)) / float64(a.tokens-1)
 	}
 	c.fleet.End(now, a.server, a.work, outcome)
-	c.health.Observe(now, serverOutcome{
-		Server: a.server, Group: c.group(r, a), Failed: serverFault(kind), FirstTokenMs: outcome.FirstTokenMs,
-	})
+	c.observeServer(now, a, c.group(r, a), kind, e.NotSent, outcome)
 	if r.Kind == api.RunKindChat && (kind == "" || serverFault(kind)) {
 		c.observeVersion(now, versionSample(r, a, kind, outcome))
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -9,6 +9,7 @@
 	"github.com/borageflow/borageflow/internal/claims"
 	"github.com/borageflow/borageflow/internal/limits"
 	"github.com/borageflow/borageflow/internal/manifest"
+	"github.com/borageflow/borageflow/internal/membership"
 	"github.com/borageflow/borageflow/internal/retry"
 	"github.com/borageflow/borageflow/internal/routing"
 	"github.com/borageflow/borageflow/internal/session"
@@ -51,7 +52,7 @@
 
 	customers *limits.Customers
 	fleet     *routing.Fleet
-	health    health
+	health    *membership.Health
 	planner   *cascade.Planner
 	shares    *shares
 	budgets   *retry.Budgets
@@ -64,6 +65,8 @@
 	timers   timerHeap
 	ratings  *ratingSet
 	servers  map[string]routing.Server
+	// known are the backend servers of all members, ready or not.
+	known    map[string]bool
 	counts   counters
 	draining bool
 	drained  bool
@@ -87,7 +90,7 @@
 		cfg: cfg, rng: rng,
 		customers: limits.NewCustomers(cfg.Self.Instance),
 		fleet:     routing.NewFleet(location, routing.Options{ProbeAfter: cfg.ProbeAfter}),
-		health:    health{},
+		health:    membership.NewHealth(membership.HealthConfig{}),
 		planner:   cascade.NewPlanner(cascade.Options{}, rng),
 		shares:    &shares{},
 		budgets:   retry.NewBudgets(retry.BudgetOptions{}),
@@ -150,7 +153,7 @@
 	}
 	if !now.Before(c.nextPublish) {
 		c.nextPublish = now.Add(publishInterval)
-		c.applyWeights(now)
+		c.healthEvent(now, membership.HealthTick{})
 		c.emit(Publish{CutBacks: c.shares.CutBacks(), Demands: c.customers.Demands(now)})
 	}
 	c.checkDrained()
--- a/internal/entry/interim.go
+++ b/internal/entry/interim.go
@@ -28,13 +28,3 @@
 	}
 	return 1
 }
-
-type serverOutcome struct {
-	Server, Group string
-	Failed        bool
-	FirstTokenMs  float64
-}
-type health struct{}
-
-func (health) Observe(time.Time, serverOutcome) {}
-func (health) Weight(time.Time, string) float64 { return 1 }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -33,9 +33,10 @@
 		c.servers[s.Name] = s
 	}
 	c.fleet.SetServers(now, servers)
+	c.healthServers(now, members)
 	c.customers.SetEntries(len(entries))
 	c.setClaimEntries(now, entries)
-	c.applyWeights(now)
+	c.applyWeights()
 }
 
 // peerLeaving stops new work to an instance before the member list says so.
@@ -47,13 +48,6 @@
 	}
 }
 
-// applyWeights carries the verdicts of passive ejection into load balancing.
-func (c *Core) applyWeights(now time.Time) {
-	for name := range c.servers {
-		c.fleet.SetWeight(name, c.health.Weight(now, name))
-	}
-}
-
 // probe refreshes the oldest load reports of the servers that this entry uses.
 func (c *Core) probe(now time.Time) {
 	for _, name := range c.fleet.StaleReports(now, probesPerInterval) {
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -21,6 +21,7 @@
 	droppedParts int
 	failedProbes int
 	cutBacks     int
+	ejections    int
 	alarms       []string
 }
 
@@ -73,6 +74,7 @@
 	DroppedParts   int
 	FailedProbes   int
 	CutBacks       int
+	Ejections      int
 	UsageRecords   int
 	UsageBytes     int
 	Claims         int
@@ -87,7 +89,7 @@
 	}
 	return Stats{
 		Running: len(c.requests), BackendServers: len(c.servers), Attempts: c.counts.attempts, Tokens: c.counts.tokens, DroppedParts: c.counts.droppedParts,
-		FailedProbes: c.counts.failedProbes, CutBacks: c.counts.cutBacks,
+		FailedProbes: c.counts.failedProbes, CutBacks: c.counts.cutBacks, Ejections: c.counts.ejections,
 		UsageRecords: c.usage.Records(), UsageBytes: c.usage.Bytes(), Claims: c.book.Remembered(), Kinds: kinds,
 	}
 }
@@ -106,7 +108,7 @@
 	s.Revision = c.snapshot.Revision
 	s.Customers = c.customerStatus()
 	s.Models, s.Versions = c.versionStatus(now)
-	s.BackendServers = c.serverStatus(now)
+	s.BackendServers = c.serverStatus()
 	s.Rollouts = c.rolloutStatus()
 	return s
 }
@@ -163,12 +165,12 @@
 	return status
 }
 
-func (c *Core) serverStatus(now time.Time) []api.BackendServerStatus {
+func (c *Core) serverStatus() []api.BackendServerStatus {
 	out := make([]api.BackendServerStatus, 0, len(c.servers))
 	for _, s := range c.servers {
 		out = append(out, api.BackendServerStatus{
 			Name: s.Name, Instance: s.Instance, FailureDomain: s.FailureDomain, State: string(api.MemberStateReady),
-			Versions: s.Versions, Service: s.Service, Slots: s.Slots, Ejected: c.health.Weight(now, s.Name) == 0,
+			Versions: s.Versions, Service: s.Service, Slots: s.Slots, Ejected: c.health.Ejected(s.Name),
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -165,6 +165,9 @@
 		result.OutputTokens = a.tokens
 		result.InputTokens = a.params.PromptTokens
 	}
+	if !a.first.IsZero() {
+		result.FirstTokenMs = float64(a.first.Sub(a.arrived)) / float64(time.Millisecond)
+	}
 	result.Load = c.loadReport()
 	return result
 }
