Treat a backend server as dead when it refuses a connection

Cause: an entry learned of a killed sidecar only from one dial after its link broke. The kernel of a killed process may still accept that dial and reset it, which is no refusal, so the dead sidecar stayed ready for as long as nothing else changed: requests went to it, or were refused with deadline_hopeless from its last load report. Refused probes and attempts were ignored.

Ruled out: gossip that revives the member (no peer had news of it), and the instance list (it still named the instance, as a lagging platform does).

Change: a refused dial of an attempt, a probe or a recheck reports the member as failed, and the dial after a broken link is repeated for a second.

Conclusion: a dead sidecar costs an entry at most the attempts under way.

--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -202,6 +202,7 @@
 		ended.Result = api.RunResult{}
 	}
 	if err != nil {
+		l.control.refused(err, e.Instance, p.Incarnation)
 		ended.NotSent = peer.NotSent(err)
 		ended.Err = errkind.From(err)
 		if ended.NotSent {
@@ -220,6 +221,7 @@
 		err = link.Call(ctx, peer.MethodProbe, api.ProbeParams{Revision: l.revision()}, &answered.Result)
 	}
 	answered.Err = err
+	l.control.refused(err, e.Instance, e.Incarnation)
 	switch {
 	case err == nil:
 		l.control.observed(answered.Result)
--- a/internal/daemon/greeter.go
+++ b/internal/daemon/greeter.go
@@ -102,9 +102,7 @@
 	if err == nil {
 		err = link.Call(ctx, peer.MethodProbe, api.ProbeParams{Revision: d.loop.revision()}, &result)
 	}
-	if peer.Refused(err) {
-		d.control.put(membership.MemberFailed{Instance: m.Instance, Incarnation: m.Incarnation})
-	}
+	d.control.refused(err, m.Instance, m.Incarnation)
 	if err == nil {
 		d.control.observed(result)
 	}
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -94,15 +94,34 @@
 	}
 }
 
-// checkGone reports a member as dead when its address refuses connections.
+// goneRetry is the pause between two dials to a process whose link broke.
+const goneRetry = 50 * time.Millisecond
+
+// checkGone reports a member as dead when its address refuses connections. A
+// killed process may still accept one connection and reset it, so that one dial
+// is not enough.
 func (c *control) checkGone(m api.Member) {
 	ctx, cancel := context.WithTimeout(c.ctx, time.Second)
 	defer cancel()
-	if _, err := c.node.Link(ctx, m.Address); peer.Refused(err) {
-		c.put(membership.MemberFailed{Instance: m.Instance, Incarnation: m.Incarnation})
+	for ctx.Err() == nil {
+		_, err := c.node.Link(ctx, m.Address)
+		if err == nil || c.refused(err, m.Instance, m.Incarnation) {
+			return
+		}
+		wait(ctx, nil, goneRetry)
 	}
 }
 
+// refused reports a member as dead when err says that nothing listens at its
+// address.
+func (c *control) refused(err error, instance string, incarnation int) bool {
+	if !peer.Refused(err) {
+		return false
+	}
+	c.put(membership.MemberFailed{Instance: instance, Incarnation: incarnation})
+	return true
+}
+
 // sidecarHandler answers the calls of other daemons to a sidecar.
 type sidecarHandler struct {
 	controlHandler
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -88,7 +88,7 @@
 	c.apply(now, r, r.machine.Handle(now, retry.AttemptStarted{Attempt: a.number - r.firstAttempt, Server: pick.Server}))
 	c.counts.attempts++
 	c.traceAttempt(now, r, a)
-	c.emit(StartAttempt{Address: pick.Address, Params: c.runParams(now, r, a, pick)})
+	c.emit(StartAttempt{Address: pick.Address, Instance: pick.Instance, Params: c.runParams(now, r, a, pick)})
 }
 
 // pick prefers servers that earlier attempts did not use; a hedge requires one.
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -137,8 +137,9 @@
 
 // StartAttempt sends an attempt to a sidecar.
 type StartAttempt struct {
-	Address string
-	Params  api.RunParams
+	Address  string
+	Instance string
+	Params   api.RunParams
 }
 
 // CancelAttempt stops an attempt.
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -63,6 +63,7 @@
 		return
 	}
 	delete(c.requests, r.Request)
+	c.releaseAttempts(now, r)
 	c.customers.Done(now, r.customer.Name)
 	if r.reserved {
 		r.reserved = false
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -174,7 +174,10 @@
 	healthy := func(version string) bool { return c.fleet.Serves(version) && !c.shares.Cut(version) }
 	candidates, err := routing.Filter(c.snapshot, r.customer.Name, r.Model, r.class, pin, healthy)
 	if err != nil && err.Kind == errkind.NoCandidate {
-		return routing.Filter(c.snapshot, r.customer.Name, r.Model, r.class, pin, c.fleet.Serves)
+		candidates, err = routing.Filter(c.snapshot, r.customer.Name, r.Model, r.class, pin, c.fleet.Serves)
+	}
+	if err != nil && err.Kind == errkind.NoCandidate && err.RetryAfter == 0 {
+		err = err.WithRetryAfter(notReadyRetry)
 	}
 	return candidates, err
 }
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -36,6 +36,7 @@
 	c.customers.SetEntries(len(entries))
 	c.setClaimEntries(now, entries)
 	c.applyWeights(now)
+	c.giveUpSilent(now, members)
 }
 
 // peerLeaving stops new work to an instance before the member list says so.
