Release the load of requests that end before their attempts

Cause: a request that reached its deadline, lost its caller or was answered by a hedge was forgotten before the results of its attempts came, so load balancing never saw those attempts end. Each of them counted as load of its backend server for as long as the process ran, until the predicted wait refused every request with deadline_hopeless.

Ruled out: load reports (they replace the reported load and not the own attempts in flight) and the decay with age (it fades towards the own attempts).

--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -11,6 +11,7 @@
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/platform"
 	"github.com/borageflow/borageflow/internal/retry"
+	"github.com/borageflow/borageflow/internal/routing"
 	"github.com/borageflow/borageflow/internal/usage"
 )
 
@@ -71,6 +72,17 @@
 	}
 }
 
+// releaseAttempts ends the attempts that a finished request leaves running in the
+// figures of load balancing: their results find no request any more.
+func (c *Core) releaseAttempts(now time.Time, r *request) {
+	for _, a := range r.attempts {
+		if a.server != "" && !a.ended {
+			a.ended = true
+			c.fleet.End(now, a.server, a.work, routing.Outcome{})
+		}
+	}
+}
+
 // forget gives up on the outcome of a claimed call.
 func (c *Core) forget(now time.Time, r *request) {
 	c.settleClaim(now, r, api.RunStateUnknown)
