Give idempotent attempts on a silent sidecar to another backend server

Cause: an entry stops sending to a sidecar that does not answer probes, but the requests that already ran there waited until their own deadline.

Ruled out: the probe interval (the sidecar was held back after about 1.5 s with probes every 0.5 s) and the retry budget (no retry was asked for).

Change: when a sidecar turns silent or blocked, the entry ends the idempotent attempts on it as unknown, cancels them and lets the retry state machine go on at the offset reached. Non-idempotent calls keep waiting: they may not run again and their answer may still come.

Conclusion: a hung sidecar costs an idempotent request the detection time, not its deadline.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -27,6 +27,8 @@
 	exclude []string
 	hedge   bool
 	ended   bool
+	// givenUp states that the server stopped answering; its result may still come.
+	givenUp bool
 	result  *api.RunResult
 }
 
--- a/internal/entry/giveup_test.go
+++ b/internal/entry/giveup_test.go
@@ -61,6 +61,25 @@
 	}
 }
 
+// Guards against requests that wait on a hung sidecar until their deadline while
+// another backend server could answer.
+func TestSilentSidecarGivesItsRequestsUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c, members := readyCore(t, now)
+	first, ok := attemptOf(c.Handle(now, arrival("a")))
+	assert.Assert(t, ok)
+	for i := range members {
+		if members[i].Address == first.Address {
+			members[i].State = api.MemberStateWedged
+		}
+	}
+	second, ok := attemptOf(c.Handle(now, MembersChanged{Members: members}))
+	assert.Assert(t, ok, "no attempt on the other backend server")
+	assert.Assert(t, second.Address != first.Address)
+	_, again := attemptOf(c.Handle(now, MembersChanged{Members: members}))
+	assert.Assert(t, !again, "the same attempt was given up twice")
+}
+
 // Guards against requests that ended at their deadline counting as load of their
 // backend server for ever: the predicted wait then refuses every later request.
 func TestExpiredRequestsLeaveNoLoad(t *testing.T) {
