--- a/internal/claims/book.go
+++ b/internal/claims/book.go
@@ -127,7 +127,7 @@
 func (b *Book) note(now time.Time, k Key, r api.ClaimRecord) []Effect {
 	r.Key = k.Record()
 	s := b.shardOf(k)
-	s.addNote(now, r)
+	s.addNote(now, r, false)
 	return s.step(now)
 }
 
--- a/internal/claims/build.go
+++ b/internal/claims/build.go
@@ -35,11 +35,13 @@
 	for _, n := range s.notes {
 		next, valid := fold(s.state(n.hash, changed), n.record, s.head.window)
 		switch {
-		case valid && s.fits(b, n.record):
-			changed[n.hash] = next
+		case (valid || n.fence) && s.fits(b, n.record):
+			if valid {
+				changed[n.hash] = next
+			}
 			b.add(n.record)
 			b.notes[n] = true
-		case valid:
+		case valid || n.fence:
 		case s.freshAt > n.sequence:
 			continue
 		default:
@@ -70,16 +72,16 @@
 		s.addClaim(now, p, b, changed)
 		return nil, false, false
 	}
-	if st.state != api.ClaimStateCompleted && s.freshAt <= p.sequence {
+	if st.state != stateCompleted && s.freshAt <= p.sequence {
 		return nil, false, true
 	}
 	r := Resolved{Key: p.claim.Key, Request: p.claim.Request}
 	switch {
-	case st.body != "" && st.body != p.claim.BodyDigest:
+	case st.body != 0 && st.body != digest(p.claim.BodyDigest):
 		r.Result = KeyReused
-	case st.state == api.ClaimStateCompleted:
+	case st.state == stateCompleted:
 		return s.answer(p, st)
-	case st.state == api.ClaimStateClaimed && now.UnixMilli() < st.until:
+	case st.state == stateClaimed && now.UnixMilli() < st.until:
 		r.Result, r.RetryAfter = InProgress, s.opts.RetryAfter
 	default:
 		r.Result = OutcomeUnknown
@@ -170,7 +172,7 @@
 	if b.sealed {
 		b.sealedAt = now.UnixMilli()
 	}
-	s.writing = b
+	s.writing, s.wroteAt = b, now
 	return WriteObject{
 		ObjectKey: segmentKey(s.head.window, s.index),
 		Value:     encodeSegment(s.head.window, s.index, b.sealed, b.sealedAt, b.encoded),
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -57,10 +57,14 @@
 
 // Options configure a Book. Zero fields take the defaults.
 type Options struct {
-	// Shards is the number of logs; every entry must use the same number.
+	// Shards is the number of logs; every entry must use the same number. Together
+	// with Pace it bounds the writes when claims go to the usual writer.
 	Shards int
 	// Window is how long a claim waits for others to share its write.
 	Window time.Duration
+	// Pace is the least time between the starts of two writes of a shard. It
+	// bounds the writes/s of the fleet by Shards/Pace, whatever the load.
+	Pace time.Duration
 	// NoteWindow is how long a completion waits for a write to share.
 	NoteWindow time.Duration
 	// SegmentBytes seals a segment; the store's bound is 1 MiB.
@@ -95,12 +99,13 @@
 )
 
 func (o Options) withDefaults() Options {
-	setInt(&o.Shards, 4)
+	setInt(&o.Shards, 2)
 	setInt(&o.SegmentBytes, 128<<10)
 	setInt(&o.MaxAnswerBytes, 4<<10)
 	setInt(&o.MaxPending, 4096)
 	setInt(&o.MaxReads, 8)
 	setDuration(&o.Window, 5*time.Millisecond)
+	setDuration(&o.Pace, 2*o.Window)
 	setDuration(&o.NoteWindow, 20*time.Millisecond)
 	setDuration(&o.SegmentAge, 10*time.Minute)
 	setDuration(&o.Retention, time.Hour)
--- a/internal/claims/segment.go
+++ b/internal/claims/segment.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/borageflow/borageflow/api"
 )
 
@@ -96,37 +98,59 @@
 	return append(out, "]}"...)
 }
 
-// keyState is the folded state of one key.
+// keyState is the folded state of one key. Request and body are kept as 64-bit
+// hashes: at a million keys the strings would take four times the memory, and
+// they are only compared within one key.
 type keyState struct {
-	state   api.ClaimState
-	request string
-	body    string
+	state   stateCode
+	request uint64
+	body    uint64
 	until   int64
 	// window holds the record that made the state.
 	window int
 }
 
+type stateCode uint8
+
+const (
+	stateNone stateCode = iota
+	stateClaimed
+	stateCompleted
+	stateReleased
+	stateUnknown
+)
+
 // free reports whether a key may be claimed.
-func (k keyState) free() bool { return k.state == "" || k.state == api.ClaimStateReleased }
+func (k keyState) free() bool { return k.state == stateNone || k.state == stateReleased }
+
+func digest(s string) uint64 {
+	if s == "" {
+		return 0
+	}
+	return xxhash.Sum64String(s)
+}
 
 // fold returns the state after a record and whether the record is valid. It is
 // the only rule of the log: every entry that has read the same prefix holds the
 // same states.
 func fold(cur keyState, r api.ClaimRecord, window int) (keyState, bool) {
-	next := keyState{state: r.State, request: r.Request, body: cur.body, until: cur.until, window: window}
-	same := cur.request == r.Request
+	next := keyState{request: digest(r.Request), body: cur.body, until: cur.until, window: window}
+	same := cur.request == next.request
 	switch r.State {
 	case api.ClaimStateClaimed:
-		next.body, next.until = r.Body, int64(r.Until)
+		next.state, next.body, next.until = stateClaimed, digest(r.Body), int64(r.Until)
 		return next, cur.free()
 	case api.ClaimStateCompleted:
 		// A missing claim lies in an expired segment. A completion after a release
 		// contradicts it; the key then stays closed.
-		return next, cur.state == "" || same && cur.state != api.ClaimStateCompleted
+		next.state = stateCompleted
+		return next, cur.state == stateNone || same && cur.state != stateCompleted
 	case api.ClaimStateReleased:
-		return next, same && (cur.state == api.ClaimStateClaimed || cur.state == api.ClaimStateUnknown)
+		next.state = stateReleased
+		return next, same && (cur.state == stateClaimed || cur.state == stateUnknown)
 	case api.ClaimStateUnknown:
-		return next, same && cur.state == api.ClaimStateClaimed
+		next.state = stateUnknown
+		return next, same && cur.state == stateClaimed
 	}
 	return cur, false
 }
--- a/internal/claims/shard.go
+++ b/internal/claims/shard.go
@@ -21,6 +21,8 @@
 	hash     hash
 	arrived  time.Time
 	sequence uint64
+	// exposed means that a write of the claim may still take effect.
+	exposed bool
 }
 
 // note is a state change that is not yet known to be stored.
@@ -29,6 +31,9 @@
 	hash     hash
 	arrived  time.Time
 	sequence uint64
+	// fence notes are written even when the claim is not in the log: the new
+	// object version stops a delayed write of the claim.
+	fence bool
 }
 
 // batch is one write of the head segment in flight.
@@ -66,6 +71,7 @@
 	headRead  uint64
 	mustRead  bool
 	writing   *batch
+	wroteAt   time.Time
 	retryAt   time.Time
 	failures  int
 	waiting   []*pending
@@ -92,13 +98,17 @@
 	return s.step(now)
 }
 
-func (s *shard) addNote(now time.Time, r api.ClaimRecord) {
+func (s *shard) addNote(now time.Time, r api.ClaimRecord, fence bool) {
 	h, ok := recordHash(r)
 	if !ok {
 		return
 	}
 	s.sequence++
-	s.notes = append(s.notes, &note{record: r, hash: h, arrived: now, sequence: s.sequence})
+	s.notes = append(s.notes, &note{record: r, hash: h, arrived: now, sequence: s.sequence, fence: fence})
+}
+
+func releaseOf(r api.ClaimRecord) api.ClaimRecord {
+	return api.ClaimRecord{Key: r.Key, Request: r.Request, State: api.ClaimStateReleased}
 }
 
 func (s *shard) refusal(c Claim) Resolved {
@@ -134,6 +144,9 @@
 	for _, p := range s.waiting {
 		if now.Sub(p.arrived) >= s.opts.ClaimTimeout {
 			out = append(out, s.refusal(p.claim))
+			if p.exposed {
+				s.addNote(now, api.ClaimRecord{Key: p.claim.Key.Record(), Request: p.claim.Request, State: api.ClaimStateReleased}, true)
+			}
 			continue
 		}
 		keep = append(keep, p)
@@ -176,7 +189,8 @@
 	return []Effect{ReadObject{segmentKey(s.head.window, s.index)}}
 }
 
-// dueAt is when the oldest waiting claim or note has waited its window.
+// dueAt is when the oldest waiting claim or note has waited its window and the
+// pace of writes permits the next one.
 func (s *shard) dueAt() time.Time {
 	var due time.Time
 	if len(s.waiting) > 0 {
@@ -185,7 +199,7 @@
 	if len(s.notes) > 0 {
 		due = earlier(due, s.notes[0].arrived.Add(s.opts.NoteWindow))
 	}
-	return due
+	return later(due, s.wroteAt.Add(s.opts.Pace))
 }
 
 // nextTick is never in the past once step has run, so a timer on it cannot spin.
@@ -273,14 +287,41 @@
 	switch e.Outcome {
 	case Written:
 		out = s.commit(now, b, e.Version)
-	case Conflict, Ambiguous:
+	case Conflict:
+		s.mustRead = true
+	case Ambiguous:
 		s.mustRead = true
+		s.expose(now, b)
 	default:
 		s.backOff(now)
 	}
 	return append(out, s.step(now)...)
 }
 
+// expose marks the claims of a write that may still take effect. Those that were
+// refused meanwhile are fenced at once.
+func (s *shard) expose(now time.Time, b *batch) {
+	for _, r := range b.records {
+		if r.State != api.ClaimStateClaimed {
+			continue
+		}
+		if p := s.find(r); p != nil {
+			p.exposed = true
+			continue
+		}
+		s.addNote(now, releaseOf(r), true)
+	}
+}
+
+func (s *shard) find(r api.ClaimRecord) *pending {
+	for _, p := range s.waiting {
+		if p.claim.Request == r.Request && p.claim.Key.Record() == r.Key {
+			return p
+		}
+	}
+	return nil
+}
+
 // commit folds the records of a confirmed write.
 func (s *shard) commit(now time.Time, b *batch, version int64) []Effect {
 	s.failures, s.freshAt = 0, b.sequence
@@ -323,8 +364,10 @@
 		if !valid {
 			continue
 		}
+		if s.keys[h].window != s.head.window || s.keys[h].state == stateNone {
+			s.headKeys = append(s.headKeys, h)
+		}
 		s.keys[h] = next
-		s.headKeys = append(s.headKeys, h)
 		if r.State != api.ClaimStateClaimed || r.Entry != s.self {
 			continue
 		}
@@ -332,7 +375,7 @@
 			out = append(out, Resolved{Key: p.claim.Key, Request: r.Request, Result: Granted})
 			continue
 		}
-		s.addNote(now, api.ClaimRecord{Key: r.Key, Request: r.Request, State: api.ClaimStateReleased})
+		s.addNote(now, releaseOf(r), false)
 	}
 	return out
 }
