--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -316,11 +316,17 @@
 	// Demands corresponds to the JSON schema field "demands".
 	Demands []Demand `json:"demands,omitempty,omitzero"`
 
+	// Evidence corresponds to the JSON schema field "evidence".
+	Evidence []Evidence `json:"evidence,omitempty,omitzero"`
+
 	// Members corresponds to the JSON schema field "members".
 	Members []Member `json:"members,omitempty,omitzero"`
 
 	// Revision corresponds to the JSON schema field "revision".
 	Revision Revision `json:"revision"`
+
+	// Rollouts corresponds to the JSON schema field "rollouts".
+	Rollouts []RolloutProgress `json:"rollouts,omitempty,omitzero"`
 }
 
 // Evidence counts what one origin has seen of one version at its present share.
@@ -793,6 +799,10 @@
 
 // RolloutProgress is the object rollout/{version}.
 type RolloutProgress struct {
+	// Declaration is a fingerprint of the version and rollout as declared; another
+	// one starts the rollout anew.
+	Declaration string `json:"declaration,omitempty,omitzero"`
+
 	// Evidence corresponds to the JSON schema field "evidence".
 	Evidence *Evidence `json:"evidence,omitempty,omitzero"`
 
@@ -809,7 +819,7 @@
 	Revision Revision `json:"revision"`
 
 	// State corresponds to the JSON schema field "state".
-	State *RolloutState `json:"state,omitempty,omitzero"`
+	State RolloutState `json:"state"`
 
 	// Step indexes the manifest's steps.
 	Step int `json:"step"`
--- a/internal/claims/policy_test.go
+++ b/internal/claims/policy_test.go
@@ -33,7 +33,6 @@
 	writes, reads, mebibytes   float64
 	p50, p99                   time.Duration
 	bytesPerRequest, largestKB int
-	perKey                     int
 }
 
 // runLoad offers the load for 2 s of virtual time after 500 ms of warm-up.
