--- a/internal/limits/customers.go
+++ b/internal/limits/customers.go
@@ -18,7 +18,7 @@
 	// whatever they report, so that a request at an idle entry can be admitted.
 	// largeFloor applies in a large fleet, where reports lag.
 	floorShare = 0.1
-	largeFloor = 0.4
+	largeFloor = 0.2
 	// spreadTime is how long an entry waits before it uses a rise of its own
 	// reported demand. Reports that reach every entry within it cause no
 	// overshoot; it equals the time a configuration needs to reach every process.
--- a/internal/limits/policy_test.go
+++ b/internal/limits/policy_test.go
@@ -84,6 +84,7 @@
 		with("exchange, demand moves", 1, func(f *loadmodel.Fleet) { f.MoveEvery = 30 * time.Second }),
 		with("exchange, loss, demand moves", 1, func(f *loadmodel.Fleet) { f.MoveEvery, f.Loss = 30*time.Second, 0.3 }),
 		with("exchange, below limit", 1, func(f *loadmodel.Fleet) { f.Offered = 0.8 * rate }),
+		with("exchange, below limit, burst 4s", 1, func(f *loadmodel.Fleet) { f.Offered, f.Burst = 0.8*rate, int(4*rate) }),
 		with("exchange, a tenth more join", joined, func(f *loadmodel.Fleet) { f.JoinAt = 90 * time.Second }),
 		with("baseline: equal split", 0, func(f *loadmodel.Fleet) { f.Share = 1 / n }),
 		with("baseline: equal, below limit", 0, func(f *loadmodel.Fleet) { f.Share, f.Offered = 1/n, 0.8*rate }),
@@ -101,10 +102,10 @@
 		wait.Go(func() { results[i] = cases[i].run.Run() })
 	}
 	wait.Wait()
-	t.Logf("%-30s %7s %7s %6s %6s %8s", "case", "entries", "offered", "over", "mean", "bytes/s")
+	t.Logf("%-32s %7s %7s %6s %6s %8s", "case", "entries", "offered", "over", "mean", "bytes/s")
 	for i, c := range cases {
 		r := results[i]
-		t.Logf("%-30s %7d %7.2f %6.2f %6.2f %8.0f", c.name, c.run.Entries, c.run.Offered/c.run.Rate, r.Over, r.Mean, r.BytesPerSecond)
+		t.Logf("%-32s %7d %7.2f %6.2f %6.2f %8.0f", c.name, c.run.Entries, c.run.Offered/c.run.Rate, r.Over, r.Mean, r.BytesPerSecond)
 		if c.most > 0 {
 			assert.Check(t, r.Over <= c.most, "%s: admitted %.2f of the limit", c.name, r.Over)
 		}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -58,7 +58,7 @@
 		run.versions = append(run.versions, &tally{Version: v, demand: p.smooth(now, v), domains: map[string]int{}})
 	}
 	slices.SortFunc(run.versions, func(a, b *tally) int { return cmp.Compare(a.Name, b.Name) })
-	p.forget(run.versions)
+	p.forget(run.versions, replicas)
 	for _, r := range replicas {
 		run.count(&r)
 	}
@@ -94,7 +94,13 @@
 	return e.value
 }
 
-func (p *Planner) forget(versions []*tally) {
+// forget drops what is kept of versions and replicas that are gone.
+func (p *Planner) forget(versions []*tally, replicas []Replica) {
+	for name := range p.moved {
+		if !slices.ContainsFunc(replicas, func(r Replica) bool { return r.Name == name }) {
+			delete(p.moved, name)
+		}
+	}
 	for name := range p.demand {
 		if !slices.ContainsFunc(versions, func(t *tally) bool { return t.Name == name }) {
 			delete(p.demand, name)
--- /dev/null
+++ b/internal/placement/trace_test.go
@@ -0,0 +1,51 @@
+package placement_test
+
+import (
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/placement"
+)
+
+// Guards against a change of the orders given in recorded situations.
+func TestTraces(t *testing.T) {
+	raw, err := os.ReadFile("testdata/plans.json")
+	assert.NilError(t, err)
+	var traces []struct {
+		Name     string
+		Versions []placement.Version
+		Replicas []placement.Replica
+		Want     []placement.Order
+	}
+	assert.NilError(t, json.Unmarshal(raw, &traces))
+	for _, trace := range traces {
+		t.Run(trace.Name, func(t *testing.T) {
+			planner := placement.NewPlanner(placement.Options{})
+			got := planner.Plan(time.Unix(1000, 0), trace.Versions, trace.Replicas)
+			assert.DeepEqual(t, got, trace.Want)
+		})
+	}
+}
+
+// Guards against an order that a replaced sidecar sends while its predecessor's
+// may still take effect, on an engine that does not check tokens.
+func TestFenceWaitsOutPredecessor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := placement.NewFence(now, placement.FenceOptions{MaxOrder: time.Minute, Highest: 7})
+	order := func(token int) placement.OrderReceived {
+		return placement.OrderReceived{Order: placement.Order{Fence: token}}
+	}
+	assert.DeepEqual(t, f.Handle(now, order(7)), []placement.Decision{placement.Refuse{Fence: 7, Highest: 7}})
+	wait := placement.Wait{Until: now.Add(time.Minute)}
+	assert.DeepEqual(t, f.Handle(now, order(8)), []placement.Decision{wait})
+	assert.DeepEqual(t, f.Handle(now, order(9)), []placement.Decision{placement.Replace{Fence: 8}, wait})
+	assert.DeepEqual(t, f.Handle(wait.Until, placement.Timer{}), []placement.Decision{placement.Send{Order: order(9).Order}})
+	lost := placement.OrderEnded{Fence: 9}
+	assert.DeepEqual(t, f.Handle(wait.Until, lost), []placement.Decision{placement.Report{Fence: 9}})
+	again := placement.Wait{Until: wait.Until.Add(time.Minute)}
+	assert.DeepEqual(t, f.Handle(wait.Until, order(10)), []placement.Decision{again})
+}
--- a/internal/policybench/loadmodel/fleet.go
+++ b/internal/policybench/loadmodel/fleet.go
@@ -17,6 +17,8 @@
 	Entries int
 	// Rate is the customer's limit and Offered its demand, in requests/s.
 	Rate, Offered float64
+	// Burst is the customer's burst in requests; 0 means one second of the rate.
+	Burst int
 	// Skew is the exponent of the Zipf distribution of demand over the entries; 0
 	// means equal parts.
 	Skew float64
@@ -44,7 +46,7 @@
 // FleetResult is what a run measured after the warm-up.
 type FleetResult struct {
 	// Over is the most admitted in any 10 s relative to the limit of that span,
-	// burst of one second and one request for each entry included.
+	// burst and one request for each entry included.
 	Over float64
 	// Mean is the admitted rate relative to the smaller of limit and demand.
 	Mean float64
@@ -94,7 +96,7 @@
 	}
 	c := limits.NewCustomers(fmt.Sprint("entry-", len(f.entries)))
 	c.SetEntries(known)
-	c.Apply(Snapshot(api.Customer{Name: fleetCustomer, RequestsPerSecond: rate, Burst: max(1, int(rate))}))
+	c.Apply(Snapshot(api.Customer{Name: fleetCustomer, RequestsPerSecond: rate, Burst: f.Burst}))
 	f.entries = append(f.entries, c)
 }
 
@@ -164,7 +166,11 @@
 func (f *Fleet) result() FleetResult {
 	out := FleetResult{}
 	warm := int(fleetWarmUp / time.Second)
-	allowed := f.Rate*fleetWindow + math.Max(1, f.Rate) + float64(len(f.entries))
+	burst := math.Max(1, f.Rate)
+	if f.Burst > 0 {
+		burst = float64(f.Burst)
+	}
+	allowed := f.Rate*fleetWindow + burst + float64(len(f.entries))
 	admitted, offered := 0, 0
 	for i := warm; i+fleetWindow < len(f.admitted); i++ {
 		sum := 0
