--- a/internal/membership/exchange_fault_test.go
+++ b/internal/membership/exchange_fault_test.go
@@ -21,6 +21,7 @@
 // manifest, against a flood of calls to a store that is down, and against the
 // first change after the outage taking more than 3 s.
 func TestStoreOutage(t *testing.T) {
+	t.Parallel()
 	s := started(t, faultSize, 0.1, 2)
 	held := s.procs[0].Revision()
 	s.setDown(true)
@@ -53,6 +54,7 @@
 // at processes that start afterwards, and against the alarm being missing or
 // staying.
 func TestStoreRestoredOrRolledBack(t *testing.T) {
+	t.Parallel()
 	for _, generation := range []int64{2, 1} {
 		s := started(t, faultSize, 0.1, 3)
 		old := s.object
@@ -93,6 +95,7 @@
 // Guards against an invalid manifest being applied, being checked again and
 // again, or keeping the next valid one out.
 func TestInvalidManifestInStore(t *testing.T) {
+	t.Parallel()
 	s := started(t, faultSize, 0.1, 4)
 	held := s.procs[0].Revision()
 	bad := s.commit(1, true)
@@ -114,6 +117,7 @@
 // Guards against a change staying unseen when watchers die before the instance
 // list shows it, and against many processes watching from then on.
 func TestWatchersDie(t *testing.T) {
+	t.Parallel()
 	s := started(t, faultSize, 0.1, 5)
 	kill := func(domain int) {
 		for i, x := range s.procs {
@@ -144,6 +148,7 @@
 // Guards against a store that starts empty or away leaving processes without a
 // manifest once it is there.
 func TestColdStartDuringOutage(t *testing.T) {
+	t.Parallel()
 	s := newSim(faultSize, 0.1, 6)
 	s.setDown(true)
 	s.run(20 * time.Second)
@@ -159,6 +164,7 @@
 // Guards against a cut-back, a figure of demand or a state change not reaching
 // those who need it within seconds.
 func TestNewsReachMembers(t *testing.T) {
+	t.Parallel()
 	s := started(t, faultSize, 0.1, 7)
 	s.run(30 * time.Second)
 	s.handle(3, CutBackDecided{CutBack: api.CutBack{Version: "draft-large-4", Reason: "errors", Origin: "instance-0003", Revision: s.procs[3].Revision()}})
@@ -181,3 +187,33 @@
 	assert.Assert(t, unaware <= faultSize/20, "%d unaware", unaware)
 	s.check(t)
 }
+
+// Guards against a region that was cut off for minutes staying behind once it is
+// back, and against it changing anything of its own meanwhile.
+func TestRegionsLoseContact(t *testing.T) {
+	t.Parallel()
+	s := started(t, faultSize, 0.1, 9)
+	held := s.procs[0].Revision()
+	s.cut = true
+	for i := range s.watches {
+		if s.regionOf(i) != 0 {
+			delete(s.watches, i)
+			s.post(i, s.lives[i], StoreFailed{}, 0)
+		}
+	}
+	next := s.commit(1, false)
+	s.run(inForce)
+	for i, x := range s.procs {
+		if s.regionOf(i) == 0 {
+			assert.Equal(t, x.Revision(), next)
+		} else {
+			assert.Equal(t, x.Revision(), held)
+		}
+	}
+	s.run(3 * time.Minute)
+	s.cut = false
+	took := s.runUntil(next, 20*time.Second)
+	t.Logf("%d processes: a region cut off for 3 min is up to date %v after contact", faultSize, took)
+	assert.Assert(t, took <= inForce, "%v", took)
+	s.check(t)
+}
