Hold usage in a second failure domain, and roll versions out by evidence

Cause: (1) the loss of a failure domain lost the usage of requests whose entry and sidecar both stood in it; ruled out: the flush interval, since any interval leaves a window. (2) traffic shares of rolling versions were a placeholder. Change: before such a request is answered, its records go to a sidecar of another failure domain, for at most 200 ms; sequential tests, cut-backs, evidence and the advancer of rollouts run in the entry core; entries exchange evidence and progress in digests between entries.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1127,6 +1127,9 @@
 
 	// UsageConfirm corresponds to the JSON schema field "usageConfirm".
 	UsageConfirm *UsageConfirm `json:"usageConfirm,omitempty,omitzero"`
+
+	// UsageHold corresponds to the JSON schema field "usageHold".
+	UsageHold *UsageHold `json:"usageHold,omitempty,omitzero"`
 }
 
 type Phase string
@@ -1760,6 +1763,13 @@
 	Stage int `json:"stage,omitempty,omitzero"`
 }
 
+// UsageHold hands the usage records of an answered request to a sidecar in another
+// failure domain, which writes them when no confirmation comes.
+type UsageHold struct {
+	// Records corresponds to the JSON schema field "records".
+	Records []UsageRecord `json:"records"`
+}
+
 // UsageRecord bills one stage of one request. Request and stage identify it.
 type UsageRecord struct {
 	// BackendServer corresponds to the JSON schema field "backendServer".
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -51,6 +51,8 @@
 	self     atomic.Pointer[api.Member]
 	snapshot atomic.Pointer[manifest.Snapshot]
 	view     atomic.Pointer[controlView]
+	// forEntries is the newest evidence and progress of rollouts.
+	forEntries atomic.Pointer[entry.Publish]
 
 	// confirmFrom is when the main loop asked for the manifest to be confirmed, in
 	// Unix nanoseconds; 0 when it does not wait for it.
@@ -75,6 +77,8 @@
 type controlEvent struct {
 	event membership.ExchangeEvent
 	call  *peer.Call
+	// role is the role of the process that called.
+	role string
 	// sent is when the digest that this event answers was sent.
 	sent time.Time
 }
@@ -124,6 +128,18 @@
 	for _, d := range p.Demands {
 		c.put(membership.DemandMeasured{Demand: d})
 	}
+	if len(p.Evidence)+len(p.Rollouts) > 0 {
+		c.forEntries.Store(&p)
+	}
+}
+
+// addForEntries adds to a digest what only entries use.
+func (c *control) addForEntries(digest *api.Digest, role string) {
+	p := c.forEntries.Load()
+	if p == nil || role != string(api.RoleEntry) {
+		return
+	}
+	digest.Evidence, digest.Rollouts = p.Evidence, p.Rollouts
 }
 
 func (c *control) run(ctx context.Context) {
@@ -165,11 +181,12 @@
 }
 
 func (c *control) handle(e controlEvent) {
-	var digest entry.DigestReceived
+	digest := fromEntry(e.event)
 	members := false
 	for _, effect := range c.exchange.Handle(time.Now(), e.event) {
 		switch x := effect.(type) {
 		case membership.AnswerDigest:
+			c.addForEntries(&x.Digest, e.role)
 			e.call.Respond(x.Digest)
 			e.call = nil
 		case membership.AnswerConfig:
@@ -200,11 +217,23 @@
 	if members {
 		c.onMembers(c.members())
 	}
-	if len(digest.CutBacks)+len(digest.Demands) > 0 {
+	if len(digest.CutBacks)+len(digest.Demands)+len(digest.Evidence)+len(digest.Rollouts) > 0 {
 		c.onDigest(digest)
 	}
 }
 
+// fromEntry returns what a digest carries for entries only.
+func fromEntry(e membership.ExchangeEvent) entry.DigestReceived {
+	switch x := e.(type) {
+	case membership.DigestReceived:
+		return entry.DigestReceived{Evidence: x.Digest.Evidence, Rollouts: x.Digest.Rollouts}
+	case membership.DigestAnswered:
+		return entry.DigestReceived{Evidence: x.Digest.Evidence, Rollouts: x.Digest.Rollouts}
+	default:
+		return entry.DigestReceived{}
+	}
+}
+
 func (c *control) apply(effect membership.ExchangeEffect) {
 	switch x := effect.(type) {
 	case membership.SendDigest:
@@ -262,6 +291,7 @@
 	if err != nil {
 		return
 	}
+	c.addForEntries(&x.Digest, link.Remote.Role)
 	var answer api.Digest
 	if err := link.Call(ctx, peer.MethodDigest, x.Digest, &answer); err != nil {
 		c.log.Debug("digest is not answered", zap.String("peer", x.To.Address), zap.Error(err))
--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -146,6 +146,8 @@
 		l.outbox.send(notice{e.Address, peer.MethodCancel, e.Cancel})
 	case entry.ConfirmUsage:
 		l.outbox.send(notice{e.Address, peer.MethodUsageConfirm, e.Confirm})
+	case entry.HoldUsage:
+		go l.holdUsage(e)
 	case entry.ReadObject:
 		go l.readObject(e)
 	case entry.WriteObject:
@@ -212,6 +214,19 @@
 	l.events.Put(l.ctx, ended)
 }
 
+func (l *entryLoop) holdUsage(e entry.HoldUsage) {
+	ctx, cancel := context.WithTimeout(l.ctx, notifyTimeout)
+	defer cancel()
+	link, err := l.node.Link(ctx, e.Address)
+	if err == nil {
+		err = link.Call(ctx, peer.MethodUsageHold, e.Hold, nil)
+	}
+	if err != nil {
+		l.log.Warn("usage records are held in one failure domain only", zap.String("request", e.Request), zap.Error(err))
+	}
+	l.events.Put(l.ctx, entry.UsageHeld{Request: e.Request})
+}
+
 func (l *entryLoop) probe(e entry.Probe) {
 	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
 	defer cancel()
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -36,9 +36,9 @@
 			call.Fail(err)
 			return true
 		}
-		h.answer(call, membership.DigestReceived{From: from, Digest: digest})
+		h.answer(link, call, membership.DigestReceived{From: from, Digest: digest})
 	case peer.MethodConfigFetch:
-		h.answer(call, membership.ConfigRequested{From: from})
+		h.answer(link, call, membership.ConfigRequested{From: from})
 	case peer.MethodConfigOffer:
 		var offer api.ConfigOffer
 		if err := call.Decode(&offer); err != nil {
@@ -54,8 +54,8 @@
 }
 
 // answer queues a call for the exchange, which answers it.
-func (h controlHandler) answer(call *peer.Call, e membership.ExchangeEvent) {
-	if !h.control.events.Offer(controlEvent{event: e, call: call}) {
+func (h controlHandler) answer(link *peer.Link, call *peer.Call, e membership.ExchangeEvent) {
+	if !h.control.events.Offer(controlEvent{event: e, call: call, role: link.Remote.Role}) {
 		call.Fail(errkind.New(errkind.Overloaded, "exchange is overloaded"))
 	}
 }
@@ -144,6 +144,8 @@
 		if call.Decode(&confirm) == nil {
 			h.loop.events.Put(h.loop.ctx, sidecar.UsageConfirmed{Confirm: confirm})
 		}
+	case peer.MethodUsageHold:
+		h.loop.serveHold(call)
 	case peer.MethodProbe:
 		h.probe(call)
 	default:
--- a/internal/daemon/sidecarlink.go
+++ b/internal/daemon/sidecarlink.go
@@ -155,3 +155,32 @@
 		})
 	}
 }
+
+// serveHold hands usage records of another failure domain to the core.
+func (l *sidecarLoop) serveHold(call *peer.Call) {
+	var hold api.UsageHold
+	if err := call.Decode(&hold); err != nil {
+		call.Fail(err)
+		return
+	}
+	id := l.lastHold.Add(1)
+	l.holds.Store(id, call)
+	if !l.events.Offer(sidecar.UsageHeld{ID: id, Records: hold.Records}) {
+		l.holds.Delete(id)
+		call.Fail(errkind.New(errkind.Overloaded, "sidecar is overloaded"))
+	}
+}
+
+func (l *sidecarLoop) answerHold(e sidecar.HoldTaken) {
+	call, ok := l.holds.LoadAndDelete(e.ID)
+	if !ok {
+		return
+	}
+	go func() {
+		if e.Err != nil {
+			call.(*peer.Call).Fail(e.Err)
+			return
+		}
+		call.(*peer.Call).Respond(struct{}{})
+	}()
+}
--- a/internal/daemon/sidecarloop.go
+++ b/internal/daemon/sidecarloop.go
@@ -47,6 +47,9 @@
 	drained chan struct{}
 	load    atomic.Pointer[api.LoadReport]
 	stopRun sync.Map
+	// holds are the usage.hold calls that wait for the core, by their number.
+	holds    sync.Map
+	lastHold atomic.Uint64
 
 	mu    sync.Mutex
 	links map[*peer.Link]*entryLink
@@ -115,6 +118,8 @@
 	case sidecar.MemberChanged:
 		l.log.Info("state is "+string(e.Member.State), zap.Strings("versions", e.Member.Versions))
 		l.member(e.Member)
+	case sidecar.HoldTaken:
+		l.answerHold(e)
 	case sidecar.WriteUsage:
 		go l.writeUsage(e)
 	case sidecar.Drained:
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -54,7 +54,7 @@
 	fleet     *routing.Fleet
 	health    *membership.Health
 	planner   *cascade.Planner
-	shares    *shares
+	rollouts  rolloutState
 	budgets   *retry.Budgets
 	delays    map[delayKey]*retry.Delays
 	book      *claims.Book
@@ -66,7 +66,10 @@
 	ratings  *ratingSet
 	servers  map[string]routing.Server
 	// known are the backend servers of all members, ready or not.
-	known    map[string]bool
+	known map[string]bool
+	// witness is the address of a sidecar in another failure domain; empty means
+	// that there is none.
+	witness  string
 	counts   counters
 	draining bool
 	drained  bool
@@ -92,7 +95,7 @@
 		fleet:     routing.NewFleet(location, routing.Options{ProbeAfter: cfg.ProbeAfter}),
 		health:    membership.NewHealth(membership.HealthConfig{}),
 		planner:   cascade.NewPlanner(cascade.Options{}, rng),
-		shares:    &shares{},
+		rollouts:  newRolloutState(cfg.Self),
 		budgets:   retry.NewBudgets(retry.BudgetOptions{}),
 		delays:    map[delayKey]*retry.Delays{},
 		book:      claims.NewBook(cfg.Self.Instance, int64(cfg.Self.Incarnation), claims.Options{Window: cfg.ClaimWindow}),
@@ -120,7 +123,7 @@
 	case RatingArrived:
 		c.ratingArrived(now, e)
 	case SnapshotApplied:
-		c.snapshotApplied(e.Snapshot)
+		c.snapshotApplied(now, e.Snapshot)
 	case MembersChanged:
 		c.membersChanged(now, e.Members)
 	case ProbeAnswered:
@@ -128,8 +131,9 @@
 	case PeerLeaving:
 		c.peerLeaving(now, e)
 	case DigestReceived:
-		c.shares.Merge(e.CutBacks)
-		c.customers.MergeDemands(now, e.Demands)
+		c.digestReceived(now, e)
+	case UsageHeld:
+		c.answerHeld(now, e.Request)
 	case SessionKeysRead:
 		c.sessionKeysRead(e.Value)
 	default:
@@ -146,6 +150,7 @@
 	c.fireTimers(now)
 	c.claimEffects(now, c.book.Handle(now, claims.Tick{}))
 	c.flushUsage(now)
+	c.tickRollouts(now)
 	c.ratings.expire(now)
 	if !now.Before(c.nextProbe) {
 		c.nextProbe = now.Add(probeInterval)
@@ -154,7 +159,7 @@
 	if !now.Before(c.nextPublish) {
 		c.nextPublish = now.Add(publishInterval)
 		c.healthEvent(now, membership.HealthTick{})
-		c.emit(Publish{CutBacks: c.shares.CutBacks(), Demands: c.customers.Demands(now)})
+		c.publish(now)
 	}
 	c.checkDrained()
 }
@@ -174,14 +179,14 @@
 	return next
 }
 
-func (c *Core) snapshotApplied(s *manifest.Snapshot) {
+func (c *Core) snapshotApplied(now time.Time, s *manifest.Snapshot) {
 	if c.snapshot != nil && !manifest.Newer(s.Revision, c.snapshot.Revision) {
 		return
 	}
 	c.snapshot = s
 	c.customers.Apply(s)
 	c.planner.Configure(s)
-	c.shares.Apply(s)
+	c.applyRollouts(now)
 	c.budgets.Keep(func(customer string) bool {
 		_, ok := s.Customer(customer)
 		return ok
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -101,6 +101,10 @@
 	Err     error
 }
 
+// UsageHeld says that a sidecar of another failure domain holds the usage records
+// of a request, or that it could not be asked.
+type UsageHeld struct{ Request string }
+
 // SessionKeysRead hands over the session keys of the platform.
 type SessionKeysRead struct{ Value []byte }
 
@@ -108,6 +112,8 @@
 type DigestReceived struct {
 	CutBacks []api.CutBack
 	Demands  []api.Demand
+	Evidence []api.Evidence
+	Rollouts []api.RolloutProgress
 }
 
 // DrainStarted begins a graceful stop.
@@ -127,6 +133,7 @@
 func (RatingArrived) event()   {}
 func (StoreRead) event()       {}
 func (StoreWritten) event()    {}
+func (UsageHeld) event()       {}
 func (SessionKeysRead) event() {}
 func (DigestReceived) event()  {}
 func (DrainStarted) event()    {}
@@ -186,6 +193,14 @@
 	IfVersion int64
 }
 
+// HoldUsage hands the usage records of a request to a sidecar; it is answered by
+// a UsageHeld.
+type HoldUsage struct {
+	Address string
+	Request string
+	Hold    api.UsageHold
+}
+
 // ConfirmUsage tells a sidecar that a usage record is written.
 type ConfirmUsage struct {
 	Address string
@@ -216,6 +231,9 @@
 type Publish struct {
 	CutBacks []api.CutBack
 	Demands  []api.Demand
+	// Evidence and Rollouts go to other entries only.
+	Evidence []api.Evidence
+	Rollouts []api.RolloutProgress
 }
 
 // OfferConfig hands a newer manifest, received with a result, to the exchange.
@@ -233,6 +251,7 @@
 func (Answer) effect()        {}
 func (ReadObject) effect()    {}
 func (WriteObject) effect()   {}
+func (HoldUsage) effect()     {}
 func (ConfirmUsage) effect()  {}
 func (Probe) effect()         {}
 func (Rate) effect()          {}
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -28,6 +28,10 @@
 	a.Request, a.Version, a.Session = r.Request, r.version, r.token
 	a.InputTokens, a.OutputTokens, a.Cost = r.inputTokens, r.outputTokens, r.cost
 	c.counts.answered(r.customer.Name, r.version, r.cost)
+	if c.needsWitness(r) {
+		c.hold(now, r, a)
+		return
+	}
 	c.answer(now, r, a)
 	c.finish(now, r)
 }
@@ -221,6 +225,10 @@
 		}
 	}
 	r.cost += record.Cost
+	r.records = append(r.records, record)
+	if c.needsWitness(r) {
+		sidecars = append(sidecars, c.witness)
+	}
 	if err := c.usage.Add(now, record, sidecars...); err != nil {
 		c.counts.alarm("usage record was not held: " + err.Message)
 	}
@@ -254,6 +262,10 @@
 func (c *Core) storeEvent(now time.Time, e Event) {
 	switch e := e.(type) {
 	case StoreRead:
+		if strings.HasPrefix(e.Key, rolloutPrefix) {
+			c.rolloutRead(now, e)
+			return
+		}
 		read := claims.StoreRead{ObjectKey: e.Key, Version: e.Version, Value: e.Value}
 		read.NotFound = errors.Is(e.Err, platform.ErrNotFound)
 		read.Failed = e.Err != nil && !read.NotFound
@@ -273,6 +285,10 @@
 		}
 		return
 	}
+	if strings.HasPrefix(e.Key, rolloutPrefix) {
+		c.rolloutWritten(now, e)
+		return
+	}
 	c.claimEffects(now, c.book.Handle(now, claims.StoreWritten{
 		ObjectKey: e.Key, Version: e.Version, Outcome: claimOutcome(e.Err),
 	}))
--- a/internal/entry/ratings.go
+++ b/internal/entry/ratings.go
@@ -5,8 +5,7 @@
 
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/cascade"
-	"github.com/borageflow/borageflow/internal/errkind"
-	"github.com/borageflow/borageflow/internal/routing"
+	"github.com/borageflow/borageflow/internal/rollout"
 )
 
 const (
@@ -97,21 +96,8 @@
 	o := p.observation
 	o.Rating, o.Late = &e.Score, true
 	c.planner.Observe(now, o)
-	c.observeVersion(now, sample{Version: o.Version, Class: o.Class.Name, Rating: &e.Score, RatingOnly: true})
+	c.observeVersion(now, rollout.Sample{Version: o.Version, Class: o.Class.Name, Rating: &e.Score, RatingOnly: true})
 	c.emit(Trace{api.TraceRecord{
 		Event: api.TraceEventRating, Request: e.Request, Stage: e.Stage, Version: o.Version, Class: o.Class.Name, Rating: e.Score,
 	}})
 }
-
-// observeVersion feeds roll-out evidence and publishes a cut at once.
-func (c *Core) observeVersion(now time.Time, s sample) {
-	for _, cut := range c.shares.Observe(now, s) {
-		c.counts.cutBacks++
-		c.emit(Trace{api.TraceRecord{Event: api.TraceEventCutback, Version: cut.Version, Reason: cut.Reason}})
-		c.emit(Publish{CutBacks: []api.CutBack{cut}})
-	}
-}
-
-func versionSample(r *request, a *attempt, kind errkind.Kind, o routing.Outcome) sample {
-	return sample{Version: a.version, Class: r.class.Name, Failed: kind != "", FirstTokenMs: o.FirstTokenMs}
-}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -65,7 +65,11 @@
 	cost         float64
 	answered     bool
 	sampled      bool
-	text         []byte
+	// records are the usage records of all stages, and held the answer that waits
+	// until a sidecar of another failure domain holds them.
+	records []api.UsageRecord
+	held    *Answer
+	text    []byte
 }
 
 // requestArrived admits a request and starts its first stage.
@@ -171,7 +175,7 @@
 	if pin != "" {
 		return routing.Filter(c.snapshot, r.customer.Name, r.Model, r.class, pin, c.fleet.Serves)
 	}
-	healthy := func(version string) bool { return c.fleet.Serves(version) && !c.shares.Cut(version) }
+	healthy := func(version string) bool { return c.fleet.Serves(version) && c.rollouts.shares.Share(version) > 0 }
 	candidates, err := routing.Filter(c.snapshot, r.customer.Name, r.Model, r.class, pin, healthy)
 	if err != nil && err.Kind == errkind.NoCandidate {
 		candidates, err = routing.Filter(c.snapshot, r.customer.Name, r.Model, r.class, pin, c.fleet.Serves)
@@ -200,7 +204,7 @@
 
 // startStage starts the first attempt of the present stage.
 func (c *Core) startStage(now time.Time, r *request) *errkind.Error {
-	r.version = r.candidates.Resolve(r.plan.Stages[r.stage].Version, c.shareKey(r), c.shares.Share)
+	r.version = r.candidates.Resolve(r.plan.Stages[r.stage].Version, c.shareKey(r), c.rollouts.shares.Share)
 	if err := c.issueSession(now, r); err != nil {
 		return err
 	}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -33,8 +33,10 @@
 		c.servers[s.Name] = s
 	}
 	c.fleet.SetServers(now, servers)
+	c.chooseWitness(servers)
 	c.healthServers(now, members)
 	c.customers.SetEntries(len(entries))
+	c.rollouts.entries = entries
 	c.setClaimEntries(now, entries)
 	c.applyWeights()
 	c.giveUpSilent(now, members)
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -105,6 +106,9 @@
 	if c.snapshot == nil {
 		return s
 	}
+	for _, version := range c.rollouts.shares.Alarms() {
+		s.Alarms = append(s.Alarms, "version "+version+" is bad and has no replacement")
+	}
 	s.Revision = c.snapshot.Revision
 	s.Customers = c.customerStatus()
 	s.Models, s.Versions = c.versionStatus(now)
@@ -149,7 +153,7 @@
 
 func (c *Core) oneVersion(now time.Time, model string, v api.Version) api.VersionStatus {
 	status := api.VersionStatus{
-		Name: v.Name, Model: model, Phase: string(v.Phase), Share: c.shares.Share(v.Name), Answered: c.counts.versions[v.Name],
+		Name: v.Name, Model: model, Phase: string(v.Phase), Share: c.rollouts.shares.Share(v.Name), Answered: c.counts.versions[v.Name],
 	}
 	for _, s := range c.servers {
 		for _, held := range s.Versions {
@@ -180,7 +184,13 @@
 func (c *Core) rolloutStatus() []api.RolloutStatus {
 	var out []api.RolloutStatus
 	for _, r := range c.snapshot.Manifest.Rollouts {
-		out = append(out, api.RolloutStatus{Version: r.Version, Share: c.shares.Share(r.Version)})
+		status := api.RolloutStatus{Version: r.Version, Share: c.rollouts.shares.Share(r.Version), State: "not started"}
+		if p, ok := c.rollouts.progress[r.Version]; ok {
+			status.Step, status.State = p.Step, string(p.State)
+		}
+		sum := c.rollouts.shares.Sum(r.Version)
+		status.Evidence = fmt.Sprintf("%d samples, %d failed, %d slow, %d rated, %d bad", sum.Samples, sum.Failed, sum.Slow, sum.Rated, sum.Bad)
+		out = append(out, status)
 	}
 	return out
 }
--- a/internal/entry/timer.go
+++ b/internal/entry/timer.go
@@ -13,6 +13,7 @@
 	timerHedge
 	timerAttempt
 	timerForget
+	timerHold
 )
 
 type timer struct {
@@ -73,6 +74,8 @@
 		c.hedgeDue(now, r, t.stage)
 	case timerAttempt:
 		c.attemptDue(now, r, t.stage, t.attempt)
+	case timerHold:
+		c.answerHeld(now, r.Request)
 	case timerForget:
 		c.forget(now, r)
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -29,6 +29,7 @@
 	MethodProbe        = "probe"
 	MethodLeaving      = "leaving"
 	MethodUsageConfirm = "usage.confirm"
+	MethodUsageHold    = "usage.hold"
 )
 
 // helloTimeout bounds dialing and the exchange of hello messages.
--- a/internal/routing/filter_test.go
+++ b/internal/routing/filter_test.go
@@ -32,7 +32,8 @@
   "classes": [
     {"name": "any", "qualityTarget": 0.9, "deadlineMs": 1000, "weighting": "latency"},
     {"name": "small-only", "qualityTarget": 0.9, "deadlineMs": 1000, "weighting": "latency", "models": ["small"]}
-  ]
+  ],
+  "rollouts": [{"version": "small-2", "steps": [0.5, 1]}]
 }`
 
 func filterSnapshot(t *testing.T) *manifest.Snapshot {
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -162,6 +162,8 @@
 		out = c.drainStarted()
 	case UsageConfirmed:
 		c.usage.Confirm(e.Confirm)
+	case UsageHeld:
+		out = c.usageHeld(now, e)
 	case UsageWritten:
 		c.usage.WriteResult(now, e.Key, usageOutcome(e.Err))
 	case Tick:
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -73,6 +73,13 @@
 // UsageConfirmed says that an entry wrote the usage record of a stage.
 type UsageConfirmed struct{ Confirm api.UsageConfirm }
 
+// UsageHeld hands over usage records of requests that ran elsewhere.
+type UsageHeld struct {
+	// ID is repeated in the HoldTaken effect.
+	ID      uint64
+	Records []api.UsageRecord
+}
+
 // UsageWritten is the outcome of a WriteUsage effect.
 type UsageWritten struct {
 	Key string
@@ -93,6 +100,7 @@
 func (BackendLoad) event()     {}
 func (DrainStarted) event()    {}
 func (UsageConfirmed) event()  {}
+func (UsageHeld) event()       {}
 func (UsageWritten) event()    {}
 func (Tick) event()            {}
 
@@ -138,6 +146,12 @@
 	Value []byte
 }
 
+// HoldTaken answers a UsageHeld.
+type HoldTaken struct {
+	ID  uint64
+	Err *errkind.Error
+}
+
 // Drained says that the last attempt has ended and usage is flushed.
 type Drained struct{}
 
@@ -150,4 +164,5 @@
 func (AnnounceLeaving) effect() {}
 func (MemberChanged) effect()   {}
 func (WriteUsage) effect()      {}
+func (HoldTaken) effect()       {}
 func (Drained) effect()         {}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -82,6 +82,20 @@
 	return []Effect{Drained{}}
 }
 
+// usageHeld keeps records for an entry of another failure domain.
+func (c *Core) usageHeld(now time.Time, e UsageHeld) []Effect {
+	for _, record := range e.Records {
+		if err := c.usage.Reserve(); err != nil {
+			return []Effect{HoldTaken{ID: e.ID, Err: err}}
+		}
+		if err := c.usage.Add(now, record); err != nil {
+			c.usage.Cancel()
+			return []Effect{HoldTaken{ID: e.ID, Err: err}}
+		}
+	}
+	return []Effect{HoldTaken{ID: e.ID}}
+}
+
 func (c *Core) flushUsage(now time.Time) []Effect {
 	writes := c.usage.Flush(now)
 	if c.drain != drainNone {
