Judge a cold queue anew when its first rate is known

Cause: before the first measured rate nothing is found hopeless, so a burst at a cold sidecar was accepted whole and most of it refused only when its deadline came near. Ruled out: the entry's plan (its wait estimate is 0 for the same reason). Change: when the first rate is known every waiting item is judged again in the order of arrival.

--- a/internal/limits/fairqueue.go
+++ b/internal/limits/fairqueue.go
@@ -68,6 +68,7 @@
 // its share. Within a customer a second fair queue shares between lookups and
 // drafts, so that neither starves.
 type FairQueue struct {
+	pushes    uint64
 	opts      Options
 	customers customerQueues
 	items     map[string]*entry
@@ -85,6 +86,8 @@
 	pushed time.Time
 	// wait is the plain prediction made at Push.
 	wait time.Duration
+	// order numbers the pushes, which may happen at the same time.
+	order uint64
 }
 
 // started is a running item.
@@ -157,7 +160,8 @@
 		}
 		q.shed(now, victim)
 	}
-	q.add(&entry{Item: item, pushed: now, wait: wait})
+	q.pushes++
+	q.add(&entry{Item: item, pushed: now, wait: wait, order: q.pushes})
 	q.rate.waiting(now, true)
 	return nil
 }
@@ -254,7 +258,11 @@
 		return
 	}
 	delete(q.running, id)
+	cold := q.rate.value <= 0
 	q.rate.finished(now, run, tokens)
+	if cold && q.rate.value > 0 {
+		q.reassess(now)
+	}
 	class := classOf(&run.item)
 	q.runs[class].observe(now, now.Sub(run.at), run.item.Expected)
 	if c := q.customers.find(run.item.Customer); c != nil {
--- a/internal/limits/shed.go
+++ b/internal/limits/shed.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -85,6 +86,29 @@
 		WithRetryAfter(clampRetry(min(over, max(wait, minRetry))))
 }
 
+// reassess judges every waiting item anew, in the order of arrival, once the first
+// rate is known: until then nothing could be found hopeless.
+func (q *FairQueue) reassess(now time.Time) {
+	waiting := make([]*entry, 0, len(q.items))
+	for _, e := range q.items {
+		waiting = append(waiting, e)
+	}
+	slices.SortFunc(waiting, func(a, b *entry) int {
+		return cmp.Compare(a.order, b.order)
+	})
+	for _, e := range waiting {
+		q.unlink(e)
+	}
+	for _, e := range waiting {
+		e.wait = q.wait(now, &e.Item)
+		if err := q.hopeless(now, &e.Item, e.wait); err != nil {
+			q.dropped = append(q.dropped, Dropped{Item: e.Item, Err: err})
+			continue
+		}
+		q.add(e)
+	}
+}
+
 func (q *FairQueue) waitMargin(now time.Time, item *Item) time.Duration {
 	if c := q.customers.find(item.Customer); c != nil {
 		return c.lines[classOf(item)].waits.of(now)
