--- a/internal/limits/customers.go
+++ b/internal/limits/customers.go
@@ -177,13 +177,27 @@
 // hasSlot reports whether one more request may run here. Every entry has one
 // slot and the rest are divided by demand, so that the slots of all entries sum
 // to at most the limit, or to n when there are more entries than the limit.
-// Besides, the running requests that the other entries reported count.
+// Requests that run at another entry beyond its slots, because its share fell
+// while they ran, are taken off what is divided. Besides, the running requests
+// that the other entries reported count.
 func (c *Customers) hasSlot(now time.Time, name string) bool {
 	s := c.state[name]
-	if s.running+c.reports.others(now, name).running >= s.limit.Concurrency {
+	sum := c.reports.others(now, name)
+	if s.running+sum.running >= s.limit.Concurrency {
 		return false
 	}
 	n, part := c.part(now, name)
 	rest := math.Max(float64(s.limit.Concurrency)-n, 0)
-	return s.running < 1+int(rest*part+1e-9)
+	scale := 0.0
+	if total := s.own.lowest(now, c.reports.spread()) + sum.rate; total > 0 {
+		scale = rest * float64(sum.heard+1) / n / total
+	}
+	over := 0
+	for _, held := range sum.records {
+		over += max(held.demand.Running-slots(scale*held.demand.Rate), 0)
+	}
+	return s.running < slots(math.Max(rest-float64(over), 0)*part)
 }
+
+// slots returns the slots of an entry whose part of the divided ones is given.
+func slots(part float64) int { return 1 + int(part+1e-9) }
--- a/internal/limits/policy_test.go
+++ b/internal/limits/policy_test.go
@@ -71,7 +71,7 @@
 	if entries > 100 {
 		rate = 2 * n
 	}
-	base := loadmodel.Fleet{Seed: 1, Entries: entries, Rate: rate, Offered: 2 * rate, Skew: 1, Duration: time.Minute}
+	base := loadmodel.Fleet{Seed: 1, Entries: entries, Rate: rate, Offered: 2 * rate, Skew: 1, Duration: time.Minute, Hold: 100 * time.Millisecond}
 	with := func(name string, most float64, change func(*loadmodel.Fleet)) fleetCase {
 		run := base
 		change(&run)
@@ -111,3 +111,61 @@
 		}
 	}
 }
+
+// Guards against a fleet that runs more of a customer's requests at once than its
+// limit while the demand exceeds it.
+func TestPolicyFleetConcurrency(t *testing.T) {
+	var runs []*loadmodel.Fleet
+	for _, entries := range []int{4, 370} {
+		for _, limit := range []int{entries / 2, 4 * entries} {
+			runs = append(runs, &loadmodel.Fleet{
+				Seed: 1, Entries: entries, Offered: 2 * float64(limit), Skew: 1, MoveEvery: 30 * time.Second,
+				Duration: time.Minute, Concurrency: limit, Hold: time.Second,
+			})
+		}
+	}
+	results := make([]loadmodel.FleetResult, len(runs))
+	var wait sync.WaitGroup
+	for i, run := range runs {
+		wait.Go(func() { results[i] = run.Run() })
+	}
+	wait.Wait()
+	t.Logf("%7s %7s %12s %12s", "entries", "limit", "most running", "mean running")
+	for i, run := range runs {
+		r := results[i]
+		t.Logf("%7d %7d %12.2f %12.2f", run.Entries, run.Concurrency, r.MostRunning, r.MeanRunning)
+		// An entry always has one slot, so below one slot per entry the bound is n.
+		most := max(1, float64(run.Entries)/float64(run.Concurrency))
+		assert.Check(t, r.MostRunning <= most, "%.2f of the limit ran, at most %.2f", r.MostRunning, most)
+	}
+}
+
+// Guards against a concurrency limit that overruns the memory of an engine or
+// leaves it half used.
+func TestPolicyConcurrency(t *testing.T) {
+	t.Logf("%-16s %5s %8s %5s %9s %8s", "limit", "knee", "goodput", "late", "lookup95", "draft95")
+	for _, knee := range []int{8, 16, 32, 64} {
+		goodput := map[bool]float64{}
+		for _, adaptive := range []bool{false, true} {
+			run := loadmodel.Overload{
+				Seed: 1, Load: 2, Entries: 4, Duration: 30 * time.Minute, Customers: 10, LargeShare: 0.6,
+				Queue: limits.NewFairQueue(limits.Options{}), Knee: knee,
+			}
+			name := "fixed 32"
+			if adaptive {
+				name = "adaptive from 32"
+				run.Limit = limits.NewConcurrency(limits.ConcurrencyOptions{Slots: 32})
+			}
+			r := run.Run()
+			goodput[adaptive] = r.Goodput()
+			t.Logf("%-16s %5d %8.3f %5d %9s %8s", name, knee, r.Goodput(), r.Late,
+				loadmodel.Percentile(r.Lookups, 0.95).Round(time.Millisecond),
+				loadmodel.Percentile(r.Drafts, 0.95).Round(100*time.Millisecond))
+		}
+		if knee == 32 {
+			assert.Check(t, goodput[true] > 0.9, "goodput %.3f with the right number of slots", goodput[true])
+		} else {
+			assert.Check(t, goodput[true] > goodput[false], "adapting gains nothing at a knee of %d", knee)
+		}
+	}
+}
--- a/internal/limits/reports.go
+++ b/internal/limits/reports.go
@@ -58,6 +58,7 @@
 	heard   int
 	rate    float64
 	running int
+	records []*record
 }
 
 type origin struct {
@@ -94,6 +95,7 @@
 	}
 	held, ok := o.records[d.Customer]
 	if !ok {
+		delete(r.sums, d.Customer)
 		held = &record{origin: o}
 		o.records[d.Customer] = held
 		r.order = append(r.order, held)
@@ -134,6 +136,7 @@
 		}
 		out.rate += d.Rate
 		out.running += d.Running
+		out.records = append(out.records, held)
 	}
 	r.sums[customer] = out
 	return out
--- a/internal/policybench/loadmodel/fleet.go
+++ b/internal/policybench/loadmodel/fleet.go
@@ -19,6 +19,10 @@
 	Rate, Offered float64
 	// Burst is the customer's burst in requests; 0 means one second of the rate.
 	Burst int
+	// Concurrency is the customer's limit of running requests, which take Hold each;
+	// 0 means no limit.
+	Concurrency int
+	Hold        time.Duration
 	// Skew is the exponent of the Zipf distribution of demand over the entries; 0
 	// means equal parts.
 	Skew float64
@@ -41,6 +45,9 @@
 	bytes    int
 	admitted []int
 	offered  []int
+	running  int
+	held     time.Duration
+	most     int
 }
 
 // FleetResult is what a run measured after the warm-up.
@@ -50,6 +57,9 @@
 	Over float64
 	// Mean is the admitted rate relative to the smaller of limit and demand.
 	Mean float64
+	// MostRunning is the largest number of running requests relative to the limit,
+	// and MeanRunning the mean.
+	MostRunning, MeanRunning float64
 	// BytesPerSecond is the size of the demand records that an entry sends.
 	BytesPerSecond float64
 }
@@ -96,7 +106,7 @@
 	}
 	c := limits.NewCustomers(fmt.Sprint("entry-", len(f.entries)))
 	c.SetEntries(known)
-	c.Apply(Snapshot(api.Customer{Name: fleetCustomer, RequestsPerSecond: rate, Burst: f.Burst}))
+	c.Apply(Snapshot(api.Customer{Name: fleetCustomer, RequestsPerSecond: rate, Burst: f.Burst, Concurrency: f.Concurrency}))
 	f.entries = append(f.entries, c)
 }
 
@@ -136,7 +146,15 @@
 		return
 	}
 	f.admitted[second]++
-	f.sim.After(100*time.Millisecond, func() { c.Done(f.sim.Now, fleetCustomer) })
+	f.running++
+	if f.sim.Now.Sub(Epoch) >= fleetWarmUp {
+		f.held += f.Hold
+		f.most = max(f.most, f.running)
+	}
+	f.sim.After(f.Hold, func() {
+		f.running--
+		c.Done(f.sim.Now, fleetCustomer)
+	})
 }
 
 // exchange makes every entry send one digest to a random peer, which answers
@@ -185,6 +203,10 @@
 	}
 	limit := f.Rate * f.Duration.Seconds()
 	out.Mean = float64(admitted) / math.Min(limit, float64(offered))
+	if f.Concurrency > 0 {
+		out.MostRunning = float64(f.most) / float64(f.Concurrency)
+		out.MeanRunning = f.held.Seconds() / f.Duration.Seconds() / float64(f.Concurrency)
+	}
 	out.BytesPerSecond = float64(f.bytes) / float64(len(f.entries)) / (f.Duration + fleetWarmUp).Seconds()
 	return out
 }
--- a/internal/policybench/loadmodel/overload.go
+++ b/internal/policybench/loadmodel/overload.go
@@ -23,6 +23,9 @@
 	LargeShare float64
 	Queue      Queue
 	Limit      *limits.Concurrency
+	// Knee is the number of running requests above which the server slows down
+	// sharply; 0 means none. The capacity is that of the knee then.
+	Knee int
 
 	sim    *Sim
 	server *Server
@@ -81,11 +84,14 @@
 // Run simulates the overload and returns the figures.
 func (o *Overload) Run() OverloadResult {
 	o.sim = NewSim(o.Seed)
-	o.server = NewServer(o.sim, 10*time.Millisecond, 500*time.Microsecond, 0)
+	o.server = NewServer(o.sim, 10*time.Millisecond, 500*time.Microsecond, o.Knee)
 	o.live = map[string]*offer{}
 	o.result.Kinds = map[string]int{}
 	o.result.Customers = map[string]*Counts{}
 	capacity := o.server.Rate(serverSlots)
+	if o.Knee > 0 {
+		capacity = o.server.Rate(o.Knee)
+	}
 	mean := lookupShare*lookupTokens + (1-lookupShare)*draftTokens
 	for c := range o.Customers {
 		share := o.LargeShare
@@ -136,7 +142,7 @@
 	of.item = limits.Item{
 		ID: fmt.Sprint(o.next), Customer: customer, Weight: 1, Short: short, Cost: size,
 		Deadline: o.sim.Now.Add(deadline),
-		Expected: Seconds(size * o.server.Step(serverSlots).Seconds()),
+		Expected: Seconds(size * o.server.Step(o.server.Running()+1).Seconds()),
 	}
 	o.live[of.item.ID] = of
 	if o.measured(o.sim.Now) {
