--- a/internal/routing/fleet_test.go
+++ b/internal/routing/fleet_test.go
@@ -213,3 +213,24 @@
 	gone, _ := f.Pick(start, q, rng)
 	assert.Equal(t, gone.CacheProbability, 0.0)
 }
+
+// Guards against a plain service that shares servers with a version of the same
+// name, and against an unknown service that is served.
+func TestPlainServices(t *testing.T) {
+	f := routing.NewFleet(routing.Location{Instance: "e", FailureDomain: "a", Region: "r"}, routing.Options{})
+	f.SetServers(start, []routing.Server{
+		{Name: "engine", Incarnation: 1, Versions: []string{"booking"}, Region: "r"},
+		{Name: "desk", Incarnation: 1, Service: "booking", Region: "r"},
+	})
+	rng := rand.New(rand.NewPCG(5, 5))
+	for range 20 {
+		p, ok := f.Pick(start, routing.Query{Service: "booking"}, rng)
+		assert.Assert(t, ok)
+		assert.Equal(t, p.Server, "desk")
+		p, ok = f.Pick(start, routing.Query{Version: "booking"}, rng)
+		assert.Assert(t, ok)
+		assert.Equal(t, p.Server, "engine")
+	}
+	_, ok := f.Pick(start, routing.Query{Service: "bonds"}, rng)
+	assert.Assert(t, !ok && !f.ServesService("bonds") && f.ServesService("booking"))
+}
