--- a/internal/rollout/exchange.go
+++ b/internal/rollout/exchange.go
@@ -44,10 +44,13 @@
 		if !ok || e.Origin == s.self || e.Origin == "" || manifest.Newer(w.declaredAt, e.Revision) {
 			continue
 		}
-		old := w.remote[e.Origin]
+		old, seen := w.remote[e.Origin]
 		if e.Samples+e.Rated <= old.Samples+old.Rated {
 			continue
 		}
+		if !seen {
+			w.origins = append(w.origins, e.Origin)
+		}
 		w.remote[e.Origin] = e
 		out = append(out, s.feed(w, difference(e, old))...)
 	}
@@ -64,39 +67,42 @@
 }
 
 // Evidence returns up to limit records for a digest to a peer: this entry's own
-// of rolling versions first, then what it holds of others, starting at turn, so
-// that successive digests go through all of them.
+// of rolling versions first, then the others it holds, starting at turn, so that
+// successive digests go through all of them.
 func (s *Shares) Evidence(limit, turn int) []api.Evidence {
-	var own, others []api.Evidence
-	for _, w := range s.versions {
-		if w.own.Samples+w.own.Rated > 0 && w.declared.Phase == api.PhaseRolling {
-			own = append(own, w.own)
-		}
-		if w.declared.Phase != api.PhaseRolling {
-			if w.own.Samples+w.own.Rated > 0 {
-				others = append(others, w.own)
-			}
-		}
-		for _, e := range w.remote {
-			others = append(others, e)
+	var out []api.Evidence
+	total := 0
+	for _, name := range s.names {
+		w := s.versions[name]
+		total += len(w.origins) + 1
+		if len(out) < limit && w.declared.Phase == api.PhaseRolling && w.own.Samples+w.own.Rated > 0 {
+			out = append(out, w.own)
 		}
 	}
-	sortEvidence(own)
-	sortEvidence(others)
-	out := own[:min(len(own), limit)]
-	for i := 0; i < len(others) && len(out) < limit; i++ {
-		out = append(out, others[(turn*limit+i)%len(others)])
+	for i := 0; i < total && len(out) < limit; i++ {
+		e, ok := s.record((turn*limit + i) % total)
+		if ok {
+			out = append(out, e)
+		}
 	}
 	return out
 }
 
-func sortEvidence(records []api.Evidence) {
-	sort.Slice(records, func(i, j int) bool {
-		if records[i].Version != records[j].Version {
-			return records[i].Version < records[j].Version
+// record returns the n-th record held: per version the others' in the order of
+// their arrival, then this entry's own.
+func (s *Shares) record(n int) (api.Evidence, bool) {
+	for _, name := range s.names {
+		w := s.versions[name]
+		if n < len(w.origins) {
+			return w.remote[w.origins[n]], true
+		}
+		if n == len(w.origins) {
+			ownFirst := w.declared.Phase == api.PhaseRolling
+			return w.own, !ownFirst && w.own.Samples+w.own.Rated > 0
 		}
-		return records[i].Origin < records[j].Origin
-	})
+		n -= len(w.origins) + 1
+	}
+	return api.Evidence{}, false
 }
 
 // Sum returns the evidence of all origins on a version, for its Advancer.
--- a/internal/rollout/shares.go
+++ b/internal/rollout/shares.go
@@ -69,6 +69,8 @@
 	cut       *api.CutBack
 	own       api.Evidence
 	remote    map[string]api.Evidence
+	// origins lists the keys of remote in the order of arrival.
+	origins []string
 }
 
 // Shares holds the traffic shares of one entry. It is not safe for concurrent use.
@@ -76,6 +78,8 @@
 	self     string
 	revision api.Revision
 	versions map[string]*watched
+	// names lists the versions in order.
+	names []string
 }
 
 // NewShares returns the shares of an entry; self is its instance and incarnation.
@@ -87,13 +91,16 @@
 func (s *Shares) Apply(snapshot *manifest.Snapshot) {
 	s.revision = snapshot.Revision
 	next := map[string]*watched{}
+	s.names = nil
 	for _, model := range snapshot.Manifest.Models {
 		for _, v := range model.Versions {
 			declared, _ := snapshot.Version(v.Name)
 			rollout := rolloutOf(snapshot, v.Name)
 			next[v.Name] = s.carry(*declared, rollout)
+			s.names = append(s.names, v.Name)
 		}
 	}
+	sort.Strings(s.names)
 	s.versions = next
 }
 
