Hold three quarters of a standard error in reserve for few ratings

Cause: with 5% rated, single runs ended below the target after a drift (0.882 over 10,000 requests), and the drift test checked only their mean. The stated bound is the target, so the cost has to give way.

Change: the reserve for few ratings is three quarters of the standard error of the measured quality instead of a quarter; every drift run is checked by itself.

--- a/internal/cascade/control.go
+++ b/internal/cascade/control.go
@@ -34,8 +34,9 @@
 }
 
 // blindDeviations is the part of the standard error of the measured quality
-// that is held in reserve.
-const blindDeviations = 0.25
+// that is held in reserve. At 0.25, 9 of 72 runs with 5% rated ended below the
+// target after a drift, at 0.5 6 of 72, at 0.75 none.
+const blindDeviations = 0.75
 
 // excessGain averages the excess over some dozens of requests.
 const excessGain = 0.03
--- a/internal/cascade/policy_test.go
+++ b/internal/cascade/policy_test.go
@@ -86,10 +86,7 @@
 )
 
 // Guards against a class that stays below its target after a version's quality
-// drifts while its stated confidence does not. With 5% rated, the 500 ratings
-// after the drift have a standard error of 0.013, so that single runs may end
-// below the target while every rating says otherwise; there the mean over the
-// runs is checked.
+// drifts while its stated confidence does not. Every run is checked by itself.
 func TestPolicyCascadeDrift(t *testing.T) {
 	var table policybench.Table
 	table.Row("drifting", "ratings", "before", "after", "lowest seed", "worst 250", "recovery requests", "recovery s", "cost before", "cost after")
@@ -108,10 +105,7 @@
 					defer mutex.Unlock()
 					table.Row(version, ratings.Name, policybench.Mean(before), policybench.Mean(after), lowestSeed, lowest,
 						recovery, float64(recovery)/policybench.DefaultQualityTrace(0, 0).RequestsPerSecond, costs[0], costs[1])
-					assert.Check(t, policybench.Mean(after) >= policyClass.QualityTarget, "quality after the drift %.4f", policybench.Mean(after))
-					if ratings.Share == 1 {
-						assert.Check(t, lowestSeed >= policyClass.QualityTarget, "quality after the drift in the worst run %.4f", lowestSeed)
-					}
+					assert.Check(t, lowestSeed >= policyClass.QualityTarget, "quality after the drift in the worst run %.4f", lowestSeed)
 				})
 			}
 		}
