--- a/internal/limits/reports.go
+++ b/internal/limits/reports.go
@@ -20,7 +20,7 @@
 	forgetFactor = 4
 	// keepSum is how long a sum over the other entries is updated in place before
 	// it is formed anew, which leaves out entries that fell silent.
-	keepSum = time.Second
+	keepSum = 5 * time.Second
 	// digestNews and digestRepairs bound the demand records of one digest. At
 	// about 85 bytes a record and four digests a second, answers included, they
 	// stay under 3 KB/s.
@@ -70,6 +70,8 @@
 type record struct {
 	demand api.Demand
 	origin *origin
+	// own marks a record of this entry.
+	own bool
 	// sends is how many more digests carry the record as news.
 	sends int
 	// change is the change of the rate that the news states. Large changes are
@@ -96,7 +98,7 @@
 	held, ok := o.records[d.Customer]
 	if !ok {
 		delete(r.sums, d.Customer)
-		held = &record{origin: o}
+		held = &record{origin: o, own: d.Origin == r.self}
 		o.records[d.Customer] = held
 		r.order = append(r.order, held)
 	}
@@ -108,7 +110,7 @@
 		held.change = 0
 	}
 	held.change = math.Max(held.change, math.Abs(d.Rate-held.demand.Rate))
-	if kept, found := r.sums[d.Customer]; found && d.Origin != r.self {
+	if kept, found := r.sums[d.Customer]; found && !held.own {
 		kept.rate += d.Rate - held.demand.Rate
 		kept.running += d.Running - held.demand.Running
 		r.sums[d.Customer] = kept
@@ -131,7 +133,7 @@
 	}
 	for _, held := range r.order {
 		d := &held.demand
-		if d.Customer != customer || d.Origin == r.self || now.Sub(held.origin.heard) > limit {
+		if d.Customer != customer || held.own || now.Sub(held.origin.heard) > limit {
 			continue
 		}
 		out.rate += d.Rate
@@ -187,8 +189,11 @@
 // own before those of others, and some of the rest in turn, which repairs losses.
 func (r *reports) pick() []api.Demand {
 	slices.SortStableFunc(r.news, func(a, b *record) int {
-		if own := r.own(b) - r.own(a); own != 0 {
-			return own
+		if a.own != b.own {
+			if a.own {
+				return -1
+			}
+			return 1
 		}
 		return cmp.Compare(b.change, a.change)
 	})
@@ -205,13 +210,6 @@
 	return out
 }
 
-func (r *reports) own(held *record) int {
-	if held.demand.Origin == r.self {
-		return 1
-	}
-	return 0
-}
-
 // Demands returns the demand records for one digest to a peer: this entry's own
 // news and a bounded choice of what it heard.
 func (c *Customers) Demands(now time.Time) []api.Demand {
