--- a/internal/rollout/exchange.go
+++ b/internal/rollout/exchange.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/borageflow/borageflow/api"
@@ -44,14 +45,12 @@
 		if !ok || e.Origin == s.self || e.Origin == "" || manifest.Newer(w.declaredAt, e.Revision) {
 			continue
 		}
-		old, seen := w.remote[e.Origin]
+		old := w.remote[e.Origin]
 		if e.Samples+e.Rated <= old.Samples+old.Rated {
 			continue
 		}
-		if !seen {
-			w.origins = append(w.origins, e.Origin)
-		}
 		w.remote[e.Origin] = e
+		s.touch(source{e.Version, e.Origin})
 		out = append(out, s.feed(w, difference(e, old))...)
 	}
 	return out
@@ -67,42 +66,64 @@
 }
 
 // Evidence returns up to limit records for a digest to a peer: this entry's own
-// of rolling versions first, then the others it holds, starting at turn, so that
-// successive digests go through all of them.
+// of rolling versions and one of the others in turn, then for half of the room
+// the records that arrived last, so that news spreads first, and for the rest
+// what else it holds in turn, so that nothing is left out. The choice does not
+// look at the counters: sending bad news first would bias the tests.
 func (s *Shares) Evidence(limit, turn int) []api.Evidence {
-	var out []api.Evidence
-	total := 0
+	out := s.ownEvidence(turn)
+	out = out[:min(len(out), limit)]
+	newest := (limit - len(out) + 1) / 2
+	for i := len(s.recent) - 1; i >= 0 && newest > 0; i-- {
+		out = append(out, s.versions[s.recent[i].version].remote[s.recent[i].origin])
+		newest--
+	}
+	for i := 0; i < len(s.recent) && len(out) < limit; i++ {
+		r := s.recent[(turn*limit+i)%len(s.recent)]
+		out = append(out, s.versions[r.version].remote[r.origin])
+	}
+	return out
+}
+
+func (s *Shares) ownEvidence(turn int) []api.Evidence {
+	var out, others []api.Evidence
 	for _, name := range s.names {
 		w := s.versions[name]
-		total += len(w.origins) + 1
-		if len(out) < limit && w.declared.Phase == api.PhaseRolling && w.own.Samples+w.own.Rated > 0 {
+		if w.own.Samples+w.own.Rated == 0 {
+			continue
+		}
+		if w.declared.Phase == api.PhaseRolling {
 			out = append(out, w.own)
+			continue
 		}
+		others = append(others, w.own)
 	}
-	for i := 0; i < total && len(out) < limit; i++ {
-		e, ok := s.record((turn*limit + i) % total)
-		if ok {
-			out = append(out, e)
-		}
+	if len(others) > 0 {
+		out = append(out, others[turn%len(others)])
 	}
 	return out
 }
 
-// record returns the n-th record held: per version the others' in the order of
-// their arrival, then this entry's own.
-func (s *Shares) record(n int) (api.Evidence, bool) {
-	for _, name := range s.names {
-		w := s.versions[name]
-		if n < len(w.origins) {
-			return w.remote[w.origins[n]], true
-		}
-		if n == len(w.origins) {
-			ownFirst := w.declared.Phase == api.PhaseRolling
-			return w.own, !ownFirst && w.own.Samples+w.own.Rated > 0
+// source names a record of another entry.
+type source struct{ version, origin string }
+
+// touch notes that a record has news.
+func (s *Shares) touch(r source) {
+	s.recent = append(s.recent, r)
+	if len(s.recent) < 2*s.held+16 {
+		return
+	}
+	// Keeps the last mention of every record.
+	seen := make(map[source]bool, s.held)
+	keep := make([]source, 0, s.held)
+	for i := len(s.recent) - 1; i >= 0; i-- {
+		if !seen[s.recent[i]] {
+			seen[s.recent[i]] = true
+			keep = append(keep, s.recent[i])
 		}
-		n -= len(w.origins) + 1
 	}
-	return api.Evidence{}, false
+	slices.Reverse(keep)
+	s.recent, s.held = keep, len(keep)
 }
 
 // Sum returns the evidence of all origins on a version, for its Advancer.
--- a/internal/rollout/policy_test.go
+++ b/internal/rollout/policy_test.go
@@ -17,8 +17,8 @@
 	ratedShare    = 0.2
 	operatorDelay = 300 * time.Second
 	tick          = 100 * time.Millisecond
-	// evidencePerDigest keeps a digest's evidence near 1.2 KB, twice per second.
-	evidencePerDigest = 8
+	// evidencePerDigest keeps the evidence of a digest near 0.6 KB.
+	evidencePerDigest = 4
 )
 
 type fault struct {
--- a/internal/rollout/shares.go
+++ b/internal/rollout/shares.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -69,8 +70,6 @@
 	cut       *api.CutBack
 	own       api.Evidence
 	remote    map[string]api.Evidence
-	// origins lists the keys of remote in the order of arrival.
-	origins []string
 }
 
 // Shares holds the traffic shares of one entry. It is not safe for concurrent use.
@@ -80,6 +79,10 @@
 	versions map[string]*watched
 	// names lists the versions in order.
 	names []string
+	// recent lists the records of other entries by their last news, with
+	// repetitions; held is their number when it was last tidied.
+	recent []source
+	held   int
 }
 
 // NewShares returns the shares of an entry; self is its instance and incarnation.
@@ -102,6 +105,14 @@
 	}
 	sort.Strings(s.names)
 	s.versions = next
+	s.recent = slices.DeleteFunc(s.recent, func(r source) bool {
+		w, ok := next[r.version]
+		if !ok {
+			return true
+		}
+		_, ok = w.remote[r.origin]
+		return !ok
+	})
 }
 
 func rolloutOf(snapshot *manifest.Snapshot, version string) api.Rollout {
