Add the peer messages that hand claims to the usual writer

Cause: without hand-over the entries' writes to a shard conflict, see docs/decisions/non-idempotent.md. Change: ClaimParams, ClaimResult and ClaimEndParams in schema/peer.json; api/ regenerated. Additive only. Conclusion: the wiring can call claims.claim and claims.end.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -104,6 +104,42 @@
 	Role string `json:"role"`
 }
 
+// ClaimEndParams reports the end of a granted request, notification claims.end.
+type ClaimEndParams struct {
+	// Answer is the base64 of the answer.
+	Answer string `json:"answer,omitempty,omitzero"`
+
+	// AnswerDigest corresponds to the JSON schema field "answerDigest".
+	AnswerDigest string `json:"answerDigest,omitempty,omitzero"`
+
+	// Customer corresponds to the JSON schema field "customer".
+	Customer string `json:"customer"`
+
+	// IdempotencyKey corresponds to the JSON schema field "idempotencyKey".
+	IdempotencyKey string `json:"idempotencyKey"`
+
+	// Operation corresponds to the JSON schema field "operation".
+	Operation string `json:"operation"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// State corresponds to the JSON schema field "state".
+	State ClaimEndParamsState `json:"state"`
+
+	// Status corresponds to the JSON schema field "status".
+	Status int `json:"status,omitempty,omitzero"`
+}
+
+type ClaimEndParamsState string
+
+const ClaimEndParamsStateCompleted ClaimEndParamsState = "completed"
+const ClaimEndParamsStateReleased ClaimEndParamsState = "released"
+const ClaimEndParamsStateUnknown ClaimEndParamsState = "unknown"
+
 // ClaimHead is a hint where a shard's log begins and ends, object
 // claims/head/{shard}.
 type ClaimHead struct {
@@ -114,6 +150,36 @@
 	Window int `json:"window"`
 }
 
+// ClaimParams hands a claim to the usual writer of its shard, method claims.claim.
+type ClaimParams struct {
+	// BodyDigest corresponds to the JSON schema field "bodyDigest".
+	BodyDigest string `json:"bodyDigest,omitempty,omitzero"`
+
+	// Customer corresponds to the JSON schema field "customer".
+	Customer string `json:"customer"`
+
+	// IdempotencyKey corresponds to the JSON schema field "idempotencyKey".
+	IdempotencyKey string `json:"idempotencyKey"`
+
+	// Operation corresponds to the JSON schema field "operation".
+	Operation string `json:"operation"`
+
+	// Request corresponds to the JSON schema field "request".
+	Request string `json:"request"`
+
+	// Service corresponds to the JSON schema field "service".
+	Service string `json:"service"`
+
+	// Sidecar corresponds to the JSON schema field "sidecar".
+	Sidecar string `json:"sidecar,omitempty,omitzero"`
+
+	// SidecarIncarnation corresponds to the JSON schema field "sidecarIncarnation".
+	SidecarIncarnation int `json:"sidecarIncarnation,omitempty,omitzero"`
+
+	// Until is the latest end of the run, in Unix milliseconds.
+	Until int `json:"until,omitempty,omitzero"`
+}
+
 // ClaimRecord is one state change of a key; the last valid record of a key is its
 // state.
 type ClaimRecord struct {
@@ -152,6 +218,33 @@
 	Until int `json:"until,omitempty,omitzero"`
 }
 
+// ClaimResult answers claims.claim.
+type ClaimResult struct {
+	// Answer is the base64 of the stored answer.
+	Answer string `json:"answer,omitempty,omitzero"`
+
+	// AnswerDigest is the hex SHA-256 of an answer too large to store.
+	AnswerDigest string `json:"answerDigest,omitempty,omitzero"`
+
+	// Result corresponds to the JSON schema field "result".
+	Result ClaimResultResult `json:"result"`
+
+	// RetryAfterMs corresponds to the JSON schema field "retryAfterMs".
+	RetryAfterMs int `json:"retryAfterMs,omitempty,omitzero"`
+
+	// Status corresponds to the JSON schema field "status".
+	Status int `json:"status,omitempty,omitzero"`
+}
+
+type ClaimResultResult string
+
+const ClaimResultResultCompleted ClaimResultResult = "completed"
+const ClaimResultResultGranted ClaimResultResult = "granted"
+const ClaimResultResultInProgress ClaimResultResult = "in_progress"
+const ClaimResultResultKeyReused ClaimResultResult = "key_reused"
+const ClaimResultResultUnavailable ClaimResultResult = "unavailable"
+const ClaimResultResultUnknown ClaimResultResult = "unknown"
+
 // ClaimSegment is one segment of a shard's append-only log of claims, object
 // claims/{window}/{shard}.
 type ClaimSegment struct {
@@ -658,6 +751,15 @@
 	// Cancel corresponds to the JSON schema field "cancel".
 	Cancel *CancelParams `json:"cancel,omitempty,omitzero"`
 
+	// Claim corresponds to the JSON schema field "claim".
+	Claim *ClaimParams `json:"claim,omitempty,omitzero"`
+
+	// ClaimEnd corresponds to the JSON schema field "claimEnd".
+	ClaimEnd *ClaimEndParams `json:"claimEnd,omitempty,omitzero"`
+
+	// ClaimResult corresponds to the JSON schema field "claimResult".
+	ClaimResult *ClaimResult `json:"claimResult,omitempty,omitzero"`
+
 	// Config corresponds to the JSON schema field "config".
 	Config *ConfigOffer `json:"config,omitempty,omitzero"`
 
