--- a/cmd/borageflow/dev.go
+++ b/cmd/borageflow/dev.go
@@ -35,9 +35,9 @@
 
 // devFlags are the flags of the subcommand dev.
 type devFlags struct {
-	manifest, topology, level string
-	subnet                    int
-	seconds                   int
+	manifest, topology, level, traces string
+	subnet                            int
+	seconds                           int
 }
 
 func newDev() command {
@@ -46,6 +46,7 @@
 	c.sub.String(&f.manifest, "m", "manifest", "File of a manifest; default a small demonstration.")
 	c.sub.String(&f.topology, "t", "topology", "File that describes the stand-ins, schema/dev.json; default the demonstration's.")
 	c.sub.String(&f.level, "l", "log-level", "Level of the daemons' logs: debug, info, warn or error.")
+	c.sub.String(&f.traces, "", "trace-dir", "Folder for the decision log of each entry, as <instance>.jsonl.")
 	c.sub.Int(&f.subnet, "", "subnet", "Second number of the loopback addresses 127.n.0.x, 1 to 255.")
 	c.sub.Int(&f.seconds, "", "seconds", "Stops after so many seconds; 0 runs until it is interrupted.")
 	return c
@@ -103,7 +104,7 @@
 	spec := devcluster.FromTopology(parsed, raw)
 	spec.Subnet = [2]byte{byte(f.subnet), 0}
 	spec.Timing.BalancerWaitMs = devBalancerWaitMs
-	spec.LogLevel = f.level
+	spec.LogLevel, spec.TraceDir = f.level, f.traces
 	return spec, nil
 }
 
--- a/internal/daemon/recorder.go
+++ b/internal/daemon/recorder.go
@@ -56,9 +56,13 @@
 	return r, nil
 }
 
-// record takes one line. Its time is made relative to the start of the process.
+// record takes one line. Its time becomes relative to the start of the process; a
+// line without a time happens now.
 func (r *recorder) record(line api.TraceRecord) {
-	line.At -= int(r.start.UnixMicro())
+	if line.At == 0 {
+		line.At = int(time.Now().UnixMicro())
+	}
+	line.At = max(line.At-int(r.start.UnixMicro()), 0)
 	r.records.Offer(line)
 }
 
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"path/filepath"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -59,6 +60,9 @@
 	Timing api.TimingSettings
 	// Rating starts a rating service when not nil.
 	Rating *rating.Config
+	// TraceDir receives the decision log of each entry as <instance>.jsonl; empty
+	// records none.
+	TraceDir string
 	// LogLevel is the level of every daemon.
 	LogLevel string
 }
@@ -165,6 +169,9 @@
 		s.Listen.Callers = fmt.Sprintf("%s:%d", ip, CallerPort)
 		s.Listen.Admin = fmt.Sprintf("%s:%d", ip, AdminPort)
 		s.Rating = c.rating
+		if c.spec.TraceDir != "" {
+			s.Trace = &api.TraceSettings{File: filepath.Join(c.spec.TraceDir, s.Instance+".jsonl")}
+		}
 		c.Settings = append(c.Settings, s)
 	}
 	return nil
--- a/internal/loadgen/chat.go
+++ b/internal/loadgen/chat.go
@@ -24,6 +24,12 @@
 	Messages  []api.ChatMessage `json:"messages"`
 	MaxTokens int               `json:"max_tokens"`
 	Stream    bool              `json:"stream"`
+	// StreamOptions asks for the token counts, from which the cost is known.
+	StreamOptions *streamOptions `json:"stream_options,omitempty"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
 }
 
 // chatChunk is a complete response or one chunk of a stream.
@@ -60,6 +66,9 @@
 		Model: class.Model, Messages: messagesOf(g.run, class, a),
 		MaxTokens: maxTokensOf(class, a), Stream: !class.Whole,
 	}}
+	if c.request.Stream {
+		c.request.StreamOptions = &streamOptions{IncludeUsage: true}
+	}
 	s.digest = engine.Digest(c.request.Messages)
 	turn := g.sessions.take(a, class)
 	response, err := g.post(ctx, "/v1/chat/completions", class, a, c.request, turn.token())
