Make a starting entry ready when it can route what the manifest offers

Cause: an entry reported ready as soon as it knew one backend server. Behind a load balancer a restarted entry then refused the first requests for the other versions and services with no_candidate.

Change: readiness waits for a backend server of every version that is not withdrawn and of every service, at most 2 s, since some may have none.

--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -70,6 +70,10 @@
 	counts   counters
 	draining bool
 	drained  bool
+	// settled states that the backend servers were found after the start, and
+	// settleBy when that is assumed.
+	settled  bool
+	settleBy time.Time
 
 	nextPublish time.Time
 	nextProbe   time.Time
@@ -144,6 +148,7 @@
 // tick does what is due at now.
 func (c *Core) tick(now time.Time) {
 	c.fireTimers(now)
+	c.settle(now)
 	c.claimEffects(now, c.book.Handle(now, claims.Tick{}))
 	c.flushUsage(now)
 	c.ratings.expire(now)
@@ -198,11 +203,45 @@
 		return false, "no manifest is in force"
 	case len(c.servers) == 0:
 		return false, "no backend server is known"
+	case !c.settled:
+		return false, "backend servers are being found"
 	default:
 		return true, ""
 	}
 }
 
+// settleLimit bounds the time that a starting entry waits for a backend server of
+// every version and service; some may have none.
+const settleLimit = 2 * time.Second
+
+// settle lets a starting entry become ready when a backend server is known for
+// everything that the manifest offers.
+func (c *Core) settle(now time.Time) {
+	if c.settled || c.snapshot == nil || len(c.servers) == 0 {
+		return
+	}
+	if c.settleBy.IsZero() {
+		c.settleBy = now.Add(settleLimit)
+	}
+	c.settled = c.servesAll() || !now.Before(c.settleBy)
+}
+
+func (c *Core) servesAll() bool {
+	for _, m := range c.snapshot.Manifest.Models {
+		for _, v := range m.Versions {
+			if v.Phase != api.PhaseWithdrawn && !c.fleet.Serves(v.Name) {
+				return false
+			}
+		}
+	}
+	for _, s := range c.snapshot.Manifest.Services {
+		if !c.fleet.ServesService(s.Name) {
+			return false
+		}
+	}
+	return true
+}
+
 // checkDrained reports once that every request has ended and everything that
 // must last is written.
 func (c *Core) checkDrained() {
