--- a/test/e2e/config_test.go
+++ b/test/e2e/config_test.go
@@ -193,6 +193,7 @@
 		t.Logf("%s serves %v after a kill during a store outage", name, took.Round(time.Millisecond))
 		assert.Assert(t, took < servesWithin, "%s was not ready after %v", name, took)
 		l.answered(200)
+		l.waitKind(outage, "store_unavailable")
 		l.refusedAtOnce(outage, "store_unavailable")
 		c.storeFaults(memstore.Faults{})
 		l.recovered("kill of "+name+" during a store outage", time.Now())
--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -89,6 +89,8 @@
 	cmd      *exec.Cmd
 	log      *bytes.Buffer
 	exited   chan struct{}
+	// wasFrozen excuses late answers of an entry.
+	wasFrozen atomic.Bool
 }
 
 // cluster is a deployment with its daemons.
--- a/test/e2e/once_test.go
+++ b/test/e2e/once_test.go
@@ -49,6 +49,7 @@
 		c.storeFaults(f.fault)
 		l.answered(400)
 		if f.fault.Unavailable {
+			l.waitKind(since, "store_unavailable")
 			l.refusedAtOnce(since, "store_unavailable")
 		}
 		c.storeFaults(memstore.Faults{})
--- a/test/e2e/restart_test.go
+++ b/test/e2e/restart_test.go
@@ -46,6 +46,11 @@
 	t.Parallel()
 	c := startCluster(t, faultSpec())
 	l := c.startLoad(3)
+	l.loop(func(id string) {
+		c := longCall("north", versionLarge, "long draft "+id, true, 250)
+		c.deadline = 5 * callDeadline
+		l.do(c)
+	})
 	l.answered(200)
 	since := time.Now()
 	for _, name := range c.all() {
--- a/test/e2e/versions_test.go
+++ b/test/e2e/versions_test.go
@@ -61,3 +61,28 @@
 	assert.Assert(t, refused > 0, "no session on the withdrawn version was refused")
 	l.verdict()
 }
+
+// Guards guarantee 2 against a failure domain that is cut off as a whole: its
+// stale entries and stale sidecars agree with each other.
+func TestWithdrawnVersionStopsInCutOffDomain(t *testing.T) {
+	t.Parallel()
+	n := newNetwork()
+	c := startOn(t, faultSpec(), n)
+	since := time.Now()
+	revision := c.mustCommit(1, withNext(api.PhaseServing))
+	c.waitInForce(revision, since, inForceWithin, c.all()...)
+	l := c.startLoad(2)
+	l.answered(100)
+	away := map[string]bool{}
+	for _, s := range c.Settings {
+		away[s.Instance] = s.FailureDomain == "fd-b"
+	}
+	n.set(func(from, to string) link { return link{cut: away[from] != away[to]} })
+	c.mustCommit(1, withNext(api.PhaseWithdrawn))
+	time.Sleep(inForceWithin)
+	withdrawn := c.runsOf(versionLarge)
+	l.answered(200)
+	assert.Equal(t, c.runsOf(versionLarge), withdrawn, "runs of a withdrawn version after 3 s")
+	n.set(nil)
+	l.verdict()
+}
