--- a/internal/limits/policy_test.go
+++ b/internal/limits/policy_test.go
@@ -71,7 +71,7 @@
 	if entries > 100 {
 		rate = 2 * n
 	}
-	base := loadmodel.Fleet{Seed: 1, Entries: entries, Rate: rate, Offered: 2 * rate, Skew: 1, Duration: time.Minute}
+	base := loadmodel.Fleet{Seed: 1, Entries: entries, Rate: rate, Offered: 2 * rate, Skew: 1, Duration: time.Minute, Hold: 100 * time.Millisecond}
 	with := func(name string, most float64, change func(*loadmodel.Fleet)) fleetCase {
 		run := base
 		change(&run)
@@ -84,6 +84,7 @@
 		with("exchange, demand moves", 1, func(f *loadmodel.Fleet) { f.MoveEvery = 30 * time.Second }),
 		with("exchange, loss, demand moves", 1, func(f *loadmodel.Fleet) { f.MoveEvery, f.Loss = 30*time.Second, 0.3 }),
 		with("exchange, below limit", 1, func(f *loadmodel.Fleet) { f.Offered = 0.8 * rate }),
+		with("exchange, below limit, burst 4s", 1, func(f *loadmodel.Fleet) { f.Offered, f.Burst = 0.8*rate, int(4*rate) }),
 		with("exchange, a tenth more join", joined, func(f *loadmodel.Fleet) { f.JoinAt = 90 * time.Second }),
 		with("baseline: equal split", 0, func(f *loadmodel.Fleet) { f.Share = 1 / n }),
 		with("baseline: equal, below limit", 0, func(f *loadmodel.Fleet) { f.Share, f.Offered = 1/n, 0.8*rate }),
@@ -101,12 +102,70 @@
 		wait.Go(func() { results[i] = cases[i].run.Run() })
 	}
 	wait.Wait()
-	t.Logf("%-30s %7s %7s %6s %6s %8s", "case", "entries", "offered", "over", "mean", "bytes/s")
+	t.Logf("%-32s %7s %7s %6s %6s %8s", "case", "entries", "offered", "over", "mean", "bytes/s")
 	for i, c := range cases {
 		r := results[i]
-		t.Logf("%-30s %7d %7.2f %6.2f %6.2f %8.0f", c.name, c.run.Entries, c.run.Offered/c.run.Rate, r.Over, r.Mean, r.BytesPerSecond)
+		t.Logf("%-32s %7d %7.2f %6.2f %6.2f %8.0f", c.name, c.run.Entries, c.run.Offered/c.run.Rate, r.Over, r.Mean, r.BytesPerSecond)
 		if c.most > 0 {
 			assert.Check(t, r.Over <= c.most, "%s: admitted %.2f of the limit", c.name, r.Over)
 		}
 	}
 }
+
+// Guards against a fleet that runs more of a customer's requests at once than its
+// limit while the demand exceeds it.
+func TestPolicyFleetConcurrency(t *testing.T) {
+	var runs []*loadmodel.Fleet
+	for _, entries := range []int{4, 370} {
+		for _, limit := range []int{entries / 2, 2 * entries} {
+			runs = append(runs, &loadmodel.Fleet{
+				Seed: 1, Entries: entries, Offered: 2 * float64(limit), Skew: 1, MoveEvery: 30 * time.Second,
+				Duration: time.Minute, Concurrency: limit, Hold: time.Second,
+			})
+		}
+	}
+	results := make([]loadmodel.FleetResult, len(runs))
+	var wait sync.WaitGroup
+	for i, run := range runs {
+		wait.Go(func() { results[i] = run.Run() })
+	}
+	wait.Wait()
+	t.Logf("%7s %7s %12s %12s", "entries", "limit", "most running", "mean running")
+	for i, run := range runs {
+		r := results[i]
+		t.Logf("%7d %7d %12.2f %12.2f", run.Entries, run.Concurrency, r.MostRunning, r.MeanRunning)
+		// An entry always has one slot, so below one slot per entry the bound is n.
+		most := max(1, float64(run.Entries)/float64(run.Concurrency))
+		assert.Check(t, r.MostRunning <= most, "%.2f of the limit ran, at most %.2f", r.MostRunning, most)
+	}
+}
+
+// Guards against a concurrency limit that overruns the memory of an engine or
+// leaves it half used.
+func TestPolicyConcurrency(t *testing.T) {
+	t.Logf("%-16s %5s %8s %5s %9s %8s", "limit", "knee", "goodput", "late", "lookup95", "draft95")
+	for _, knee := range []int{8, 16, 32, 64} {
+		goodput := map[bool]float64{}
+		for _, adaptive := range []bool{false, true} {
+			run := loadmodel.Overload{
+				Seed: 1, Load: 2, Entries: 4, Duration: 30 * time.Minute, Customers: 10, LargeShare: 0.6,
+				Queue: limits.NewFairQueue(limits.Options{}), Knee: knee,
+			}
+			name := "fixed 32"
+			if adaptive {
+				name = "adaptive from 32"
+				run.Limit = limits.NewConcurrency(limits.ConcurrencyOptions{Slots: 32})
+			}
+			r := run.Run()
+			goodput[adaptive] = r.Goodput()
+			t.Logf("%-16s %5d %8.3f %5d %9s %8s", name, knee, r.Goodput(), r.Late,
+				loadmodel.Percentile(r.Lookups, 0.95).Round(time.Millisecond),
+				loadmodel.Percentile(r.Drafts, 0.95).Round(100*time.Millisecond))
+		}
+		if knee == 32 {
+			assert.Check(t, goodput[true] > 0.9, "goodput %.3f with the right number of slots", goodput[true])
+		} else {
+			assert.Check(t, goodput[true] > goodput[false], "adapting gains nothing at a knee of %d", knee)
+		}
+	}
+}
--- a/internal/policybench/loadmodel/fleet.go
+++ b/internal/policybench/loadmodel/fleet.go
@@ -17,6 +17,12 @@
 	Entries int
 	// Rate is the customer's limit and Offered its demand, in requests/s.
 	Rate, Offered float64
+	// Burst is the customer's burst in requests; 0 means one second of the rate.
+	Burst int
+	// Concurrency is the customer's limit of running requests, which take Hold each;
+	// 0 means no limit.
+	Concurrency int
+	Hold        time.Duration
 	// Skew is the exponent of the Zipf distribution of demand over the entries; 0
 	// means equal parts.
 	Skew float64
@@ -39,15 +45,21 @@
 	bytes    int
 	admitted []int
 	offered  []int
+	running  int
+	held     time.Duration
+	most     int
 }
 
 // FleetResult is what a run measured after the warm-up.
 type FleetResult struct {
 	// Over is the most admitted in any 10 s relative to the limit of that span,
-	// burst of one second and one request for each entry included.
+	// burst and one request for each entry included.
 	Over float64
 	// Mean is the admitted rate relative to the smaller of limit and demand.
 	Mean float64
+	// MostRunning is the largest number of running requests relative to the limit,
+	// and MeanRunning the mean.
+	MostRunning, MeanRunning float64
 	// BytesPerSecond is the size of the demand records that an entry sends.
 	BytesPerSecond float64
 }
@@ -94,7 +106,7 @@
 	}
 	c := limits.NewCustomers(fmt.Sprint("entry-", len(f.entries)))
 	c.SetEntries(known)
-	c.Apply(Snapshot(api.Customer{Name: fleetCustomer, RequestsPerSecond: rate, Burst: max(1, int(rate))}))
+	c.Apply(Snapshot(api.Customer{Name: fleetCustomer, RequestsPerSecond: rate, Burst: f.Burst, Concurrency: f.Concurrency}))
 	f.entries = append(f.entries, c)
 }
 
@@ -134,7 +146,15 @@
 		return
 	}
 	f.admitted[second]++
-	f.sim.After(100*time.Millisecond, func() { c.Done(f.sim.Now, fleetCustomer) })
+	f.running++
+	if f.sim.Now.Sub(Epoch) >= fleetWarmUp {
+		f.held += f.Hold
+		f.most = max(f.most, f.running)
+	}
+	f.sim.After(f.Hold, func() {
+		f.running--
+		c.Done(f.sim.Now, fleetCustomer)
+	})
 }
 
 // exchange makes every entry send one digest to a random peer, which answers
@@ -164,7 +184,11 @@
 func (f *Fleet) result() FleetResult {
 	out := FleetResult{}
 	warm := int(fleetWarmUp / time.Second)
-	allowed := f.Rate*fleetWindow + math.Max(1, f.Rate) + float64(len(f.entries))
+	burst := math.Max(1, f.Rate)
+	if f.Burst > 0 {
+		burst = float64(f.Burst)
+	}
+	allowed := f.Rate*fleetWindow + burst + float64(len(f.entries))
 	admitted, offered := 0, 0
 	for i := warm; i+fleetWindow < len(f.admitted); i++ {
 		sum := 0
@@ -179,6 +203,10 @@
 	}
 	limit := f.Rate * f.Duration.Seconds()
 	out.Mean = float64(admitted) / math.Min(limit, float64(offered))
+	if f.Concurrency > 0 {
+		out.MostRunning = float64(f.most) / float64(f.Concurrency)
+		out.MeanRunning = f.held.Seconds() / f.Duration.Seconds() / float64(f.Concurrency)
+	}
 	out.BytesPerSecond = float64(f.bytes) / float64(len(f.entries)) / (f.Duration + fleetWarmUp).Seconds()
 	return out
 }
