--- /dev/null
+++ b/docs/docs.go
@@ -0,0 +1,3 @@
+// Package docs holds the pages of the project; its tests keep them in step with
+// the code.
+package docs
