Let only the operator that the first manifest names commit it

Change: without a manifest only a commit without a base is taken, and only from a key that the new manifest names; the store refuses it when there is a manifest. Measured: TestFirstCommitNeedsItsOwnOperator; before the change a key that nobody knows was accepted (read in the code, the old test did not exist). Conclusion: status and check answer not_ready until a manifest is in force.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -43,9 +43,6 @@
 	Backend   Backend
 	Store     platform.Store
 	BodyBytes int64
-	// Bootstrap accepts any key while no manifest is in force, so that the first
-	// manifest can be committed.
-	Bootstrap bool
 }
 
 type handler struct {
@@ -57,20 +54,21 @@
 func NewHandler(o Options) http.Handler {
 	h := &handler{Options: o, committer: manifest.NewCommitter(o.Store)}
 	router := mux.NewRouter()
+	// A commit authenticates by itself, since the first one has no manifest to
+	// look the key up in.
+	router.HandleFunc("/admin/v1/manifest", h.commit).Methods(http.MethodPut)
 	api := router.PathPrefix("/admin/v1").Subrouter()
 	api.Use(h.authenticate)
 	api.HandleFunc("/status", h.status).Methods(http.MethodGet)
 	api.HandleFunc("/usage", h.usage).Methods(http.MethodGet)
 	api.HandleFunc("/manifest", h.show).Methods(http.MethodGet)
 	api.HandleFunc("/manifest/check", h.check).Methods(http.MethodPost)
-	api.HandleFunc("/manifest", h.commit).Methods(http.MethodPut)
 	return router
 }
 
 func (h *handler) authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if err := h.authorized(key); err != nil {
+		if err := h.authorized(keyOf(r)); err != nil {
 			writeError(w, err)
 			return
 		}
@@ -78,12 +76,13 @@
 	})
 }
 
+func keyOf(r *http.Request) string {
+	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+}
+
 func (h *handler) authorized(key string) error {
 	snapshot := h.Backend.Snapshot()
 	if snapshot == nil {
-		if h.Bootstrap && key != "" {
-			return nil
-		}
 		return errkind.New(errkind.NotReady, "no manifest is in force")
 	}
 	if _, ok := snapshot.OperatorByKey(key); !ok {
@@ -92,6 +91,23 @@
 	return nil
 }
 
+// authorizedFirst admits the commit of the first manifest: it must name the
+// caller's key as an operator's, and be based on no revision, so that the store
+// refuses it when there is a manifest that this process has not read yet.
+func authorizedFirst(key string, raw []byte, base api.Revision) error {
+	if base != (api.Revision{}) {
+		return errkind.New(errkind.NotReady, "no manifest is in force")
+	}
+	first, err := manifest.Compile(raw, api.Revision{})
+	if err != nil {
+		return err
+	}
+	if _, ok := first.OperatorByKey(key); !ok {
+		return errkind.New(errkind.Unauthenticated, "the first manifest must name this key as an operator's")
+	}
+	return nil
+}
+
 func (h *handler) status(w http.ResponseWriter, r *http.Request) {
 	status, err := h.Backend.Status(r.Context())
 	if err != nil {
@@ -181,19 +197,26 @@
 		writeError(w, err)
 		return
 	}
+	if h.Backend.Snapshot() != nil {
+		if err := h.authorized(keyOf(r)); err != nil {
+			writeError(w, err)
+			return
+		}
+	}
 	raw, err := h.body(w, r)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	revision, err := h.committer.Commit(r.Context(), manifest.CommitRequest{Raw: raw, Base: base, InForce: h.Backend.Snapshot()})
-	var faults schemacheck.Faults
-	if errors.As(err, &faults) {
-		writeJSON(w, http.StatusUnprocessableEntity, CheckResult{Faults: faults, Revision: base})
-		return
+	if h.Backend.Snapshot() == nil {
+		if err := authorizedFirst(keyOf(r), raw, base); err != nil {
+			h.refuseCommit(w, base, err)
+			return
+		}
 	}
+	revision, err := h.committer.Commit(r.Context(), manifest.CommitRequest{Raw: raw, Base: base, InForce: h.Backend.Snapshot()})
 	if err != nil {
-		writeError(w, err)
+		h.refuseCommit(w, base, err)
 		return
 	}
 	h.Backend.Committed(api.ConfigOffer{Revision: revision, Manifest: raw})
@@ -202,6 +225,16 @@
 	}{revision})
 }
 
+// refuseCommit answers with the faults of an invalid manifest, or with the error.
+func (h *handler) refuseCommit(w http.ResponseWriter, base api.Revision, err error) {
+	var faults schemacheck.Faults
+	if errors.As(err, &faults) {
+		writeJSON(w, http.StatusUnprocessableEntity, CheckResult{Faults: faults, Revision: base})
+		return
+	}
+	writeError(w, err)
+}
+
 func baseRevision(r *http.Request) (api.Revision, error) {
 	generation, errGeneration := strconv.Atoi(r.URL.Query().Get("generation"))
 	version, errVersion := strconv.Atoi(r.URL.Query().Get("version"))
--- /dev/null
+++ b/internal/admin/admin_test.go
@@ -0,0 +1,104 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/manifest"
+	"github.com/borageflow/borageflow/internal/standin/memstore"
+)
+
+// fakeEntry holds a manifest as an entry does.
+type fakeEntry struct{ snapshot *manifest.Snapshot }
+
+// Snapshot implements Backend.
+func (f *fakeEntry) Snapshot() *manifest.Snapshot { return f.snapshot }
+
+// Status implements Backend.
+func (f *fakeEntry) Status(context.Context) (api.Status, error) {
+	return api.Status{Instance: "e", Revision: f.snapshot.Revision}, nil
+}
+
+// Committed implements Backend.
+func (f *fakeEntry) Committed(offer api.ConfigOffer) {
+	f.snapshot, _ = manifest.Compile(offer.Manifest, offer.Revision)
+}
+
+func testManifest(key, description string) string {
+	return `{"schemaVersion":1,"description":"` + description + `","operators":[{"name":"op","keyHash":"` + manifest.HashKey(key) + `"}],
+ "customers":[{"name":"c","keyHashes":["` + manifest.HashKey("customer") + `"],"models":["m"]}],
+ "models":[{"name":"m","versions":[{"name":"m-1","phase":"serving","costPerKiloToken":1}]}],
+ "classes":[{"name":"q","qualityTarget":0.5,"deadlineMs":10,"weighting":"latency"}]}`
+}
+
+func newTestHandler() (*fakeEntry, http.Handler) {
+	entry := &fakeEntry{}
+	return entry, NewHandler(Options{Backend: entry, Store: memstore.New(), BodyBytes: 1 << 20})
+}
+
+func call(h http.Handler, method, path, key, body string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+key)
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+	return w
+}
+
+const commitFirst = "/admin/v1/manifest?generation=0&version=0"
+
+// Guards against anybody committing through an entry that has no manifest yet.
+func TestFirstCommitNeedsItsOwnOperator(t *testing.T) {
+	entry, h := newTestHandler()
+	w := call(h, http.MethodPut, commitFirst, "stranger", testManifest("operator", "first"))
+	assert.Equal(t, w.Code, http.StatusUnauthorized, w.Body.String())
+	w = call(h, http.MethodPut, "/admin/v1/manifest?generation=1&version=1", "operator", testManifest("operator", "first"))
+	assert.Equal(t, w.Code, http.StatusServiceUnavailable, w.Body.String())
+	assert.Equal(t, call(h, http.MethodGet, "/admin/v1/status", "operator", "").Code, http.StatusServiceUnavailable)
+	w = call(h, http.MethodPut, commitFirst, "operator", testManifest("operator", "first"))
+	assert.Equal(t, w.Code, http.StatusOK, w.Body.String())
+	assert.Assert(t, entry.snapshot != nil)
+
+	entry.snapshot = nil
+	w = call(h, http.MethodPut, commitFirst, "other", testManifest("other", "overwrites"))
+	assert.Equal(t, w.Code, http.StatusConflict, w.Body.String())
+}
+
+// Guards against operators that overwrite each other, and against a conflict that
+// does not name the other's revision.
+func TestRacingCommitIsRefused(t *testing.T) {
+	entry, h := newTestHandler()
+	assert.Equal(t, call(h, http.MethodPut, commitFirst, "operator", testManifest("operator", "first")).Code, http.StatusOK)
+	base := entry.snapshot.Revision
+	path := "/admin/v1/manifest?generation=" + itoa(base.Generation) + "&version=" + itoa(base.Version)
+	assert.Equal(t, call(h, http.MethodPut, path, "operator", testManifest("operator", "second")).Code, http.StatusOK)
+	w := call(h, http.MethodPut, path, "operator", testManifest("operator", "third"))
+	assert.Equal(t, w.Code, http.StatusConflict, w.Body.String())
+	var failure Failure
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &failure))
+	assert.Equal(t, failure.Kind, errkind.Conflict)
+	assert.Equal(t, *failure.Present, entry.snapshot.Revision)
+}
+
+// Guards against a wrong key or an invalid manifest being accepted.
+func TestKeyAndManifestAreChecked(t *testing.T) {
+	_, h := newTestHandler()
+	assert.Equal(t, call(h, http.MethodPut, commitFirst, "operator", testManifest("operator", "first")).Code, http.StatusOK)
+	assert.Equal(t, call(h, http.MethodGet, "/admin/v1/status", "customer", "").Code, http.StatusUnauthorized)
+	w := call(h, http.MethodPost, "/admin/v1/manifest/check", "operator", `{"schemaVersion":2}`)
+	var result CheckResult
+	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &result))
+	assert.Assert(t, !result.Valid && len(result.Faults) > 1, "%+v", result)
+}
+
+func itoa(n int) string {
+	raw, _ := json.Marshal(n)
+	return string(raw)
+}
--- a/internal/daemon/entryadmin.go
+++ b/internal/daemon/entryadmin.go
@@ -59,7 +59,7 @@
 	}
 	d.admin = &http.Server{
 		Handler: admin.NewHandler(admin.Options{
-			Backend: adminBackend{d}, Store: d.store, BodyBytes: platform.MaxValueBytes, Bootstrap: true,
+			Backend: adminBackend{d}, Store: d.store, BodyBytes: platform.MaxValueBytes,
 		}),
 		ReadHeaderTimeout: ms(s.Limits.ReadTimeoutMs), ReadTimeout: ms(s.Limits.ReadTimeoutMs), IdleTimeout: time.Minute,
 		MaxHeaderBytes: s.Limits.HeaderBytes, ErrorLog: zap.NewStdLog(observe.Part(d.log, "admin")),
