Keep the answer of an earlier stage for classes that weigh latency

Cause: when an escalated request failed at its next stage, the answer at hand was thrown away and the caller got an error. Change: a class that weighs latency gets the earlier answer; a class that weighs exposure gets the error, since a wrong answer costs it more than none. Conclusion: the answer's version and session name the version that gave it.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -323,11 +323,7 @@
 	})
 	c.observeAnswer(now, r, result, !decision.Accept)
 	if !decision.Accept {
-		r.stage = decision.Stage
-		r.previousVersion, r.previousConfidence = r.version, result.Confidence
-		if err := c.startStage(now, r); err != nil {
-			c.fail(now, r, err)
-		}
+		c.escalate(now, r, decision.Stage, result)
 		return
 	}
 	if r.first.IsZero() {
@@ -336,6 +332,32 @@
 	c.succeed(now, r, Answer{Text: result.Text, FinishReason: result.FinishReason})
 }
 
+// escalate starts the next stage. A class that weighs latency keeps the answer at
+// hand, since a plain answer is worth more to it than none.
+func (c *Core) escalate(now time.Time, r *request, stage int, result *api.RunResult) {
+	if r.class.Weighting == api.WeightingLatency {
+		r.fallback = &fallback{version: r.version, token: r.token, text: result.Text, finishReason: result.FinishReason}
+	}
+	r.stage = stage
+	r.previousVersion, r.previousConfidence = r.version, result.Confidence
+	if err := c.startStage(now, r); err != nil {
+		c.failStage(now, r, err)
+	}
+}
+
+// failStage ends the request with the answer of an earlier stage, or with the
+// error of the present one.
+func (c *Core) failStage(now time.Time, r *request, err *errkind.Error) {
+	kept := r.fallback
+	if kept == nil || r.delivered > 0 {
+		c.fail(now, r, err)
+		return
+	}
+	r.version, r.token = kept.version, kept.token
+	r.first = now
+	c.succeed(now, r, Answer{Text: kept.text, FinishReason: kept.finishReason})
+}
+
 func (c *Core) serviceSucceeded(now time.Time, r *request, result *api.RunResult) {
 	body := json.RawMessage("null")
 	if result.Body != nil {
@@ -357,7 +379,7 @@
 		return
 	}
 	c.settleClaim(now, r, d.RunState)
-	c.fail(now, r, err)
+	c.failStage(now, r, err)
 }
 
 func failMessage(d retry.Fail) string {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -53,8 +53,10 @@
 	attempts     map[int]*attempt
 	part         api.Part
 
-	claim   *claims.Key
-	granted bool
+	// fallback is the answer of the stage before, when the class prefers it to none.
+	fallback *fallback
+	claim    *claims.Key
+	granted  bool
 	// reserved states that the usage buffer holds room for the present stage.
 	reserved bool
 
@@ -72,6 +74,11 @@
 	text    []byte
 }
 
+// fallback is an answer that was not good enough to be delivered at once.
+type fallback struct {
+	version, token, text, finishReason string
+}
+
 // requestArrived admits a request and starts its first stage.
 func (c *Core) requestArrived(now time.Time, e RequestArrived) {
 	r := &request{RequestArrived: e, arrived: now, attempts: map[int]*attempt{}}
