Pass the engines' cache events to the entries

Cause: nothing called Fleet.CacheEvent, so an entry knew only the prefixes that it had sent itself. Several entries then cached the same prefix on several engines, and evictions were noticed by misses only.

Change: the sidecar reads GET /v1/events every 500 ms and adds the changes that an entry has not got yet to its results and probe answers, at most 32 a message and 1 KB/s in all. Prefixes are combined with the version, since an engine caches a prefix for one version. The last event is read again with the new ones, which shows a restarted engine.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -110,6 +110,17 @@
 	Total int `json:"total,omitempty,omitzero"`
 }
 
+// CacheNews lists changes of the prefix cache of one engine. A key is 16 hex
+// digits and stands for a prefix under one version. Changes may be late or
+// missing.
+type CacheNews struct {
+	// Cached lists keys that the engine now holds.
+	Cached []string `json:"cached,omitempty,omitzero"`
+
+	// Evicted lists keys that the engine no longer holds.
+	Evicted []string `json:"evicted,omitempty,omitzero"`
+}
+
 // CancelParams stops one attempt.
 type CancelParams struct {
 	// Attempt corresponds to the JSON schema field "attempt".
@@ -1273,6 +1284,9 @@
 
 // ProbeResult answers a probe.
 type ProbeResult struct {
+	// CacheNews corresponds to the JSON schema field "cacheNews".
+	CacheNews *CacheNews `json:"cacheNews,omitempty,omitzero"`
+
 	// Load corresponds to the JSON schema field "load".
 	Load LoadReport `json:"load"`
 
@@ -1500,6 +1514,9 @@
 	// Body is the answer of a service call.
 	Body *json.RawMessage `json:"body,omitempty,omitzero"`
 
+	// CacheNews corresponds to the JSON schema field "cacheNews".
+	CacheNews *CacheNews `json:"cacheNews,omitempty,omitzero"`
+
 	// CachedTokens corresponds to the JSON schema field "cachedTokens".
 	CachedTokens int `json:"cachedTokens,omitempty,omitzero"`
 
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -147,7 +147,7 @@
 	case peer.MethodUsageHold:
 		h.loop.serveHold(call)
 	case peer.MethodProbe:
-		h.probe(call)
+		h.probe(link, call)
 	default:
 		if !h.serve(link, call) {
 			unknownMethod(call)
@@ -157,9 +157,9 @@
 
 // probe answers without the main loop, so that a blocked loop is reported
 // instead of hidden by silence.
-func (h *sidecarHandler) probe(call *peer.Call) {
+func (h *sidecarHandler) probe(link *peer.Link, call *peer.Call) {
 	hello := h.control.hello()
-	result := api.ProbeResult{Member: hello.Member, Revision: hello.Revision}
+	result := api.ProbeResult{Member: hello.Member, Revision: hello.Revision, CacheNews: h.loop.cache.take(link)}
 	if load := h.loop.load.Load(); load != nil {
 		result.Load = *load
 	}
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -47,6 +47,7 @@
 		ctx: c.ctx, drained: make(chan struct{}),
 		links: map[*peer.Link]*entryLink{}, byID: map[sidecar.LinkID]*entryLink{},
 	}
+	d.loop.cache = newCacheNews(d.loop.backend, observe.Part(c.log, "cache"))
 	d.control.onSnapshot = func(s *manifest.Snapshot) {
 		d.loop.events.Put(c.ctx, sidecar.SnapshotApplied{Snapshot: s})
 	}
@@ -81,6 +82,9 @@
 	d.revisionMetrics(d.control)
 	d.duty(d.loop.run)
 	d.duty(d.loop.pollLoad)
+	if d.settings.Backend.Kind == api.BackendKindEngine {
+		d.duty(d.loop.cache.run)
+	}
 	d.duty(d.control.run)
 	d.log.Info("sidecar has started", zap.String("peer", d.self.Address), zap.String("backend_server", d.settings.Backend.Name))
 	return nil
--- a/internal/daemon/sidecarlink.go
+++ b/internal/daemon/sidecarlink.go
@@ -42,6 +42,7 @@
 		delete(l.byID, e.id)
 	}
 	l.mu.Unlock()
+	l.cache.forget(p)
 	if ok {
 		l.events.Put(l.ctx, sidecar.LinkClosed{Link: e.id})
 	}
@@ -126,6 +127,7 @@
 	if !ok {
 		return
 	}
+	e.Result.CacheNews = l.cache.take(to.link)
 	to.offer(l.log, func() { call.(*peer.Call).Respond(e.Result) })
 }
 
--- a/internal/daemon/sidecarloop.go
+++ b/internal/daemon/sidecarloop.go
@@ -41,6 +41,7 @@
 	member  func(api.Member)
 	offer   func(api.ConfigOffer)
 	confirm func()
+	cache   *cacheNews
 	log     *zap.Logger
 
 	ctx     context.Context
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -85,7 +85,7 @@
 	}
 	a.server, a.address, a.sent = pick.Server, pick.Address, now
 	a.work = c.fleet.Start(now, pick.Server, routing.Work{
-		Prefix: r.prefix, PromptTokens: r.promptTokens, MaxTokens: r.MaxTokens - a.offset, Short: c.short(r),
+		Prefix: routing.PrefixKey(a.version, r.prefix), PromptTokens: r.promptTokens, MaxTokens: r.MaxTokens - a.offset, Short: c.short(r),
 	})
 	c.apply(now, r, r.machine.Handle(now, retry.AttemptStarted{Attempt: a.number - r.firstAttempt, Server: pick.Server}))
 	c.counts.attempts++
@@ -96,7 +96,8 @@
 // pick prefers servers that earlier attempts did not use; a hedge requires one.
 func (c *Core) pick(now time.Time, r *request, a *attempt) (routing.Pick, bool) {
 	q := routing.Query{
-		Prefix: r.prefix, PromptTokens: r.promptTokens, MaxTokens: r.MaxTokens, Short: c.short(r), Exclude: a.exclude,
+		Prefix: routing.PrefixKey(a.version, r.prefix), PromptTokens: r.promptTokens, MaxTokens: r.MaxTokens,
+		Short: c.short(r), Exclude: a.exclude,
 	}
 	if r.Kind == api.RunKindService {
 		q.Service = r.Service
@@ -216,11 +217,12 @@
 	}
 }
 
-// learn takes the load report and a newer manifest from a result.
+// learn takes the load report, cache changes and a newer manifest from a result.
 func (c *Core) learn(now time.Time, a *attempt, result *api.RunResult) {
 	if result.Load != nil {
 		c.fleet.Report(now, a.server, *result.Load)
 	}
+	c.cacheNews(now, a.server, a.work.Incarnation, result.CacheNews)
 	if result.Config != nil {
 		c.emit(OfferConfig{Offer: *result.Config})
 	}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -66,6 +66,7 @@
 		return
 	}
 	c.fleet.Report(now, e.BackendServer, e.Result.Load)
+	c.cacheNews(now, e.BackendServer, e.Result.Member.Incarnation, e.Result.CacheNews)
 }
 
 func (c *Core) sessionKeysRead(value []byte) {
