Hand claims to the usual writer of their shard

Change: an entry sends claims.claim to the usual writer and claims.end to the entry that decided the claim. A claim that never left is made in the entry's own Book; one that may have arrived is answered not_run with Retry-After and released. The writer answers an end when it is stored (new effect Noted of claims) and refuses a claim whose release or deadline came first. A release cancels a claim that still waits in the Book. claims.end becomes a call, so that a lost completion is stored by the entry itself.

Before/after: TestClaimsAreHandedOver and TestLostGrantIsReleased need the hand-over and pass with it.

Conclusion: one grant per key holds through lost, late and refused calls.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -128,7 +128,8 @@
 	Role string `json:"role"`
 }
 
-// ClaimEndParams reports the end of a granted request, notification claims.end.
+// ClaimEndParams reports the end of a handed claim, method claims.end. It is
+// answered when the end is stored.
 type ClaimEndParams struct {
 	// Answer is the base64 of the answer.
 	Answer string `json:"answer,omitempty,omitzero"`
--- a/internal/claims/book.go
+++ b/internal/claims/book.go
@@ -41,6 +41,7 @@
 	case Completed:
 		return b.note(now, e.Key, b.completedRecord(e))
 	case Released:
+		b.shardOf(e.Key).cancel(now, e)
 		return b.note(now, e.Key, api.ClaimRecord{Request: e.Request, State: api.ClaimStateReleased})
 	case Unknown:
 		return b.note(now, e.Key, api.ClaimRecord{Request: e.Request, State: api.ClaimStateUnknown})
--- a/internal/claims/build.go
+++ b/internal/claims/build.go
@@ -11,7 +11,7 @@
 func (s *shard) build(now time.Time) (b *batch, out []Effect, stale bool) {
 	b = &batch{notes: map[*note]bool{}, encoded: append([]byte(nil), s.head.encoded...)}
 	changed := map[hash]keyState{}
-	stale = s.buildNotes(b, changed)
+	out, stale = s.buildNotes(b, changed)
 	keep := s.waiting[:0]
 	for _, p := range s.waiting {
 		effect, done, needsRead := s.decide(now, p, b, changed)
@@ -30,7 +30,7 @@
 
 // buildNotes adds the valid notes and drops those that a fresh state shows to
 // be superseded.
-func (s *shard) buildNotes(b *batch, changed map[hash]keyState) (stale bool) {
+func (s *shard) buildNotes(b *batch, changed map[hash]keyState) (out []Effect, stale bool) {
 	keep := s.notes[:0]
 	for _, n := range s.notes {
 		next, valid := fold(s.state(n.hash, changed), n.record, s.head.window)
@@ -43,6 +43,7 @@
 			b.notes[n] = true
 		case valid || n.fence:
 		case s.freshAt > n.sequence:
+			out = append(out, n.stored())
 			continue
 		default:
 			stale = true
@@ -51,7 +52,7 @@
 	}
 	clear(s.notes[len(keep):])
 	s.notes = keep
-	return stale
+	return out, stale
 }
 
 func (s *shard) state(h hash, changed map[hash]keyState) keyState {
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -259,6 +259,15 @@
 // Alarm reports a state that only a restored or damaged store explains.
 type Alarm struct{ Message string }
 
+// Noted reports that the end of a request is stored, or that the log shows it to
+// be superseded. Either way it needs not be stated again.
+type Noted struct {
+	// Record is the stored form of the key.
+	Record  string
+	Request string
+}
+
+func (Noted) effect()       {}
 func (ReadObject) effect()  {}
 func (WriteObject) effect() {}
 func (Resolved) effect()    {}
--- a/internal/claims/shard.go
+++ b/internal/claims/shard.go
@@ -107,6 +107,16 @@
 	s.notes = append(s.notes, &note{record: r, hash: h, arrived: now, sequence: s.sequence, fence: fence})
 }
 
+func (n *note) stored() Noted { return Noted{Record: n.record.Key, Request: n.record.Request} }
+
+// cancel refuses the waiting claim of a request that its owner has given up: its
+// release would be dropped while the claim is not in the log yet.
+func (s *shard) cancel(now time.Time, e Released) {
+	if p := s.find(api.ClaimRecord{Key: e.Key.Record(), Request: e.Request}); p != nil {
+		p.arrived = now.Add(-s.opts.ClaimTimeout)
+	}
+}
+
 func releaseOf(r api.ClaimRecord) api.ClaimRecord {
 	return api.ClaimRecord{Key: r.Key, Request: r.Request, State: api.ClaimStateReleased}
 }
@@ -328,15 +338,18 @@
 	s.head.version, s.head.sealed, s.head.sealedAt = version, b.sealed, b.sealedAt
 	s.head.records = append(s.head.records, b.records...)
 	s.head.encoded = b.encoded
+	var out []Effect
 	keep := s.notes[:0]
 	for _, n := range s.notes {
-		if !b.notes[n] {
-			keep = append(keep, n)
+		if b.notes[n] {
+			out = append(out, n.stored())
+			continue
 		}
+		keep = append(keep, n)
 	}
 	clear(s.notes[len(keep):])
 	s.notes = keep
-	out := s.applyAll(now, b.records)
+	out = append(out, s.applyAll(now, b.records)...)
 	if b.sealed {
 		s.roll()
 		out = append(out, s.hintAfterRoll()...)
--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -56,6 +56,8 @@
 	// nextStats is when the main loop publishes its figures again.
 	nextStats time.Time
 
+	offers offeredCalls
+
 	mu      sync.Mutex
 	streams map[string]*callerapi.Stream
 }
@@ -148,6 +150,8 @@
 		l.outbox.send(notice{e.Address, peer.MethodUsageConfirm, e.Confirm})
 	case entry.HoldUsage:
 		go l.holdUsage(e)
+	case entry.ClaimEffect:
+		l.applyClaim(e)
 	case entry.ReadObject:
 		go l.readObject(e)
 	case entry.WriteObject:
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -79,6 +79,10 @@
 		if call.Decode(&leaving) == nil {
 			h.loop.events.Put(h.loop.ctx, entry.PeerLeaving{Instance: leaving.Instance, Incarnation: leaving.Incarnation})
 		}
+	case peer.MethodClaim:
+		h.loop.serveClaim(call)
+	case peer.MethodClaimEnd:
+		h.loop.serveClaimEnd(call)
 	default:
 		if !h.serve(link, call) {
 			unknownMethod(call)
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -58,6 +58,7 @@
 	budgets   *retry.Budgets
 	delays    map[delayKey]*retry.Delays
 	book      *claims.Book
+	handover  handover
 	usage     *usage.Buffer
 	keys      *session.Keys
 
@@ -99,6 +100,7 @@
 		budgets:   retry.NewBudgets(retry.BudgetOptions{}),
 		delays:    map[delayKey]*retry.Delays{},
 		book:      claims.NewBook(cfg.Self.Instance, int64(cfg.Self.Incarnation), claims.Options{Window: cfg.ClaimWindow}),
+		handover:  newHandover(),
 		usage:     usage.NewBuffer(int64(cfg.Self.Incarnation), usage.Options{MaxBytes: cfg.UsageBytes, FlushEvery: cfg.UsageFlush}),
 		requests:  map[string]*request{},
 		ratings:   newRatingSet(),
@@ -132,6 +134,8 @@
 		c.peerLeaving(now, e)
 	case DigestReceived:
 		c.digestReceived(now, e)
+	case claimEvent:
+		c.claimEvent(now, e)
 	case UsageHeld:
 		c.answerHeld(now, e.Request)
 	case SessionKeysRead:
@@ -149,6 +153,7 @@
 func (c *Core) tick(now time.Time) {
 	c.fireTimers(now)
 	c.claimEffects(now, c.book.Handle(now, claims.Tick{}))
+	c.tickHandover(now)
 	c.flushUsage(now)
 	c.tickRollouts(now)
 	c.ratings.expire(now)
@@ -214,7 +219,7 @@
 	if !c.draining || c.drained {
 		return
 	}
-	if len(c.requests) > 0 || c.usage.Records() > 0 || c.book.Unwritten() > 0 {
+	if len(c.requests) > 0 || c.usage.Records() > 0 || c.book.Unwritten() > 0 || c.handover.open() {
 		return
 	}
 	c.drained = true
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -124,9 +124,11 @@
 	r.claim = &claims.Key{
 		Customer: r.customer.Name, Service: r.Service, Operation: r.Operation, IdempotencyKey: r.IdempotencyKey,
 	}
-	c.claimEffects(now, c.book.Handle(now, claims.Claim{
-		Key: *r.claim, Request: r.Request, BodyDigest: digestOf(r.Body), Until: r.deadline,
-	}))
+	claim := claims.Claim{Key: *r.claim, Request: r.Request, BodyDigest: digestOf(r.Body), Until: r.deadline}
+	if c.handClaim(now, claim) {
+		return
+	}
+	c.claimEffects(now, c.book.Handle(now, claim))
 }
 
 func (c *Core) claimEffects(now time.Time, effects []claims.Effect) {
@@ -137,19 +139,25 @@
 		case claims.WriteObject:
 			c.emit(WriteObject{Key: e.ObjectKey, Value: e.Value, IfVersion: e.IfVersion})
 		case claims.Resolved:
-			c.claimResolved(now, e)
+			if !c.answerOffer(e) {
+				c.claimResolved(now, e, "")
+			}
+		case claims.Noted:
+			c.endNoted(e)
 		case claims.Alarm:
 			c.counts.alarm(e.Message)
 		}
 	}
 }
 
-func (c *Core) claimResolved(now time.Time, e claims.Resolved) {
+// claimResolved takes the decision of this entry's Book or of the writer at via.
+func (c *Core) claimResolved(now time.Time, e claims.Resolved, via string) {
 	r, ok := c.requests[e.Request]
 	if !ok {
-		c.releaseOrphan(now, e)
+		c.releaseOrphan(now, e, via)
 		return
 	}
+	r.claimVia = via
 	if e.Result == claims.Granted {
 		r.granted = true
 		if r.answered {
@@ -169,9 +177,9 @@
 }
 
 // releaseOrphan gives back a grant whose request was answered in the meantime.
-func (c *Core) releaseOrphan(now time.Time, e claims.Resolved) {
+func (c *Core) releaseOrphan(now time.Time, e claims.Resolved, via string) {
 	if e.Result == claims.Granted {
-		c.claimEffects(now, c.book.Handle(now, claims.Released{Key: e.Key, Request: e.Request}))
+		c.endClaim(now, via, e.Request, claims.Released{Key: e.Key, Request: e.Request})
 	}
 }
 
@@ -187,9 +195,9 @@
 		return
 	}
 	r.granted = false
-	c.claimEffects(now, c.book.Handle(now, claims.Completed{
+	c.endClaim(now, r.claimVia, r.Request, claims.Completed{
 		Key: *r.claim, Request: r.Request, Answer: claims.Answer{Body: body},
-	}))
+	})
 }
 
 // settleClaim records the end of a claimed call that brought no answer.
@@ -202,7 +210,7 @@
 	if state == api.RunStateNotRun {
 		event = claims.Released{Key: *r.claim, Request: r.Request}
 	}
-	c.claimEffects(now, c.book.Handle(now, event))
+	c.endClaim(now, r.claimVia, r.Request, event)
 }
 
 // recordUsage bills a stage that ran, once.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -55,6 +55,9 @@
 
 	claim   *claims.Key
 	granted bool
+	// claimVia is the address of the entry whose Book decided the claim; empty
+	// means this entry.
+	claimVia string
 	// reserved states that the usage buffer holds room for the present stage.
 	reserved bool
 
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -37,6 +37,7 @@
 	c.healthServers(now, members)
 	c.customers.SetEntries(len(entries))
 	c.rollouts.entries = entries
+	c.handover.setMembers(members, c.cfg.Self.Instance)
 	c.setClaimEntries(now, entries)
 	c.applyWeights()
 	c.giveUpSilent(now, members)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,6 +30,8 @@
 	MethodLeaving      = "leaving"
 	MethodUsageConfirm = "usage.confirm"
 	MethodUsageHold    = "usage.hold"
+	MethodClaim        = "claims.claim"
+	MethodClaimEnd     = "claims.end"
 )
 
 // helloTimeout bounds dialing and the exchange of hello messages.
--- a/test/composed/fuzz_test.go
+++ b/test/composed/fuzz_test.go
@@ -24,7 +24,7 @@
 		m := &machine{w: w}
 		t.Repeat(map[string]func(*rapid.T){
 			"chat": m.chat, "service": m.service, "advance": m.advance, "killEntry": m.killEntry, "killSidecar": m.killSidecar,
-			"freezeEntry": m.freezeEntry, "freezeSidecar": m.freezeSidecar, "thaw": m.thaw, "cutLink": m.cutLink,
+			"freezeEntry": m.freezeEntry, "freezeSidecar": m.freezeSidecar, "thaw": m.thaw, "cutLink": m.cutLink, "peers": m.peerFaults,
 			"store": m.storeFaults, "engine": m.engineFaults, "commit": m.commit, "drainSidecar": m.drainSidecar,
 			"": func(t *rapid.T) { m.check(t) },
 		})
@@ -197,6 +197,7 @@
 
 func (m *machine) heal() {
 	m.w.faults = engineFaults{}
+	m.w.peers = peerFaults{}
 	m.w.store.SetFaults(memstore.Faults{})
 	m.thaw(nil)
 }
--- a/test/composed/world_test.go
+++ b/test/composed/world_test.go
@@ -30,6 +30,9 @@
 	snapshot *manifest.Snapshot
 	oracle   *oracle
 	faults   engineFaults
+	peers    peerFaults
+	// handed counts the claims that were granted to another entry.
+	handed int
 }
 
 // engineFaults are the shares of attempts that meet a fault of the engine.
@@ -88,6 +91,9 @@
 	process
 	core    *entry.Core
 	pending map[attemptKey]*link
+	// offers are the calls of other entries that this process has not answered.
+	offers    map[uint64]func(api.ClaimResult)
+	lastOffer uint64
 }
 
 type sidecarNode struct {
@@ -138,6 +144,7 @@
 		w.entries = append(w.entries, &entryNode{process: process{name: fmt.Sprintf("e%d", i)}})
 		w.startEntry(w.entries[i])
 	}
+	w.spreadMembers()
 	w.advance(time.Second)
 	return w
 }
@@ -166,8 +173,9 @@
 	n.incarnation++
 	n.alive, n.frozen, n.held = true, false, nil
 	n.pending = map[attemptKey]*link{}
+	n.offers = map[uint64]func(api.ClaimResult){}
 	n.core = entry.NewCore(entry.Config{
-		Self:       api.Member{Instance: n.name, Incarnation: n.incarnation, Role: "entry", FailureDomain: "a", Region: "r", State: api.MemberStateReady},
+		Self:       entryMember(n),
 		UsageBytes: 1 << 20, UsageFlush: 200 * time.Millisecond,
 	}, rand.New(rand.NewPCG(w.rng.Uint64(), 1)))
 	incarnation := n.incarnation
@@ -238,6 +246,14 @@
 		}
 	case entry.HoldUsage:
 		w.holdUsage(n, e)
+	case entry.HandClaim:
+		w.handClaim(n, e)
+	case entry.HandClaimEnd:
+		w.handClaimEnd(n, e)
+	case entry.AnswerClaim:
+		w.answerOffer(n, e.ID, e.Result)
+	case entry.AnswerClaimEnd:
+		w.answerOffer(n, e.ID, api.ClaimResult{})
 	case entry.OfferConfig:
 		w.offerEntry(n, e.Offer)
 	}
@@ -477,6 +493,11 @@
 			out = append(out, s.member)
 		}
 	}
+	for _, n := range w.entries {
+		if n.alive {
+			out = append(out, entryMember(n))
+		}
+	}
 	return out
 }
 
