--- a/docs/metrics_test.go
+++ b/docs/metrics_test.go
@@ -19,12 +19,8 @@
 	"github.com/borageflow/borageflow/internal/standin/engine"
 )
 
-const (
-	// stopTimeout bounds the graceful stop of one daemon in a test.
-	stopTimeout = 20 * time.Second
-	// metricsSubnet is a loopback network that no other test uses.
-	metricsSubnet = 90
-)
+// stopTimeout bounds the graceful stop of one daemon in a test.
+const stopTimeout = 20 * time.Second
 
 var (
 	exportedName   = regexp.MustCompile(`(?m)^(borageflow_[a-z_]+)`)
@@ -59,8 +55,10 @@
 	t.Helper()
 	raw, err := os.ReadFile("../cmd/borageflow/demo/manifest.json")
 	assert.NilError(t, err)
+	subnet, err := devcluster.FreeSubnet(os.Getpid())
+	assert.NilError(t, err)
 	cluster, err := devcluster.Start(devcluster.Spec{
-		Subnet: [2]byte{metricsSubnet, 0}, Region: "r", Manifest: raw, Entries: []string{"fd-a"},
+		Subnet: [2]byte{subnet, 0}, Region: "r", Manifest: raw, Entries: []string{"fd-a"},
 		Engines: []devcluster.Engine{{
 			Name: "engine-1", FailureDomain: "fd-a", Pool: "models",
 			Config: engine.Config{Versions: []string{"small-1", "large-1"}},
