--- a/cmd/borageflow/dev.go
+++ b/cmd/borageflow/dev.go
@@ -78,6 +78,7 @@
 	return nil
 }
 
+// spec returns the deployment that the flags describe.
 func (f *devFlags) spec(s streams) (devcluster.Spec, error) {
 	raw, topology := demoManifest, demoTopology
 	var err error
@@ -108,6 +109,7 @@
 	return spec, nil
 }
 
+// startDaemons returns the daemons that were started, also with an error.
 func startDaemons(ctx context.Context, all []api.Settings) ([]*fx.App, error) {
 	var apps []*fx.App
 	ctx, cancel := context.WithTimeout(ctx, devStartTimeout)
@@ -140,6 +142,8 @@
 	}
 }
 
+// printHelp shows how to reach the deployment. Keys are shown only where they are
+// known: those of the demonstration, and customer keys that follow the examples.
 func (f *devFlags) printHelp(s streams, cluster *devcluster.Cluster, raw []byte) {
 	var entries, admins []string
 	for _, settings := range cluster.Settings {
@@ -167,6 +171,7 @@
 
   BORAGEFLOW_KEY=%s borageflow status --admin %s
 
-Stop with Ctrl-C.
+For the first seconds requests may be refused with run state not_run, until the
+daemons have heard of each other. Stop with Ctrl-C.
 `, strings.Join(entries, " "), cluster.PlatformURL, entries[0], key, operator, admins[0])
 }
--- a/cmd/borageflow/load.go
+++ b/cmd/borageflow/load.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -12,6 +10,7 @@
 
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/loadgen"
+	"github.com/borageflow/borageflow/internal/tlsconf"
 	"github.com/borageflow/borageflow/internal/trace"
 )
 
@@ -39,8 +38,8 @@
 	return c
 }
 
-func (f *loadFlags) run(ctx context.Context, io streams) error {
-	options, err := f.options(io)
+func (f *loadFlags) run(ctx context.Context, s streams) error {
+	options, err := f.options(s)
 	if err != nil {
 		return err
 	}
@@ -49,12 +48,12 @@
 		return err
 	}
 	if f.json != "" {
-		if err := writeFile(io, f.json, jsonWriter(result)); err != nil {
+		if err := writeFile(s, f.json, jsonWriter(result)); err != nil {
 			return err
 		}
 	}
 	if f.json != "-" {
-		if err := loadgen.WriteText(io.out, result); err != nil {
+		if err := loadgen.WriteText(s.out, result); err != nil {
 			return eris.Wrap(err, "summary cannot be written")
 		}
 	}
@@ -64,11 +63,11 @@
 	return nil
 }
 
-func (f *loadFlags) options(io streams) (loadgen.Options, error) {
+func (f *loadFlags) options(s streams) (loadgen.Options, error) {
 	if len(f.entries) == 0 {
 		return loadgen.Options{}, usageError{"flag --entry is required"}
 	}
-	raw, err := readFile(io, "plan", f.plan)
+	raw, err := readFile(s, "plan", f.plan)
 	if err != nil {
 		return loadgen.Options{}, err
 	}
@@ -79,16 +78,17 @@
 	f.override(&plan)
 	options := loadgen.Options{Plan: plan, Entries: f.entries, Ledgers: f.ledgers}
 	if f.trace != "" {
-		if options.Trace, err = readTrace(io, f.trace); err != nil {
+		if options.Trace, err = readTrace(s, f.trace); err != nil {
 			return loadgen.Options{}, err
 		}
 	}
 	if f.ca != "" {
-		options.Client, err = clientFor(io, f.ca)
+		options.Client, err = clientFor(f.ca)
 	}
 	return options, err
 }
 
+// override replaces figures of the plan by those of the command line.
 func (f *loadFlags) override(plan *api.LoadPlan) {
 	if f.rate > 0 {
 		plan.Rate = f.rate
@@ -101,8 +101,8 @@
 	}
 }
 
-func readTrace(io streams, name string) ([]api.TraceRecord, error) {
-	file, err := openFile(io, "trace", name)
+func readTrace(s streams, name string) ([]api.TraceRecord, error) {
+	file, err := openFile(s, "trace", name)
 	if err != nil {
 		return nil, err
 	}
@@ -111,18 +111,14 @@
 }
 
 // clientFor returns a client that trusts the certificates of a file.
-func clientFor(io streams, ca string) (*http.Client, error) {
-	pem, err := readFile(io, "ca", ca)
+func clientFor(ca string) (*http.Client, error) {
+	config, err := tlsconf.Client(ca)
 	if err != nil {
 		return nil, err
 	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(pem) {
-		return nil, eris.Errorf("%s holds no certificate", ca)
-	}
 	client := loadgen.NewClient()
 	if transport, ok := client.Transport.(*http.Transport); ok {
-		transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+		transport.TLSClientConfig = config
 	}
 	return client, nil
 }
--- a/cmd/borageflow/manifest.go
+++ b/cmd/borageflow/manifest.go
@@ -25,6 +25,7 @@
 	actions    []manifestAction
 }
 
+// manifestAction is one of check, diff, commit and show.
 type manifestAction struct {
 	sub *flaggy.Subcommand
 	run func(context.Context, streams) error
@@ -41,6 +42,8 @@
 	return c
 }
 
+// action adds an action to the subcommand. One with a file takes it as its
+// argument; a remote one calls an entry.
 func (f *manifestFlags) action(parent *flaggy.Subcommand, name, description string, run func(context.Context, streams) error, file, remote bool) *flaggy.Subcommand {
 	sub := flaggy.NewSubcommand(name)
 	sub.Description = description
@@ -76,16 +79,13 @@
 	return nil
 }
 
-// printFaults prints every fault on a line of its own.
+// printFaults lists the faults of a document; another error is returned as it is.
 func printFaults(s streams, file string, err error) error {
 	var faults schemacheck.Faults
 	if !errors.As(err, &faults) {
 		return err
 	}
-	fmt.Fprintf(s.err, "%s has %d faults:\n", file, len(faults))
-	for _, fault := range faults {
-		fmt.Fprintln(s.err, "  "+fault.String())
-	}
+	faults.Print(s.err, file)
 	return errNotMet
 }
 
@@ -109,6 +109,7 @@
 	return nil
 }
 
+// open returns a client of the entry and the content of the file.
 func (f *manifestFlags) open(s streams) (*adminclient.Client, []byte, error) {
 	client, err := f.client()
 	if err != nil {
--- a/cmd/borageflowd/main.go
+++ b/cmd/borageflowd/main.go
@@ -70,14 +70,12 @@
 	return exitOK
 }
 
+// printFaults lists the faults of a settings file, or prints why it was not read.
 func printFaults(file string, err error) {
 	var faults schemacheck.Faults
 	if !errors.As(err, &faults) {
 		fmt.Fprintln(os.Stderr, err)
 		return
 	}
-	fmt.Fprintf(os.Stderr, "%s has %d faults:\n", file, len(faults))
-	for _, fault := range faults {
-		fmt.Fprintln(os.Stderr, "  "+fault.String())
-	}
+	faults.Print(os.Stderr, file)
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -38,10 +39,11 @@
 	Committed(offer api.ConfigOffer)
 }
 
-// Options configure a Handler.
+// Options configure the handler of the administration API.
 type Options struct {
-	Backend   Backend
-	Store     platform.Store
+	Backend Backend
+	Store   platform.Store
+	// BodyBytes bounds a manifest in a request.
 	BodyBytes int64
 }
 
@@ -80,6 +82,7 @@
 	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
 }
 
+// authorized checks an operator key.
 func (h *handler) authorized(key string) error {
 	snapshot := h.Backend.Snapshot()
 	if snapshot == nil {
@@ -260,7 +263,7 @@
 		return
 	}
 	if len(list) > maxListedBatches {
-		writeError(w, errkind.New(errkind.PayloadTooLarge, "more than 2000 usage batches: read them from the object API with a billing job"))
+		writeError(w, errkind.New(errkind.PayloadTooLarge, fmt.Sprintf("more than %d usage batches: read them from the object API with a billing job", maxListedBatches)))
 		return
 	}
 	totals := usage.NewTotals()
@@ -282,7 +285,7 @@
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, errkind.New(errkind.PayloadTooLarge, "manifest is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+		return nil, errkind.New(errkind.PayloadTooLarge, fmt.Sprintf("manifest is larger than %d bytes", tooLarge.Limit))
 	}
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidRequest, "body cannot be read")
@@ -307,7 +310,7 @@
 		failure.Present = &conflict.Present
 	}
 	if e.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(e.RetryAfter.Seconds())+1))
+		w.Header().Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds()))
 	}
 	writeJSON(w, errkind.Lookup(e.Kind).HTTPStatus, failure)
 }
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -4,13 +4,10 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,10 +15,13 @@
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/admin"
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/tlsconf"
 )
 
 const (
-	callTimeout    = 15 * time.Second
+	// callTimeout bounds a call, including the reads of every usage batch.
+	callTimeout = 15 * time.Second
+	// maxAnswerBytes bounds an answer that is read into memory.
 	maxAnswerBytes = 16 << 20
 )
 
@@ -45,15 +45,11 @@
 func New(o Options) (*Client, error) {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	if o.CAFile != "" {
-		pem, err := os.ReadFile(o.CAFile)
+		config, err := tlsconf.Client(o.CAFile)
 		if err != nil {
-			return nil, eris.Wrapf(err, "CA file %s cannot be read", o.CAFile)
+			return nil, err
 		}
-		roots := x509.NewCertPool()
-		if !roots.AppendCertsFromPEM(pem) {
-			return nil, eris.Errorf("CA file %s holds no certificate", o.CAFile)
-		}
-		transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+		transport.TLSClientConfig = config
 	}
 	return &Client{options: o, http: &http.Client{Transport: transport, Timeout: callTimeout}}, nil
 }
--- a/internal/callerapi/stream.go
+++ b/internal/callerapi/stream.go
@@ -15,7 +15,6 @@
 type Stream struct {
 	mu      sync.Mutex
 	text    []byte
-	tokens  int
 	version string
 	session string
 	answer  *entry.Answer
@@ -33,7 +32,6 @@
 		return false
 	}
 	s.text = append(s.text, d.Text...)
-	s.tokens += d.Tokens
 	s.version, s.session = d.Version, d.Session
 	s.wake()
 	return true
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math"
 	"net/http"
 	"time"
 
@@ -141,6 +142,10 @@
 	return e
 }
 
+// RetryAfterSeconds returns the advised delay in whole seconds, rounded up, as the
+// header Retry-After takes it; 0 means no advice.
+func (e *Error) RetryAfterSeconds() int { return int(math.Ceil(e.RetryAfter.Seconds())) }
+
 // Error implements error.
 func (e *Error) Error() string {
 	if e.cause != nil {
--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -26,3 +27,11 @@
 	assert.Equal(t, From(errors.New("x")).Kind, Internal)
 	assert.Equal(t, From(errors.New("x")).RunState, api.RunStateUnknown)
 }
+
+// Guards against advice that is rounded down to a time at which the refusal still
+// holds, or up beyond the next second.
+func TestRetryAfterIsRoundedUp(t *testing.T) {
+	for delay, seconds := range map[time.Duration]int{0: 0, time.Millisecond: 1, time.Second: 1, 1001 * time.Millisecond: 2} {
+		assert.Equal(t, New(RateLimited, "x").WithRetryAfter(delay).RetryAfterSeconds(), seconds, "%v", delay)
+	}
+}
--- a/internal/schemacheck/schemacheck.go
+++ b/internal/schemacheck/schemacheck.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"sort"
 	"strings"
 
@@ -44,6 +45,18 @@
 	return strings.Join(lines, "; ")
 }
 
+// Print lists the faults of the named document, each on a line of its own.
+func (f Faults) Print(out io.Writer, document string) {
+	noun := "faults"
+	if len(f) == 1 {
+		noun = "fault"
+	}
+	fmt.Fprintf(out, "%s has %d %s:\n", document, len(f), noun)
+	for _, fault := range f {
+		fmt.Fprintln(out, "  "+fault.String())
+	}
+}
+
 // Schema checks documents of one kind.
 type Schema struct {
 	name     string
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -84,19 +84,36 @@
 	}
 	var roots *x509.CertPool
 	if f.pair.CaFile != "" {
-		pem, err := os.ReadFile(f.pair.CaFile)
-		if err != nil {
-			return eris.Wrapf(err, "CA file %s cannot be read", f.pair.CaFile)
-		}
-		roots = x509.NewCertPool()
-		if !roots.AppendCertsFromPEM(pem) {
-			return eris.Errorf("CA file %s holds no certificate", f.pair.CaFile)
+		if roots, err = readRoots(f.pair.CaFile); err != nil {
+			return err
 		}
 	}
 	f.stamp, f.cert, f.roots = stamp, &cert, roots
 	return nil
 }
 
+func readRoots(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, eris.Wrapf(err, "CA file %s cannot be read", file)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, eris.Errorf("CA file %s holds no certificate", file)
+	}
+	return roots, nil
+}
+
+// Client returns the configuration of a caller or operator that trusts the
+// certificates of a PEM file.
+func Client(caFile string) (*tls.Config, error) {
+	roots, err := readRoots(caFile)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}, nil
+}
+
 // Server returns the configuration of a listener for callers or operators.
 func Server(pair api.TLSPair) (*tls.Config, error) {
 	f, err := load(pair)
