Run at most four clusters of the failure tests at once

Cause: with 16 clusters of nine processes on 12 shared cores, probes, claims and the load balancer of the tests timed out because processes waited for a core. At a load average of 56 three tests failed.

Change: four clusters at once.

--- a/test/e2e/harness_test.go
+++ b/test/e2e/harness_test.go
@@ -108,8 +108,14 @@
 	return startOn(t, spec, nil)
 }
 
+// running bounds the clusters at once: with 16 on 12 cores, timeouts of one second
+// pass because processes wait for a core.
+var running = make(chan struct{}, 4)
+
 func startOn(t *testing.T, spec devcluster.Spec, n *network) *cluster {
 	t.Helper()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	spec.Subnet = takeSubnet(t)
 	stand, err := devcluster.Start(spec)
 	assert.NilError(t, err)
