Print the help of dev when its entries are ready

Change: dev waits for /readyz of its entries. A log line of the sidecar names its state in a field. Conclusion: a rate-limited customer of the examples is still refused in the first moment, as the limits give a new entry a small share.

--- a/cmd/borageflow/dev.go
+++ b/cmd/borageflow/dev.go
@@ -4,6 +4,7 @@
 	"context"
 	_ "embed"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -29,6 +30,8 @@
 const (
 	devStartTimeout = 30 * time.Second
 	devStopTimeout  = 30 * time.Second
+	// devReadyInterval is the pause between two looks at the readiness of an entry.
+	devReadyInterval = 50 * time.Millisecond
 	// devBalancerWaitMs is short, since no load balancer stands before dev.
 	devBalancerWaitMs = 100
 )
@@ -67,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if err := awaitEntries(ctx, cluster.Settings); err != nil {
+		return err
+	}
 	f.printHelp(s, cluster, spec.Manifest)
 	if f.seconds > 0 {
 		var cancel context.CancelFunc
@@ -132,6 +138,42 @@
 	return apps, nil
 }
 
+// awaitEntries waits until every entry is ready, or devStartTimeout has passed. An
+// interrupt ends the wait without an error.
+func awaitEntries(ctx context.Context, all []api.Settings) error {
+	limit, cancel := context.WithTimeout(ctx, devStartTimeout)
+	defer cancel()
+	for _, settings := range all {
+		if settings.Role != api.RoleEntry {
+			continue
+		}
+		for !isReady(limit, settings.Listen.Health) {
+			if ctx.Err() != nil {
+				return nil
+			}
+			if limit.Err() != nil {
+				return eris.Errorf("%s is not ready after %v", settings.Instance, devStartTimeout)
+			}
+			time.Sleep(devReadyInterval)
+		}
+	}
+	return nil
+}
+
+// isReady asks the health listener of a daemon.
+func isReady(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // stopDaemons stops entries first, so that sidecars have no new work while they
 // drain.
 func stopDaemons(apps []*fx.App) {
@@ -171,7 +213,7 @@
 
   BORAGEFLOW_KEY=%s borageflow status --admin %s
 
-For the first seconds requests may be refused with run state not_run, until the
-daemons have heard of each other. Stop with Ctrl-C.
+A customer with a rate limit may be refused with rate_limited in the first second.
+Stop with Ctrl-C.
 `, strings.Join(entries, " "), cluster.PlatformURL, entries[0], key, operator, admins[0])
 }
--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -271,7 +271,7 @@
 	l.events.Put(l.ctx, entry.StoreWritten{Key: e.Key, Version: o.Version, Err: err})
 }
 
-// Status asks the main loop for the status.
+// status asks the main loop for the status.
 func (l *entryLoop) status(ctx context.Context) (api.Status, error) {
 	answer := make(chan api.Status, 1)
 	ask := func(c *entry.Core) { answer <- c.Status(time.Now()) }
--- a/internal/daemon/sidecarloop.go
+++ b/internal/daemon/sidecarloop.go
@@ -117,7 +117,7 @@
 	case sidecar.AnnounceLeaving:
 		l.announceLeaving()
 	case sidecar.MemberChanged:
-		l.log.Info("state is "+string(e.Member.State), zap.Strings("versions", e.Member.Versions))
+		l.log.Info("state has changed", zap.String("state", string(e.Member.State)), zap.Strings("versions", e.Member.Versions))
 		l.member(e.Member)
 	case sidecar.HoldTaken:
 		l.answerHold(e)
