--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -23,8 +23,6 @@
 )
 
 const (
-	// usagePrefix is the prefix of the keys of usage batches.
-	usagePrefix = "usage/"
 	// maxListedBatches bounds the batches that one call reads from the store.
 	maxListedBatches = 2000
 )
@@ -257,7 +255,7 @@
 }
 
 func (h *handler) usage(w http.ResponseWriter, r *http.Request) {
-	list, err := h.Store.List(r.Context(), usagePrefix)
+	list, err := h.Store.List(r.Context(), usage.Prefix)
 	if err != nil {
 		writeError(w, errkind.Wrap(err, errkind.StoreUnavailable, "usage batches cannot be listed"))
 		return
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -287,8 +287,8 @@
 }
 
 func (c *Core) storeWritten(now time.Time, e StoreWritten) {
-	if strings.HasPrefix(e.Key, usagePrefix) {
-		for _, confirmation := range c.usage.WriteResult(now, e.Key, usageOutcome(e.Err)) {
+	if strings.HasPrefix(e.Key, usage.Prefix) {
+		for _, confirmation := range c.usage.WriteResult(now, e.Key, usage.OutcomeOf(e.Err)) {
 			c.emit(ConfirmUsage{Address: confirmation.Sidecar, Confirm: confirmation.Confirm})
 		}
 		return
@@ -320,19 +320,3 @@
 func (c *Core) setClaimEntries(now time.Time, entries []string) {
 	c.claimEffects(now, c.book.Handle(now, claims.SetEntries{Entries: entries}))
 }
-
-// usagePrefix is the prefix of the keys of usage batches.
-const usagePrefix = "usage/"
-
-func usageOutcome(err error) usage.Outcome {
-	switch {
-	case err == nil:
-		return usage.Written
-	case errors.Is(err, platform.ErrConflict):
-		return usage.Conflict
-	case errors.Is(err, platform.ErrAmbiguous):
-		return usage.Ambiguous
-	default:
-		return usage.Failed
-	}
-}
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -1,13 +1,10 @@
 package sidecar
 
 import (
-	"errors"
 	"slices"
 	"time"
 
 	"github.com/borageflow/borageflow/api"
-	"github.com/borageflow/borageflow/internal/platform"
-	"github.com/borageflow/borageflow/internal/usage"
 )
 
 // backendLoad updates the state of this instance from the backend server's own
@@ -108,19 +105,6 @@
 	return out
 }
 
-func usageOutcome(err error) usage.Outcome {
-	switch {
-	case err == nil:
-		return usage.Written
-	case errors.Is(err, platform.ErrConflict):
-		return usage.Conflict
-	case errors.Is(err, platform.ErrAmbiguous):
-		return usage.Ambiguous
-	default:
-		return usage.Failed
-	}
-}
-
 // recentSet remembers the last size values that were added.
 type recentSet[K comparable] struct {
 	index map[K]int
--- a/internal/usage/buffer.go
+++ b/internal/usage/buffer.go
@@ -234,7 +234,7 @@
 }
 
 func (b *Buffer) objectKey(sequence int64) string {
-	return fmt.Sprintf("usage/%d/%d", b.incarnation, sequence)
+	return fmt.Sprintf(Prefix+"%d/%d", b.incarnation, sequence)
 }
 
 func (b *Buffer) encodeBatch(c *chunk) []byte {
