Add performance tests with real daemons

Change: test/perf starts an entry (GOMAXPROCS=4) and sidecars as processes against stand-ins and measures added time to first token, forwarded tokens, idle processor time, memory, peer bytes and store calls, and the memory of open streams. The tests run with -perf only, since they need a quiet machine. With -daemonprofile the daemons write processor profiles.

Conclusion: absolute rates of such a run do not judge the targets; processor time per token does.

--- /dev/null
+++ b/test/perf/harness_test.go
@@ -0,0 +1,271 @@
+// Package perf measures real daemons on loopback against stand-ins. The machine
+// is shared, so each test prints how busy it was, and figures that depend on
+// other load are given as ratios of one run or per second of processor time.
+package perf
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/daemon"
+	"github.com/borageflow/borageflow/internal/devcluster"
+	"github.com/borageflow/borageflow/internal/manifest"
+	"github.com/borageflow/borageflow/internal/observe"
+	"github.com/borageflow/borageflow/internal/standin/engine"
+)
+
+var (
+	enabled = flag.Bool("perf", false, "run the performance tests")
+	profile = flag.String("daemonprofile", "", "directory for processor profiles of the daemons")
+)
+
+// profileEnv and settingsEnv make the test binary run one daemon with a profile.
+const (
+	profileEnv  = "BORAGEFLOW_PERF_PROFILE"
+	settingsEnv = "BORAGEFLOW_PERF_SETTINGS"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	if os.Getenv(settingsEnv) != "" {
+		os.Exit(runProfiled(os.Getenv(settingsEnv), os.Getenv(profileEnv)))
+	}
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	flag.Parse()
+	if !*enabled {
+		return m.Run()
+	}
+	dir, err := os.MkdirTemp("", "borageflow-perf")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	binary = filepath.Join(dir, "borageflowd")
+	build := exec.Command("go", "build", "-o", binary, "github.com/borageflow/borageflow/cmd/borageflowd")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "daemon cannot be built: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+func needPerf(t *testing.T) {
+	t.Helper()
+	if !*enabled {
+		t.Skip("-perf is not set")
+	}
+	load, _ := os.ReadFile("/proc/loadavg")
+	t.Logf("load average before: %s", strings.TrimSpace(string(load)))
+	t.Cleanup(func() {
+		load, _ := os.ReadFile("/proc/loadavg")
+		t.Logf("load average after: %s", strings.TrimSpace(string(load)))
+	})
+}
+
+const (
+	callerKey = "key-north"
+	version   = "notes-1"
+)
+
+func testManifest() []byte {
+	raw, err := json.Marshal(api.Manifest{
+		SchemaVersion: 1,
+		Operators:     []api.Operator{{Name: "operator", KeyHash: manifest.HashKey("key-operator")}},
+		Services:      []api.Service{},
+		Customers:     []api.Customer{{Name: "north", KeyHashes: []string{manifest.HashKey(callerKey)}, Versions: []string{version}}},
+		Models: []api.Model{{Name: "notes", Versions: []api.Version{
+			{Name: version, Phase: api.PhaseServing, CostPerKiloToken: 1, PriorQuality: 0.9},
+		}}},
+		Classes: []api.Class{{Name: "draft", QualityTarget: 0.5, DeadlineMs: 600000, Weighting: api.WeightingLatency, MaxOutputTokens: 4096}},
+		Pools:   []api.Pool{{Name: "models", Versions: []string{version}}},
+	})
+	if err != nil {
+		panic(err)
+	}
+	if _, err := manifest.Check(raw); err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+// deployment is a started cluster with its daemon processes by instance.
+type deployment struct {
+	*devcluster.Cluster
+	daemons map[string]*process
+}
+
+type process struct {
+	settings api.Settings
+	cmd      *exec.Cmd
+}
+
+// deploy starts one entry and the given number of engines with their sidecars.
+func deploy(t *testing.T, engines int, config engine.Config) *deployment {
+	t.Helper()
+	config.Versions = []string{version}
+	spec := devcluster.Spec{
+		Subnet: takeSubnet(t), Region: "region-1", Manifest: testManifest(), Entries: []string{"fd-a"},
+		Timing: api.TimingSettings{BalancerWaitMs: 100}, LogLevel: "error",
+	}
+	for i := range engines {
+		spec.Engines = append(spec.Engines, devcluster.Engine{
+			Name: fmt.Sprintf("engine-%d", i+1), FailureDomain: []string{"fd-a", "fd-b"}[i%2], Pool: "models", Config: config,
+		})
+	}
+	cluster, err := devcluster.Start(spec)
+	assert.NilError(t, err)
+	t.Cleanup(cluster.Close)
+	d := &deployment{Cluster: cluster, daemons: map[string]*process{}}
+	dir := t.TempDir()
+	for _, s := range cluster.Settings {
+		d.daemons[s.Instance] = startDaemon(t, dir, s)
+	}
+	for _, p := range d.daemons {
+		waitFor(t, p, "readyz", "")
+	}
+	waitFor(t, d.daemons["entry-1"], "metrics", fmt.Sprintf("borageflow_entry_backend_servers %d\n", engines))
+	return d
+}
+
+func startDaemon(t *testing.T, dir string, s api.Settings) *process {
+	t.Helper()
+	file := filepath.Join(dir, s.Instance+".json")
+	raw, err := json.Marshal(s)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(file, raw, 0o600))
+	cmd := exec.Command(binary, file)
+	if *profile != "" {
+		cmd = exec.Command(os.Args[0])
+		cmd.Env = append(os.Environ(), settingsEnv+"="+file, profileEnv+"="+filepath.Join(*profile, s.Instance+".pprof"))
+	}
+	if s.Role == api.RoleEntry {
+		cmd.Env = append(cmd.Environ(), "GOMAXPROCS=4")
+	}
+	cmd.Stderr = os.Stderr
+	assert.NilError(t, cmd.Start())
+	t.Cleanup(func() {
+		if *profile != "" {
+			_ = cmd.Process.Signal(os.Interrupt)
+		} else {
+			_ = cmd.Process.Kill()
+		}
+		_ = cmd.Wait()
+	})
+	return &process{settings: s, cmd: cmd}
+}
+
+// runProfiled runs one daemon until it is interrupted.
+func runProfiled(settingsFile, profileFile string) int {
+	settings, err := daemon.ReadSettings(settingsFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	log, err := observe.NewLogger(string(settings.Log.Level), settings.Instance)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return profiled(daemon.New(settings, log), profileFile)
+}
+
+// takeSubnet reserves loopback addresses, which a bound port keeps from others.
+func takeSubnet(t *testing.T) [2]byte {
+	t.Helper()
+	for n := range 1000 {
+		subnet := [2]byte{byte(120 + n%100), byte((os.Getpid() + n) % 256)}
+		lock, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.254:7000", subnet[0], subnet[1]))
+		if err == nil {
+			t.Cleanup(func() { _ = lock.Close() })
+			return subnet
+		}
+	}
+	t.Fatal("every loopback subnet is in use")
+	return [2]byte{}
+}
+
+func waitFor(t *testing.T, p *process, path, want string) {
+	t.Helper()
+	deadline := time.Now().Add(20 * time.Second)
+	for time.Now().Before(deadline) {
+		status, body := p.read(path)
+		if status == http.StatusOK && strings.Contains(body, want) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("%s does not answer /%s with %q", p.settings.Instance, path, want)
+}
+
+func (p *process) read(path string) (int, string) {
+	response, err := http.Get("http://" + p.settings.Listen.Health + "/" + path)
+	if err != nil {
+		return 0, ""
+	}
+	defer response.Body.Close()
+	body, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(body)
+}
+
+// metric returns one metric of a daemon; 0 when it is missing.
+func (p *process) metric(name string) float64 {
+	_, body := p.read("metrics")
+	for line := range strings.Lines(body) {
+		if value, ok := strings.CutPrefix(strings.TrimSpace(line), name+" "); ok {
+			f, _ := strconv.ParseFloat(value, 64)
+			return f
+		}
+	}
+	return 0
+}
+
+func (p *process) procFile(name string) string {
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/%s", p.cmd.Process.Pid, name))
+	return string(raw)
+}
+
+// residentMB is the resident memory in MB of 10^6 bytes.
+func (p *process) residentMB() float64 {
+	for line := range strings.Lines(p.procFile("status")) {
+		if fields := strings.Fields(line); len(fields) > 1 && fields[0] == "VmRSS:" {
+			kib, _ := strconv.ParseFloat(fields[1], 64)
+			return kib * 1024 / 1e6
+		}
+	}
+	return 0
+}
+
+// processor is the processor time of the process so far, summed over its threads
+// in nanoseconds by the scheduler: the ticks of /proc/pid/stat are too coarse
+// for an idle daemon.
+func (p *process) processor() time.Duration {
+	var total time.Duration
+	threads, _ := os.ReadDir(fmt.Sprintf("/proc/%d/task", p.cmd.Process.Pid))
+	for _, thread := range threads {
+		fields := strings.Fields(p.procFile("task/" + thread.Name() + "/schedstat"))
+		if len(fields) > 0 {
+			ns, _ := strconv.ParseInt(fields[0], 10, 64)
+			total += time.Duration(ns)
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/test/perf/profile_test.go
@@ -0,0 +1,34 @@
+package perf
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/pprof"
+
+	"go.uber.org/fx"
+)
+
+// profiled runs a daemon and writes its processor profile when it is interrupted.
+func profiled(app *fx.App, file string) int {
+	out, err := os.Create(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer out.Close()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := app.Start(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	if err := pprof.StartCPUProfile(out); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	<-ctx.Done()
+	pprof.StopCPUProfile()
+	return 0
+}
