Stretch usage intervals with the number of entries

Cause: entries flushed every second whatever their number; 370 entries would make 370 batches/s, above the budget of 20 that docs/decisions/billing.md states. usage.Intervals existed without a caller.

Change: an entry sets its flush interval and a sidecar its wait for a confirmation from the ready entries that they know (event EntriesChanged). Records already held by a sidecar move with the wait. The effects of the hand-over move out of the switch of the entry loop: failed the linter with gocyclo 16 there.

TestConfirmWaitGrowsForHeldRecords covers the sidecar's side. go test -race ./internal/entry ./internal/usage ./test/composed passes and the linter reports 0 issues.

--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -150,8 +150,6 @@
 		l.outbox.send(notice{e.Address, peer.MethodUsageConfirm, e.Confirm})
 	case entry.HoldUsage:
 		go l.holdUsage(e)
-	case entry.ClaimEffect:
-		l.applyClaim(e)
 	case entry.ReadObject:
 		go l.readObject(e)
 	case entry.WriteObject:
@@ -168,6 +166,8 @@
 		l.recorder(e.Record)
 	case entry.Drained:
 		close(l.drained)
+	default:
+		l.applyClaim(e)
 	}
 }
 
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -10,6 +10,16 @@
 	"github.com/borageflow/borageflow/internal/peer"
 )
 
+func readyEntries(members []api.Member) int {
+	count := 0
+	for _, m := range members {
+		if m.Role == string(api.RoleEntry) && m.State == api.MemberStateReady {
+			count++
+		}
+	}
+	return count
+}
+
 // offeredCalls holds the calls of other entries until the core answers them.
 type offeredCalls struct {
 	mu    sync.Mutex
@@ -51,7 +61,7 @@
 	}
 }
 
-func (l *entryLoop) applyClaim(effect entry.ClaimEffect) {
+func (l *entryLoop) applyClaim(effect entry.Effect) {
 	switch e := effect.(type) {
 	case entry.HandClaim:
 		go l.handClaim(e)
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -50,7 +50,9 @@
 	d.control.onSnapshot = func(s *manifest.Snapshot) {
 		d.loop.events.Put(c.ctx, sidecar.SnapshotApplied{Snapshot: s})
 	}
-	d.control.onMembers = func([]api.Member) {}
+	d.control.onMembers = func(members []api.Member) {
+		d.loop.events.Put(c.ctx, sidecar.EntriesChanged{Entries: readyEntries(members)})
+	}
 	d.control.onConfirmed = func() { d.loop.events.Put(c.ctx, sidecar.ConfigConfirmed{}) }
 	handler.controlHandler = controlHandler{d.control}
 	handler.loop = d.loop
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -19,6 +19,7 @@
 const (
 	defaultRatingSample  = 0.1
 	defaultRatingTimeout = 2 * time.Second
+	defaultUsageFlush    = time.Second
 	// publishInterval is how often the peer exchange gets news.
 	publishInterval = 500 * time.Millisecond
 	// probeInterval and probesPerInterval bound probes to about 1 KB/s.
@@ -90,6 +91,9 @@
 	if cfg.RatingTimeout == 0 {
 		cfg.RatingTimeout = defaultRatingTimeout
 	}
+	if cfg.UsageFlush == 0 {
+		cfg.UsageFlush = defaultUsageFlush
+	}
 	return &Core{
 		cfg: cfg, rng: rng,
 		customers: limits.NewCustomers(cfg.Self.Instance),
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -318,6 +318,8 @@
 }
 
 func (c *Core) setClaimEntries(now time.Time, entries []string) {
+	flush, _ := usage.Intervals(len(entries), c.cfg.UsageFlush, 0)
+	c.usage.SetFlushEvery(flush)
 	c.claimEffects(now, c.book.Handle(now, claims.SetEntries{Entries: entries}))
 }
 
--- a/internal/entry/handover_events.go
+++ b/internal/entry/handover_events.go
@@ -66,17 +66,6 @@
 	}
 }
 
-// ClaimEffect is an effect of the hand-over of claims.
-type ClaimEffect interface {
-	Effect
-	claimEffect()
-}
-
-func (HandClaim) claimEffect()      {}
-func (HandClaimEnd) claimEffect()   {}
-func (AnswerClaim) claimEffect()    {}
-func (AnswerClaimEnd) claimEffect() {}
-
 // HandClaim hands a claim to the usual writer of its shard. It is answered by
 // exactly one ClaimHanded, at the latest after Timeout.
 type HandClaim struct {
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -112,6 +112,9 @@
 	cfg.Self.Slots = cfg.Backend.Slots
 	cfg.Self.BackendServer = cfg.Backend.Name
 	cfg.Self.Service = cfg.Backend.Service
+	if cfg.UsageConfirm == 0 {
+		cfg.UsageConfirm = defaultUsageConfirm
+	}
 	return &Core{
 		cfg: cfg, self: cfg.Self,
 		queue:    limits.NewFairQueue(limits.Options{Bound: cfg.Queue}),
@@ -160,6 +163,8 @@
 		out = c.backendLoad(now, e)
 	case DrainStarted:
 		out = c.drainStarted()
+	case EntriesChanged:
+		c.entriesChanged(e.Entries)
 	case UsageConfirmed:
 		c.usage.Confirm(e.Confirm)
 	case UsageHeld:
--- a/internal/usage/buffer.go
+++ b/internal/usage/buffer.go
@@ -127,6 +127,9 @@
 	return &Buffer{incarnation: incarnation, opts: opts.withDefaults(), dictionary: newDictionary()}
 }
 
+// SetFlushEvery changes how long a record waits for others to share its batch.
+func (b *Buffer) SetFlushEvery(d time.Duration) { b.opts.FlushEvery = d }
+
 // Full reports whether a further request must be refused, because its record
 // might find no room beside those held and those reserved.
 func (b *Buffer) Full() bool {
--- a/internal/usage/unconfirmed.go
+++ b/internal/usage/unconfirmed.go
@@ -45,6 +45,20 @@
 	}
 }
 
+// SetConfirmAfter changes the wait for a confirmation, also of the records that
+// are already held.
+func (u *Unconfirmed) SetConfirmAfter(d time.Duration) {
+	change := d - u.confirmAfter
+	if change == 0 {
+		return
+	}
+	u.confirmAfter = d
+	for id, h := range u.held {
+		h.due = h.due.Add(change)
+		u.held[id] = h
+	}
+}
+
 // Full reports whether a further attempt must be refused.
 func (u *Unconfirmed) Full() bool {
 	return u.bytes+(u.reserved+1)*(heldOverhead+maxRequestBytes) > u.maxBytes
--- a/internal/usage/usage_test.go
+++ b/internal/usage/usage_test.go
@@ -300,3 +300,18 @@
 	flush, _ = Intervals(3, time.Second, 10*time.Second)
 	assert.Equal(t, flush, time.Second)
 }
+
+// Guards against sidecars that write what their entry is about to write, because
+// the entries have become more while the record was held.
+func TestConfirmWaitGrowsForHeldRecords(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	u := NewUnconfirmed(1, 10*time.Second, Options{})
+	assert.Assert(t, u.Reserve() == nil)
+	assert.Assert(t, u.Add(now, api.UsageRecord{Request: "r", RunState: api.RunStateRan}) == nil)
+	_, confirm := Intervals(370, time.Second, 10*time.Second)
+	u.SetConfirmAfter(confirm)
+	u.Flush(now.Add(confirm - time.Second))
+	assert.Equal(t, len(u.held), 1)
+	u.Flush(now.Add(confirm))
+	assert.Equal(t, len(u.held), 0)
+}
