Split the effects of the entry loop by whether they leave the process

Cause: the switch had grown past the linter's bound of 15 branches. Change: applyRemote holds the effects that call another process. Measured: unit tests and the composed fuzz test pass. Conclusion: no behaviour changed.

--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -142,6 +142,25 @@
 		l.deliver(e)
 	case entry.Answer:
 		l.answer(e)
+	case entry.Rate:
+		l.rater.submit(e)
+	case entry.Publish:
+		l.publish(e)
+	case entry.OfferConfig:
+		l.offer(e.Offer)
+	case entry.Trace:
+		l.recorder(e.Record)
+	case entry.Drained:
+		close(l.drained)
+	default:
+		l.applyRemote(effect)
+	}
+}
+
+// applyRemote carries out the effects that call another process. None of them
+// holds the main loop.
+func (l *entryLoop) applyRemote(effect entry.Effect) {
+	switch e := effect.(type) {
 	case entry.StartAttempt:
 		go l.runAttempt(e)
 	case entry.CancelAttempt:
@@ -156,16 +175,6 @@
 		go l.writeObject(e)
 	case entry.Probe:
 		go l.probe(e)
-	case entry.Rate:
-		l.rater.submit(e)
-	case entry.Publish:
-		l.publish(e)
-	case entry.OfferConfig:
-		l.offer(e.Offer)
-	case entry.Trace:
-		l.recorder(e.Record)
-	case entry.Drained:
-		close(l.drained)
 	default:
 		l.applyClaim(e)
 	}
