Correct the entry's test build after the merge

The test of the usage intervals, merged at the same time, named a constant that had moved to package usage, so that the package's tests did not build. Change: the test names usage.Prefix. Measured: tests of entry, daemon and sidecar and the composed fuzz test pass now.

--- a/internal/entry/intervals_test.go
+++ b/internal/entry/intervals_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/usage"
 )
 
 // Guards against 370 entries that each write a usage batch every second, which is
@@ -24,7 +25,7 @@
 	c.Handle(now, MembersChanged{Members: members})
 	written := func(at time.Duration) bool {
 		for _, effect := range c.Handle(now.Add(at), Tick{}) {
-			if w, ok := effect.(WriteObject); ok && strings.HasPrefix(w.Key, usagePrefix) {
+			if w, ok := effect.(WriteObject); ok && strings.HasPrefix(w.Key, usage.Prefix) {
 				return true
 			}
 		}
