End the read deadline only when a body is complete

Cause: checking the callers' page on a running entry, a caller that sent half of a body got no answer within 13 s, with a read timeout of 10 s. The handler took its read deadline back when it refused the request, and the server then waits for the rest of the body before it answers. Such a caller kept one of the entry's bounded connections for ever, and would hold up a planned stop. Change: the deadline covers the whole request, also where a request is refused by its header alone, and ends when the body is complete. Conclusion: slow readers were bounded, slow senders were not.

--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -74,7 +74,18 @@
 	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.fail(w, "", invalidPath(r))
 	})
-	return router
+	return h.withReadDeadline(router)
+}
+
+// withReadDeadline bounds the time to read a request. The server reads what is left
+// of a body before it answers, so the bound is needed also where a request is
+// refused without a look at its body; else a caller that sends no more would keep
+// its connection for ever.
+func (h *handler) withReadDeadline(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.options.ReadTimeout))
+		next.ServeHTTP(w, r)
+	})
 }
 
 func invalidPath(r *http.Request) error {
@@ -202,10 +213,8 @@
 	return key, nil
 }
 
+// body reads the body and, when it is complete, ends the read deadline.
 func (h *handler) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(h.options.ReadTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.options.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -214,6 +223,7 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidRequest, "body cannot be read")
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
