Give a link its connection before its first message is handled

Cause: the JSON-RPC library starts to read before it returns the connection.

Ruled out: a port in use and a failed start (the sidecar had logged its start).

Change: the dispatcher holds messages until the link is complete.

Before: TestFirstCallFindsACompleteLink panics, and the race detector reports the write of the connection. After: passes under race.

Conclusion: a daemon no longer ends because of the order of two messages.

--- /dev/null
+++ b/internal/peer/attach_test.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"encoding/binary"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/api"
+)
+
+// linkUser uses the link of each call at once, as the sidecar's probe does.
+type linkUser struct{ recorder }
+
+// Serve implements Handler.
+func (u *linkUser) Serve(link *Link, call *Call) {
+	select {
+	case <-link.Done():
+	default:
+	}
+	call.Respond(api.ProbeResult{})
+}
+
+// Guards against a message that is handled before its link is complete: a peer
+// that sends its first call right after the hello ended the process.
+func TestFirstCallFindsACompleteLink(t *testing.T) {
+	hello := func() api.Hello { return api.Hello{Member: api.Member{Instance: "server", Incarnation: 1}} }
+	n := NewNode(Options{Handler: &linkUser{}, Local: hello})
+	address, err := n.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(n.Close)
+	var frames []byte
+	for _, body := range []string{
+		`{"jsonrpc":"2.0","id":1,"method":"hello","params":{"member":{"instance":"client","incarnation":1,"state":"ready","role":"entry"},"revision":{"generation":0,"version":0}}}`,
+		`{"jsonrpc":"2.0","id":2,"method":"probe","params":{}}`,
+	} {
+		frames = binary.BigEndian.AppendUint32(frames, uint32(len(body)))
+		frames = append(frames, body...)
+	}
+	for range 100 {
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		_, err = conn.Write(frames)
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+		_, err = conn.Read(make([]byte, 1024))
+		assert.NilError(t, err)
+		assert.NilError(t, conn.Close())
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -216,10 +216,14 @@
 	link    *Link
 	said    chan struct{}
 	once    sync.Once
+	// attached is closed when link has its connection. The library reads messages
+	// before it returns the connection.
+	attached chan struct{}
 }
 
 // Handle implements jsonrpc2.Handler.
 func (d *dispatcher) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	<-d.attached
 	call := &Call{Method: req.Method, conn: conn, id: req.ID, notify: req.Notif}
 	if req.Params != nil {
 		call.Params = *req.Params
@@ -251,8 +255,11 @@
 	call.Respond(d.local())
 }
 
-func newConn(ctx context.Context, netConn net.Conn, d *dispatcher, counters *Counters) *jsonrpc2.Conn {
-	return jsonrpc2.NewConn(ctx, newStream(netConn, counters), d, jsonrpc2.SetLogger(discard{}))
+// attach starts the connection of the dispatcher's link.
+func (d *dispatcher) attach(ctx context.Context, netConn net.Conn, counters *Counters) {
+	d.attached = make(chan struct{})
+	d.link.conn = jsonrpc2.NewConn(ctx, newStream(netConn, counters), d, jsonrpc2.SetLogger(discard{}))
+	close(d.attached)
 }
 
 // discard drops the messages of the JSON-RPC library: a closed connection is
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -96,7 +96,7 @@
 func (n *Node) serve(conn net.Conn) {
 	link := &Link{}
 	d := &dispatcher{handler: n.handler, local: n.local, link: link, said: make(chan struct{})}
-	link.conn = newConn(n.ctx, conn, d, &n.counters)
+	d.attach(n.ctx, conn, &n.counters)
 	n.mu.Lock()
 	n.accepted[link] = true
 	n.mu.Unlock()
@@ -162,7 +162,7 @@
 	link := &Link{}
 	said := make(chan struct{})
 	d := &dispatcher{handler: n.handler, local: n.local, link: link, said: said}
-	link.conn = newConn(n.ctx, conn, d, &n.counters)
+	d.attach(n.ctx, conn, &n.counters)
 	var hello api.Hello
 	if err := link.Call(ctx, MethodHello, n.local(), &hello); err != nil {
 		link.Close()
