--- a/test/e2e/soak_test.go
+++ b/test/e2e/soak_test.go
@@ -101,7 +101,8 @@
 }
 
 // pick chooses a fault. Two kills at once may lose the usage records that only
-// these two processes hold, which TestLossOfFailureDomainIsBilled shows.
+// these two processes hold: a third one holds them when both are in one failure
+// domain.
 func (s *soak) pick(killed bool) injection {
 	choices := []func() injection{
 		s.kill, s.freeze, s.freeze, s.cut, s.oneWay, s.delay, s.isolateEntry, s.race, s.engines, s.services,
