--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -19,6 +19,7 @@
 const (
 	defaultRatingSample  = 0.1
 	defaultRatingTimeout = 2 * time.Second
+	defaultUsageFlush    = time.Second
 	// publishInterval is how often the peer exchange gets news.
 	publishInterval = 500 * time.Millisecond
 	// probeInterval and probesPerInterval bound probes to about 1 KB/s.
@@ -58,6 +59,7 @@
 	budgets   *retry.Budgets
 	delays    map[delayKey]*retry.Delays
 	book      *claims.Book
+	handover  handover
 	usage     *usage.Buffer
 	keys      *session.Keys
 
@@ -93,6 +95,9 @@
 	if cfg.RatingTimeout == 0 {
 		cfg.RatingTimeout = defaultRatingTimeout
 	}
+	if cfg.UsageFlush == 0 {
+		cfg.UsageFlush = defaultUsageFlush
+	}
 	return &Core{
 		cfg: cfg, rng: rng,
 		customers: limits.NewCustomers(cfg.Self.Instance),
@@ -103,6 +108,7 @@
 		budgets:   retry.NewBudgets(retry.BudgetOptions{}),
 		delays:    map[delayKey]*retry.Delays{},
 		book:      claims.NewBook(cfg.Self.Instance, int64(cfg.Self.Incarnation), claims.Options{Window: cfg.ClaimWindow}),
+		handover:  newHandover(),
 		usage:     usage.NewBuffer(int64(cfg.Self.Incarnation), usage.Options{MaxBytes: cfg.UsageBytes, FlushEvery: cfg.UsageFlush}),
 		requests:  map[string]*request{},
 		ratings:   newRatingSet(),
@@ -136,6 +142,8 @@
 		c.peerLeaving(now, e)
 	case DigestReceived:
 		c.digestReceived(now, e)
+	case claimEvent:
+		c.claimEvent(now, e)
 	case UsageHeld:
 		c.answerHeld(now, e.Request)
 	case SessionKeysRead:
@@ -154,6 +162,7 @@
 	c.fireTimers(now)
 	c.settle(now)
 	c.claimEffects(now, c.book.Handle(now, claims.Tick{}))
+	c.tickHandover(now)
 	c.flushUsage(now)
 	c.tickRollouts(now)
 	c.ratings.expire(now)
@@ -253,7 +262,7 @@
 	if !c.draining || c.drained {
 		return
 	}
-	if len(c.requests) > 0 || c.usage.Records() > 0 || c.book.Unwritten() > 0 {
+	if len(c.requests) > 0 || c.usage.Records() > 0 || c.book.Unwritten() > 0 || c.handover.open() {
 		return
 	}
 	c.drained = true
