Let an operator resolve a claim that is blocked as unknown

Cause: a call whose entry or sidecar died blocks its idempotency key for good; docs/operators/non-idempotent.md told operators to state the outcome and no program took it.

Change: GET /admin/v1/claims and POST /admin/v1/claims/resolve, and borageflow claims show|resolve. The state is folded from the store's log, so that every entry answers alike. A key is refused as in progress until one minute after the stated end of its run, whatever state is stored, and when another request holds it. The outcome goes through the entry's Book as claims.end does and is read back. Each try leaves a log line and a trace line of the new event claim with the operator's name.

Conclusion: a blocked key can be freed with proof and cannot be freed under a run within its stated time. Not run against a live daemon yet.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1752,6 +1752,7 @@
 
 const TraceEventArrival TraceEvent = "arrival"
 const TraceEventAttempt TraceEvent = "attempt"
+const TraceEventClaim TraceEvent = "claim"
 const TraceEventConfig TraceEvent = "config"
 const TraceEventCutback TraceEvent = "cutback"
 const TraceEventEnd TraceEvent = "end"
--- a/cmd/borageflow/registry.go
+++ b/cmd/borageflow/registry.go
@@ -19,6 +19,7 @@
 	newManifest,
 	newStatus,
 	newUsage,
+	newClaims,
 	newLoad,
 	newReplay,
 	newReport,
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -36,6 +36,10 @@
 	Status(ctx context.Context) (api.Status, error)
 	// Committed hands over a manifest that this process has committed.
 	Committed(offer api.ConfigOffer)
+	// EndClaim states the end of a claim and returns when it is stored.
+	EndClaim(ctx context.Context, end api.ClaimEndParams) error
+	// Audit records what an operator resolved.
+	Audit(a ClaimAudit)
 }
 
 // Options configure a Handler.
@@ -64,6 +68,8 @@
 	api.HandleFunc("/manifest", h.show).Methods(http.MethodGet)
 	api.HandleFunc("/manifest/check", h.check).Methods(http.MethodPost)
 	api.HandleFunc("/manifest", h.commit).Methods(http.MethodPut)
+	api.HandleFunc("/claims", h.showClaim).Methods(http.MethodGet)
+	api.HandleFunc("/claims/resolve", h.resolveClaim).Methods(http.MethodPost)
 	return router
 }
 
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"time"
 
@@ -93,6 +94,25 @@
 	return answer.Revision, err
 }
 
+// Claim returns what the store holds for a key.
+func (c *Client) Claim(ctx context.Context, key admin.ClaimKey) (admin.ClaimView, error) {
+	query := url.Values{
+		"customer": {key.Customer}, "service": {key.Service}, "operation": {key.Operation}, "idempotencyKey": {key.IdempotencyKey},
+	}
+	var view admin.ClaimView
+	return view, c.call(ctx, http.MethodGet, "/admin/v1/claims?"+query.Encode(), nil, &view)
+}
+
+// ResolveClaim states the outcome of a claim that is blocked as unknown.
+func (c *Client) ResolveClaim(ctx context.Context, r admin.ClaimResolution) (admin.ClaimView, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return admin.ClaimView{}, eris.Wrap(err, "outcome cannot be encoded")
+	}
+	var view admin.ClaimView
+	return view, c.call(ctx, http.MethodPost, "/admin/v1/claims/resolve", raw, &view)
+}
+
 // Refused is an error answer of the administration API.
 type Refused struct {
 	Status  int
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -91,6 +91,9 @@
 	MaxReads int
 }
 
+// DefaultShards is the number of logs of a deployment.
+const DefaultShards = 2
+
 const (
 	// hardSegmentBytes stays below platform.MaxValueBytes with room for the envelope.
 	hardSegmentBytes = 960 << 10
@@ -99,7 +102,7 @@
 )
 
 func (o Options) withDefaults() Options {
-	setInt(&o.Shards, 2)
+	setInt(&o.Shards, DefaultShards)
 	setInt(&o.SegmentBytes, 128<<10)
 	setInt(&o.MaxAnswerBytes, 4<<10)
 	setInt(&o.MaxPending, 4096)
--- a/internal/daemon/entryadmin.go
+++ b/internal/daemon/entryadmin.go
@@ -43,6 +43,29 @@
 // waiting for the watch.
 func (b adminBackend) Committed(offer api.ConfigOffer) { b.d.control.offer(offer) }
 
+// resolveTimeout bounds the wait until a stated outcome is stored.
+const resolveTimeout = 5 * time.Second
+
+// EndClaim implements admin.Backend.
+func (b adminBackend) EndClaim(ctx context.Context, end api.ClaimEndParams) error {
+	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
+	defer cancel()
+	return b.d.loop.endClaim(ctx, end)
+}
+
+// Audit implements admin.Backend.
+func (b adminBackend) Audit(a admin.ClaimAudit) {
+	observe.Part(b.d.log, "admin").Info("operator resolves a claim", zap.String("operator", a.Operator),
+		zap.String("outcome", string(a.End.State)), zap.String("request", a.End.Request), zap.String("customer", a.End.Customer),
+		zap.String("service", a.End.Service), zap.String("operation", a.End.Operation),
+		zap.String("idempotency_key", a.End.IdempotencyKey), zap.String("result", a.Result))
+	b.d.record.record(api.TraceRecord{
+		At: int(time.Now().UnixMicro()), Event: api.TraceEventClaim, Request: a.End.Request, Customer: a.End.Customer,
+		Service: a.End.Service, Operation: a.End.Operation, IdempotencyKey: a.End.IdempotencyKey,
+		Reason: "operator " + a.Operator + " states " + string(a.End.State) + ": " + a.Result,
+	})
+}
+
 // serveAdmin opens the administration API when settings name a listener.
 func (d *entryDaemon) serveAdmin() error {
 	s := d.settings
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -20,47 +20,51 @@
 	return count
 }
 
-// offeredCalls holds the calls of other entries until the core answers them.
+// offeredCalls holds what waits for the core's answer to a claim or an end.
 type offeredCalls struct {
 	mu    sync.Mutex
 	last  uint64
-	calls map[uint64]*peer.Call
+	calls map[uint64]func(result any)
 }
 
-func (o *offeredCalls) add(call *peer.Call) uint64 {
+func (o *offeredCalls) add(answer func(result any)) uint64 {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.calls == nil {
-		o.calls = map[uint64]*peer.Call{}
+		o.calls = map[uint64]func(any){}
 	}
 	o.last++
-	o.calls[o.last] = call
+	o.calls[o.last] = answer
 	return o.last
 }
 
-func (o *offeredCalls) take(id uint64) *peer.Call {
+func (o *offeredCalls) take(id uint64) func(result any) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	call := o.calls[id]
+	answer := o.calls[id]
 	delete(o.calls, id)
-	return call
+	return answer
 }
 
 // answer responds from a goroutine of its own, so that a peer that does not read
 // cannot block the main loop.
 func (o *offeredCalls) answer(id uint64, result any) {
-	if call := o.take(id); call != nil {
-		go call.Respond(result)
+	if answer := o.take(id); answer != nil {
+		go answer(result)
 	}
 }
 
-// refuse answers a call that the main loop did not take.
-func (o *offeredCalls) refuse(id uint64) {
-	if call := o.take(id); call != nil {
-		call.Fail(errkind.New(errkind.Overloaded, "main loop is overloaded"))
+// offerCall hands a call of another entry to the main loop.
+func (l *entryLoop) offerCall(call *peer.Call, event func(id uint64) entry.Event) {
+	id := l.offers.add(call.Respond)
+	if !l.events.Offer(event(id)) {
+		l.offers.take(id)
+		call.Fail(errLoopFull())
 	}
 }
 
+func errLoopFull() error { return errkind.New(errkind.Overloaded, "main loop is overloaded") }
+
 func (l *entryLoop) applyClaim(effect entry.Effect) {
 	switch e := effect.(type) {
 	case entry.HandClaim:
@@ -80,10 +84,7 @@
 		call.Fail(err)
 		return
 	}
-	id := l.offers.add(call)
-	if !l.events.Offer(entry.ClaimOffered{ID: id, Params: params}) {
-		l.offers.refuse(id)
-	}
+	l.offerCall(call, func(id uint64) entry.Event { return entry.ClaimOffered{ID: id, Params: params} })
 }
 
 func (l *entryLoop) serveClaimEnd(call *peer.Call) {
@@ -92,10 +93,7 @@
 		call.Fail(err)
 		return
 	}
-	id := l.offers.add(call)
-	if !l.events.Offer(entry.ClaimEndOffered{ID: id, Params: params}) {
-		l.offers.refuse(id)
-	}
+	l.offerCall(call, func(id uint64) entry.Event { return entry.ClaimEndOffered{ID: id, Params: params} })
 }
 
 // handClaim asks the usual writer. An answer after the timeout is dropped; the
@@ -121,3 +119,20 @@
 	}
 	l.events.Put(l.ctx, entry.ClaimEndHanded{Request: e.Params.Request, Err: err})
 }
+
+// endClaim states the end of a claim for an operator and waits until it is stored.
+func (l *entryLoop) endClaim(ctx context.Context, end api.ClaimEndParams) error {
+	stored := make(chan struct{})
+	id := l.offers.add(func(any) { close(stored) })
+	if !l.events.Offer(entry.ClaimEndOffered{ID: id, Params: end}) {
+		l.offers.take(id)
+		return errLoopFull()
+	}
+	select {
+	case <-stored:
+		return nil
+	case <-ctx.Done():
+		l.offers.take(id)
+		return errkind.Wrap(ctx.Err(), errkind.StoreUnavailable, "outcome is not stored yet: show the claim again before repeating")
+	}
+}
