--- a/cmd/borageflow/dev.go
+++ b/cmd/borageflow/dev.go
@@ -35,9 +35,9 @@
 
 // devFlags are the flags of the subcommand dev.
 type devFlags struct {
-	manifest, topology, level string
-	subnet                    int
-	seconds                   int
+	manifest, topology, level, traces string
+	subnet                            int
+	seconds                           int
 }
 
 func newDev() command {
@@ -46,6 +46,7 @@
 	c.sub.String(&f.manifest, "m", "manifest", "File of a manifest; default a small demonstration.")
 	c.sub.String(&f.topology, "t", "topology", "File that describes the stand-ins, schema/dev.json; default the demonstration's.")
 	c.sub.String(&f.level, "l", "log-level", "Level of the daemons' logs: debug, info, warn or error.")
+	c.sub.String(&f.traces, "", "trace-dir", "Folder for the decision log of each entry, as <instance>.jsonl.")
 	c.sub.Int(&f.subnet, "", "subnet", "Second number of the loopback addresses 127.n.0.x, 1 to 255.")
 	c.sub.Int(&f.seconds, "", "seconds", "Stops after so many seconds; 0 runs until it is interrupted.")
 	return c
@@ -77,6 +78,7 @@
 	return nil
 }
 
+// spec returns the deployment that the flags describe.
 func (f *devFlags) spec(s streams) (devcluster.Spec, error) {
 	raw, topology := demoManifest, demoTopology
 	var err error
@@ -103,10 +105,11 @@
 	spec := devcluster.FromTopology(parsed, raw)
 	spec.Subnet = [2]byte{byte(f.subnet), 0}
 	spec.Timing.BalancerWaitMs = devBalancerWaitMs
-	spec.LogLevel = f.level
+	spec.LogLevel, spec.TraceDir = f.level, f.traces
 	return spec, nil
 }
 
+// startDaemons returns the daemons that were started, also with an error.
 func startDaemons(ctx context.Context, all []api.Settings) ([]*fx.App, error) {
 	var apps []*fx.App
 	ctx, cancel := context.WithTimeout(ctx, devStartTimeout)
@@ -139,6 +142,8 @@
 	}
 }
 
+// printHelp shows how to reach the deployment. Keys are shown only where they are
+// known: those of the demonstration, and customer keys that follow the examples.
 func (f *devFlags) printHelp(s streams, cluster *devcluster.Cluster, raw []byte) {
 	var entries, admins []string
 	for _, settings := range cluster.Settings {
@@ -166,6 +171,7 @@
 
   BORAGEFLOW_KEY=%s borageflow status --admin %s
 
-Stop with Ctrl-C.
+For the first seconds requests may be refused with run state not_run, until the
+daemons have heard of each other. Stop with Ctrl-C.
 `, strings.Join(entries, " "), cluster.PlatformURL, entries[0], key, operator, admins[0])
 }
--- a/internal/admin/claims.go
+++ b/internal/admin/claims.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/borageflow/borageflow/api"
@@ -167,11 +166,11 @@
 
 func (h *handler) operator(r *http.Request) string {
 	if snapshot := h.Backend.Snapshot(); snapshot != nil {
-		if o, ok := snapshot.OperatorByKey(strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")); ok {
+		if o, ok := snapshot.OperatorByKey(keyOf(r)); ok {
 			return o.Name
 		}
 	}
-	return "bootstrap"
+	return "unknown"
 }
 
 func endOf(r ClaimResolution) (api.ClaimEndParams, error) {
--- a/internal/admin/claims_test.go
+++ b/internal/admin/claims_test.go
@@ -1,11 +1,9 @@
 package admin
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
-	"net/http/httptest"
 	"net/url"
 	"testing"
 	"time"
@@ -21,16 +19,19 @@
 
 // bookBackend is an entry with nothing but a Book.
 type bookBackend struct {
+	*fakeEntry
 	store  platform.Store
 	book   *claims.Book
 	now    time.Time
 	audits []ClaimAudit
 }
 
-func (b *bookBackend) Snapshot() *manifest.Snapshot               { return nil }
-func (b *bookBackend) Status(context.Context) (api.Status, error) { return api.Status{}, nil }
-func (b *bookBackend) Committed(api.ConfigOffer)                  {}
-func (b *bookBackend) Audit(a ClaimAudit)                         { b.audits = append(b.audits, a) }
+// EndClaim and Audit are not used by the tests of the manifest.
+func (f *fakeEntry) EndClaim(context.Context, api.ClaimEndParams) error { return nil }
+func (f *fakeEntry) Audit(ClaimAudit)                                   {}
+
+func (b *bookBackend) Audit(a ClaimAudit) { b.audits = append(b.audits, a) }
+
 func (b *bookBackend) EndClaim(_ context.Context, e api.ClaimEndParams) error {
 	key := claims.Key{Customer: e.Customer, Service: e.Service, Operation: e.Operation, IdempotencyKey: e.IdempotencyKey}
 	var event claims.Event = claims.Released{Key: key, Request: e.Request}
@@ -74,8 +75,10 @@
 // Guards against an operator who frees a key while its call runs or for the wrong
 // request, and against a stated outcome that has no effect or no audit line.
 func TestResolveClaim(t *testing.T) {
-	b := &bookBackend{store: memstore.New(), book: claims.NewBook("e", 1, claims.Options{}), now: time.Now()}
-	h := NewHandler(Options{Backend: b, Store: b.store, BodyBytes: 1 << 20, Bootstrap: true})
+	snapshot, err := manifest.Compile([]byte(testManifest("operator", "")), api.Revision{Generation: 1, Version: 1})
+	assert.NilError(t, err)
+	b := &bookBackend{fakeEntry: &fakeEntry{snapshot}, store: memstore.New(), book: claims.NewBook("e", 1, claims.Options{}), now: time.Now()}
+	h := NewHandler(Options{Backend: b, Store: b.store, BodyBytes: 1 << 20})
 	key := ClaimKey{"north", "booking", "confirm", "k"}
 	claim := func(request string, until time.Time) claims.Result {
 		return b.handle(claims.Claim{Key: claims.Key(key), Request: request, BodyDigest: "x", Until: until})
@@ -83,11 +86,11 @@
 	resolve := func(request, outcome string, answer json.RawMessage) (int, ClaimView) {
 		raw, err := json.Marshal(ClaimResolution{ClaimKey: key, Request: request, Outcome: outcome, Answer: answer})
 		assert.NilError(t, err)
-		return call(t, h, http.MethodPost, "/admin/v1/claims/resolve", raw)
+		return callClaim(t, h, http.MethodPost, "/admin/v1/claims/resolve", raw)
 	}
 	show := func() ClaimView {
 		q := url.Values{"customer": {"north"}, "service": {"booking"}, "operation": {"confirm"}, "idempotencyKey": {"k"}}
-		status, view := call(t, h, http.MethodGet, "/admin/v1/claims?"+q.Encode(), nil)
+		status, view := callClaim(t, h, http.MethodGet, "/admin/v1/claims?"+q.Encode(), nil)
 		assert.Equal(t, status, http.StatusOK)
 		return view
 	}
@@ -117,14 +120,12 @@
 	status, _ = resolve("r3", OutcomeCompleted, nil)
 	assert.Equal(t, status, http.StatusBadRequest)
 	assert.Equal(t, len(b.audits), 5)
+	assert.Equal(t, b.audits[0].Operator, "op")
 }
 
-func call(t *testing.T, h http.Handler, method, path string, body []byte) (int, ClaimView) {
+func callClaim(t *testing.T, h http.Handler, method, path string, body []byte) (int, ClaimView) {
 	t.Helper()
-	r := httptest.NewRequest(method, path, bytes.NewReader(body))
-	r.Header.Set("Authorization", "Bearer key")
-	w := httptest.NewRecorder()
-	h.ServeHTTP(w, r)
+	w := call(h, method, path, "operator", string(body))
 	var view ClaimView
 	assert.NilError(t, json.Unmarshal(w.Body.Bytes(), &view))
 	return w.Code, view
