--- a/test/composed/handover_test.go
+++ b/test/composed/handover_test.go
@@ -147,24 +147,25 @@
 }
 
 // Guards against a key that stays blocked because the answer of its grant was
-// lost, and against a caller that waits for it.
+// lost or its claim arrived after its release, and against a caller that waits
+// for it.
 func TestLostGrantIsReleased(t *testing.T) {
-	for seed := range uint64(20) {
+	faults := []peerFaults{{loseAnswer: 1}, {loseAnswer: 1, late: 1}, {late: 1}}
+	lost := make([]int, len(faults))
+	for seed := range uint64(30) {
 		w := newWorld(seed)
-		w.peers = peerFaults{loseAnswer: 1, late: float64(seed % 2)}
-		lost := 0
+		w.peers = faults[seed%3]
 		for i := range 8 {
 			c := confirm(w, w.entries[i%2], fmt.Sprintf("first%d", i), fmt.Sprintf("k%d", i))
 			w.advance(1500 * time.Millisecond)
 			assert.Assert(t, c.answer != nil)
 			if c.answer.Err != nil {
-				lost++
+				lost[seed%3]++
 				assert.Equal(t, c.answer.Err.RunState, api.RunStateNotRun)
 				assert.Equal(t, c.answer.Err.Kind, errkind.StoreUnavailable)
 				assert.Assert(t, c.answer.Err.RetryAfter > 0)
 			}
 		}
-		assert.Assert(t, lost > 0)
 		w.peers = peerFaults{}
 		w.advance(10 * time.Second)
 		for i := range 8 {
@@ -174,4 +175,7 @@
 		}
 		assert.Equal(t, len(w.oracle.broken), 0, "%v", w.oracle.broken)
 	}
+	for i, n := range lost {
+		assert.Assert(t, n > 0, "no claim was lost under %+v", faults[i])
+	}
 }
