Send the parts that wait for one entry in one message

Cause: each token had a JSON-RPC notification of its own. In the profile of an entry that forwards tokens, the decoding of messages took 66% of the processor time (55% in the library's reading of the JSON-RPC fields).

Change: attempt.parts carries a list. A link sends the parts that already wait in its ring together, at most 64, and waits for none. The entry decodes them without the generated decoder, which reads each object twice; a part without its attempt or sequence number is dropped by the core as before. Both ends must run this version.

--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -66,13 +66,21 @@
 	loop *entryLoop
 }
 
+// streamedPart is a part without the generated decoder, which decodes each part
+// twice to find missing fields. A part without its attempt or sequence number is
+// dropped by the core.
+type streamedPart api.Part
+
 // Serve implements peer.Handler.
 func (h *entryHandler) Serve(link *peer.Link, call *peer.Call) {
 	switch call.Method {
 	case peer.MethodParts:
-		var part api.Part
-		if call.Decode(&part) == nil {
-			h.loop.events.Put(h.loop.ctx, entry.PartReceived{Part: part})
+		var parts []streamedPart
+		if call.Decode(&parts) != nil {
+			return
+		}
+		for _, part := range parts {
+			h.loop.events.Put(h.loop.ctx, entry.PartReceived{Part: api.Part(part)})
 		}
 	case peer.MethodLeaving:
 		var leaving api.LeavingParams
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -127,7 +127,7 @@
 	d.loop.mu.Unlock()
 	for _, e := range links {
 		sent := make(chan struct{})
-		if e.items.Put(ctx, func() { close(sent) }) {
+		if e.items.Put(ctx, linkItem{send: func() { close(sent) }}) {
 			wait(ctx, sent, notifyTimeout)
 		}
 	}
--- a/internal/daemon/sidecarlink.go
+++ b/internal/daemon/sidecarlink.go
@@ -20,7 +20,7 @@
 		return known
 	}
 	l.last++
-	e := &entryLink{id: l.last, link: p, items: ring.New[func()](linkRingSize)}
+	e := &entryLink{id: l.last, link: p, items: ring.New[linkItem](linkRingSize)}
 	l.links[p] = e
 	l.byID[e.id] = e
 	go e.run(l.ctx)
@@ -55,16 +55,52 @@
 			return
 		case <-e.link.Done():
 			return
-		case send := <-e.items.Items():
-			send()
+		case item := <-e.items.Items():
+			e.sendAll(ctx, item)
 		}
 	}
 }
 
+// partsPerMessage bounds the parts in one notification. Decoding the fields of
+// JSON-RPC takes two thirds of an entry's processor time when each part has a
+// message of its own.
+const partsPerMessage = 64
+
+// sendAll sends an item and the parts that wait behind it, which share one
+// message. It never waits for more parts.
+func (e *entryLink) sendAll(ctx context.Context, item linkItem) {
+	e.parts = e.parts[:0]
+	for item.send == nil {
+		e.parts = append(e.parts, item.part)
+		if len(e.parts) == partsPerMessage {
+			break
+		}
+		var more bool
+		if item, more = e.waiting(); !more {
+			break
+		}
+	}
+	if len(e.parts) > 0 {
+		_ = e.link.Notify(ctx, peer.MethodParts, e.parts)
+	}
+	if item.send != nil {
+		item.send()
+	}
+}
+
+func (e *entryLink) waiting() (linkItem, bool) {
+	select {
+	case item := <-e.items.Items():
+		return item, true
+	default:
+		return linkItem{}, false
+	}
+}
+
 // offer queues a message. An entry that does not read loses its link, since a
 // message that is left out would break the order of its streams.
-func (e *entryLink) offer(log *zap.Logger, send func()) {
-	if e.items.Offer(send) {
+func (e *entryLink) offer(log *zap.Logger, item linkItem) {
+	if e.items.Offer(item) {
 		return
 	}
 	log.Warn("entry reads too slowly, link is closed", zap.String("entry", e.link.Remote.Instance))
@@ -114,7 +150,7 @@
 
 func (l *sidecarLoop) sendPart(e sidecar.SendPart) {
 	if to := l.linkByID(e.Link); to != nil {
-		to.offer(l.log, func() { _ = to.link.Notify(l.ctx, peer.MethodParts, e.Part) })
+		to.offer(l.log, linkItem{part: e.Part})
 	}
 }
 
@@ -128,7 +164,7 @@
 		return
 	}
 	e.Result.CacheNews = l.cache.take(to.link)
-	to.offer(l.log, func() { call.(*peer.Call).Respond(e.Result) })
+	to.offer(l.log, linkItem{send: func() { call.(*peer.Call).Respond(e.Result) }})
 }
 
 // fetchConfig asks the entry that used a higher revision for its manifest.
@@ -152,9 +188,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.links {
-		e.offer(l.log, func() {
+		e.offer(l.log, linkItem{send: func() {
 			_ = e.link.Notify(l.ctx, peer.MethodLeaving, api.LeavingParams{Instance: hello.Instance, Incarnation: hello.Incarnation})
-		})
+		}})
 	}
 }
 
--- a/internal/daemon/sidecarloop.go
+++ b/internal/daemon/sidecarloop.go
@@ -63,10 +63,17 @@
 type entryLink struct {
 	id    sidecar.LinkID
 	link  *peer.Link
-	items *ring.Ring[func()]
+	items *ring.Ring[linkItem]
+	parts []api.Part
 	calls sync.Map
 }
 
+// linkItem is a part, or another message when send is set.
+type linkItem struct {
+	part api.Part
+	send func()
+}
+
 type callKey struct {
 	request string
 	attempt int
