--- a/internal/daemon/sidecarloop.go
+++ b/internal/daemon/sidecarloop.go
@@ -25,8 +25,10 @@
 	linkRingSize = 4096
 	// loadInterval is how often the backend server's load report is read.
 	loadInterval = 200 * time.Millisecond
-	// sidecarTick is the longest time between two ticks of the core.
+	// sidecarTick is the longest time between two ticks of the core, and idleTick
+	// without attempts: each wake-up of an idle process costs about 0.1 ms.
 	sidecarTick = 20 * time.Millisecond
+	idleTick    = 100 * time.Millisecond
 )
 
 // sidecarLoop gives the core of a sidecar its clock and connections.
@@ -63,10 +65,17 @@
 type entryLink struct {
 	id    sidecar.LinkID
 	link  *peer.Link
-	items *ring.Ring[func()]
+	items *ring.Ring[linkItem]
+	parts []api.Part
 	calls sync.Map
 }
 
+// linkItem is a part, or another message when send is set.
+type linkItem struct {
+	part api.Part
+	send func()
+}
+
 type callKey struct {
 	request string
 	attempt int
@@ -85,8 +94,15 @@
 			l.handle(sidecar.Tick{})
 		}
 		l.beat.Beat(time.Now())
-		timer.Reset(sidecarTick)
+		timer.Reset(l.untilTick())
+	}
+}
+
+func (l *sidecarLoop) untilTick() time.Duration {
+	if load := l.load.Load(); load == nil || load.Running+load.Queued > 0 {
+		return sidecarTick
 	}
+	return idleTick
 }
 
 func (l *sidecarLoop) handle(e sidecar.Event) {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -218,6 +218,7 @@
 	link    *Link
 	said    chan struct{}
 	once    sync.Once
+	stream  *stream
 	// attached is closed when link has its connection. The library reads messages
 	// before it returns the connection.
 	attached chan struct{}
@@ -227,9 +228,7 @@
 func (d *dispatcher) Handle(_ context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	<-d.attached
 	call := &Call{Method: req.Method, conn: conn, id: req.ID, notify: req.Notif}
-	if req.Params != nil {
-		call.Params = *req.Params
-	}
+	call.Params = d.stream.params
 	if req.Method == MethodHello {
 		d.hello(call)
 		return
@@ -260,7 +259,8 @@
 // attach starts the connection of the dispatcher's link.
 func (d *dispatcher) attach(ctx context.Context, netConn net.Conn, counters *Counters) {
 	d.attached = make(chan struct{})
-	d.link.conn = jsonrpc2.NewConn(ctx, newStream(netConn, counters), d, jsonrpc2.SetLogger(discard{}))
+	d.stream = newStream(netConn, counters)
+	d.link.conn = jsonrpc2.NewConn(ctx, d.stream, d, jsonrpc2.SetLogger(discard{}))
 	close(d.attached)
 }
 
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -96,6 +96,9 @@
 	text     []byte
 	// reserved states that the usage buffer holds room for the attempt.
 	reserved bool
+	// ownsKey states that this attempt added its idempotency key, so that its
+	// release is this attempt's to make.
+	ownsKey bool
 }
 
 // NewCore returns the core of one sidecar. The random source is reserved for
@@ -344,6 +347,7 @@
 		return errkind.New(errkind.DuplicateUnknown, "idempotency key was used before")
 	}
 	c.keys.add(keyOf(a.params))
+	a.ownsKey = true
 	return nil
 }
 
--- a/internal/sidecar/end.go
+++ b/internal/sidecar/end.go
@@ -71,7 +71,7 @@
 		a.reserved = false
 		c.usage.Cancel()
 	}
-	if a.params.Kind == api.RunKindService && !a.params.Idempotent && err.RunState == api.RunStateNotRun {
+	if a.ownsKey && err.RunState == api.RunStateNotRun {
 		c.keys.remove(keyOf(a.params))
 	}
 	return []Effect{SendResult{Link: a.link, Result: c.errorResult(a, err)}}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -130,7 +130,7 @@
 	} else {
 		c.usage.Cancel()
 	}
-	if result.RunState == api.RunStateNotRun && a.params.Kind == api.RunKindService && !a.params.Idempotent {
+	if result.RunState == api.RunStateNotRun && a.ownsKey {
 		c.keys.remove(keyOf(a.params))
 	}
 	if a.linkGone {
