--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -22,6 +22,10 @@
 	// Kind corresponds to the JSON schema field "kind".
 	Kind BackendKind `json:"kind"`
 
+	// MaxOrderMs is the longest time in which the engine carries out an order, in
+	// milliseconds; 0 means 300,000.
+	MaxOrderMs int `json:"maxOrderMs,omitempty,omitzero"`
+
 	// Name is the unique name of the backend server.
 	Name string `json:"name"`
 
@@ -58,6 +62,16 @@
 	// Name corresponds to the JSON schema field "name".
 	Name string `json:"name"`
 
+	// Planned is the version that the placement plan gives to the backend server.
+	Planned string `json:"planned,omitempty,omitzero"`
+
+	// PlannedState is held, ordered, failed or away; empty when the plan does not
+	// manage the backend server.
+	PlannedState string `json:"plannedState,omitempty,omitzero"`
+
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool,omitempty,omitzero"`
+
 	// Queued corresponds to the JSON schema field "queued".
 	Queued int `json:"queued,omitempty,omitzero"`
 
@@ -1252,6 +1266,121 @@
 const PhaseServing Phase = "serving"
 const PhaseWithdrawn Phase = "withdrawn"
 
+// PlacementDemand reports an entry's work to the holder of the plan, notification
+// placement.demand.
+type PlacementDemand struct {
+	// Origin is the instance and incarnation of the entry.
+	Origin string `json:"origin"`
+
+	// ValidMs is how long the figures count without a new report, in milliseconds.
+	ValidMs int `json:"validMs"`
+
+	// Versions corresponds to the JSON schema field "versions".
+	Versions []VersionDemand `json:"versions,omitempty,omitzero"`
+}
+
+// PlacementOrder tells a sidecar which version its engine shall hold, method
+// placement.order.
+type PlacementOrder struct {
+	// BackendServer corresponds to the JSON schema field "backendServer".
+	BackendServer string `json:"backendServer"`
+
+	// Fence is the fencing token recorded in the object placement/{backend server}.
+	Fence int `json:"fence"`
+
+	// Incarnation is that of the sidecar the order is meant for.
+	Incarnation int `json:"incarnation"`
+
+	// Version is the only version to hold; empty means none.
+	Version string `json:"version,omitempty,omitzero"`
+}
+
+type PlacementOutcome string
+
+const PlacementOutcomeDone PlacementOutcome = "done"
+const PlacementOutcomeFailed PlacementOutcome = "failed"
+const PlacementOutcomeRefused PlacementOutcome = "refused"
+const PlacementOutcomeUnknown PlacementOutcome = "unknown"
+
+// PlacementPlan is the object placement/plan.
+type PlacementPlan struct {
+	// Holder is the instance and incarnation that plans; empty when it gave the plan
+	// up.
+	Holder string `json:"holder"`
+
+	// RenewedAt is in Unix milliseconds.
+	RenewedAt int `json:"renewedAt"`
+
+	// Revision corresponds to the JSON schema field "revision".
+	Revision Revision `json:"revision"`
+
+	// Servers corresponds to the JSON schema field "servers".
+	Servers []PlannedServer `json:"servers,omitempty,omitzero"`
+}
+
+// PlacementRecord is the object placement/{backend server}.
+type PlacementRecord struct {
+	// Fence is the token of the last order.
+	Fence int `json:"fence"`
+
+	// Holder is the instance and incarnation of the last writer.
+	Holder string `json:"holder"`
+
+	// Version is the version that the last order gives; empty means none.
+	Version string `json:"version,omitempty,omitzero"`
+}
+
+// PlacementResult answers placement.order.
+type PlacementResult struct {
+	// Highest is the highest fencing token known, for outcome refused.
+	Highest int `json:"highest,omitempty,omitzero"`
+
+	// Outcome corresponds to the JSON schema field "outcome".
+	Outcome PlacementOutcome `json:"outcome"`
+
+	// Reason corresponds to the JSON schema field "reason".
+	Reason string `json:"reason,omitempty,omitzero"`
+}
+
+// PlacementSettings configure the planning of versions; entries only.
+type PlacementSettings struct {
+	// DemandMs is the shortest time between two reports of demand, in milliseconds; 0
+	// means 5,000.
+	DemandMs int `json:"demandMs,omitempty,omitzero"`
+
+	// DwellMs is the shortest time a backend server keeps a version, in milliseconds;
+	// 0 means 120,000.
+	DwellMs int `json:"dwellMs,omitempty,omitzero"`
+
+	// HolderMs is how long the plan stays unchanged before another entry takes over,
+	// in milliseconds; 0 means 45,000.
+	HolderMs int `json:"holderMs,omitempty,omitzero"`
+
+	// LoadBurst is the largest number of loads at once; 0 means 2.
+	LoadBurst int `json:"loadBurst,omitempty,omitzero"`
+
+	// LoadsPerMinute is the rate of the weight store; 0 means 6.
+	LoadsPerMinute float64 `json:"loadsPerMinute,omitempty,omitzero"`
+}
+
+// PlannedServer is one backend server of a managed pool.
+type PlannedServer struct {
+	// Fence corresponds to the JSON schema field "fence".
+	Fence int `json:"fence,omitempty,omitzero"`
+
+	// Name corresponds to the JSON schema field "name".
+	Name string `json:"name"`
+
+	// Pool corresponds to the JSON schema field "pool".
+	Pool string `json:"pool"`
+
+	// State is held, ordered, failed or away.
+	State string `json:"state,omitempty,omitzero"`
+
+	// Version is the planned version.
+	Version string `json:"version,omitempty,omitzero"`
+}
+
 // PlatformSettings reach the platform's object API.
 type PlatformSettings struct {
 	// TimeoutMs bounds one call, in milliseconds; 0 means 2,000.
@@ -1629,6 +1758,9 @@
 	// is known.
 	Peers []string `json:"peers,omitempty,omitzero"`
 
+	// Placement corresponds to the JSON schema field "placement".
+	Placement *PlacementSettings `json:"placement,omitempty,omitzero"`
+
 	// Platform corresponds to the JSON schema field "platform".
 	Platform PlatformSettings `json:"platform"`
 
@@ -1969,6 +2101,15 @@
 	TokenMs float64 `json:"tokenMs,omitempty,omitzero"`
 }
 
+// VersionDemand is the offered work of one version.
+type VersionDemand struct {
+	// Busy is the number of backend servers that the work keeps fully busy.
+	Busy float64 `json:"busy"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version string `json:"version"`
+}
+
 // VersionStatus describes one version.
 type VersionStatus struct {
 	// Answered corresponds to the JSON schema field "answered".
--- a/internal/placement/fence.go
+++ b/internal/placement/fence.go
@@ -47,11 +47,17 @@
 	Highest int
 }
 
+// OrderStarted tells that a call of the order is about to be written to the
+// engine. The sidecar may have waited for running requests since Send, and an
+// order may take several calls.
+type OrderStarted struct{ Fence int }
+
 // Timer tells that the time named by a Wait has come.
 type Timer struct{}
 
 func (OrderReceived) isEvent() {}
 func (OrderEnded) isEvent()    {}
+func (OrderStarted) isEvent()  {}
 func (Timer) isEvent()         {}
 
 // Decision is an output of Handle.
@@ -111,6 +117,10 @@
 		return f.received(now, e.Order)
 	case OrderEnded:
 		return f.ended(now, e)
+	case OrderStarted:
+		if f.sent != nil && f.sent.Fence == e.Fence && !f.opts.Checks {
+			f.quiet = now.Add(f.opts.MaxOrder)
+		}
 	case Timer:
 		return f.next(now)
 	}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -69,6 +69,26 @@
 	return run.orders
 }
 
+// TakeLoad takes one load from the rate of the weight store for an order that
+// repeats an earlier one. It reports false when the rate is used up.
+func (p *Planner) TakeLoad(now time.Time) bool {
+	p.refill(now)
+	if p.tokens < 1 {
+		return false
+	}
+	p.tokens--
+	return true
+}
+
+// TakeOver continues the work of an unknown earlier planner: no load at once, and
+// no move for load before the shortest time that the replicas keep a version.
+func (p *Planner) TakeOver(now time.Time, replicas []Replica) {
+	p.tokens = 0
+	for _, r := range replicas {
+		p.moved[r.Name] = now
+	}
+}
+
 func (p *Planner) refill(now time.Time) {
 	if !p.at.IsZero() && now.After(p.at) {
 		p.tokens += now.Sub(p.at).Minutes() * p.opts.LoadsPerMinute
