Wire placement: plan holder at the entries, orders at the sidecars

Cause: versions stayed where the engines had started with them; a withdrawn one stayed loaded and a declared one was never loaded.

Change: entries hold placement/plan by rank of a hash (three ranks watch it, since the first may be frozen), sample their running attempts and report them to the first, and send orders whose token is recorded. A sidecar compares an order with the record, closes the other versions, waits until they are idle, and passes it to its engine through the fence. Status adds the planned versions from the store. Pools with "replicas" are managed. The planner fills empty replicas, which else held nothing below load 0.7.

Failed try: only the first entry by hash was a candidate. With it frozen the plan had no holder for 60 s (TestPlacementFollowsManifest), because a frozen entry stays ready in the member list.

Conclusion: placement is wired; the whole of test/e2e is still to be run.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -75,6 +75,10 @@
 	cfg := entry.Config{
 		Self: d.self, UsageBytes: s.Limits.UsageBytes, UsageFlush: ms(s.Timing.UsageFlushMs),
 		ClaimWindow: ms(s.Timing.ClaimWindowMs), ProbeAfter: ms(s.Timing.ProbeMs),
+		Placement: holderOptions(s.Placement),
+	}
+	if s.Placement != nil {
+		cfg.DemandEvery = ms(s.Placement.DemandMs)
 	}
 	loop := &entryLoop{
 		events: ring.New[entry.Event](entryRingSize), inspect: make(chan func(*entry.Core)),
--- a/internal/daemon/entryadmin.go
+++ b/internal/daemon/entryadmin.go
@@ -35,6 +35,7 @@
 		return status, err
 	}
 	b.d.control.addStatus(&status)
+	b.d.addPlan(ctx, &status)
 	status.Objectives = b.d.record.burn(ctx)
 	return status, nil
 }
--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -164,6 +164,8 @@
 		l.recorder(e.Record)
 	case entry.Drained:
 		close(l.drained)
+	default:
+		l.applyPlacement(effect)
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/entryplacement.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/entry"
+	"github.com/borageflow/borageflow/internal/peer"
+	"github.com/borageflow/borageflow/internal/placement"
+)
+
+// orderTimeout bounds the wait for the end of an order. The holder gives the
+// order up at the same time.
+const orderTimeout = 15 * time.Minute
+
+// statusPlanTimeout bounds the read of the plan for one status.
+const statusPlanTimeout = time.Second
+
+func holderOptions(s *api.PlacementSettings) placement.HolderOptions {
+	if s == nil {
+		return placement.HolderOptions{}
+	}
+	return placement.HolderOptions{
+		HolderTimeout: ms(s.HolderMs), OrderTimeout: orderTimeout,
+		Planner: placement.Options{LoadsPerMinute: s.LoadsPerMinute, LoadBurst: s.LoadBurst, Dwell: ms(s.DwellMs)},
+	}
+}
+
+// applyPlacement carries out the effects of placement.
+func (l *entryLoop) applyPlacement(effect entry.Effect) {
+	switch e := effect.(type) {
+	case entry.SendPlacement:
+		go l.sendPlacement(e)
+	case entry.ReportDemand:
+		l.outbox.send(notice{e.Address, peer.MethodPlacementDemand, e.Demand})
+	}
+}
+
+// sendPlacement sends an order to a sidecar and waits for its end.
+func (l *entryLoop) sendPlacement(e entry.SendPlacement) {
+	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+	defer cancel()
+	answered := entry.PlacementAnswered{BackendServer: e.Order.BackendServer, Fence: e.Order.Fence}
+	link, err := l.node.Link(ctx, e.Address)
+	if err == nil {
+		err = link.Call(ctx, peer.MethodPlacementOrder, e.Order, &answered.Result)
+	}
+	if err != nil {
+		answered.Result = api.PlacementResult{Outcome: api.PlacementOutcomeUnknown, Reason: err.Error()}
+	}
+	l.log.Info("order has ended", zap.String("backend_server", e.Order.BackendServer), zap.Int("fence", e.Order.Fence),
+		zap.String("version", e.Order.Version), zap.String("outcome", string(answered.Result.Outcome)), zap.String("reason", answered.Result.Reason))
+	l.events.Put(l.ctx, answered)
+}
+
+// addPlan adds the planned versions to the status of an entry. Only the holder
+// knows the plan, so it is read from the store; without the store it is left out.
+func (d *entryDaemon) addPlan(ctx context.Context, s *api.Status) {
+	snapshot := d.loop.snapshot.Load()
+	if snapshot == nil || !managesPools(snapshot.Manifest) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, statusPlanTimeout)
+	defer cancel()
+	object, err := d.store.Get(ctx, placement.PlanKey)
+	var plan api.PlacementPlan
+	if err != nil || json.Unmarshal(object.Value, &plan) != nil {
+		return
+	}
+	index := map[string]int{}
+	for i, server := range s.BackendServers {
+		index[server.Name] = i
+	}
+	for _, p := range plan.Servers {
+		i, ok := index[p.Name]
+		if !ok {
+			i = len(s.BackendServers)
+			s.BackendServers = append(s.BackendServers, api.BackendServerStatus{Name: p.Name, State: "not ready"})
+		}
+		server := &s.BackendServers[i]
+		server.Pool, server.Planned, server.PlannedState = p.Pool, p.Version, p.State
+	}
+}
+
+func managesPools(m api.Manifest) bool {
+	for _, p := range m.Pools {
+		if p.Replicas > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -74,6 +74,11 @@
 		if call.Decode(&part) == nil {
 			h.loop.events.Put(h.loop.ctx, entry.PartReceived{Part: part})
 		}
+	case peer.MethodPlacementDemand:
+		var demand api.PlacementDemand
+		if call.Decode(&demand) == nil {
+			h.loop.events.Put(h.loop.ctx, entry.PlacementDemandReceived{Demand: demand})
+		}
 	case peer.MethodLeaving:
 		var leaving api.LeavingParams
 		if call.Decode(&leaving) == nil {
@@ -146,6 +151,8 @@
 		}
 	case peer.MethodUsageHold:
 		h.loop.serveHold(call)
+	case peer.MethodPlacementOrder:
+		h.loop.orders.serve(call)
 	case peer.MethodProbe:
 		h.probe(link, call)
 	default:
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -48,6 +48,7 @@
 		links: map[*peer.Link]*entryLink{}, byID: map[sidecar.LinkID]*entryLink{},
 	}
 	d.loop.cache = newCacheNews(d.loop.backend, observe.Part(c.log, "cache"))
+	d.loop.orders = newPlacementOrders(d, store, observe.Part(c.log, "placement"))
 	d.control.onSnapshot = func(s *manifest.Snapshot) {
 		d.loop.events.Put(c.ctx, sidecar.SnapshotApplied{Snapshot: s})
 	}
--- a/internal/daemon/sidecarloop.go
+++ b/internal/daemon/sidecarloop.go
@@ -42,6 +42,7 @@
 	offer   func(api.ConfigOffer)
 	confirm func()
 	cache   *cacheNews
+	orders  *placementOrders
 	log     *zap.Logger
 
 	ctx     context.Context
@@ -123,6 +124,8 @@
 		l.answerHold(e)
 	case sidecar.WriteUsage:
 		go l.writeUsage(e)
+	case sidecar.VersionsClosed:
+		l.orders.versionsClosed(e.Fence)
 	case sidecar.Drained:
 		close(l.drained)
 	}
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -35,6 +35,8 @@
 	FailureDomain string
 	Pool          string
 	Config        engine.Config
+	// MaxOrderMs is the longest time of an order; 0 means the default.
+	MaxOrderMs int
 }
 
 // Service describes one plain service instance and its sidecar.
@@ -57,6 +59,8 @@
 	Services []Service
 	// Timing applies to every daemon.
 	Timing api.TimingSettings
+	// Placement applies to every entry.
+	Placement *api.PlacementSettings
 	// Rating starts a rating service when not nil.
 	Rating *rating.Config
 	// LogLevel is the level of every daemon.
@@ -164,7 +168,7 @@
 		ip := s.Listen.Peer[:len(s.Listen.Peer)-len(fmt.Sprintf(":%d", PeerPort))]
 		s.Listen.Callers = fmt.Sprintf("%s:%d", ip, CallerPort)
 		s.Listen.Admin = fmt.Sprintf("%s:%d", ip, AdminPort)
-		s.Rating = c.rating
+		s.Rating, s.Placement = c.rating, c.spec.Placement
 		c.Settings = append(c.Settings, s)
 	}
 	return nil
@@ -182,7 +186,7 @@
 		s := c.base(api.RoleSidecar, "sidecar-"+spec.Name, spec.FailureDomain)
 		s.Backend = &api.Backend{
 			Kind: api.BackendKindEngine, Name: spec.Name, URL: server.URL(), Pool: spec.Pool,
-			Slots: spec.Config.Slots, ChecksFencing: spec.Config.CheckFence,
+			Slots: spec.Config.Slots, ChecksFencing: spec.Config.CheckFence, MaxOrderMs: spec.MaxOrderMs,
 		}
 		c.Settings = append(c.Settings, s)
 	}
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -10,6 +10,7 @@
 	"github.com/borageflow/borageflow/internal/limits"
 	"github.com/borageflow/borageflow/internal/manifest"
 	"github.com/borageflow/borageflow/internal/membership"
+	"github.com/borageflow/borageflow/internal/placement"
 	"github.com/borageflow/borageflow/internal/retry"
 	"github.com/borageflow/borageflow/internal/routing"
 	"github.com/borageflow/borageflow/internal/session"
@@ -42,6 +43,10 @@
 	ClaimWindow time.Duration
 	// ProbeAfter is the age at which a load report is refreshed; 0 means the default.
 	ProbeAfter time.Duration
+	// Placement configures the holder of the placement plan.
+	Placement placement.HolderOptions
+	// DemandEvery is the shortest time between two reports of demand; 0 means the default.
+	DemandEvery time.Duration
 }
 
 // Core decides for one entry. It is not safe for concurrent use.
@@ -55,6 +60,7 @@
 	health    *membership.Health
 	planner   *cascade.Planner
 	rollouts  rolloutState
+	placement placementState
 	budgets   *retry.Budgets
 	delays    map[delayKey]*retry.Delays
 	book      *claims.Book
@@ -96,6 +102,7 @@
 		health:    membership.NewHealth(membership.HealthConfig{}),
 		planner:   cascade.NewPlanner(cascade.Options{}, rng),
 		rollouts:  newRolloutState(cfg.Self),
+		placement: newPlacementState(cfg),
 		budgets:   retry.NewBudgets(retry.BudgetOptions{}),
 		delays:    map[delayKey]*retry.Delays{},
 		book:      claims.NewBook(cfg.Self.Instance, int64(cfg.Self.Incarnation), claims.Options{Window: cfg.ClaimWindow}),
@@ -134,6 +141,10 @@
 		c.digestReceived(now, e)
 	case UsageHeld:
 		c.answerHeld(now, e.Request)
+	case PlacementDemandReceived:
+		c.placementEvent(now, placement.DemandReported{Demand: e.Demand})
+	case PlacementAnswered:
+		c.placementEvent(now, placement.OrderAnswered{Server: e.BackendServer, Fence: e.Fence, Result: e.Result})
 	case SessionKeysRead:
 		c.sessionKeysRead(e.Value)
 	default:
@@ -151,6 +162,7 @@
 	c.claimEffects(now, c.book.Handle(now, claims.Tick{}))
 	c.flushUsage(now)
 	c.tickRollouts(now)
+	c.tickPlacement(now)
 	c.ratings.expire(now)
 	if !now.Before(c.nextProbe) {
 		c.nextProbe = now.Add(probeInterval)
@@ -187,6 +199,7 @@
 	c.customers.Apply(s)
 	c.planner.Configure(s)
 	c.applyRollouts(now)
+	c.applyPlacement(now)
 	c.budgets.Keep(func(customer string) bool {
 		_, ok := s.Customer(customer)
 		return ok
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -9,6 +9,7 @@
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/claims"
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/placement"
 	"github.com/borageflow/borageflow/internal/platform"
 	"github.com/borageflow/borageflow/internal/retry"
 	"github.com/borageflow/borageflow/internal/routing"
@@ -266,6 +267,10 @@
 			c.rolloutRead(now, e)
 			return
 		}
+		if strings.HasPrefix(e.Key, placement.RecordPrefix) {
+			c.placementRead(now, e)
+			return
+		}
 		read := claims.StoreRead{ObjectKey: e.Key, Version: e.Version, Value: e.Value}
 		read.NotFound = errors.Is(e.Err, platform.ErrNotFound)
 		read.Failed = e.Err != nil && !read.NotFound
@@ -289,6 +294,10 @@
 		c.rolloutWritten(now, e)
 		return
 	}
+	if strings.HasPrefix(e.Key, placement.RecordPrefix) {
+		c.placementWritten(now, e)
+		return
+	}
 	c.claimEffects(now, c.book.Handle(now, claims.StoreWritten{
 		ObjectKey: e.Key, Version: e.Version, Outcome: claimOutcome(e.Err),
 	}))
--- a/internal/entry/rollouts.go
+++ b/internal/entry/rollouts.go
@@ -92,16 +92,20 @@
 
 // holds reports whether this entry should hold a rollout: the highest hash over
 // the entries. It is a hint; the object's version decides.
-func (c *Core) holds(version string) bool {
+func (c *Core) holds(version string) bool { return c.holderOf(version) == c.cfg.Self.Instance }
+
+func (c *Core) holderOf(version string) string {
 	best, holder := uint64(0), c.cfg.Self.Instance
 	for _, name := range c.rollouts.entries {
-		if score := xxhash.Sum64String(version + "\x00" + name); score > best {
+		if score := hashFor(version, name); score > best {
 			best, holder = score, name
 		}
 	}
-	return holder == c.cfg.Self.Instance
+	return holder
 }
 
+func hashFor(key, entry string) uint64 { return xxhash.Sum64String(key + "\x00" + entry) }
+
 func (c *Core) rolloutEffects(effects []rollout.Effect) {
 	for _, effect := range effects {
 		switch e := effect.(type) {
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -39,6 +39,7 @@
 	c.rollouts.entries = entries
 	c.setClaimEntries(now, entries)
 	c.applyWeights()
+	c.placementMembers(now, members)
 	c.giveUpSilent(now, members)
 }
 
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -109,6 +109,7 @@
 	for _, version := range c.rollouts.shares.Alarms() {
 		s.Alarms = append(s.Alarms, "version "+version+" is bad and has no replacement")
 	}
+	s.Alarms = append(s.Alarms, c.placement.holder.Alarms()...)
 	s.Revision = c.snapshot.Revision
 	s.Customers = c.customerStatus()
 	s.Models, s.Versions = c.versionStatus(now)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,6 +30,9 @@
 	MethodLeaving      = "leaving"
 	MethodUsageConfirm = "usage.confirm"
 	MethodUsageHold    = "usage.hold"
+	// MethodPlacementOrder and MethodPlacementDemand belong to placement.
+	MethodPlacementOrder  = "placement.order"
+	MethodPlacementDemand = "placement.demand"
 )
 
 // helloTimeout bounds dialing and the exchange of hello messages.
--- a/internal/placement/holder.go
+++ b/internal/placement/holder.go
@@ -45,9 +45,15 @@
 	maxRecordCalls = 8
 	// planEvery is the time between two plans.
 	planEvery = time.Second
-	// unwantedLimit is how long another entry must be the better holder before the
-	// plan is given up; member lists differ for seconds after a change.
-	unwantedLimit = 30 * time.Second
+	// maxRank is the last rank that watches the plan.
+	maxRank = 2
+	// giveUpAfter is how long an entry must be no candidate before it gives the plan
+	// up; member lists differ for seconds after a change.
+	giveUpAfter = 30 * time.Second
+	// preemptAfter is how long the first entry must have been the first, and another
+	// holder in office, before it takes the plan from that holder, which gets no
+	// reports of demand.
+	preemptAfter = 5 * time.Minute
 )
 
 func (o HolderOptions) withDefaults() HolderOptions {
@@ -55,8 +61,11 @@
 		value    *time.Duration
 		fallback time.Duration
 	}{
-		{&o.HolderTimeout, 45 * time.Second}, {&o.BackOff, 2 * time.Second}, {&o.OrderTimeout, 15 * time.Minute},
-		{&o.Settle, 10 * time.Second}, {&o.FailBackOff, 30 * time.Second},
+		{&o.HolderTimeout, 45 * time.Second},
+		{&o.BackOff, 2 * time.Second},
+		{&o.OrderTimeout, 15 * time.Minute},
+		{&o.Settle, 10 * time.Second},
+		{&o.FailBackOff, 30 * time.Second},
 	} {
 		if *d.value <= 0 {
 			*d.value = d.fallback
@@ -100,9 +109,10 @@
 	Pools    []Pool
 }
 
-// Candidate states whether this entry should hold the plan, by rendezvous hashing
-// over the entries. It is a hint; the object's version decides.
-type Candidate struct{ Wanted bool }
+// Candidate states the rank of this entry by rendezvous hashing over the entries:
+// 0 should hold the plan, the next ones up to maxRank take it when the plan is
+// silent, since the first may be frozen. It is a hint; the object's version decides.
+type Candidate struct{ Rank int }
 
 // ServersSeen lists the known backend servers of engines.
 type ServersSeen struct{ Servers []Server }
@@ -229,7 +239,7 @@
 			h.pools = e
 		}
 	case Candidate:
-		h.plan.candidate(now, e.Wanted)
+		h.plan.candidate(now, e.Rank)
 	case ServersSeen:
 		h.serversSeen(e.Servers)
 	case DemandReported:
--- a/internal/placement/holder_plan.go
+++ b/internal/placement/holder_plan.go
@@ -10,9 +10,10 @@
 
 // planObject is what a Holder knows of the object placement/plan.
 type planObject struct {
-	wanted bool
-	// wantedAt is when wanted last changed.
-	wantedAt time.Time
+	rank int
+	// rankAt is when the rank last changed, and holderAt when the holder did.
+	rankAt   time.Time
+	holderAt time.Time
 	known    bool
 	version  int64
 	plan     api.PlacementPlan
@@ -25,12 +26,14 @@
 	writing  *api.PlacementPlan
 }
 
-func (p *planObject) candidate(now time.Time, wanted bool) {
-	if wanted != p.wanted || p.wantedAt.IsZero() {
-		p.wanted, p.wantedAt = wanted, now
+func (p *planObject) candidate(now time.Time, rank int) {
+	if rank != p.rank || p.rankAt.IsZero() {
+		p.rank, p.rankAt = rank, now
 	}
 }
 
+func (p *planObject) isCandidate() bool { return !p.rankAt.IsZero() && p.rank <= maxRank }
+
 func (h *Holder) renewEvery() time.Duration { return h.opts.HolderTimeout / 3 }
 
 // holds reports whether this entry may act as the holder.
@@ -48,7 +51,7 @@
 	if p.busy || now.Before(p.retryAt) {
 		return
 	}
-	watch := p.wanted && !h.holds() && now.Sub(p.lastRead) >= h.renewEvery()
+	watch := p.isCandidate() && !h.holds() && now.Sub(p.lastRead) >= h.renewEvery()
 	if p.mustRead || watch {
 		p.busy = true
 		h.emit(ReadObject{Key: PlanKey})
@@ -71,7 +74,7 @@
 	p := &h.plan
 	next := api.PlacementPlan{Holder: h.self, Revision: h.pools.Revision, RenewedAt: int(now.UnixMilli())}
 	if h.holds() {
-		if !p.wanted && now.Sub(p.wantedAt) >= unwantedLimit {
+		if !p.isCandidate() && now.Sub(p.rankAt) >= giveUpAfter {
 			next.Holder, next.Servers = "", p.plan.Servers
 			return next, true
 		}
@@ -79,9 +82,19 @@
 		changed := !reflect.DeepEqual(next.Servers, p.plan.Servers) && now.Sub(p.seenAt) >= planEvery
 		return next, changed || now.Sub(p.seenAt) >= h.renewEvery()
 	}
-	free := p.version == 0 || p.plan.Holder == "" || p.plan.Holder == h.self || now.Sub(p.seenAt) >= h.opts.HolderTimeout
 	next.Servers = p.plan.Servers
-	return next, p.known && p.wanted && free
+	return next, p.known && p.isCandidate() && h.mayTake(now)
+}
+
+// mayTake reports whether a candidate may take the plan from its present holder.
+func (h *Holder) mayTake(now time.Time) bool {
+	p := &h.plan
+	if now.Sub(p.seenAt) >= time.Duration(1+p.rank)*h.opts.HolderTimeout {
+		return true
+	}
+	free := p.version == 0 || p.plan.Holder == "" || p.plan.Holder == h.self
+	settled := now.Sub(p.rankAt) >= preemptAfter && now.Sub(p.holderAt) >= preemptAfter
+	return p.rank == 0 && (free || settled)
 }
 
 // planRead takes the plan that the store holds.
@@ -98,6 +111,9 @@
 		return
 	}
 	h.forgetRecords()
+	if plan.Holder != p.plan.Holder || !p.known {
+		p.holderAt = now
+	}
 	p.known, p.version, p.plan, p.seenAt = true, e.Version, plan, now
 }
 
@@ -109,6 +125,7 @@
 	switch e.Outcome {
 	case Written:
 		if p.plan.Holder != h.self {
+			p.holderAt = now
 			h.forgetRecords()
 			h.planner, h.tookOver = map[string]*Planner{}, p.version != 0
 		}
--- a/internal/placement/holder_test.go
+++ b/internal/placement/holder_test.go
@@ -104,11 +104,30 @@
 	assert.Equal(t, len(w.entries[0].orders), 0)
 }
 
+// Guards against a plan without a holder while the entry that should hold it is
+// frozen, and against a holder that keeps the plan although it gets no reports.
+func TestSecondEntryTakesPlan(t *testing.T) {
+	w := worldOf(t, 2, 4, used("a", 1), used("b", 1))
+	w.run(20*time.Second, 0)
+	rank1 := func(d time.Duration) {
+		for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(time.Second) {
+			w.tick(w.entries[1], 1)
+			for len(w.entries[1].calls) > 0 {
+				w.call(w.entries[1], false)
+			}
+		}
+	}
+	rank1(2 * time.Minute)
+	assert.Assert(t, w.entries[1].holder.Holds())
+	w.run(10*time.Minute, 0, 1)
+	assert.Assert(t, w.entries[0].holder.Holds() && !w.entries[1].holder.Holds())
+}
+
 // untilOrder runs an entry until its next call records an order.
 func (w *holderWorld) untilOrder(t *testing.T, e *worldEntry) {
 	for range 60 {
 		w.now = w.now.Add(time.Second)
-		w.tick(e, true)
+		w.tick(e, 0)
 		for len(e.calls) > 0 && !pendingOrder(e) {
 			w.call(e, false)
 		}
@@ -169,7 +188,7 @@
 		entry := func(t *rapid.T) *worldEntry { return w.entries[rapid.IntRange(0, 2).Draw(t, "entry")] }
 		server := func(t *rapid.T) *worldServer { return w.servers[rapid.IntRange(0, 4).Draw(t, "server")] }
 		t.Repeat(map[string]func(*rapid.T){
-			"tick": func(t *rapid.T) { w.tick(entry(t), rapid.Bool().Draw(t, "wanted")) },
+			"tick": func(t *rapid.T) { w.tick(entry(t), rapid.IntRange(0, 3).Draw(t, "rank")) },
 			"call": func(t *rapid.T) {
 				e := entry(t)
 				for range rapid.IntRange(1, 8).Draw(t, "n") {
--- a/internal/placement/holder_world_test.go
+++ b/internal/placement/holder_world_test.go
@@ -83,7 +83,7 @@
 }
 
 // tick tells an entry what it may see and lets it act.
-func (w *holderWorld) tick(e *worldEntry, wanted bool) {
+func (w *holderWorld) tick(e *worldEntry, rank int) {
 	var seen []placement.Server
 	for _, s := range w.servers {
 		server := s.Server
@@ -91,7 +91,7 @@
 		server.Serving = s.Orderable && len(s.Versions) > 0
 		seen = append(seen, server)
 	}
-	w.handle(e, placement.Candidate{Wanted: wanted})
+	w.handle(e, placement.Candidate{Rank: rank})
 	w.handle(e, placement.ServersSeen{Servers: seen})
 	w.handle(e, placement.Tick{})
 }
@@ -218,7 +218,7 @@
 	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(time.Second) {
 		for n, i := range awake {
 			e := w.entries[i]
-			w.tick(e, n == 0)
+			w.tick(e, n)
 			for len(e.calls) > 0 || len(e.orders) > 0 {
 				w.call(e, false)
 				if len(e.orders) > 0 {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -184,14 +184,36 @@
 			busiest = t
 		}
 	}
-	if busiest == nil || busiest.load(busiest.held) < p.opts.Busy {
+	if busiest == nil {
 		return false
 	}
-	return p.give(busiest, "load per replica", func(r *Replica) (float64, bool) {
+	if busiest.load(busiest.held) < p.opts.Busy {
+		return p.fill()
+	}
+	moved := p.give(busiest, "load per replica", func(r *Replica) (float64, bool) {
 		after, ok := p.spare(r)
 		gain := busiest.load(busiest.held) > (1+p.opts.Hysteresis)*after
 		return after, ok && gain && !p.dwells(r)
 	})
+	return moved || p.fill()
+}
+
+// fill gives an empty replica to the used version with the most load per replica,
+// among equals to the one with the fewest replicas: a paid replica that holds
+// nothing does no work.
+func (p *plan) fill() bool {
+	var best *tally
+	for _, t := range p.versions {
+		if !t.Used {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(t.load(t.held), best.load(best.held)), cmp.Compare(best.held, t.held)) > 0 {
+			best = t
+		}
+	}
+	return best != nil && p.give(best, "empty replica", func(r *Replica) (float64, bool) {
+		return 0, r.Version == "" && r.Loading == ""
+	})
 }
 
 // spare returns the load per replica that the version of r would have without
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -62,6 +62,7 @@
 	loadAt   time.Time
 	loadMiss int
 	drain    drainState
+	closing  closing
 	lastAt   time.Time
 	// unconfirmed is set after a stall until a peer confirms the manifest.
 	unconfirmed bool
@@ -166,7 +167,8 @@
 		out = c.usageHeld(now, e)
 	case UsageWritten:
 		c.usage.WriteResult(now, e.Key, usageOutcome(e.Err))
-	case Tick:
+	default:
+		out = c.closingEvent(e)
 	}
 	return out
 }
@@ -198,6 +200,7 @@
 	out := c.expireWaiting(now)
 	out = append(out, c.startQueued(now)...)
 	out = append(out, c.flushUsage(now)...)
+	out = append(out, c.checkClosed()...)
 	return append(out, c.checkDrained()...)
 }
 
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -27,7 +27,7 @@
 func (c *Core) refreshState() []Effect {
 	next := c.self
 	next.State = c.state()
-	next.Versions = slices.Clone(c.load.Versions)
+	next.Versions = c.open()
 	if next.State == c.self.State && slices.Equal(next.Versions, c.self.Versions) {
 		return nil
 	}
@@ -44,7 +44,7 @@
 		return api.MemberStateBooting
 	case c.loadMiss >= loadReportLimit:
 		return api.MemberStateBooting
-	case c.cfg.Backend.Kind == api.BackendKindEngine && len(c.load.Versions) == 0:
+	case c.cfg.Backend.Kind == api.BackendKindEngine && len(c.open()) == 0:
 		return api.MemberStateBooting
 	default:
 		return api.MemberStateReady
