--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -177,6 +177,7 @@
 		go l.probe(e)
 	default:
 		l.applyClaim(e)
+		l.applyPlacement(effect)
 	}
 }
 
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -82,6 +82,11 @@
 		for _, part := range parts {
 			h.loop.events.Put(h.loop.ctx, entry.PartReceived{Part: api.Part(part)})
 		}
+	case peer.MethodPlacementDemand:
+		var demand api.PlacementDemand
+		if call.Decode(&demand) == nil {
+			h.loop.events.Put(h.loop.ctx, entry.PlacementDemandReceived{Demand: demand})
+		}
 	case peer.MethodLeaving:
 		var leaving api.LeavingParams
 		if call.Decode(&leaving) == nil {
@@ -158,6 +163,8 @@
 		}
 	case peer.MethodUsageHold:
 		h.loop.serveHold(call)
+	case peer.MethodPlacementOrder:
+		h.loop.orders.serve(call)
 	case peer.MethodProbe:
 		h.probe(link, call)
 	default:
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -36,6 +36,8 @@
 	FailureDomain string
 	Pool          string
 	Config        engine.Config
+	// MaxOrderMs is the longest time of an order; 0 means the default.
+	MaxOrderMs int
 }
 
 // Service describes one plain service instance and its sidecar.
@@ -58,6 +60,8 @@
 	Services []Service
 	// Timing applies to every daemon.
 	Timing api.TimingSettings
+	// Placement applies to every entry.
+	Placement *api.PlacementSettings
 	// Rating starts a rating service when not nil.
 	Rating *rating.Config
 	// TraceDir receives the decision log of each entry as <instance>.jsonl; empty
@@ -168,7 +172,7 @@
 		ip := s.Listen.Peer[:len(s.Listen.Peer)-len(fmt.Sprintf(":%d", PeerPort))]
 		s.Listen.Callers = fmt.Sprintf("%s:%d", ip, CallerPort)
 		s.Listen.Admin = fmt.Sprintf("%s:%d", ip, AdminPort)
-		s.Rating = c.rating
+		s.Rating, s.Placement = c.rating, c.spec.Placement
 		if c.spec.TraceDir != "" {
 			s.Trace = &api.TraceSettings{File: filepath.Join(c.spec.TraceDir, s.Instance+".jsonl")}
 		}
@@ -189,7 +193,7 @@
 		s := c.base(api.RoleSidecar, "sidecar-"+spec.Name, spec.FailureDomain)
 		s.Backend = &api.Backend{
 			Kind: api.BackendKindEngine, Name: spec.Name, URL: server.URL(), Pool: spec.Pool,
-			Slots: spec.Config.Slots, ChecksFencing: spec.Config.CheckFence,
+			Slots: spec.Config.Slots, ChecksFencing: spec.Config.CheckFence, MaxOrderMs: spec.MaxOrderMs,
 		}
 		c.Settings = append(c.Settings, s)
 	}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -40,6 +40,7 @@
 	c.handover.setMembers(members, c.cfg.Self.Instance)
 	c.setClaimEntries(now, entries)
 	c.applyWeights()
+	c.placementMembers(now, members)
 	c.giveUpSilent(now, members)
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -32,6 +32,9 @@
 	MethodUsageHold    = "usage.hold"
 	MethodClaim        = "claims.claim"
 	MethodClaimEnd     = "claims.end"
+	// MethodPlacementOrder and MethodPlacementDemand belong to placement.
+	MethodPlacementOrder  = "placement.order"
+	MethodPlacementDemand = "placement.demand"
 )
 
 // helloTimeout bounds dialing and the exchange of hello messages.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -69,6 +69,26 @@
 	return run.orders
 }
 
+// TakeLoad takes one load from the rate of the weight store for an order that
+// repeats an earlier one. It reports false when the rate is used up.
+func (p *Planner) TakeLoad(now time.Time) bool {
+	p.refill(now)
+	if p.tokens < 1 {
+		return false
+	}
+	p.tokens--
+	return true
+}
+
+// TakeOver continues the work of an unknown earlier planner: no load at once, and
+// no move for load before the shortest time that the replicas keep a version.
+func (p *Planner) TakeOver(now time.Time, replicas []Replica) {
+	p.tokens = 0
+	for _, r := range replicas {
+		p.moved[r.Name] = now
+	}
+}
+
 func (p *Planner) refill(now time.Time) {
 	if !p.at.IsZero() && now.After(p.at) {
 		p.tokens += now.Sub(p.at).Minutes() * p.opts.LoadsPerMinute
@@ -164,14 +184,36 @@
 			busiest = t
 		}
 	}
-	if busiest == nil || busiest.load(busiest.held) < p.opts.Busy {
+	if busiest == nil {
 		return false
 	}
-	return p.give(busiest, "load per replica", func(r *Replica) (float64, bool) {
+	if busiest.load(busiest.held) < p.opts.Busy {
+		return p.fill()
+	}
+	moved := p.give(busiest, "load per replica", func(r *Replica) (float64, bool) {
 		after, ok := p.spare(r)
 		gain := busiest.load(busiest.held) > (1+p.opts.Hysteresis)*after
 		return after, ok && gain && !p.dwells(r)
 	})
+	return moved || p.fill()
+}
+
+// fill gives an empty replica to the used version with the most load per replica,
+// among equals to the one with the fewest replicas: a paid replica that holds
+// nothing does no work.
+func (p *plan) fill() bool {
+	var best *tally
+	for _, t := range p.versions {
+		if !t.Used {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(t.load(t.held), best.load(best.held)), cmp.Compare(best.held, t.held)) > 0 {
+			best = t
+		}
+	}
+	return best != nil && p.give(best, "empty replica", func(r *Replica) (float64, bool) {
+		return 0, r.Version == "" && r.Loading == ""
+	})
 }
 
 // spare returns the load per replica that the version of r would have without
