Read peer links through a buffer of 4 KiB

Cause: at the target size an entry holds hundreds of links (subsets, probes and digests, closed after 30 s without a call), and a link end took 44.3 kB, of which 32 KiB were the read buffer. 700 links would exceed 32 MB alone.

Change: bufferBytes is 4 KiB. Larger messages are read past the buffer.

--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -19,7 +19,7 @@
 	// for its envelope.
 	maxMessageBytes = 8 << 20
 	lengthBytes     = 4
-	bufferBytes     = 32 << 10
+	bufferBytes     = 4 << 10
 	// writeTimeout bounds one write, so that a peer that stopped reading cannot
 	// hold a sender for ever.
 	writeTimeout = 5 * time.Second
