Wait for the served connection in the test of cut calls

Cause: the test closed the server while its own goroutine could still add the connection to the server's WaitGroup. The daemon adds connections from its accept loop, which Close waits for.

Change: the test waits until serve has returned. No check is changed.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -101,13 +101,13 @@
 	defer listener.Close()
 	server, _ := newTestNode("server")
 	defer server.Close()
-	cut := make(chan net.Conn, 1)
+	served := make(chan struct{})
 	go func() {
+		defer close(served)
 		conn, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		cut <- conn
 		server.serve(&cutter{Conn: conn})
 	}()
 	link, err := client.Link(t.Context(), listener.Addr().String())
@@ -116,6 +116,8 @@
 	assert.Assert(t, err != nil)
 	assert.Assert(t, !NotSent(err), "a cut call counts as not sent: %v", err)
 	assert.Equal(t, errkind.From(err).RunState, api.RunStateUnknown)
+	// The server must know its connection before it closes.
+	<-served
 }
 
 // cutter closes the connection when the answer of the first call after hello is
