Test crossed repeats of keys over a lossy link between entries

Cause: the composed fuzz test draws few concurrent repeats of one key, which is what a wrong release would need to let a call run twice.

Change: TestCrossedRepeatsRunOnce sends 300 calls of 10 keys at a time through both entries while answers, calls or both are lost.

--- a/test/composed/handover_test.go
+++ b/test/composed/handover_test.go
@@ -179,3 +179,21 @@
 		assert.Assert(t, n > 0, "no claim was lost under %+v", faults[i])
 	}
 }
+
+// Guards guarantee 7 against a release that frees a key whose call runs: many
+// repeats of few keys cross each other while calls between entries are lost.
+func TestCrossedRepeatsRunOnce(t *testing.T) {
+	faults := []peerFaults{{loseAnswer: 0.5}, {loseCall: 0.5}, {loseAnswer: 0.5, loseCall: 0.3, late: 0.5}}
+	for seed := range uint64(9) {
+		w := newWorld(seed)
+		w.peers = faults[seed%3]
+		for i := range 300 {
+			confirm(w, w.entries[w.rng.IntN(entryCount)], fmt.Sprintf("r%d", i), fmt.Sprintf("k%d", w.rng.IntN(10)+i/30*10))
+			w.advance(time.Duration(w.rng.IntN(30)) * time.Millisecond)
+		}
+		w.peers = peerFaults{}
+		w.advance(10 * time.Second)
+		w.oracle.finish()
+		assert.Equal(t, len(w.oracle.broken), 0, "seed %d: %v", seed, w.oracle.broken)
+	}
+}
