--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -153,7 +153,8 @@
 	Role string `json:"role"`
 }
 
-// ClaimEndParams reports the end of a granted request, notification claims.end.
+// ClaimEndParams reports the end of a handed claim, method claims.end. It is
+// answered when the end is stored.
 type ClaimEndParams struct {
 	// Answer is the base64 of the answer.
 	Answer string `json:"answer,omitempty,omitzero"`
@@ -1900,6 +1901,7 @@
 
 const TraceEventArrival TraceEvent = "arrival"
 const TraceEventAttempt TraceEvent = "attempt"
+const TraceEventClaim TraceEvent = "claim"
 const TraceEventConfig TraceEvent = "config"
 const TraceEventCutback TraceEvent = "cutback"
 const TraceEventEnd TraceEvent = "end"
--- a/cmd/borageflow/dev.go
+++ b/cmd/borageflow/dev.go
@@ -4,6 +4,7 @@
 	"context"
 	_ "embed"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -29,15 +30,17 @@
 const (
 	devStartTimeout = 30 * time.Second
 	devStopTimeout  = 30 * time.Second
+	// devReadyInterval is the pause between two looks at the readiness of an entry.
+	devReadyInterval = 50 * time.Millisecond
 	// devBalancerWaitMs is short, since no load balancer stands before dev.
 	devBalancerWaitMs = 100
 )
 
 // devFlags are the flags of the subcommand dev.
 type devFlags struct {
-	manifest, topology, level string
-	subnet                    int
-	seconds                   int
+	manifest, topology, level, traces string
+	subnet                            int
+	seconds                           int
 }
 
 func newDev() command {
@@ -46,6 +49,7 @@
 	c.sub.String(&f.manifest, "m", "manifest", "File of a manifest; default a small demonstration.")
 	c.sub.String(&f.topology, "t", "topology", "File that describes the stand-ins, schema/dev.json; default the demonstration's.")
 	c.sub.String(&f.level, "l", "log-level", "Level of the daemons' logs: debug, info, warn or error.")
+	c.sub.String(&f.traces, "", "trace-dir", "Folder for the decision log of each entry, as <instance>.jsonl.")
 	c.sub.Int(&f.subnet, "", "subnet", "Second number of the loopback addresses 127.n.0.x, 1 to 255.")
 	c.sub.Int(&f.seconds, "", "seconds", "Stops after so many seconds; 0 runs until it is interrupted.")
 	return c
@@ -66,6 +70,9 @@
 	if err != nil {
 		return err
 	}
+	if err := awaitEntries(ctx, cluster.Settings); err != nil {
+		return err
+	}
 	f.printHelp(s, cluster, spec.Manifest)
 	if f.seconds > 0 {
 		var cancel context.CancelFunc
@@ -77,6 +84,7 @@
 	return nil
 }
 
+// spec returns the deployment that the flags describe.
 func (f *devFlags) spec(s streams) (devcluster.Spec, error) {
 	raw, topology := demoManifest, demoTopology
 	var err error
@@ -103,10 +111,11 @@
 	spec := devcluster.FromTopology(parsed, raw)
 	spec.Subnet = [2]byte{byte(f.subnet), 0}
 	spec.Timing.BalancerWaitMs = devBalancerWaitMs
-	spec.LogLevel = f.level
+	spec.LogLevel, spec.TraceDir = f.level, f.traces
 	return spec, nil
 }
 
+// startDaemons returns the daemons that were started, also with an error.
 func startDaemons(ctx context.Context, all []api.Settings) ([]*fx.App, error) {
 	var apps []*fx.App
 	ctx, cancel := context.WithTimeout(ctx, devStartTimeout)
@@ -129,6 +138,42 @@
 	return apps, nil
 }
 
+// awaitEntries waits until every entry is ready, or devStartTimeout has passed. An
+// interrupt ends the wait without an error.
+func awaitEntries(ctx context.Context, all []api.Settings) error {
+	limit, cancel := context.WithTimeout(ctx, devStartTimeout)
+	defer cancel()
+	for _, settings := range all {
+		if settings.Role != api.RoleEntry {
+			continue
+		}
+		for !isReady(limit, settings.Listen.Health) {
+			if ctx.Err() != nil {
+				return nil
+			}
+			if limit.Err() != nil {
+				return eris.Errorf("%s is not ready after %v", settings.Instance, devStartTimeout)
+			}
+			time.Sleep(devReadyInterval)
+		}
+	}
+	return nil
+}
+
+// isReady asks the health listener of a daemon.
+func isReady(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/readyz", http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
 // stopDaemons stops entries first, so that sidecars have no new work while they
 // drain.
 func stopDaemons(apps []*fx.App) {
@@ -139,6 +184,8 @@
 	}
 }
 
+// printHelp shows how to reach the deployment. Keys are shown only where they are
+// known: those of the demonstration, and customer keys that follow the examples.
 func (f *devFlags) printHelp(s streams, cluster *devcluster.Cluster, raw []byte) {
 	var entries, admins []string
 	for _, settings := range cluster.Settings {
@@ -166,6 +213,7 @@
 
   BORAGEFLOW_KEY=%s borageflow status --admin %s
 
+A customer with a rate limit may be refused with rate_limited in the first second.
 Stop with Ctrl-C.
 `, strings.Join(entries, " "), cluster.PlatformURL, entries[0], key, operator, admins[0])
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -22,8 +23,6 @@
 )
 
 const (
-	// usagePrefix is the prefix of the keys of usage batches.
-	usagePrefix = "usage/"
 	// maxListedBatches bounds the batches that one call reads from the store.
 	maxListedBatches = 2000
 )
@@ -36,16 +35,18 @@
 	Status(ctx context.Context) (api.Status, error)
 	// Committed hands over a manifest that this process has committed.
 	Committed(offer api.ConfigOffer)
+	// EndClaim states the end of a claim and returns when it is stored.
+	EndClaim(ctx context.Context, end api.ClaimEndParams) error
+	// Audit records what an operator resolved.
+	Audit(a ClaimAudit)
 }
 
-// Options configure a Handler.
+// Options configure the handler of the administration API.
 type Options struct {
-	Backend   Backend
-	Store     platform.Store
+	Backend Backend
+	Store   platform.Store
+	// BodyBytes bounds a manifest in a request.
 	BodyBytes int64
-	// Bootstrap accepts any key while no manifest is in force, so that the first
-	// manifest can be committed.
-	Bootstrap bool
 }
 
 type handler struct {
@@ -57,20 +58,23 @@
 func NewHandler(o Options) http.Handler {
 	h := &handler{Options: o, committer: manifest.NewCommitter(o.Store)}
 	router := mux.NewRouter()
+	// A commit authenticates by itself, since the first one has no manifest to
+	// look the key up in.
+	router.HandleFunc("/admin/v1/manifest", h.commit).Methods(http.MethodPut)
 	api := router.PathPrefix("/admin/v1").Subrouter()
 	api.Use(h.authenticate)
 	api.HandleFunc("/status", h.status).Methods(http.MethodGet)
 	api.HandleFunc("/usage", h.usage).Methods(http.MethodGet)
 	api.HandleFunc("/manifest", h.show).Methods(http.MethodGet)
 	api.HandleFunc("/manifest/check", h.check).Methods(http.MethodPost)
-	api.HandleFunc("/manifest", h.commit).Methods(http.MethodPut)
+	api.HandleFunc("/claims", h.showClaim).Methods(http.MethodGet)
+	api.HandleFunc("/claims/resolve", h.resolveClaim).Methods(http.MethodPost)
 	return router
 }
 
 func (h *handler) authenticate(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
-		if err := h.authorized(key); err != nil {
+		if err := h.authorized(keyOf(r)); err != nil {
 			writeError(w, err)
 			return
 		}
@@ -78,12 +82,14 @@
 	})
 }
 
+func keyOf(r *http.Request) string {
+	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+}
+
+// authorized checks an operator key.
 func (h *handler) authorized(key string) error {
 	snapshot := h.Backend.Snapshot()
 	if snapshot == nil {
-		if h.Bootstrap && key != "" {
-			return nil
-		}
 		return errkind.New(errkind.NotReady, "no manifest is in force")
 	}
 	if _, ok := snapshot.OperatorByKey(key); !ok {
@@ -92,6 +98,23 @@
 	return nil
 }
 
+// authorizedFirst admits the commit of the first manifest: it must name the
+// caller's key as an operator's, and be based on no revision, so that the store
+// refuses it when there is a manifest that this process has not read yet.
+func authorizedFirst(key string, raw []byte, base api.Revision) error {
+	if base != (api.Revision{}) {
+		return errkind.New(errkind.NotReady, "no manifest is in force")
+	}
+	first, err := manifest.Compile(raw, api.Revision{})
+	if err != nil {
+		return err
+	}
+	if _, ok := first.OperatorByKey(key); !ok {
+		return errkind.New(errkind.Unauthenticated, "the first manifest must name this key as an operator's")
+	}
+	return nil
+}
+
 func (h *handler) status(w http.ResponseWriter, r *http.Request) {
 	status, err := h.Backend.Status(r.Context())
 	if err != nil {
@@ -181,19 +204,26 @@
 		writeError(w, err)
 		return
 	}
+	if h.Backend.Snapshot() != nil {
+		if err := h.authorized(keyOf(r)); err != nil {
+			writeError(w, err)
+			return
+		}
+	}
 	raw, err := h.body(w, r)
 	if err != nil {
 		writeError(w, err)
 		return
 	}
-	revision, err := h.committer.Commit(r.Context(), manifest.CommitRequest{Raw: raw, Base: base, InForce: h.Backend.Snapshot()})
-	var faults schemacheck.Faults
-	if errors.As(err, &faults) {
-		writeJSON(w, http.StatusUnprocessableEntity, CheckResult{Faults: faults, Revision: base})
-		return
+	if h.Backend.Snapshot() == nil {
+		if err := authorizedFirst(keyOf(r), raw, base); err != nil {
+			h.refuseCommit(w, base, err)
+			return
+		}
 	}
+	revision, err := h.committer.Commit(r.Context(), manifest.CommitRequest{Raw: raw, Base: base, InForce: h.Backend.Snapshot()})
 	if err != nil {
-		writeError(w, err)
+		h.refuseCommit(w, base, err)
 		return
 	}
 	h.Backend.Committed(api.ConfigOffer{Revision: revision, Manifest: raw})
@@ -202,6 +232,16 @@
 	}{revision})
 }
 
+// refuseCommit answers with the faults of an invalid manifest, or with the error.
+func (h *handler) refuseCommit(w http.ResponseWriter, base api.Revision, err error) {
+	var faults schemacheck.Faults
+	if errors.As(err, &faults) {
+		writeJSON(w, http.StatusUnprocessableEntity, CheckResult{Faults: faults, Revision: base})
+		return
+	}
+	writeError(w, err)
+}
+
 func baseRevision(r *http.Request) (api.Revision, error) {
 	generation, errGeneration := strconv.Atoi(r.URL.Query().Get("generation"))
 	version, errVersion := strconv.Atoi(r.URL.Query().Get("version"))
@@ -221,13 +261,13 @@
 }
 
 func (h *handler) usage(w http.ResponseWriter, r *http.Request) {
-	list, err := h.Store.List(r.Context(), usagePrefix)
+	list, err := h.Store.List(r.Context(), usage.Prefix)
 	if err != nil {
 		writeError(w, errkind.Wrap(err, errkind.StoreUnavailable, "usage batches cannot be listed"))
 		return
 	}
 	if len(list) > maxListedBatches {
-		writeError(w, errkind.New(errkind.PayloadTooLarge, "more than 2000 usage batches: read them from the object API with a billing job"))
+		writeError(w, errkind.New(errkind.PayloadTooLarge, fmt.Sprintf("more than %d usage batches: read them from the object API with a billing job", maxListedBatches)))
 		return
 	}
 	totals := usage.NewTotals()
@@ -249,7 +289,7 @@
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		return nil, errkind.New(errkind.PayloadTooLarge, "manifest is larger than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+		return nil, errkind.New(errkind.PayloadTooLarge, fmt.Sprintf("manifest is larger than %d bytes", tooLarge.Limit))
 	}
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidRequest, "body cannot be read")
@@ -274,7 +314,7 @@
 		failure.Present = &conflict.Present
 	}
 	if e.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(e.RetryAfter.Seconds())+1))
+		w.Header().Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds()))
 	}
 	writeJSON(w, errkind.Lookup(e.Kind).HTTPStatus, failure)
 }
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -4,13 +4,11 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
+	"net/url"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -18,10 +16,13 @@
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/admin"
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/tlsconf"
 )
 
 const (
-	callTimeout    = 15 * time.Second
+	// callTimeout bounds a call, including the reads of every usage batch.
+	callTimeout = 15 * time.Second
+	// maxAnswerBytes bounds an answer that is read into memory.
 	maxAnswerBytes = 16 << 20
 )
 
@@ -45,15 +46,11 @@
 func New(o Options) (*Client, error) {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	if o.CAFile != "" {
-		pem, err := os.ReadFile(o.CAFile)
+		config, err := tlsconf.Client(o.CAFile)
 		if err != nil {
-			return nil, eris.Wrapf(err, "CA file %s cannot be read", o.CAFile)
+			return nil, err
 		}
-		roots := x509.NewCertPool()
-		if !roots.AppendCertsFromPEM(pem) {
-			return nil, eris.Errorf("CA file %s holds no certificate", o.CAFile)
-		}
-		transport.TLSClientConfig = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+		transport.TLSClientConfig = config
 	}
 	return &Client{options: o, http: &http.Client{Transport: transport, Timeout: callTimeout}}, nil
 }
@@ -93,6 +90,25 @@
 	return answer.Revision, err
 }
 
+// Claim returns what the store holds for a key.
+func (c *Client) Claim(ctx context.Context, key admin.ClaimKey) (admin.ClaimView, error) {
+	query := url.Values{
+		"customer": {key.Customer}, "service": {key.Service}, "operation": {key.Operation}, "idempotencyKey": {key.IdempotencyKey},
+	}
+	var view admin.ClaimView
+	return view, c.call(ctx, http.MethodGet, "/admin/v1/claims?"+query.Encode(), nil, &view)
+}
+
+// ResolveClaim states the outcome of a claim that is blocked as unknown.
+func (c *Client) ResolveClaim(ctx context.Context, r admin.ClaimResolution) (admin.ClaimView, error) {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return admin.ClaimView{}, eris.Wrap(err, "outcome cannot be encoded")
+	}
+	var view admin.ClaimView
+	return view, c.call(ctx, http.MethodPost, "/admin/v1/claims/resolve", raw, &view)
+}
+
 // Refused is an error answer of the administration API.
 type Refused struct {
 	Status  int
--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -4,8 +4,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,7 +33,9 @@
 )
 
 const (
-	maxDeadlineMs     = 3_600_000
+	// maxDeadlineMs is the longest deadline that a class may state, in milliseconds.
+	maxDeadlineMs = 3_600_000
+	// maxIdempotencyKey bounds an idempotency key, in bytes.
 	maxIdempotencyKey = 256
 )
 
@@ -72,7 +74,18 @@
 	router.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.fail(w, "", invalidPath(r))
 	})
-	return router
+	return h.withReadDeadline(router)
+}
+
+// withReadDeadline bounds the time to read a request. The server reads what is left
+// of a body before it answers, so the bound is needed also where a request is
+// refused without a look at its body; else a caller that sends no more would keep
+// its connection for ever.
+func (h *handler) withReadDeadline(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(h.options.ReadTimeout))
+		next.ServeHTTP(w, r)
+	})
 }
 
 func invalidPath(r *http.Request) error {
@@ -81,12 +94,7 @@
 
 func (h *handler) chat(w http.ResponseWriter, r *http.Request) {
 	id := h.backend.NewRequestID()
-	arrived, err := h.arrival(w, r, id)
-	if err != nil {
-		h.fail(w, id, err)
-		return
-	}
-	body, err := h.body(w, r)
+	arrived, body, err := h.read(w, r, id)
 	if err != nil {
 		h.fail(w, id, err)
 		return
@@ -110,12 +118,7 @@
 
 func (h *handler) service(w http.ResponseWriter, r *http.Request) {
 	id := h.backend.NewRequestID()
-	arrived, err := h.arrival(w, r, id)
-	if err != nil {
-		h.fail(w, id, err)
-		return
-	}
-	body, err := h.body(w, r)
+	arrived, body, err := h.read(w, r, id)
 	if err != nil {
 		h.fail(w, id, err)
 		return
@@ -166,35 +169,52 @@
 	}
 }
 
-// arrival reads what all requests share from the header.
-func (h *handler) arrival(w http.ResponseWriter, r *http.Request, id string) (entry.RequestArrived, error) {
+// read returns what all requests share: the fields of the header, and the body.
+// The body is read only when the header is valid.
+func (h *handler) read(w http.ResponseWriter, r *http.Request, id string) (entry.RequestArrived, []byte, error) {
 	w.Header().Set(HeaderRequest, id)
+	arrived, err := readHeader(r, id)
+	if err != nil {
+		return arrived, nil, err
+	}
+	body, err := h.body(w, r)
+	return arrived, body, err
+}
+
+func readHeader(r *http.Request, id string) (entry.RequestArrived, error) {
 	a := entry.RequestArrived{
 		Request: id, Class: r.Header.Get(HeaderClass),
 		Session: r.Header.Get(HeaderSession), IdempotencyKey: r.Header.Get(HeaderIdempotency),
 	}
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !ok || key == "" {
-		return a, errkind.New(errkind.Unauthenticated, "header Authorization must be \"Bearer <key>\"")
+	key, err := bearerKey(r)
+	if err != nil {
+		return a, err
 	}
 	a.Key = key
 	if len(a.IdempotencyKey) > maxIdempotencyKey {
-		return a, invalid("header Idempotency-Key is longer than 256 bytes")
+		return a, invalid(fmt.Sprintf("header %s is longer than %d bytes", HeaderIdempotency, maxIdempotencyKey))
 	}
 	if raw := r.Header.Get(HeaderDeadlineMs); raw != "" {
 		ms, err := strconv.Atoi(raw)
 		if err != nil || ms < 1 || ms > maxDeadlineMs {
-			return a, invalid("header X-Borageflow-Deadline-Ms must be a whole number from 1 to 3600000")
+			return a, invalid(fmt.Sprintf("header %s must be a whole number from 1 to %d", HeaderDeadlineMs, maxDeadlineMs))
 		}
 		a.Deadline = time.Duration(ms) * time.Millisecond
 	}
 	return a, nil
 }
 
+// bearerKey returns the API key of a request.
+func bearerKey(r *http.Request) (string, error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok || key == "" {
+		return "", errkind.New(errkind.Unauthenticated, "header Authorization must be \"Bearer <key>\"")
+	}
+	return key, nil
+}
+
+// body reads the body and, when it is complete, ends the read deadline.
 func (h *handler) body(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(h.options.ReadTimeout))
-	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.options.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -203,6 +223,7 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidRequest, "body cannot be read")
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
@@ -212,7 +233,11 @@
 		h.fail(w, "", errkind.New(errkind.NotReady, "no manifest is in force yet").WithRetryAfter(time.Second))
 		return
 	}
-	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	key, err := bearerKey(r)
+	if err != nil {
+		h.fail(w, "", err)
+		return
+	}
 	customer, ok := snapshot.CustomerByKey(key)
 	if !ok {
 		h.fail(w, "", errkind.New(errkind.Unauthenticated, "API key is unknown"))
@@ -237,8 +262,7 @@
 	answer := errkind.Lookup(e.Kind)
 	w.Header().Set(HeaderRunState, string(e.RunState))
 	if answer.Retry && e.RetryAfter > 0 {
-		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
-		w.Header().Set("Retry-After", strconv.Itoa(seconds))
+		w.Header().Set("Retry-After", strconv.Itoa(e.RetryAfterSeconds()))
 	}
 	writeJSON(w, answer.HTTPStatus, newErrorBody(id, e))
 }
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -91,6 +91,9 @@
 	MaxReads int
 }
 
+// DefaultShards is the number of logs of a deployment.
+const DefaultShards = 2
+
 const (
 	// hardSegmentBytes stays below platform.MaxValueBytes with room for the envelope.
 	hardSegmentBytes = 960 << 10
@@ -99,7 +102,7 @@
 )
 
 func (o Options) withDefaults() Options {
-	setInt(&o.Shards, 2)
+	setInt(&o.Shards, DefaultShards)
 	setInt(&o.SegmentBytes, 128<<10)
 	setInt(&o.MaxAnswerBytes, 4<<10)
 	setInt(&o.MaxPending, 4096)
@@ -259,6 +262,15 @@
 // Alarm reports a state that only a restored or damaged store explains.
 type Alarm struct{ Message string }
 
+// Noted reports that the end of a request is stored, or that the log shows it to
+// be superseded. Either way it needs not be stated again.
+type Noted struct {
+	// Record is the stored form of the key.
+	Record  string
+	Request string
+}
+
+func (Noted) effect()       {}
 func (ReadObject) effect()  {}
 func (WriteObject) effect() {}
 func (Resolved) effect()    {}
--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -56,6 +56,8 @@
 	// nextStats is when the main loop publishes its figures again.
 	nextStats time.Time
 
+	offers offeredCalls
+
 	mu      sync.Mutex
 	streams map[string]*callerapi.Stream
 }
@@ -140,6 +142,25 @@
 		l.deliver(e)
 	case entry.Answer:
 		l.answer(e)
+	case entry.Rate:
+		l.rater.submit(e)
+	case entry.Publish:
+		l.publish(e)
+	case entry.OfferConfig:
+		l.offer(e.Offer)
+	case entry.Trace:
+		l.recorder(e.Record)
+	case entry.Drained:
+		close(l.drained)
+	default:
+		l.applyRemote(effect)
+	}
+}
+
+// applyRemote carries out the effects that call another process. None of them
+// holds the main loop.
+func (l *entryLoop) applyRemote(effect entry.Effect) {
+	switch e := effect.(type) {
 	case entry.StartAttempt:
 		go l.runAttempt(e)
 	case entry.CancelAttempt:
@@ -154,18 +175,10 @@
 		go l.writeObject(e)
 	case entry.Probe:
 		go l.probe(e)
-	case entry.Rate:
-		l.rater.submit(e)
-	case entry.Publish:
-		l.publish(e)
-	case entry.OfferConfig:
-		l.offer(e.Offer)
-	case entry.Trace:
-		l.recorder(e.Record)
-	case entry.Drained:
-		close(l.drained)
-	default:
+	case entry.SendPlacement, entry.ReportDemand:
 		l.applyPlacement(effect)
+	default:
+		l.applyClaim(e)
 	}
 }
 
@@ -269,7 +282,7 @@
 	l.events.Put(l.ctx, entry.StoreWritten{Key: e.Key, Version: o.Version, Err: err})
 }
 
-// Status asks the main loop for the status.
+// status asks the main loop for the status.
 func (l *entryLoop) status(ctx context.Context) (api.Status, error) {
 	answer := make(chan api.Status, 1)
 	ask := func(c *entry.Core) { answer <- c.Status(time.Now()) }
--- a/internal/devcluster/devcluster.go
+++ b/internal/devcluster/devcluster.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"path/filepath"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -63,6 +64,9 @@
 	Placement *api.PlacementSettings
 	// Rating starts a rating service when not nil.
 	Rating *rating.Config
+	// TraceDir receives the decision log of each entry as <instance>.jsonl; empty
+	// records none.
+	TraceDir string
 	// LogLevel is the level of every daemon.
 	LogLevel string
 }
@@ -169,6 +173,9 @@
 		s.Listen.Callers = fmt.Sprintf("%s:%d", ip, CallerPort)
 		s.Listen.Admin = fmt.Sprintf("%s:%d", ip, AdminPort)
 		s.Rating, s.Placement = c.rating, c.spec.Placement
+		if c.spec.TraceDir != "" {
+			s.Trace = &api.TraceSettings{File: filepath.Join(c.spec.TraceDir, s.Instance+".jsonl")}
+		}
 		c.Settings = append(c.Settings, s)
 	}
 	return nil
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -20,6 +20,7 @@
 const (
 	defaultRatingSample  = 0.1
 	defaultRatingTimeout = 2 * time.Second
+	defaultUsageFlush    = time.Second
 	// publishInterval is how often the peer exchange gets news.
 	publishInterval = 500 * time.Millisecond
 	// probeInterval and probesPerInterval bound probes to about 1 KB/s.
@@ -64,6 +65,7 @@
 	budgets   *retry.Budgets
 	delays    map[delayKey]*retry.Delays
 	book      *claims.Book
+	handover  handover
 	usage     *usage.Buffer
 	keys      *session.Keys
 
@@ -79,6 +81,10 @@
 	counts   counters
 	draining bool
 	drained  bool
+	// settled states that the backend servers were found after the start, and
+	// settleBy when that is assumed.
+	settled  bool
+	settleBy time.Time
 
 	nextPublish time.Time
 	nextProbe   time.Time
@@ -95,6 +101,9 @@
 	if cfg.RatingTimeout == 0 {
 		cfg.RatingTimeout = defaultRatingTimeout
 	}
+	if cfg.UsageFlush == 0 {
+		cfg.UsageFlush = defaultUsageFlush
+	}
 	return &Core{
 		cfg: cfg, rng: rng,
 		customers: limits.NewCustomers(cfg.Self.Instance),
@@ -106,6 +115,7 @@
 		budgets:   retry.NewBudgets(retry.BudgetOptions{}),
 		delays:    map[delayKey]*retry.Delays{},
 		book:      claims.NewBook(cfg.Self.Instance, int64(cfg.Self.Incarnation), claims.Options{Window: cfg.ClaimWindow}),
+		handover:  newHandover(),
 		usage:     usage.NewBuffer(int64(cfg.Self.Incarnation), usage.Options{MaxBytes: cfg.UsageBytes, FlushEvery: cfg.UsageFlush}),
 		requests:  map[string]*request{},
 		ratings:   newRatingSet(),
@@ -139,12 +149,12 @@
 		c.peerLeaving(now, e)
 	case DigestReceived:
 		c.digestReceived(now, e)
+	case claimEvent:
+		c.claimEvent(now, e)
 	case UsageHeld:
 		c.answerHeld(now, e.Request)
-	case PlacementDemandReceived:
-		c.placementEvent(now, placement.DemandReported{Demand: e.Demand})
-	case PlacementAnswered:
-		c.placementEvent(now, placement.OrderAnswered{Server: e.BackendServer, Fence: e.Fence, Result: e.Result})
+	case PlacementDemandReceived, PlacementAnswered:
+		c.placementReceived(now, e)
 	case SessionKeysRead:
 		c.sessionKeysRead(e.Value)
 	default:
@@ -159,7 +169,9 @@
 // tick does what is due at now.
 func (c *Core) tick(now time.Time) {
 	c.fireTimers(now)
+	c.settle(now)
 	c.claimEffects(now, c.book.Handle(now, claims.Tick{}))
+	c.tickHandover(now)
 	c.flushUsage(now)
 	c.tickRollouts(now)
 	c.tickPlacement(now)
@@ -216,18 +228,52 @@
 		return false, "no manifest is in force"
 	case len(c.servers) == 0:
 		return false, "no backend server is known"
+	case !c.settled:
+		return false, "backend servers are being found"
 	default:
 		return true, ""
 	}
 }
 
+// settleLimit bounds the time that a starting entry waits for a backend server of
+// every version and service; some may have none.
+const settleLimit = 2 * time.Second
+
+// settle lets a starting entry become ready when a backend server is known for
+// everything that the manifest offers.
+func (c *Core) settle(now time.Time) {
+	if c.settled || c.snapshot == nil || len(c.servers) == 0 {
+		return
+	}
+	if c.settleBy.IsZero() {
+		c.settleBy = now.Add(settleLimit)
+	}
+	c.settled = c.servesAll() || !now.Before(c.settleBy)
+}
+
+func (c *Core) servesAll() bool {
+	for _, m := range c.snapshot.Manifest.Models {
+		for _, v := range m.Versions {
+			if v.Phase != api.PhaseWithdrawn && !c.fleet.Serves(v.Name) {
+				return false
+			}
+		}
+	}
+	for _, s := range c.snapshot.Manifest.Services {
+		if !c.fleet.ServesService(s.Name) {
+			return false
+		}
+	}
+	return true
+}
+
 // checkDrained reports once that every request has ended and everything that
 // must last is written.
 func (c *Core) checkDrained() {
 	if !c.draining || c.drained {
 		return
 	}
-	if len(c.requests) > 0 || c.usage.Records() > 0 || c.book.Unwritten() > 0 {
+	if len(c.requests) > 0 || c.usage.Records() > 0 || c.book.Unwritten() > 0 || c.handover.open() {
 		return
 	}
 	c.drained = true
--- a/internal/entry/placement.go
+++ b/internal/entry/placement.go
@@ -197,6 +197,16 @@
 	}
 }
 
+// placementReceived handles what came from other daemons.
+func (c *Core) placementReceived(now time.Time, e Event) {
+	switch e := e.(type) {
+	case PlacementDemandReceived:
+		c.placementEvent(now, placement.DemandReported{Demand: e.Demand})
+	case PlacementAnswered:
+		c.placementEvent(now, placement.OrderAnswered{Server: e.BackendServer, Fence: e.Fence, Result: e.Result})
+	}
+}
+
 // placementEvent hands an event to the holder and passes its effects on.
 func (c *Core) placementEvent(now time.Time, e placement.HolderEvent) {
 	for _, effect := range c.placement.holder.Handle(now, e) {
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -53,8 +53,13 @@
 	attempts     map[int]*attempt
 	part         api.Part
 
-	claim   *claims.Key
-	granted bool
+	// fallback is the answer of the stage before, when the class prefers it to none.
+	fallback *fallback
+	claim    *claims.Key
+	granted  bool
+	// claimVia is the address of the entry whose Book decided the claim; empty
+	// means this entry.
+	claimVia string
 	// reserved states that the usage buffer holds room for the present stage.
 	reserved bool
 
@@ -72,6 +77,11 @@
 	text    []byte
 }
 
+// fallback is an answer that was not good enough to be delivered at once.
+type fallback struct {
+	version, token, text, finishReason string
+}
+
 // requestArrived admits a request and starts its first stage.
 func (c *Core) requestArrived(now time.Time, e RequestArrived) {
 	r := &request{RequestArrived: e, arrived: now, attempts: map[int]*attempt{}}
