--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -175,9 +175,10 @@
 		go l.writeObject(e)
 	case entry.Probe:
 		go l.probe(e)
+	case entry.SendPlacement, entry.ReportDemand:
+		l.applyPlacement(effect)
 	default:
 		l.applyClaim(e)
-		l.applyPlacement(effect)
 	}
 }
 
--- a/internal/entry/core.go
+++ b/internal/entry/core.go
@@ -164,10 +164,8 @@
 		c.peerLeaving(now, e)
 	case DigestReceived:
 		c.digestReceived(now, e)
-	case PlacementDemandReceived:
-		c.placementEvent(now, placement.DemandReported{Demand: e.Demand})
-	case PlacementAnswered:
-		c.placementEvent(now, placement.OrderAnswered{Server: e.BackendServer, Fence: e.Fence, Result: e.Result})
+	case PlacementDemandReceived, PlacementAnswered:
+		c.placementReceived(now, e)
 	case SessionKeysRead:
 		c.sessionKeysRead(e.Value)
 	default:
