--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -25,6 +25,8 @@
 	maxEventBytes  = 1 << 20
 	maxAnswerBytes = 4 << 20
 	controlTimeout = time.Second
+	// maxTrailingBytes bounds what is read after the end of an answer.
+	maxTrailingBytes = 1024
 )
 
 // Generate is the body of POST /v1/generate.
@@ -101,6 +103,8 @@
 			return End{}, err
 		}
 		if done {
+			// The connection is used again only when its body was read to the end.
+			_, _ = io.CopyN(io.Discard, resp.Body, maxTrailingBytes)
 			return reader.end, nil
 		}
 	}
