Write usage when the drain time passes; close links without hello

Cause: found by reading: a caller that outlived the drain time left no time for the flush, so that the entry wrote no usage (the sidecars wrote it later); connections that never said hello stayed open; faults of settings came in random order. Conclusion: claims are flushed in the same time.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -157,6 +157,10 @@
 	return true, ""
 }
 
+// flushTime bounds the writing of usage and claims after the last caller is gone. It
+// does not come out of the drain time, which a slow caller may use up.
+const flushTime = stopMargin / 2
+
 // settleTime is how long a starting entry waits for the sidecars of the instance
 // list. The list lags, so that some of them may be gone for good.
 const settleTime = 5 * time.Second
@@ -210,10 +214,11 @@
 	defer cancel()
 	if err := d.callers.Shutdown(shutdown); err != nil {
 		log.Warn("callers were cut", zap.Error(err))
+		_ = d.callers.Close()
 	}
-	d.loop.events.Put(shutdown, entry.DrainStarted{})
-	if !wait(shutdown, d.loop.drained, limit) {
-		log.Warn("drain time has passed with work left")
+	d.loop.events.Put(ctx, entry.DrainStarted{})
+	if !wait(ctx, d.loop.drained, flushTime) {
+		log.Warn("flush time has passed with records left")
 	}
 	if d.admin != nil {
 		_ = d.admin.Close()
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -96,6 +98,7 @@
 	if s.TLS != nil && s.TLS.Peers != nil && s.TLS.Peers.CaFile == "" {
 		add("$.tls.peers.caFile", "is required: daemons authenticate each other")
 	}
+	slices.SortFunc(faults, func(a, b schemacheck.Fault) int { return strings.Compare(a.String(), b.String()) })
 	return faults
 }
 
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -103,8 +103,22 @@
 	n.group.Go(func() { n.awaitClose(link, d.said) })
 }
 
+// awaitHello closes a link whose other side does not say hello in time, so that
+// silent connections do not add up.
+func (n *Node) awaitHello(link *Link, said <-chan struct{}) {
+	timer := time.NewTimer(helloTimeout)
+	defer timer.Stop()
+	select {
+	case <-said:
+	case <-link.Done():
+	case <-timer.C:
+		link.Close()
+	}
+}
+
 // awaitClose reports the end of a link that said hello.
 func (n *Node) awaitClose(link *Link, said <-chan struct{}) {
+	n.awaitHello(link, said)
 	<-link.Done()
 	n.mu.Lock()
 	delete(n.accepted, link)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -157,6 +157,17 @@
 	assert.Equal(t, len(r.seen), 0)
 }
 
+// Guards against connections that never say hello adding up.
+func TestSilentConnectionIsClosed(t *testing.T) {
+	_, _, address := listening(t, "server")
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	defer conn.Close()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*helloTimeout)))
+	_, err = conn.Read(make([]byte, 1))
+	assert.ErrorContains(t, err, "EOF")
+}
+
 // Guards against a peer making this process allocate without bound.
 func TestOversizedMessageClosesLink(t *testing.T) {
 	_, _, address := listening(t, "server")
