Let a leaving entry refuse handed claims, and claim for oneself then

Ruled out: the store (no fault was injected) and the retry of the release. Change: an entry that begins its stop says that it leaves and refuses handed claims before its Book sees them; the other entry takes that refusal as proof and claims for itself. Conclusion: a writer that is killed, not stopped, still costs a truthful refusal.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -83,7 +83,7 @@
 	loop := &entryLoop{
 		events: ring.New[entry.Event](entryRingSize), inspect: make(chan func(*entry.Core)),
 		beat: d.beat, node: d.node, store: d.store, outbox: d.outbox, log: observe.Part(d.log, "entry"),
-		ids: newRequestIDs(s.Instance, d.self.Incarnation), ctx: d.ctx, drained: make(chan struct{}),
+		ids: newRequestIDs(s.Instance, d.self.Incarnation), ctx: d.ctx, drained: make(chan struct{}), leaving: &d.leaving,
 		streams: map[string]*callerapi.Stream{},
 		publish: d.control.publish, offer: d.control.offer, control: d.control, recorder: d.record.record,
 	}
@@ -208,6 +208,9 @@
 	log := observe.Part(d.log, "drain")
 	d.leaving.Store(true)
 	log.Info("instance leaves, readiness is withdrawn")
+	leaving := d.self
+	leaving.State = api.MemberStateLeaving
+	d.control.setSelf(leaving)
 	wait(ctx, nil, ms(d.settings.Timing.BalancerWaitMs))
 	limit := ms(d.settings.Timing.DrainMs)
 	shutdown, cancel := context.WithTimeout(ctx, limit)
--- a/internal/daemon/entryloop.go
+++ b/internal/daemon/entryloop.go
@@ -52,7 +52,9 @@
 	snapshot atomic.Pointer[manifest.Snapshot]
 	ready    atomic.Pointer[readiness]
 	drained  chan struct{}
-	stats    atomic.Pointer[entry.Stats]
+	// leaving is set when the graceful stop begins.
+	leaving *atomic.Bool
+	stats   atomic.Pointer[entry.Stats]
 	// nextStats is when the main loop publishes its figures again.
 	nextStats time.Time
 
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -78,7 +78,13 @@
 	}
 }
 
+// serveClaim hands a claim to the core. A leaving entry refuses it, so that the
+// other entry claims for itself instead of waiting for an answer that may not come.
 func (l *entryLoop) serveClaim(call *peer.Call) {
+	if l.leaving.Load() {
+		call.Fail(errkind.New(errkind.Draining, "instance is leaving"))
+		return
+	}
 	var params api.ClaimParams
 	if err := call.Decode(&params); err != nil {
 		call.Fail(err)
--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -97,7 +97,8 @@
 	}
 	c.handover.avoid[e.Address] = now.Add(writerPause)
 	r := c.requests[e.Request]
-	if e.NotSent {
+	// A writer that leaves refuses before its Book sees the claim.
+	if e.NotSent || errkind.Is(e.Err, errkind.Draining) {
 		if r != nil && !r.answered {
 			c.claimService(now, r)
 		} else if r != nil {
