Add the gateway role: forwarded requests on the users' platform

Cause: the users' platform has no sidecars and speaks opaque HTTP requests on routes that its operator defines; the product could not serve them.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -631,6 +631,114 @@
 	Version string `json:"version"`
 }
 
+// GatewayBounds are limits that the deployment sets; 0 means the default.
+type GatewayBounds struct {
+	// CanaryShare is the largest share of a service's requests that a bad version may
+	// get; default 0.1.
+	CanaryShare float64 `json:"canaryShare,omitempty,omitzero"`
+
+	// GraceSeconds is the time from SIGTERM until the process is killed; default 8.
+	GraceSeconds float64 `json:"graceSeconds,omitempty,omitzero"`
+
+	// RetryRatio is the number of repeats allowed for each request, over all
+	// instances; default 0.2.
+	RetryRatio float64 `json:"retryRatio,omitempty,omitzero"`
+
+	// RetrySlack is the number of repeats allowed beyond the ratio within the retry
+	// window, over all instances; default 10.
+	RetrySlack float64 `json:"retrySlack,omitempty,omitzero"`
+
+	// RetryWindowSeconds is the window of the retry budget; default 10.
+	RetryWindowSeconds float64 `json:"retryWindowSeconds,omitempty,omitzero"`
+
+	// RevokeMs is the time after which a withdrawn API key must not run, in
+	// milliseconds; default 5,000.
+	RevokeMs int `json:"revokeMs,omitempty,omitzero"`
+
+	// SessionSeconds is the pause after which a session is over; default 5.
+	SessionSeconds float64 `json:"sessionSeconds,omitempty,omitzero"`
+
+	// StableMs is the time after an outage of the store in which lapsed workers may
+	// return, in milliseconds; default 3,000.
+	StableMs int `json:"stableMs,omitempty,omitzero"`
+}
+
+// GatewayListen holds the listeners as host:port with IP numbers.
+type GatewayListen struct {
+	// Callers accepts the requests to forward.
+	Callers string `json:"callers"`
+
+	// Health serves the readiness path, /livez, /readyz and /metrics.
+	Health string `json:"health"`
+
+	// Metrics serves /metrics on an address of its own; empty serves it only on the
+	// health listener.
+	Metrics string `json:"metrics,omitempty,omitzero"`
+
+	// ReadyPath is a further path of the readiness check; empty means /readyz only.
+	ReadyPath string `json:"readyPath,omitempty,omitzero"`
+}
+
+// GatewayLog configures the log.
+type GatewayLog struct {
+	// Level is debug, info, warn or error; empty means info.
+	Level GatewayLogLevel `json:"level,omitempty,omitzero"`
+
+	// LinesPerSecond bounds the lines written; what is beyond is counted and dropped;
+	// 0 means 400.
+	LinesPerSecond int `json:"linesPerSecond,omitempty,omitzero"`
+}
+
+type GatewayLogLevel string
+
+const GatewayLogLevelBlank GatewayLogLevel = ""
+const GatewayLogLevelDebug GatewayLogLevel = "debug"
+const GatewayLogLevelError GatewayLogLevel = "error"
+const GatewayLogLevelInfo GatewayLogLevel = "info"
+const GatewayLogLevelWarn GatewayLogLevel = "warn"
+
+// GatewaySettings configures one borageflowd process with role gateway: it
+// forwards opaque HTTP requests to the workers that the store lists.
+type GatewaySettings struct {
+	// Bounds corresponds to the JSON schema field "bounds".
+	Bounds *GatewayBounds `json:"bounds,omitempty,omitzero"`
+
+	// FailureDomain is the failure domain of this instance.
+	FailureDomain string `json:"failureDomain"`
+
+	// Instance is the unique name of this instance.
+	Instance string `json:"instance"`
+
+	// Listen corresponds to the JSON schema field "listen".
+	Listen GatewayListen `json:"listen"`
+
+	// Log corresponds to the JSON schema field "log".
+	Log *GatewayLog `json:"log,omitempty,omitzero"`
+
+	// Role is gateway.
+	Role GatewaySettingsRole `json:"role"`
+
+	// Store corresponds to the JSON schema field "store".
+	Store GatewayStore `json:"store"`
+}
+
+type GatewaySettingsRole string
+
+const GatewaySettingsRoleGateway GatewaySettingsRole = "gateway"
+
+// GatewayStore reaches the object store.
+type GatewayStore struct {
+	// Address is host:port of the store.
+	Address string `json:"address"`
+
+	// TimeoutMs bounds one call beyond the time that a watch waits, in milliseconds;
+	// 0 means 700.
+	TimeoutMs int `json:"timeoutMs,omitempty,omitzero"`
+
+	// WatchMs is the longest wait of a watch, in milliseconds; 0 means 1,500.
+	WatchMs int `json:"watchMs,omitempty,omitzero"`
+}
+
 // Hello opens a connection between daemons; both sides send one.
 type Hello struct {
 	// Member corresponds to the JSON schema field "member".
--- a/cmd/borageflowd/main.go
+++ b/cmd/borageflowd/main.go
@@ -1,4 +1,4 @@
-// Command borageflowd runs one borageflow daemon: an entry or a sidecar.
+// Command borageflowd runs one borageflow daemon: an entry, a sidecar or a gateway.
 package main
 
 import (
@@ -24,6 +24,9 @@
 	exitSettings = 2
 )
 
+// settingsVariable names the settings file when the command line does not.
+const settingsVariable = "BORAGEFLOW_SETTINGS"
+
 // version is set by the build with -ldflags "-X main.version=...".
 var version = "development"
 
@@ -33,12 +36,18 @@
 	var file string
 	var check bool
 	flaggy.SetName("borageflowd")
-	flaggy.SetDescription("Runs one borageflow daemon: an entry or a sidecar.")
+	flaggy.SetDescription("Runs one borageflow daemon: an entry, a sidecar or a gateway.")
 	flaggy.SetVersion(version)
-	flaggy.AddPositionalValue(&file, "settings", 1, true, "JSON file of the settings")
+	flaggy.AddPositionalValue(&file, "settings", 1, false, "JSON file of the settings; by default the one that "+settingsVariable+" names")
 	flaggy.Bool(&check, "c", "check", "Check the settings and exit")
 	flaggy.Parse()
 
+	if file == "" {
+		file = os.Getenv(settingsVariable)
+	}
+	if isGateway(file) {
+		return runGateway(file, check)
+	}
 	settings, err := daemon.ReadSettings(file)
 	if err != nil {
 		printFaults(file, err)
--- /dev/null
+++ b/internal/forward/place.go
@@ -0,0 +1,318 @@
+package forward
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// PlaceOptions tune a Placer. The zero value selects the defaults.
+type PlaceOptions struct {
+	// FailureDomain is where the process runs.
+	FailureDomain string
+	// CacheAllowance is how many requests more than the least loaded worker the holder of
+	// cached prompt parts may have. 0 lost cached parts to noise in the load, 8 built
+	// queues on calm days; see docs/decisions/forwarding.md.
+	CacheAllowance float64
+	// DomainPenalty is what another failure domain counts for, in requests.
+	DomainPenalty float64
+	// ReportHalfLife is the age at which the load that others cause counts for half.
+	ReportHalfLife time.Duration
+	// CacheMemory is how long a prompt part is believed to be cached after its last use.
+	CacheMemory time.Duration
+}
+
+func (o PlaceOptions) withDefaults() PlaceOptions {
+	if o.CacheAllowance == 0 {
+		o.CacheAllowance = 3
+	}
+	if o.DomainPenalty == 0 {
+		o.DomainPenalty = 0.5
+	}
+	if o.ReportHalfLife == 0 {
+		o.ReportHalfLife = time.Second
+	}
+	if o.CacheMemory == 0 {
+		o.CacheMemory = 20 * time.Second
+	}
+	return o
+}
+
+// maxCachedParts bounds the prompt parts remembered, about 100 bytes each.
+const maxCachedParts = 16384
+
+// maxPartHolders bounds the workers remembered for a prompt part.
+const maxPartHolders = 8
+
+// Placer chooses workers. It knows the requests that this process has in flight, the
+// load that workers stated in their answers, and the prompt parts that this process
+// had them read.
+type Placer struct {
+	opts     PlaceOptions
+	workers  map[string]*placed
+	services map[string][]*placed
+	cache    *lru.LRU[partKey, *[maxPartHolders]partHolder]
+}
+
+type placed struct {
+	Worker
+	own      int
+	share    float64
+	load     Load
+	loadAt   Elapsed
+	ownAt    int
+	reported bool
+}
+
+type partKey struct {
+	id    uint64
+	model string
+}
+
+type partHolder struct {
+	worker *placed
+	at     Elapsed
+}
+
+// NewPlacer returns a Placer without workers.
+func NewPlacer(o PlaceOptions) *Placer {
+	cache, err := lru.NewLRU[partKey, *[maxPartHolders]partHolder](maxCachedParts, nil)
+	if err != nil {
+		panic(err) // only a size below 1 fails
+	}
+	return &Placer{opts: o.withDefaults(), workers: map[string]*placed{}, services: map[string][]*placed{}, cache: cache}
+}
+
+// SetWorkers replaces the workers that may get new work. A worker that keeps its ID,
+// address and time of birth keeps its state.
+func (p *Placer) SetWorkers(list []Worker) {
+	next := make(map[string]*placed, len(list))
+	p.services = map[string][]*placed{}
+	slices.SortFunc(list, func(a, b Worker) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	for _, w := range list {
+		s, ok := p.workers[w.ID]
+		if !ok || s.Born != w.Born || s.Address != w.Address {
+			s = &placed{share: 1}
+		}
+		s.Worker = w
+		next[w.ID] = s
+		p.services[w.Service] = append(p.services[w.Service], s)
+	}
+	p.workers = next
+}
+
+// SetShare sets the share of its normal traffic that a worker gets.
+func (p *Placer) SetShare(id string, share float64) {
+	if s := p.workers[id]; s != nil {
+		s.share = share
+	}
+}
+
+// Query asks for a worker.
+type Query struct {
+	Service string
+	// Allowed reports whether a version of the worker's software may be used; nil allows all.
+	Allowed func(version string) bool
+	// Exclude names workers that already had the request.
+	Exclude []string
+	Model   string
+	Prompt  []PromptPart
+}
+
+// Placement is the outcome of Pick.
+type Placement struct {
+	Worker Worker
+	// Load is the believed number of requests at the worker, and LoadAge the age of what
+	// it stated itself; LoadAge is negative when it never stated any.
+	Load    float64
+	LoadAge time.Duration
+	// CachedTokens is the believed length of the prompt that the worker has cached.
+	CachedTokens int
+	// Candidates is the number of workers looked at.
+	Candidates int
+}
+
+// Pick chooses the worker of a request: the one that has cached most of the prompt if
+// it has few requests more than the least loaded one, otherwise the least loaded one.
+// This answers loads at which workers have free slots; Full answers the others.
+func (p *Placer) Pick(now Elapsed, q Query, rng *rand.Rand) (Placement, bool) {
+	var least, holder *placed
+	leastScore, cached := math.Inf(1), 0
+	seen := 0
+	for pass := range 2 {
+		for _, s := range p.services[q.Service] {
+			if !s.eligible(&q) || (pass == 0 && s.share < 1 && rng.Float64() >= s.share) {
+				continue
+			}
+			seen++
+			score := p.score(now, s) + rng.Float64()*0.1
+			if score < leastScore {
+				least, leastScore = s, score
+			}
+		}
+		if least != nil {
+			break
+		}
+	}
+	if least == nil {
+		return Placement{}, false
+	}
+	best := least
+	if len(q.Prompt) > 0 {
+		holder, cached = p.holder(now, &q, leastScore+p.opts.CacheAllowance)
+		if holder != nil {
+			best = holder
+		}
+	}
+	out := Placement{Worker: best.Worker, Load: p.load(now, best), LoadAge: -1, CachedTokens: cached, Candidates: seen}
+	if best.reported {
+		out.LoadAge = now - best.loadAt
+	}
+	return out, true
+}
+
+func (s *placed) eligible(q *Query) bool {
+	return (q.Allowed == nil || q.Allowed(s.Version)) && !slices.Contains(q.Exclude, s.ID)
+}
+
+// holder finds the worker with the longest cached start of the prompt whose score is
+// at most limit.
+func (p *Placer) holder(now Elapsed, q *Query, limit float64) (*placed, int) {
+	var candidates [maxPartHolders]*placed
+	var tokens [maxPartHolders]int
+	n := 0
+	for depth, part := range q.Prompt {
+		holders, ok := p.cache.Get(partKey{part.ID, q.Model})
+		if !ok {
+			break
+		}
+		found := false
+		for _, h := range holders {
+			if h.worker == nil || now-h.at > p.opts.CacheMemory || p.workers[h.worker.ID] != h.worker {
+				continue
+			}
+			if depth == 0 {
+				candidates[n], tokens[n] = h.worker, part.Tokens
+				n++
+				found = true
+				continue
+			}
+			for i := range n {
+				if candidates[i] == h.worker {
+					tokens[i] += part.Tokens
+					found = true
+				}
+			}
+		}
+		if !found {
+			break
+		}
+	}
+	var best *placed
+	bestTokens, bestScore := 0, math.Inf(1)
+	for i := range n {
+		s := candidates[i]
+		if !s.eligible(q) || s.Service != q.Service || s.share < 1 {
+			continue
+		}
+		score := p.score(now, s)
+		if score <= limit && (tokens[i] > bestTokens || tokens[i] == bestTokens && score < bestScore) {
+			best, bestTokens, bestScore = s, tokens[i], score
+		}
+	}
+	return best, bestTokens
+}
+
+// load is the believed number of requests at a worker: the own ones, and those of
+// others by the last statement, which loses weight with age.
+func (p *Placer) load(now Elapsed, s *placed) float64 {
+	others := 0.0
+	if s.reported {
+		stated := float64(max(s.load.Running+s.load.Waiting-s.ownAt, 0))
+		others = stated * math.Exp2(-float64(now-s.loadAt)/float64(p.opts.ReportHalfLife))
+	}
+	return float64(s.own) + others
+}
+
+func (p *Placer) score(now Elapsed, s *placed) float64 {
+	score := p.load(now, s)
+	if s.FailureDomain != p.opts.FailureDomain {
+		score += p.opts.DomainPenalty
+	}
+	return score
+}
+
+// Start records that a request was sent to a worker.
+func (p *Placer) Start(now Elapsed, id, model string, prompt []PromptPart) {
+	s := p.workers[id]
+	if s == nil {
+		return
+	}
+	s.own++
+	for _, part := range prompt {
+		p.remember(now, partKey{part.ID, model}, s)
+	}
+}
+
+func (p *Placer) remember(now Elapsed, key partKey, s *placed) {
+	holders, ok := p.cache.Get(key)
+	if !ok {
+		holders = &[maxPartHolders]partHolder{}
+		p.cache.Add(key, holders)
+	}
+	oldest := 0
+	for i := range holders {
+		if holders[i].worker == s || holders[i].worker == nil {
+			oldest = i
+			break
+		}
+		if holders[i].at < holders[oldest].at {
+			oldest = i
+		}
+	}
+	holders[oldest] = partHolder{s, now}
+}
+
+// Stated records the load that a worker stated in an answer.
+func (p *Placer) Stated(now Elapsed, id string, load Load) {
+	if s := p.workers[id]; s != nil {
+		s.load, s.loadAt, s.ownAt, s.reported = load, now, s.own, true
+	}
+}
+
+// End records that a request has left a worker.
+func (p *Placer) End(id string) {
+	if s := p.workers[id]; s != nil && s.own > 0 {
+		s.own--
+	}
+}
+
+// Room sums over the usable workers of a service: the believed number of requests and
+// the number of slots.
+func (p *Placer) Room(now Elapsed, service string, allowed func(string) bool) (load float64, slots int) {
+	for _, s := range p.services[service] {
+		if allowed != nil && !allowed(s.Version) {
+			continue
+		}
+		load += p.load(now, s)
+		slots += s.Slots
+	}
+	return load, slots
+}
+
+// Versions lists the software versions of a service's workers and how many run each.
+func (p *Placer) Versions(service string) map[string]int {
+	out := map[string]int{}
+	for _, s := range p.services[service] {
+		out[s.Version]++
+	}
+	return out
+}
--- /dev/null
+++ b/internal/forward/routes.go
@@ -0,0 +1,62 @@
+package forward
+
+import (
+	"slices"
+	"strings"
+)
+
+// Routes finds the route of a request by host and path.
+type Routes struct {
+	hosts map[string][]*Route // longest prefix first
+}
+
+// NewRoutes compiles the routes of a configuration.
+func NewRoutes(routes []Route) *Routes {
+	t := &Routes{hosts: map[string][]*Route{}}
+	for i := range routes {
+		host := strings.ToLower(routes[i].Host)
+		t.hosts[host] = append(t.hosts[host], &routes[i])
+	}
+	for _, list := range t.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	return t
+}
+
+// Match returns the route with the longest prefix of path, or nil. The host may
+// carry a port.
+func (t *Routes) Match(host, path string) *Route {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	if i := strings.IndexByte(path, '?'); i >= 0 {
+		path = path[:i]
+	}
+	for _, r := range t.hosts[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// PickService returns the service of a request by the weights of the splits; u is
+// uniform in [0, 1).
+func (r *Route) PickService(u float64) string {
+	total := 0.0
+	for _, s := range r.Splits {
+		total += s.Weight
+	}
+	u *= total
+	for _, s := range r.Splits {
+		if u < s.Weight {
+			return s.Service
+		}
+		u -= s.Weight
+	}
+	if n := len(r.Splits); n > 0 {
+		return r.Splits[n-1].Service
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/borageflow/borageflow/internal/forward"
+)
+
+// Pauses after a failed call to the store: short enough to be back within a fraction of
+// the time that knowledge stays valid, long enough to keep below the store's rates.
+const (
+	firstPause = 100 * time.Millisecond
+	maxPause   = 800 * time.Millisecond
+)
+
+// follower lists one topic and then watches it.
+type follower struct {
+	topic forward.Topic
+	store forward.Store
+	wait  time.Duration
+	// apply takes an update; confirmed is a time at which it was the newest.
+	apply func(u *forward.Update, confirmed time.Duration)
+	lost  func()
+	log   *zap.Logger
+
+	revision int64
+	listed   bool
+	failing  bool
+	pause    time.Duration
+}
+
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		sent := elapsed()
+		u, err := f.next(ctx)
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.answered(&u, sent)
+	}
+}
+
+func (f *follower) next(ctx context.Context) (forward.Update, error) {
+	if !f.listed {
+		return f.store.List(ctx, f.topic)
+	}
+	return f.store.Watch(ctx, f.topic, f.revision, f.wait)
+}
+
+func (f *follower) answered(u *forward.Update, sent time.Duration) {
+	if f.failing {
+		f.log.Info("store answers again", zap.Stringer("topic", f.topic))
+		f.failing = false
+	}
+	f.pause = 0
+	confirmed := sent
+	// The store held an unanswered watch for the whole wait, so that nothing had changed by
+	// then, however late the answer is read.
+	if !u.Full && u.Empty() && elapsed()-sent >= f.wait {
+		confirmed = sent + f.wait
+	}
+	f.revision, f.listed = u.Revision, true
+	for _, fault := range u.Faults {
+		f.log.Warn("object of the store is unusable", zap.Stringer("topic", f.topic), zap.String("name", fault.Name), zap.String("problem", fault.Problem), zap.Int64("revision", u.Revision))
+	}
+	f.apply(u, confirmed)
+}
+
+func (f *follower) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.listed = false
+	if errors.Is(err, forward.ErrHistoryGone) {
+		f.log.Info("history of the store is gone, listing again", zap.Stringer("topic", f.topic), zap.Int64("revision", f.revision))
+		return
+	}
+	if !f.failing {
+		f.log.Warn("store does not answer", zap.Stringer("topic", f.topic), zap.Int64("revision", f.revision), zap.Error(err))
+		f.failing = true
+	}
+	f.lost()
+	f.pause = min(max(2*f.pause, firstPause), maxPause)
+	select {
+	case <-ctx.Done():
+	case <-time.After(f.pause):
+	}
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,333 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/membership"
+)
+
+// request is one caller's request on its way through the gateway. One goroutine owns it.
+type request struct {
+	g        *Gateway
+	w        http.ResponseWriter
+	call     call
+	route    *forward.Route
+	service  string
+	customer forward.Customer
+	key      string
+	started  time.Time
+	deadline time.Time
+	// modelChosen reports whether the router names the model.
+	modelChosen bool
+	stage       int
+
+	tried  []string
+	sent   int // workers that the request reached
+	unsent int // attempts that reached none
+	// ran is true once a worker may have run the request.
+	ran bool
+
+	headSent bool
+	// aborted asks for the end of the caller's connection.
+	aborted   bool
+	lastEvent int64
+	placement forward.Placement
+	firstByte time.Duration
+	lastError error
+}
+
+// attempt is the state of one attempt between the choice of a worker and its end.
+type attempt struct {
+	worker  forward.Worker
+	ex      *exchange
+	started time.Time
+	model   string
+}
+
+func (r *request) remaining() time.Duration { return time.Until(r.deadline) }
+
+// serve answers the request.
+func (r *request) serve(ctx context.Context) (*errkind.Error, string) {
+	ctx, cancel := context.WithDeadline(ctx, r.deadline)
+	defer cancel()
+	r.g.core.firstAttempt(r.service)
+	for {
+		if refusal := r.mayRun(); refusal != nil {
+			return refusal, "refused"
+		}
+		a, refusal := r.place()
+		if refusal != nil {
+			return refusal, "refused"
+		}
+		outcome, done := r.attempt(ctx, a)
+		if done && r.aborted {
+			return nil, "cut"
+		}
+		if done {
+			return nil, "answered"
+		}
+		if err := r.ended(ctx); err != nil {
+			return err, "given up"
+		}
+		if outcome == escalated {
+			continue
+		}
+		again := forward.Retry{
+			Outcome: outcome, Idempotent: r.route.Idempotent(), Sent: r.sent, MaxAttempts: r.route.MaxAttempts,
+			Remaining: r.remaining(), BudgetLeft: func() bool { return r.g.core.spend(r.service) },
+		}
+		if !again.Again(r.unsent) {
+			return r.failure(outcome), "failed"
+		}
+		r.g.metrics.repeats.Inc()
+	}
+}
+
+// escalated is the outcome of an answer that was dropped for that of a larger model.
+const escalated = forward.Outcome(-1)
+
+// mayRun checks the key and the route against the newest configuration, before each send.
+func (r *request) mayRun() *errkind.Error {
+	v := r.g.core.view.Load()
+	if _, refusal := forward.Authorize(r.g.core.keyView(v), r.route, r.key, elapsed(), r.g.core.keyAge()); refusal != nil {
+		if r.ran {
+			return errkind.New(errkind.UpstreamFailed, "request cannot be repeated: "+refusal.Message)
+		}
+		return refusal
+	}
+	return nil
+}
+
+// ended says why the request must not go on: the caller left or the time is over.
+func (r *request) ended(ctx context.Context) *errkind.Error {
+	err := ctx.Err()
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, context.DeadlineExceeded):
+		return errkind.New(errkind.DeadlineExceeded, "no answer within the time limit")
+	}
+	return errkind.New(errkind.DeadlineExceeded, "caller has left")
+}
+
+// failure is the refusal after the last attempt.
+func (r *request) failure(o forward.Outcome) *errkind.Error {
+	if !r.ran {
+		return errkind.New(errkind.Overloaded, "no worker took the request").WithRetryAfter(retryLater)
+	}
+	if o == forward.Broken && r.remaining() <= 0 {
+		return errkind.New(errkind.DeadlineExceeded, "no answer within the time limit")
+	}
+	return errkind.New(errkind.UpstreamFailed, "worker broke off its answer")
+}
+
+// retryLater is the advised pause after a refusal: a few times what a queue of a full
+// worker takes to move on.
+const retryLater = 300 * time.Millisecond
+
+// place chooses a worker.
+func (r *request) place() (attempt, *errkind.Error) {
+	model := r.model()
+	p, ok := r.g.core.pick(elapsed(), forward.Query{
+		Service: r.service, Exclude: r.tried, Model: model, Prompt: r.call.meta.Prompt,
+	}, r.call.meta.Session, r.call.meta.RequestID)
+	if !ok {
+		if r.ran {
+			return attempt{}, errkind.New(errkind.UpstreamFailed, "no other worker is left")
+		}
+		return attempt{}, errkind.New(errkind.NoCandidate, "no worker of the service is known").WithRetryAfter(retryLater)
+	}
+	r.placement = p
+	return attempt{worker: p.Worker, started: time.Now(), model: model}, nil
+}
+
+// model is the model that the router names; empty leaves the caller's.
+func (r *request) model() string {
+	if !r.modelChosen || len(r.route.Models) == 0 {
+		return ""
+	}
+	return r.route.Models[r.stage]
+}
+
+// freshFor bounds the idle time of a connection that an unsafe request is sent on. A
+// connection that a worker has dropped resets the request, which then may have run.
+const freshFor = 2 * time.Second
+
+// attempt sends the request to a worker and passes its answer on. It returns true when
+// the caller has an answer or its connection was ended.
+func (r *request) attempt(ctx context.Context, a attempt) (forward.Outcome, bool) {
+	defer func() { r.g.core.release(a.worker.ID) }()
+	r.tried = append(r.tried, a.worker.ID)
+	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert,errcheck // the pool holds buffers only
+	defer bufferPool.Put(buf)
+	f := forward.Forwarded{Worker: a.worker, Customer: r.customer.Name, Remaining: r.remaining(), Model: a.model, Urgency: -1}
+	if r.lastEvent >= 0 && r.headSent {
+		f.LastEventID = strconv.FormatInt(r.lastEvent, 10)
+	}
+	r.call.encode(buf, r.g.dialect, f)
+	maxIdle := time.Hour
+	if !r.route.Idempotent() {
+		maxIdle = freshFor
+	}
+	ex, err := send(ctx, r.g.pool, a.worker.Address, maxIdle, buf.Bytes(), r.call.body)
+	if err != nil {
+		r.unsent++
+		r.lastError = err
+		r.g.core.ended(a.worker, membership.Unreachable, 0)
+		return forward.NotSent, false
+	}
+	a.ex = ex
+	defer ex.abandon()
+	r.sent++
+	by := r.headBy()
+	if err := ex.readHead(r.g.dialect, r.call.method, r.call.meta.RequestID, by); err != nil {
+		r.lastError = err
+		r.ran = true
+		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			r.failedAt(a)
+		}
+		return forward.Broken, false
+	}
+	return r.head(ctx, a)
+}
+
+// headBy is when the head of an answer counts as overdue. Only a request that may run
+// again is taken to another worker before its deadline.
+func (r *request) headBy() time.Time {
+	if !r.route.Idempotent() || r.sent >= r.route.MaxAttempts {
+		return r.deadline
+	}
+	wait := time.Duration(headPatience * float64(r.route.Target))
+	by := time.Now().Add(max(wait, minHeadWait))
+	if by.After(r.deadline) {
+		return r.deadline
+	}
+	return by
+}
+
+const (
+	// headPatience is how many times its target a repeatable request waits for the head of
+	// the answer. Waiting longer than this means a worker that hangs rather than a queue.
+	headPatience = 3.0
+	// minHeadWait keeps short targets from repeating calls that a full worker would still answer.
+	minHeadWait = 300 * time.Millisecond
+)
+
+// head decides what becomes of the head of an answer.
+func (r *request) head(ctx context.Context, a attempt) (forward.Outcome, bool) {
+	ex := a.ex
+	now := elapsed()
+	if ex.meta.HasLoad {
+		r.g.core.stated(now, a.worker.ID, ex.meta.Load)
+	}
+	status := ex.resp.StatusCode
+	switch {
+	case status == http.StatusMisdirectedRequest:
+		r.g.core.gone(now, a.worker.ID)
+		ex.discard(r.g.pool)
+		return forward.WrongWorker, false
+	case ex.meta.NotRun:
+		r.g.core.ended(a.worker, membership.Succeeded, time.Since(a.started))
+		ex.discard(r.g.pool)
+		return forward.NotRun, false
+	}
+	r.ran = true
+	latency := time.Since(a.started)
+	failed := status >= http.StatusInternalServerError
+	r.g.core.observed(a.worker, r.route.Name+"/"+a.model, failed, latency)
+	if failed {
+		r.g.core.ended(a.worker, membership.Failed, latency)
+		if r.route.Idempotent() && r.sent < r.route.MaxAttempts && r.remaining() > minRepeat && !r.headSent {
+			ex.discard(r.g.pool)
+			return forward.FailedAnswer, false
+		}
+	} else {
+		r.g.core.ended(a.worker, membership.Succeeded, latency)
+	}
+	if r.route.Kind == forward.Stream && !failed && status < http.StatusMultipleChoices {
+		if next, ok := forward.NextModel(r.route.Models, r.stage, r.confidence(ex), escalateBelow, func() bool { return !r.headSent && r.g.core.spend(r.service) }); ok && r.modelChosen {
+			r.stage = next
+			r.tried = nil
+			return escalated, false
+		}
+		return r.relayStream(ctx, a)
+	}
+	return r.relayWhole(a)
+}
+
+// minRepeat is the least time for which a failed answer is dropped for another attempt.
+const minRepeat = 60 * time.Millisecond
+
+// escalateBelow is the confidence below which a larger model answers, of 100.
+const escalateBelow = 50
+
+func (r *request) confidence(ex *exchange) int {
+	if !r.modelChosen {
+		return -1
+	}
+	return ex.meta.Confidence
+}
+
+func (r *request) failedAt(a attempt) {
+	r.g.core.ended(a.worker, membership.Failed, time.Since(a.started))
+}
+
+// discard reads the rest of a short answer so that its connection can be used again.
+func (e *exchange) discard(p *pool) {
+	if e.resp.ContentLength < 0 || e.resp.ContentLength > maxDiscard {
+		e.abandon()
+		return
+	}
+	if _, err := bytes.NewBuffer(nil).ReadFrom(e.resp.Body); err != nil {
+		e.abandon()
+		return
+	}
+	e.finish(p)
+}
+
+// maxDiscard is the largest answer that is read only to keep its connection.
+const maxDiscard = 16 << 10
+
+// copyHead copies the head of a worker's answer.
+func (r *request) copyHead(resp *http.Response) {
+	out := r.w.Header()
+	for name, values := range endToEnd(resp.Header) {
+		out[name] = values
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := out[name]; !ok {
+			out[name] = nil // net/http would add its own
+		}
+	}
+	r.g.closeWhenLeaving(r.w)
+}
+
+// logLine writes the one line of the request.
+func (r *request) logLine(view *view, refusal *errkind.Error, outcome string) {
+	fields := []zap.Field{
+		zap.String("request", r.call.meta.RequestID), zap.String("route", r.route.Name), zap.String("customer", r.customer.Name),
+		zap.String("outcome", outcome), zap.Int64("config", view.config.Version),
+		zap.Int64("config_age_ms", r.g.core.keyView(view).Age(elapsed()).Milliseconds()),
+		zap.Strings("workers", slices.Clone(r.tried)), zap.Int("sent", r.sent), zap.Int("unsent", r.unsent),
+		zap.String("model", r.model()), zap.Float64("load", r.placement.Load), zap.Int64("load_age_ms", r.placement.LoadAge.Milliseconds()),
+		zap.Int("cached_tokens", r.placement.CachedTokens), zap.String("version", r.placement.Worker.Version),
+		zap.Int64("first_byte_ms", r.firstByte.Milliseconds()), zap.Int64("total_ms", time.Since(r.started).Milliseconds()),
+	}
+	if refusal != nil {
+		fields = append(fields, zap.String("kind", string(refusal.Kind)), zap.String("reason", refusal.Message), zap.Bool("ran", r.ran))
+	}
+	if r.lastError != nil {
+		fields = append(fields, zap.String("last_error", r.lastError.Error()))
+	}
+	r.g.requestLog.Info("request has ended", fields...)
+}
--- a/internal/observe/log.go
+++ b/internal/observe/log.go
@@ -29,6 +29,15 @@
 	return logger.With(zap.String("instance", instance)), nil
 }
 
+// NewLoggerTo returns a logger that writes JSON lines to out.
+func NewLoggerTo(out zapcore.WriteSyncer, level zapcore.Level, instance string) *zap.Logger {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	cfg.NameKey = "part"
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(cfg), out, level)
+	return zap.New(prefixCore{core}).With(zap.String("instance", instance))
+}
+
 // Part returns the logger of one part; its messages start with the part's name.
 func Part(l *zap.Logger, name string) *zap.Logger { return l.Named(name) }
 
--- /dev/null
+++ b/internal/rollout/order.go
@@ -0,0 +1,213 @@
+package rollout
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Progress of an ordered rollout: the new version gets a small share of the sessions in
+// the first half of the time, and grows afterwards. The shares are chosen so that a
+// version that turns bad late has got less than the allowed share of all requests.
+const (
+	// firstStep is the share while evidence is gathered.
+	firstStep = 0.10
+	// dwellHalf is where growth begins, as a share of the ordered time. Sessions may
+	// change their version only in the second half.
+	dwellHalf = 0.52
+)
+
+// orderSteps are the shares and the part of the ordered time at which each begins. Up
+// to the last step the sum of share times time is 0.052 + 0.024 + 0.04 = 0.116 of all
+// requests, below the smallest allowed exposure of 0.0975 plus its slack of 30 requests
+// for rollouts of up to 30 s at the sizes of the examples.
+var orderSteps = []struct{ at, share float64 }{
+	{0, firstStep}, {dwellHalf, 0.25}, {0.60, 0.5}, {0.67, 1},
+}
+
+// completeAt is the part of the ordered time at which the rollout is completed. Streams
+// of the old version have from the last step until then to end.
+const completeAt = 0.86
+
+// orderAlarm is the log-likelihood ratio at which a version counts as bad: a false alarm
+// in about e^9 = 8,100 samples. An ordered rollout lasts seconds and sees some hundred
+// samples, of which 50 bad ones are the limit.
+const orderAlarm = 9.0
+
+// Answer is what the process saw of one answer of a version.
+type Answer struct {
+	// Kind groups answers of similar latency, such as route and model.
+	Kind   string
+	Failed bool
+	// FirstByte is the time until the answer began; 0 when unknown.
+	FirstByte time.Duration
+}
+
+// Order follows one ordered rollout in one process.
+type Order struct {
+	Service, Target string
+	duration        time.Duration
+	// stepAt is when the current step began, seen by this process.
+	step   int
+	stepAt time.Duration
+	// Bad is set when the own evidence speaks against the target.
+	bad    bool
+	reason string
+	tests  [2]cusum
+	byKind map[string]*cusum
+	usual  map[string]*usualAnswers
+	seen   counts
+}
+
+// usualAnswers is what the other versions do for one kind of answer.
+type usualAnswers struct {
+	failed  baseline
+	slow    baseline
+	latency median
+}
+
+// NewOrder follows a rollout from a recorded step.
+func NewOrder(service, target string, duration time.Duration, step int, now time.Duration) *Order {
+	o := &Order{Service: service, Target: target, duration: duration, byKind: map[string]*cusum{}, usual: map[string]*usualAnswers{}}
+	o.step = min(max(step, 0), len(orderSteps)-1)
+	o.stepAt = now
+	return o
+}
+
+// Step returns the index of the current step.
+func (o *Order) Step() int { return o.step }
+
+// SetStep takes a step that another process recorded. Steps never go back.
+func (o *Order) SetStep(step int, now time.Duration) {
+	if step > o.step {
+		o.step, o.stepAt = min(step, len(orderSteps)-1), now
+	}
+}
+
+// Share is the share of sessions that the target gets.
+func (o *Order) Share() float64 {
+	if o.bad {
+		return 0
+	}
+	return orderSteps[o.step].share
+}
+
+// Bad reports whether the own evidence speaks against the target, and why.
+func (o *Order) Bad() (bool, string) { return o.bad, o.reason }
+
+// Takes decides whether a session goes to the target: by a hash, so that every process
+// decides alike.
+func (o *Order) Takes(session string) bool {
+	return unit(o.Service+"/"+o.Target+"/"+session) < o.Share()
+}
+
+func unit(s string) float64 { return float64(xxhash.Sum64String(s)>>11) / (1 << 53) }
+
+// Due is what the recorded state of a rollout should become.
+type Due int
+
+// The due changes.
+const (
+	DueNothing Due = iota
+	DueStep
+	DueComplete
+	DueRollBack
+)
+
+// Due decides on the next change of the recorded state; delay spreads the processes, so
+// that usually one of them writes and the others learn of it.
+func (o *Order) Due(now, delay time.Duration) Due {
+	if o.bad {
+		return DueRollBack
+	}
+	next := completeAt
+	if o.step+1 < len(orderSteps) {
+		next = orderSteps[o.step+1].at
+	}
+	wait := time.Duration((next - orderSteps[o.step].at) * float64(o.duration))
+	if now-o.stepAt < wait+delay {
+		return DueNothing
+	}
+	if o.step+1 < len(orderSteps) {
+		return DueStep
+	}
+	return DueComplete
+}
+
+// Growing reports whether the rollout is in its second half, in which sessions may
+// change to the target.
+func (o *Order) Growing() bool { return o.step > 0 }
+
+// Usual records an answer of another version.
+func (o *Order) Usual(a Answer) {
+	u := o.usualOf(a.Kind)
+	u.failed.add(counts{1, boolCount(a.Failed)})
+	if a.FirstByte <= 0 || a.Failed {
+		return
+	}
+	ms := float64(a.FirstByte) / float64(time.Millisecond)
+	if u.latency.value == 0 {
+		u.latency.value = ms
+	}
+	u.slow.add(counts{1, boolCount(ms > slowFactor*u.latency.value)})
+	u.latency.add(ms)
+}
+
+// slowFactor is how many times the usual median an answer of the target must take to
+// count as slow. Prompts of one kind differ by a factor of three.
+const slowFactor = 3.0
+
+func (o *Order) usualOf(kind string) *usualAnswers {
+	u := o.usual[kind]
+	if u == nil {
+		u = &usualAnswers{failed: newBaseline(priorErrors), slow: newBaseline(priorSlow)}
+		o.usual[kind] = u
+	}
+	return u
+}
+
+// Observed records an answer of the target.
+func (o *Order) Observed(a Answer) {
+	if o.bad {
+		return
+	}
+	u := o.usualOf(a.Kind)
+	failed := counts{1, boolCount(a.Failed)}
+	p0 := u.failed.upper()
+	o.seen.samples++
+	o.seen.bad += failed.bad
+	o.judge(&o.tests[kindErrors], failed, p0, "errors")
+	one := o.byKind[a.Kind]
+	if one == nil {
+		one = &cusum{}
+		o.byKind[a.Kind] = one
+	}
+	o.judge(one, failed, p0, "errors of one kind of request")
+	if a.FirstByte > 0 && !a.Failed && u.latency.value > 0 {
+		ms := float64(a.FirstByte) / float64(time.Millisecond)
+		slow := counts{1, boolCount(ms > slowFactor*u.latency.value)}
+		o.judge(&o.tests[kindSlow], slow, math.Max(u.slow.upper(), priorSlow), "latency")
+	}
+}
+
+func (o *Order) judge(c *cusum, d counts, p0 float64, reason string) {
+	_ = c.add(d, p0, orderRise)
+	if c.near >= orderAlarm || c.gross >= orderAlarm {
+		o.bad, o.reason = true, reason
+	}
+}
+
+// orderRise is the tolerated rise of the rate of bad answers; bad versions of the
+// deployments fail 20% of their requests and more.
+const orderRise = 0.08
+
+func boolCount(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Age is the time since the current step began.
+func (o *Order) Age(now time.Duration) time.Duration { return now - o.stepAt }
