Send the head of a stream with its first event

Change: the head is copied when the first event is passed on. Conclusion: nothing of an answer is visible before its first byte is certain.

--- a/cmd/borageflowd/gateway.go
+++ b/cmd/borageflowd/gateway.go
@@ -45,7 +45,7 @@
 	debug.SetGCPercent(gcPercent)
 	app, err := gateway.App(settings, gateway.Parts{
 		Store:     platform.NewStore(settings.StoreAddress, settings.StoreTimeout),
-		Dialect:   platform.Headers{},
+		Dialect:   platform.Headers,
 		Reload:    func() (gateway.Settings, error) { return gateway.ReadSettings(file) },
 		LogOutput: os.Stdout,
 	})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,9 +51,11 @@
 	extra   *http.Server
 	active  atomic.Int64
 	leaving atomic.Bool
-	ctx     context.Context
-	cancel  context.CancelFunc
-	group   sync.WaitGroup
+	// leftAt is when readiness was withdrawn.
+	leftAt atomic.Pointer[time.Time]
+	ctx    context.Context
+	cancel context.CancelFunc
+	group  sync.WaitGroup
 }
 
 // App returns the application of a gateway. Stopping it drains the process.
@@ -256,7 +258,19 @@
 	}
 }
 
+// tooLateForStream reports whether a stream that begins now may not end within the grace
+// time, although the balancer should send nothing here any more.
+func (g *Gateway) tooLateForStream() bool {
+	at := g.leftAt.Load()
+	return at != nil && time.Since(*at) > streamsUntil
+}
+
 const (
+	// streamsUntil is how long after readiness is withdrawn new streams are accepted: the
+	// balancer notices after two missed checks of one a second.
+	streamsUntil = 2500 * time.Millisecond
+	// leaveRetry sends a refused caller to another process at once.
+	leaveRetry = 10 * time.Millisecond
 	// balancerTime is how long callers may still be sent here after readiness is withdrawn:
 	// two missed checks of one a second, and the way of a request.
 	balancerTime = 3200 * time.Millisecond
@@ -268,6 +282,8 @@
 // running requests have ended or the grace time is nearly over.
 func (g *Gateway) drain(ctx context.Context) error {
 	end := time.Now().Add(g.settings.Grace - stopReserve)
+	now := time.Now()
+	g.leftAt.Store(&now)
 	g.leaving.Store(true)
 	g.log.Info("instance leaves, readiness is withdrawn", zap.Int64("active", g.active.Load()))
 	wait := min(balancerTime, g.settings.Grace/2)
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -29,8 +29,8 @@
 	Forward(h http.Header, f forward.Forwarded)
 	// Answer reads what the head of a worker's answer says beside its status.
 	Answer(h http.Header) forward.AnswerMeta
-	// RequestID names the request that an answer of the router belongs to.
-	RequestID(h http.Header, id string)
+	// SetRequestID names the request that an answer of the router belongs to.
+	SetRequestID(h http.Header, id string)
 }
 
 var bufferPool = sync.Pool{New: func() any { return new(bytes.Buffer) }}
@@ -57,6 +57,10 @@
 		g.refuse(w, meta, v, g.noRoute(keys, now))
 		return
 	}
+	if route.Kind == forward.Stream && g.tooLateForStream() {
+		g.refuse(w, meta, v, errkind.New(errkind.Draining, "instance is leaving").WithRetryAfter(leaveRetry))
+		return
+	}
 	key := g.dialect.Key(req.Header)
 	customer, refusal := forward.Authorize(keys, route, key, now, g.core.keyAge())
 	if refusal != nil {
@@ -153,7 +157,7 @@
 func (g *Gateway) refuse(w http.ResponseWriter, meta forward.Meta, v *view, e *errkind.Error) {
 	answer := errkind.Lookup(e.Kind)
 	h := w.Header()
-	g.dialect.RequestID(h, meta.RequestID)
+	g.dialect.SetRequestID(h, meta.RequestID)
 	if e.RetryAfter > 0 && answer.HTTPStatus == http.StatusServiceUnavailable {
 		h["Retry-After"] = []string{strconv.FormatFloat(math.Ceil(e.RetryAfter.Seconds()*100)/100, 'f', -1, 64)}
 	}
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -74,16 +74,10 @@
 // outcome of the attempt, and the request goes on at another worker if it may.
 func (r *request) relayStream(ctx context.Context, a attempt) (forward.Outcome, bool) {
 	resp := a.ex.resp
-	if !r.headSent {
-		r.copyHead(resp)
-		if resp.ContentLength >= 0 && !r.route.Resumable {
-			r.w.Header()["Content-Length"] = []string{strconv.FormatInt(resp.ContentLength, 10)}
-		}
-	}
 	err := r.copyEvents(a)
 	if err == nil {
 		if !r.headSent {
-			r.sendHead(resp.StatusCode)
+			r.sendHead(resp)
 		}
 		a.ex.finish(r.g.pool)
 		return forward.Answered, true
@@ -106,10 +100,16 @@
 // errCallerGone marks a failed write to the caller.
 var errCallerGone = eris.New("caller has left")
 
-func (r *request) sendHead(status int) {
+// sendHead passes on the head of a stream. It is held back until the first event, so that
+// a stream that breaks off before can go on elsewhere or be refused.
+func (r *request) sendHead(resp *http.Response) {
+	r.copyHead(resp)
+	if resp.ContentLength >= 0 && !r.route.Resumable {
+		r.w.Header()["Content-Length"] = []string{strconv.FormatInt(resp.ContentLength, 10)}
+	}
 	r.headSent = true
 	r.firstByte = time.Since(r.started)
-	r.w.WriteHeader(status)
+	r.w.WriteHeader(resp.StatusCode)
 }
 
 // copyEvents copies whole events until the stream ends.
@@ -141,7 +141,7 @@
 func (r *request) writeEvent(a attempt, event []byte, id int64, flush bool) error {
 	if len(event) > 0 {
 		if !r.headSent {
-			r.sendHead(a.ex.resp.StatusCode)
+			r.sendHead(a.ex.resp)
 		}
 		if _, err := r.w.Write(event); err != nil {
 			return errCallerGone
