--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -64,10 +65,9 @@
 func TestSafeRequestIsRepeated(t *testing.T) {
 	for _, fault := range []string{"reset", "failure"} {
 		t.Run(fault, func(t *testing.T) {
-			first := true
+			var attempts atomic.Int64
 			script := func(_ int, c net.Conn, r seen) bool {
-				if first {
-					first = false
+				if attempts.Add(1) == 1 {
 					if fault == "failure" {
 						reply(c, r, 500, "no")
 						return true
