--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
@@ -59,6 +60,7 @@
 
 type placed struct {
 	Worker
+	hash     uint64
 	own      int
 	share    float64
 	load     Load
@@ -100,7 +102,7 @@
 	for _, w := range list {
 		s, ok := p.workers[w.ID]
 		if !ok || s.Born != w.Born || s.Address != w.Address {
-			s = &placed{share: 1}
+			s = &placed{share: 1, hash: xxhash.Sum64String(w.ID)}
 		}
 		s.Worker = w
 		next[w.ID] = s
@@ -168,6 +170,9 @@
 	best := least
 	if len(q.Prompt) > 0 {
 		holder, cached = p.holder(now, &q, leastScore+p.opts.CacheAllowance)
+		if home := p.home(now, &q, leastScore+p.opts.CacheAllowance); home != nil && (holder == nil || cached < sharedTokens(q.Prompt)) {
+			holder, cached = home, 0
+		}
 		if holder != nil {
 			best = holder
 		}
@@ -179,6 +184,61 @@
 	return out, true
 }
 
+// homes is the number of workers on which one prompt part is gathered. With one, a part
+// that many requests share overloads its worker.
+const homes = 2
+
+// home returns the first worker in the rendezvous order of the deepest shared prompt part
+// whose score is at most limit. All processes agree on the order without telling each
+// other what is cached where.
+func (p *Placer) home(now Elapsed, q *Query, limit float64) *placed {
+	if len(q.Prompt) < 2 {
+		return nil
+	}
+	key := q.Prompt[len(q.Prompt)-2].ID
+	var best [homes]*placed
+	var rank [homes]uint64
+	for _, s := range p.services[q.Service] {
+		if !s.eligible(q) || s.share < 1 {
+			continue
+		}
+		r := mix64(key ^ s.hash)
+		for i := range best {
+			if best[i] == nil || r > rank[i] {
+				copy(best[i+1:], best[i:homes-1])
+				copy(rank[i+1:], rank[i:homes-1])
+				best[i], rank[i] = s, r
+				break
+			}
+		}
+	}
+	for _, s := range best {
+		if s != nil && p.score(now, s) <= limit {
+			return s
+		}
+	}
+	return nil
+}
+
+// sharedTokens is the length of a prompt without its last part, which belongs to one
+// request or session.
+func sharedTokens(prompt []PromptPart) int {
+	n := 0
+	for _, part := range prompt[:len(prompt)-1] {
+		n += part.Tokens
+	}
+	return n
+}
+
+// mix64 scatters the bits of a number.
+func mix64(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
 func (s *placed) eligible(q *Query) bool {
 	return (q.Allowed == nil || q.Allowed(s.Version)) && !slices.Contains(q.Exclude, s.ID)
 }
