Divide workers between small and large models; gather store changes

Change: light and heavy pools whose border follows the stated loads; changes are gathered for 150 to 250 ms and only the configuration is watched in short calls; an old statement gives way to the mean of the pool.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -731,11 +731,16 @@
 	// Address is host:port of the store.
 	Address string `json:"address"`
 
+	// LongWatchMs is the longest wait of a watch on workers and rollouts, in
+	// milliseconds; 0 means 10,000.
+	LongWatchMs int `json:"longWatchMs,omitempty,omitzero"`
+
 	// TimeoutMs bounds one call beyond the time that a watch waits, in milliseconds;
 	// 0 means 700.
 	TimeoutMs int `json:"timeoutMs,omitempty,omitzero"`
 
-	// WatchMs is the longest wait of a watch, in milliseconds; 0 means 1,500.
+	// WatchMs is the longest wait of a watch on the configuration, in milliseconds;
+	// the age of what is known of API keys is at most twice as long; 0 means 1,500.
 	WatchMs int `json:"watchMs,omitempty,omitzero"`
 }
 
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -20,6 +20,8 @@
 	CacheAllowance float64
 	// DomainPenalty is what another failure domain counts for, in requests.
 	DomainPenalty float64
+	// PoolPenalty is what a worker of the other pool counts for, in requests.
+	PoolPenalty float64
 	// ReportHalfLife is the age at which the load that others cause counts for half.
 	ReportHalfLife time.Duration
 	// CacheMemory is how long a prompt part is believed to be cached after its last use.
@@ -33,6 +35,9 @@
 	if o.DomainPenalty == 0 {
 		o.DomainPenalty = 0.5
 	}
+	if o.PoolPenalty == 0 {
+		o.PoolPenalty = 4
+	}
 	if o.ReportHalfLife == 0 {
 		o.ReportHalfLife = time.Second
 	}
@@ -55,12 +60,15 @@
 	opts     PlaceOptions
 	workers  map[string]*placed
 	services map[string][]*placed
+	lights   map[string]*lightShare
 	cache    *lru.LRU[partKey, *[maxPartHolders]partHolder]
 }
 
 type placed struct {
 	Worker
 	hash     uint64
+	divided  bool // the worker belongs to one of two pools
+	heavy    bool // the pool of the larger models
 	own      int
 	share    float64
 	load     Load
@@ -85,7 +93,7 @@
 	if err != nil {
 		panic(err) // only a size below 1 fails
 	}
-	return &Placer{opts: o.withDefaults(), workers: map[string]*placed{}, services: map[string][]*placed{}, cache: cache}
+	return &Placer{opts: o.withDefaults(), workers: map[string]*placed{}, services: map[string][]*placed{}, lights: map[string]*lightShare{}, cache: cache}
 }
 
 // SetWorkers replaces the workers that may get new work. A worker that keeps its ID,
@@ -109,6 +117,7 @@
 		p.services[w.Service] = append(p.services[w.Service], s)
 	}
 	p.workers = next
+	p.dividePools()
 }
 
 // SetShare sets the share of its normal traffic that a worker gets.
@@ -126,7 +135,10 @@
 	// Exclude names workers that already had the request.
 	Exclude []string
 	Model   string
-	Prompt  []PromptPart
+	// Heavy requests ask for a larger model of a cascade, all others for the smallest or for
+	// the only one.
+	Heavy  bool
+	Prompt []PromptPart
 }
 
 // Placement is the outcome of Pick.
@@ -146,6 +158,9 @@
 // it has few requests more than the least loaded one, otherwise the least loaded one.
 // This answers loads at which workers have free slots; Full answers the others.
 func (p *Placer) Pick(now Elapsed, q Query, rng *rand.Rand) (Placement, bool) {
+	if q.Heavy {
+		p.sawHeavy(q.Service)
+	}
 	var least, holder *placed
 	leastScore, cached := math.Inf(1), 0
 	seen := 0
@@ -155,7 +170,7 @@
 				continue
 			}
 			seen++
-			score := p.score(now, s) + rng.Float64()*0.1
+			score := p.score(now, s, q.Heavy) + rng.Float64()*0.1
 			if score < leastScore {
 				least, leastScore = s, score
 			}
@@ -199,7 +214,7 @@
 	var best [homes]*placed
 	var rank [homes]uint64
 	for _, s := range p.services[q.Service] {
-		if !s.eligible(q) || s.share < 1 {
+		if !s.eligible(q) || s.share < 1 || s.divided && s.heavy != q.Heavy {
 			continue
 		}
 		r := mix64(key ^ s.hash)
@@ -213,7 +228,7 @@
 		}
 	}
 	for _, s := range best {
-		if s != nil && p.score(now, s) <= limit {
+		if s != nil && p.score(now, s, q.Heavy) <= limit {
 			return s
 		}
 	}
@@ -283,7 +298,7 @@
 		if !s.eligible(q) || s.Service != q.Service || s.share < 1 {
 			continue
 		}
-		score := p.score(now, s)
+		score := p.score(now, s, q.Heavy)
 		if score <= limit && (tokens[i] > bestTokens || tokens[i] == bestTokens && score < bestScore) {
 			best, bestTokens, bestScore = s, tokens[i], score
 		}
@@ -291,19 +306,23 @@
 	return best, bestTokens
 }
 
-// load is the believed number of requests at a worker: the own ones, and those of
-// others by the last statement, which loses weight with age.
+// load is the believed number of requests at a worker: the own ones, and those of others
+// by the worker's last statement. An old statement gives way to the mean of the pool, as
+// a worker that was not heard of is no less loaded than the others.
 func (p *Placer) load(now Elapsed, s *placed) float64 {
-	others := 0.0
+	others := p.light(s.Service).others[s.pool()]
 	if s.reported {
 		stated := float64(max(s.load.Running+s.load.Waiting-s.ownAt, 0))
-		others = stated * math.Exp2(-float64(now-s.loadAt)/float64(p.opts.ReportHalfLife))
+		others += (stated - others) * math.Exp2(-float64(now-s.loadAt)/float64(p.opts.ReportHalfLife))
 	}
 	return float64(s.own) + others
 }
 
-func (p *Placer) score(now Elapsed, s *placed) float64 {
+func (p *Placer) score(now Elapsed, s *placed, heavy bool) float64 {
 	score := p.load(now, s)
+	if s.divided && s.heavy != heavy {
+		score += p.opts.PoolPenalty
+	}
 	if s.FailureDomain != p.opts.FailureDomain {
 		score += p.opts.DomainPenalty
 	}
@@ -343,9 +362,26 @@
 
 // Stated records the load that a worker stated in an answer.
 func (p *Placer) Stated(now Elapsed, id string, load Load) {
-	if s := p.workers[id]; s != nil {
-		s.load, s.loadAt, s.ownAt, s.reported = load, now, s.own, true
+	s := p.workers[id]
+	if s == nil {
+		return
+	}
+	s.load, s.loadAt, s.ownAt, s.reported = load, now, s.own, true
+	l := p.light(s.Service)
+	total := float64(load.Running + load.Waiting)
+	l.total[s.pool()] += meanGain * (total - l.total[s.pool()])
+	l.others[s.pool()] += meanGain * (max(total-float64(s.own), 0) - l.others[s.pool()])
+}
+
+// meanGain is the weight of one statement in the mean of a pool: some twenty statements,
+// which an instance gets in a few seconds, make the mean.
+const meanGain = 0.05
+
+func (s *placed) pool() int {
+	if s.divided && s.heavy {
+		return 1
 	}
+	return 0
 }
 
 // End records that a request has left a worker.
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -122,6 +122,7 @@
 	c.workers.Expire(now)
 	c.judge(membership.HealthTick{})
 	c.refresh(now)
+	c.placer.Balance()
 }
 
 // refresh passes a changed list of workers on to placement and health.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -22,6 +22,8 @@
 	topic forward.Topic
 	store forward.Store
 	wait  time.Duration
+	// gather is the pause after a change, in which further changes are gathered into one call.
+	gather time.Duration
 	// apply takes an update; confirmed is a time at which it was the newest.
 	apply func(u *forward.Update, confirmed time.Duration)
 	lost  func()
@@ -42,6 +44,9 @@
 			continue
 		}
 		f.answered(&u, sent)
+		if f.listed && !u.Empty() {
+			f.rest(ctx, f.gather)
+		}
 	}
 }
 
@@ -86,8 +91,14 @@
 	}
 	f.lost()
 	f.pause = min(max(2*f.pause, firstPause), maxPause)
+	f.rest(ctx, f.pause)
+}
+
+func (f *follower) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(f.pause):
+	case <-timer.C:
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,15 +108,22 @@
 	return nil
 }
 
+// Pauses after a change of a topic. Changes come in bursts, and each call costs; the
+// pauses are a tenth of the times within which a change must be in force.
+const (
+	gatherConfig = 150 * time.Millisecond
+	gatherOthers = 250 * time.Millisecond
+)
+
 func (g *Gateway) followers() []*follower {
 	log := observe.Part(g.log, "store")
 	lost := func() {}
 	return []*follower{
-		{topic: forward.ConfigTopic, store: g.store, wait: g.settings.Watch, apply: g.applyConfig, lost: lost, log: log},
-		{topic: forward.WorkerTopic, store: g.store, wait: g.settings.Watch, apply: func(u *forward.Update, _ time.Duration) {
+		{topic: forward.ConfigTopic, store: g.store, wait: g.settings.Watch, gather: gatherConfig, apply: g.applyConfig, lost: lost, log: log},
+		{topic: forward.WorkerTopic, store: g.store, wait: g.settings.LongWatch, gather: gatherOthers, apply: func(u *forward.Update, _ time.Duration) {
 			g.core.applyWorkers(elapsed(), u)
 		}, lost: g.core.storeLost, log: log},
-		{topic: forward.RolloutTopic, store: g.store, wait: g.settings.Watch, apply: func(u *forward.Update, _ time.Duration) {
+		{topic: forward.RolloutTopic, store: g.store, wait: g.settings.LongWatch, gather: gatherOthers, apply: func(u *forward.Update, _ time.Duration) {
 			g.core.applyRollouts(elapsed(), u)
 		}, lost: lost, log: log},
 	}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -308,7 +308,7 @@
 	}
 	s := Settings{
 		Instance: "test", FailureDomain: "a", Callers: freeAddress(t), Health: freeAddress(t), ReadyPath: "/ready",
-		StoreTimeout: 300 * time.Millisecond, Watch: 200 * time.Millisecond, Revoke: 2 * time.Second, Grace: 4 * time.Second,
+		StoreTimeout: 300 * time.Millisecond, Watch: 200 * time.Millisecond, LongWatch: time.Second, Revoke: 2 * time.Second, Grace: 4 * time.Second,
 		Stable: time.Second, RetryWindow: 10 * time.Second, Session: 5 * time.Second, RetryRatio: 0.9, RetrySlack: 60,
 		CanaryShare: 0.15, LogLinesPerSecond: 1000,
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -139,7 +139,7 @@
 func (r *request) place() (attempt, *errkind.Error) {
 	model := r.model()
 	p, ok := r.g.core.pick(elapsed(), forward.Query{
-		Service: r.service, Exclude: r.tried, Model: model, Prompt: r.call.meta.Prompt,
+		Service: r.service, Exclude: r.tried, Model: model, Heavy: r.stage > 0, Prompt: r.call.meta.Prompt,
 	}, r.call.meta.Session, r.call.meta.RequestID)
 	if !ok {
 		if r.ran {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -21,7 +21,10 @@
 	// defaultStoreTimeout is 175 times the usual answer of 4 ms and 3 times that of a slow store.
 	defaultStoreTimeout = 700 * time.Millisecond
 	// defaultWatch bounds how long a connection that went silent goes unnoticed.
-	defaultWatch        = 1500 * time.Millisecond
+	defaultWatch = 1500 * time.Millisecond
+	// defaultLongWatch is for topics whose age nothing depends on; a connection that went
+	// silent is found by its keep-alive probes.
+	defaultLongWatch    = 10 * time.Second
 	defaultRevoke       = 5 * time.Second
 	defaultGrace        = 8 * time.Second
 	defaultStable       = 3 * time.Second
@@ -42,7 +45,7 @@
 	Callers, Health, Metrics           string
 	ReadyPath                          string
 	StoreAddress                       string
-	StoreTimeout, Watch                time.Duration
+	StoreTimeout, Watch, LongWatch     time.Duration
 	Revoke, Grace, Stable, RetryWindow time.Duration
 	Session                            time.Duration
 	RetryRatio, RetrySlack             float64
@@ -96,6 +99,7 @@
 		Callers: s.Listen.Callers, Health: s.Listen.Health, Metrics: s.Listen.Metrics, ReadyPath: s.Listen.ReadyPath,
 		StoreAddress: s.Store.Address,
 		StoreTimeout: milliseconds(s.Store.TimeoutMs, defaultStoreTimeout), Watch: milliseconds(s.Store.WatchMs, defaultWatch),
+		LongWatch: milliseconds(s.Store.LongWatchMs, defaultLongWatch),
 	}
 	var b api.GatewayBounds
 	if s.Bounds != nil {
