Ask for less confidence as the larger models get slow

Change: forward.Escalator compares the expected time to the first event of the larger model with the time left to the target, and lowers the confidence asked for from 50 to 0 between 0.6 and 1.2 of it. Keys may be 3.9 s old of 5.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -65,12 +65,11 @@
 	return r.BudgetLeft()
 }
 
-// NextModel decides which model of a cascade answers after one stated its confidence.
-// It returns false when the answer is good enough or no later model would be done in
-// time.
-func NextModel(models []string, stage int, confidence int, threshold int, budgetLeft func() bool) (int, bool) {
+// NextModel decides which model of a cascade answers after one stated its confidence, of
+// 100 or negative when it stated none. It returns false when the answer is delivered.
+func NextModel(models []string, stage, confidence, asked int) (int, bool) {
 	last := len(models) - 1
-	if stage >= last || confidence < 0 || confidence >= threshold || !budgetLeft() {
+	if stage >= last || confidence < 0 || confidence >= asked {
 		return stage, false
 	}
 	return last, true
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -37,6 +37,7 @@
 	known    map[string]forward.Worker
 	budgets  map[string]*retry.Budget
 	rollouts *rollouts
+	escalate *forward.Escalator
 	log      *zap.Logger
 }
 
@@ -58,6 +59,7 @@
 		known:    map[string]forward.Worker{},
 		budgets:  map[string]*retry.Budget{},
 		rollouts: newRollouts(s),
+		escalate: forward.NewEscalator(),
 	}
 	c.bounds.Store(&s)
 	return c
@@ -185,7 +187,7 @@
 // keyAgeShare is the part of the time to a key's withdrawal after which knowledge of the
 // keys counts as too old. The rest covers changes that a watch reports up to a second
 // late and the way to the worker.
-const keyAgeShare = 0.7
+const keyAgeShare = 0.78
 
 func (c *core) keyAge() time.Duration {
 	return time.Duration(keyAgeShare * float64(c.bounds.Load().Revoke))
@@ -331,3 +333,22 @@
 	c.rollouts.session = s.Session
 	c.budgets = map[string]*retry.Budget{}
 }
+
+// confidence is the confidence below which an answer is dropped for that of a larger model.
+func (c *core) confidence(now time.Duration, route string, left time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.escalate.Confidence(now, route, left)
+}
+
+func (c *core) largerStarted(route string, since time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.escalate.Started(since, route)
+}
+
+func (c *core) largerEnded(route string, since time.Duration, answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.escalate.Ended(elapsed(), since, route, answered)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,7 +56,9 @@
 	worker  forward.Worker
 	ex      *exchange
 	started time.Time
-	model   string
+	// since is started by the clock of the decisions.
+	since time.Duration
+	model string
 }
 
 func (r *request) remaining() time.Duration { return time.Until(r.deadline) }
@@ -153,7 +155,7 @@
 		return attempt{}, errkind.New(errkind.NoCandidate, "no worker of the service is known").WithRetryAfter(retryLater)
 	}
 	r.placement = p
-	return attempt{worker: p.Worker, started: time.Now(), model: model}, nil
+	return attempt{worker: p.Worker, started: time.Now(), since: elapsed(), model: model}, nil
 }
 
 // model is the model that the router names; empty leaves the caller's.
@@ -193,9 +195,16 @@
 	}
 	a.ex = ex
 	defer ex.abandon()
+	if r.stage > 0 {
+		r.g.core.largerStarted(r.route.Name, a.since)
+	}
 	r.sent++
 	by := r.headBy()
-	if err := ex.readHead(r.g.dialect, r.call.method, r.call.meta.RequestID, by); err != nil {
+	err = ex.readHead(r.g.dialect, r.call.method, r.call.meta.RequestID, by)
+	if r.stage > 0 {
+		r.g.core.largerEnded(r.route.Name, a.since, err == nil)
+	}
+	if err != nil {
 		r.lastError = err
 		r.ran = true
 		r.runs++
@@ -263,7 +272,7 @@
 		r.g.core.ended(a.worker, membership.Succeeded, latency)
 	}
 	if r.route.Kind == forward.Stream && !failed && status < http.StatusMultipleChoices {
-		if next, ok := forward.NextModel(r.route.Models, r.stage, r.confidence(ex), escalateBelow, r.mayEscalate); ok && r.modelChosen {
+		if next, ok := r.escalates(ex); ok {
 			r.stage = next
 			r.g.metrics.escalations.Inc()
 			r.tried = nil
@@ -274,23 +283,17 @@
 	return r.relayWhole(a)
 }
 
-// mayEscalate reports whether the answer may be dropped for that of a larger model: each
-// run counts as an attempt and against the shared budget.
-func (r *request) mayEscalate() bool {
-	return !r.headSent && r.runs < r.route.MaxAttempts && r.g.core.spend(r.service)
-}
-
 // minRepeat is the least time for which a failed answer is dropped for another attempt.
 const minRepeat = 60 * time.Millisecond
 
-// escalateBelow is the confidence below which a larger model answers, of 100.
-const escalateBelow = 50
-
-func (r *request) confidence(ex *exchange) int {
-	if !r.modelChosen {
-		return -1
+// escalates decides whether the answer is dropped for that of a larger model.
+func (r *request) escalates(ex *exchange) (int, bool) {
+	if !r.modelChosen || r.headSent || r.runs >= r.route.MaxAttempts {
+		return r.stage, false
 	}
-	return ex.meta.Confidence
+	asked := r.g.core.confidence(elapsed(), r.route.Name, r.route.Target-time.Since(r.started))
+	next, ok := forward.NextModel(r.route.Models, r.stage, ex.meta.Confidence, asked)
+	return next, ok && r.g.core.spend(r.service)
 }
 
 func (r *request) failedAt(a attempt) {
