--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -186,7 +186,7 @@
 	if o == nil || o.state() == forward.RolloutCompleted || o.state() == forward.RolloutRolledBack {
 		return
 	}
-	a := rollout.Answer{Kind: kind, Failed: failed, FirstByte: firstByte}
+	a := rollout.Answer{Kind: kind, Failed: failed, Worker: w.ID, FirstByte: firstByte}
 	if w.Version != o.record.Target {
 		o.order.Usual(a)
 		return
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -35,6 +35,8 @@
 	// Kind groups answers of similar latency, such as route and model.
 	Kind   string
 	Failed bool
+	// Worker is the worker that answered.
+	Worker string
 	// FirstByte is the time until the answer began; 0 when unknown.
 	FirstByte time.Duration
 }
@@ -54,7 +56,8 @@
 	tests  [2]cusum
 	byKind map[string]*cusum
 	usual  map[string]*usualAnswers
-	seen   counts
+	// badBy counts the bad answers of each worker of the target.
+	badBy map[string]int
 }
 
 // usualAnswers is what the other versions do for one kind of answer.
@@ -66,7 +69,7 @@
 
 // NewOrder follows a rollout from a recorded step.
 func NewOrder(service, target string, duration time.Duration, step int, now time.Duration) *Order {
-	o := &Order{Service: service, Target: target, duration: duration, byKind: map[string]*cusum{}, usual: map[string]*usualAnswers{}}
+	o := &Order{Service: service, Target: target, duration: duration, byKind: map[string]*cusum{}, usual: map[string]*usualAnswers{}, badBy: map[string]int{}}
 	o.step = min(max(step, 0), len(orderSteps)-1)
 	o.stepAt = now
 	o.startAt = now - time.Duration(orderSteps[o.step].at*float64(duration))
@@ -174,8 +177,9 @@
 	u := o.usualOf(a.Kind)
 	failed := counts{1, boolCount(a.Failed)}
 	p0 := u.failed.upper()
-	o.seen.samples++
-	o.seen.bad += failed.bad
+	if a.Failed {
+		o.badBy[a.Worker]++
+	}
 	o.judge(&o.tests[kindErrors], failed, p0, "errors")
 	one := o.byKind[a.Kind]
 	if one == nil {
@@ -186,17 +190,34 @@
 	if a.FirstByte > 0 && !a.Failed && u.latency.value > 0 {
 		ms := float64(a.FirstByte) / float64(time.Millisecond)
 		slow := counts{1, boolCount(ms > slowFactor*u.latency.value)}
+		if slow.bad > 0 {
+			o.badBy[a.Worker]++
+		}
 		o.judge(&o.tests[kindSlow], slow, math.Max(u.slow.upper(), priorSlow), "latency")
 	}
 }
 
 func (o *Order) judge(c *cusum, d counts, p0 float64, reason string) {
 	_ = c.add(d, p0, orderRise)
-	if c.near >= orderAlarm || c.gross >= orderAlarm {
+	if (c.near >= orderAlarm || c.gross >= orderAlarm) && o.atSeveralWorkers() {
 		o.bad, o.reason = true, reason
 	}
 }
 
+// atSeveralWorkers reports whether the bad answers come from more than one worker. A single
+// faulty worker says nothing of its version; that is for the ejection of workers.
+func (o *Order) atSeveralWorkers() bool {
+	total, most := 0, 0
+	for _, n := range o.badBy {
+		total += n
+		most = max(most, n)
+	}
+	return total-most >= minBadElsewhere
+}
+
+// minBadElsewhere is the number of bad answers beside those of the worst worker.
+const minBadElsewhere = 2
+
 // orderRise is the tolerated rise of the rate of bad answers; bad versions of the
 // deployments fail 20% of their requests and more.
 const orderRise = 0.08
