Notice a lost head of an answer by the usual time to it

Change: forward.Patience follows the 75th percentile of the time to the head by route and pool; a head is lost after four times that, between half the target and three times it. Two workers and more are divided into pools from three on.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -305,3 +305,26 @@
 		assert.Assert(t, !ok, "%v", c)
 	}
 }
+
+// Lost answers must be noticed within a few times the usual time, although a fifth of all
+// answers is lost; a general slow-down must lengthen the wait, so that no storm of repeats
+// begins.
+func TestPatienceFollowsUsualTime(t *testing.T) {
+	r := &Route{Name: "r", Kind: Stream, Target: 1500 * time.Millisecond}
+	p := NewPatience()
+	assert.Equal(t, p.Wait(r, false, 100), 4500*time.Millisecond)
+	for i := range 500 {
+		took := 200 * time.Millisecond
+		if i%6 == 0 {
+			took = p.Wait(r, false, 100)
+		}
+		p.Head("r", false, 100, took)
+	}
+	assert.Assert(t, p.Wait(r, false, 100) < 1200*time.Millisecond, "%v", p.Wait(r, false, 100))
+	assert.Assert(t, p.Wait(r, false, 1000) > 2*p.Wait(r, false, 100))
+	for range 100 {
+		p.Head("r", false, 100, min(time.Second, p.Wait(r, false, 100)))
+	}
+	assert.Assert(t, p.Wait(r, false, 100) > 2*time.Second, "%v", p.Wait(r, false, 100))
+	assert.Equal(t, p.Wait(r, true, 100), 4500*time.Millisecond)
+}
--- a/internal/forward/pools.go
+++ b/internal/forward/pools.go
@@ -10,7 +10,7 @@
 
 const (
 	// minPoolWorkers is the number of workers of one version from which they are divided.
-	minPoolWorkers = 5
+	minPoolWorkers = 3
 	// lightShare is the share of the light pool. Between 0.17 and 0.36 the heaviest days of
 	// the deployments changed by less than 0.02 of worth.
 	lightShare = 0.25
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -38,6 +38,7 @@
 	budgets  map[string]*retry.Budget
 	rollouts *rollouts
 	escalate *forward.Escalator
+	patience *forward.Patience
 	log      *zap.Logger
 }
 
@@ -60,6 +61,7 @@
 		budgets:  map[string]*retry.Budget{},
 		rollouts: newRollouts(s),
 		escalate: forward.NewEscalator(),
+		patience: forward.NewPatience(),
 	}
 	c.bounds.Store(&s)
 	return c
@@ -352,3 +354,16 @@
 	defer c.mu.Unlock()
 	c.escalate.Ended(elapsed(), since, route, answered)
 }
+
+// headWait is how long the head of an answer is waited for.
+func (c *core) headWait(r *forward.Route, heavy bool, tokens int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.patience.Wait(r, heavy, tokens)
+}
+
+func (c *core) headTook(route string, heavy bool, tokens int, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.patience.Head(route, heavy, tokens, took)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -204,6 +204,9 @@
 	if r.stage > 0 {
 		r.g.core.largerEnded(r.route.Name, a.since, err == nil)
 	}
+	if err == nil || isTimeout(err) {
+		r.g.core.headTook(r.route.Name, r.stage > 0, r.call.meta.PromptTokens, time.Since(a.started))
+	}
 	if err != nil {
 		r.lastError = err
 		r.ran = true
@@ -222,22 +225,13 @@
 	if !r.route.Idempotent() || r.runs+1 >= r.route.MaxAttempts {
 		return r.deadline
 	}
-	wait := time.Duration(headPatience * float64(r.route.Target))
-	by := time.Now().Add(max(wait, minHeadWait))
+	by := time.Now().Add(r.g.core.headWait(r.route, r.stage > 0, r.call.meta.PromptTokens))
 	if by.After(r.deadline) {
 		return r.deadline
 	}
 	return by
 }
 
-const (
-	// headPatience is how many times its target a repeatable request waits for the head of
-	// the answer. Waiting longer than this means a worker that hangs rather than a queue.
-	headPatience = 3.0
-	// minHeadWait keeps short targets from repeating calls that a full worker would still answer.
-	minHeadWait = 300 * time.Millisecond
-)
-
 // head decides what becomes of the head of an answer.
 func (r *request) head(ctx context.Context, a attempt) (forward.Outcome, bool) {
 	ex := a.ex
