Split placement by duty and log each attempt of a request

Cause: the linter found two functions too complex; the line of a request lost its first attempts when a cascade went on. Change: cached prompt parts have a file of their own; the line lists each attempt with worker, model, outcome, load and the age of the load.

--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -19,8 +19,15 @@
 	FailedAnswer
 	// Broken is a connection that ended, or bytes that are no answer: the request may have run.
 	Broken
+	// Dropped is an answer that was dropped for that of a larger model.
+	Dropped
 )
 
+// String returns the name used in logs.
+func (o Outcome) String() string {
+	return [...]string{"answered", "not sent", "not run", "wrong worker", "failed", "broken", "dropped"}[o]
+}
+
 // Retry describes a request at the end of an attempt.
 type Retry struct {
 	Outcome Outcome
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -77,16 +77,6 @@
 	reported bool
 }
 
-type partKey struct {
-	id    uint64
-	model string
-}
-
-type partHolder struct {
-	worker *placed
-	at     Elapsed
-}
-
 // NewPlacer returns a Placer without workers.
 func NewPlacer(o PlaceOptions) *Placer {
 	cache, err := lru.NewLRU[partKey, *[maxPartHolders]partHolder](maxCachedParts, nil)
@@ -161,35 +151,14 @@
 	if q.Heavy {
 		p.sawHeavy(q.Service)
 	}
-	var least, holder *placed
-	leastScore, cached := math.Inf(1), 0
-	seen := 0
-	for pass := range 2 {
-		for _, s := range p.services[q.Service] {
-			if !s.eligible(&q) || (pass == 0 && s.share < 1 && rng.Float64() >= s.share) {
-				continue
-			}
-			seen++
-			score := p.score(now, s, q.Heavy) + rng.Float64()*0.1
-			if score < leastScore {
-				least, leastScore = s, score
-			}
-		}
-		if least != nil {
-			break
-		}
-	}
-	if least == nil {
+	best, leastScore, seen := p.leastLoaded(now, &q, rng)
+	if best == nil {
 		return Placement{}, false
 	}
-	best := least
+	cached := 0
 	if len(q.Prompt) > 0 {
-		holder, cached = p.holder(now, &q, leastScore+p.opts.CacheAllowance)
-		if home := p.home(now, &q, leastScore+p.opts.CacheAllowance); home != nil && (holder == nil || cached < sharedTokens(q.Prompt)) {
-			holder, cached = home, 0
-		}
-		if holder != nil {
-			best = holder
+		if s, tokens := p.cachedAt(now, &q, leastScore+p.opts.CacheAllowance); s != nil {
+			best, cached = s, tokens
 		}
 	}
 	out := Placement{Worker: best.Worker, Load: p.load(now, best), LoadAge: -1, CachedTokens: cached, Candidates: seen}
@@ -199,113 +168,37 @@
 	return out, true
 }
 
-// homes is the number of workers on which one prompt part is gathered. With one, a part
-// that many requests share overloads its worker.
-const homes = 2
-
-// home returns the first worker in the rendezvous order of the deepest shared prompt part
-// whose score is at most limit. All processes agree on the order without telling each
-// other what is cached where.
-func (p *Placer) home(now Elapsed, q *Query, limit float64) *placed {
-	if len(q.Prompt) < 2 {
-		return nil
-	}
-	key := q.Prompt[len(q.Prompt)-2].ID
-	var best [homes]*placed
-	var rank [homes]uint64
-	for _, s := range p.services[q.Service] {
-		if !s.eligible(q) || s.share < 1 || s.divided && s.heavy != q.Heavy {
-			continue
-		}
-		r := mix64(key ^ s.hash)
-		for i := range best {
-			if best[i] == nil || r > rank[i] {
-				copy(best[i+1:], best[i:homes-1])
-				copy(rank[i+1:], rank[i:homes-1])
-				best[i], rank[i] = s, r
-				break
+// leastLoaded returns the worker with the lowest score and the number of workers looked
+// at. Workers of reduced share are passed over for that share of the requests, unless no
+// other is left.
+func (p *Placer) leastLoaded(now Elapsed, q *Query, rng *rand.Rand) (*placed, float64, int) {
+	var least *placed
+	leastScore := math.Inf(1)
+	seen := 0
+	for _, anyShare := range []bool{false, true} {
+		for _, s := range p.services[q.Service] {
+			if !s.eligible(q) || !anyShare && s.share < 1 && rng.Float64() >= s.share {
+				continue
+			}
+			seen++
+			if score := p.score(now, s, q.Heavy) + rng.Float64()*tieNoise; score < leastScore {
+				least, leastScore = s, score
 			}
 		}
-	}
-	for _, s := range best {
-		if s != nil && p.score(now, s, q.Heavy) <= limit {
-			return s
+		if least != nil {
+			break
 		}
 	}
-	return nil
-}
-
-// sharedTokens is the length of a prompt without its last part, which belongs to one
-// request or session.
-func sharedTokens(prompt []PromptPart) int {
-	n := 0
-	for _, part := range prompt[:len(prompt)-1] {
-		n += part.Tokens
-	}
-	return n
+	return least, leastScore, seen
 }
 
-// mix64 scatters the bits of a number.
-func mix64(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
+// tieNoise spreads requests over workers of equal load, in requests.
+const tieNoise = 0.1
 
 func (s *placed) eligible(q *Query) bool {
 	return (q.Allowed == nil || q.Allowed(s.Version)) && !slices.Contains(q.Exclude, s.ID)
 }
 
-// holder finds the worker with the longest cached start of the prompt whose score is
-// at most limit.
-func (p *Placer) holder(now Elapsed, q *Query, limit float64) (*placed, int) {
-	var candidates [maxPartHolders]*placed
-	var tokens [maxPartHolders]int
-	n := 0
-	for depth, part := range q.Prompt {
-		holders, ok := p.cache.Get(partKey{part.ID, q.Model})
-		if !ok {
-			break
-		}
-		found := false
-		for _, h := range holders {
-			if h.worker == nil || now-h.at > p.opts.CacheMemory || p.workers[h.worker.ID] != h.worker {
-				continue
-			}
-			if depth == 0 {
-				candidates[n], tokens[n] = h.worker, part.Tokens
-				n++
-				found = true
-				continue
-			}
-			for i := range n {
-				if candidates[i] == h.worker {
-					tokens[i] += part.Tokens
-					found = true
-				}
-			}
-		}
-		if !found {
-			break
-		}
-	}
-	var best *placed
-	bestTokens, bestScore := 0, math.Inf(1)
-	for i := range n {
-		s := candidates[i]
-		if !s.eligible(q) || s.Service != q.Service || s.share < 1 {
-			continue
-		}
-		score := p.score(now, s, q.Heavy)
-		if score <= limit && (tokens[i] > bestTokens || tokens[i] == bestTokens && score < bestScore) {
-			best, bestTokens, bestScore = s, tokens[i], score
-		}
-	}
-	return best, bestTokens
-}
-
 // load is the believed number of requests at a worker: the own ones, and those of others
 // by the worker's last statement. An old statement gives way to the mean of the pool, as
 // a worker that was not heard of is no less loaded than the others.
@@ -341,25 +234,6 @@
 	}
 }
 
-func (p *Placer) remember(now Elapsed, key partKey, s *placed) {
-	holders, ok := p.cache.Get(key)
-	if !ok {
-		holders = &[maxPartHolders]partHolder{}
-		p.cache.Add(key, holders)
-	}
-	oldest := 0
-	for i := range holders {
-		if holders[i].worker == s || holders[i].worker == nil {
-			oldest = i
-			break
-		}
-		if holders[i].at < holders[oldest].at {
-			oldest = i
-		}
-	}
-	holders[oldest] = partHolder{s, now}
-}
-
 // Stated records the load that a worker stated in an answer.
 func (p *Placer) Stated(now Elapsed, id string, load Load) {
 	s := p.workers[id]
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -128,7 +128,7 @@
 	}
 	req := &http.Request{Method: method}
 	for range maxStrayAnswers {
-		resp, err := http.ReadResponse(e.conn.br, req)
+		resp, err := http.ReadResponse(e.conn.br, req) //nolint:bodyclose // the connection is closed or kept as a whole
 		if err != nil {
 			return eris.Wrap(err, "answer cannot be read")
 		}
--- a/internal/gateway/names.go
+++ b/internal/gateway/names.go
@@ -67,8 +67,8 @@
 		m.Deadline = time.Duration(ms * float64(time.Millisecond))
 	}
 	if in, out, ok := strings.Cut(h.Get(n.Tokens), ","); ok {
-		m.PromptTokens, _ = strconv.Atoi(strings.TrimSpace(in)) //nolint:errcheck // an unreadable size counts as unknown
-		m.MaxTokens, _ = strconv.Atoi(strings.TrimSpace(out))   //nolint:errcheck // an unreadable size counts as unknown
+		m.PromptTokens, _ = strconv.Atoi(strings.TrimSpace(in)) // an unreadable size counts as unknown
+		m.MaxTokens, _ = strconv.Atoi(strings.TrimSpace(out))   // an unreadable size counts as unknown
 	}
 	m.Prompt = promptParts(h.Get(n.Prompt))
 	return m
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -37,6 +36,8 @@
 	// ran is true once a worker may have run the request.
 	ran bool
 
+	// path are the attempts so far, for the log.
+	path []step
 	// answerFailed is set once a worker answered with a failure of its own.
 	answerFailed bool
 	// runs is the number of workers that ran the request or may have.
@@ -77,6 +78,7 @@
 			return refusal, "refused"
 		}
 		outcome, done := r.attempt(ctx, a)
+		r.path = append(r.path, step{a.worker.ID, a.model, outcome.String(), r.placement.Load, r.placement.LoadAge.Milliseconds()})
 		if done && r.aborted {
 			return nil, "cut"
 		}
@@ -101,7 +103,16 @@
 }
 
 // escalated is the outcome of an answer that was dropped for that of a larger model.
-const escalated = forward.Outcome(-1)
+const escalated = forward.Dropped
+
+// step is one attempt in the log line of a request.
+type step struct {
+	Worker    string  `json:"worker"`
+	Model     string  `json:"model,omitempty"`
+	Outcome   string  `json:"outcome"`
+	Load      float64 `json:"load"`
+	LoadAgeMs int64   `json:"load_age_ms"`
+}
 
 // mayRun checks the key and the route against the newest configuration, before each send.
 func (r *request) mayRun() *errkind.Error {
@@ -175,7 +186,7 @@
 func (r *request) attempt(ctx context.Context, a attempt) (forward.Outcome, bool) {
 	defer func() { r.g.core.release(a.worker.ID) }()
 	r.tried = append(r.tried, a.worker.ID)
-	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert,errcheck // the pool holds buffers only
+	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds buffers only
 	defer bufferPool.Put(buf)
 	f := forward.Forwarded{Worker: a.worker, Customer: r.customer.Name, Remaining: r.remaining(), Model: a.model, Urgency: -1}
 	if r.lastEvent >= 0 && r.headSent {
@@ -330,9 +341,7 @@
 		zap.String("request", r.call.meta.RequestID), zap.String("route", r.route.Name), zap.String("customer", r.customer.Name),
 		zap.String("outcome", outcome), zap.Int64("config", view.config.Version),
 		zap.Int64("config_age_ms", r.g.core.keyView(view).Age(elapsed()).Milliseconds()),
-		zap.Strings("workers", slices.Clone(r.tried)), zap.Int("sent", r.sent), zap.Int("unsent", r.unsent),
-		zap.String("model", r.model()), zap.Float64("load", r.placement.Load), zap.Int64("load_age_ms", r.placement.LoadAge.Milliseconds()),
-		zap.Int("cached_tokens", r.placement.CachedTokens), zap.String("version", r.placement.Worker.Version),
+		zap.Any("attempts", r.path), zap.Int("cached_tokens", r.placement.CachedTokens), zap.String("version", r.placement.Worker.Version),
 		zap.Int64("first_byte_ms", r.firstByte.Milliseconds()), zap.Int64("total_ms", time.Since(r.started).Milliseconds()),
 	}
 	if refusal != nil {
