--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,6 +10,8 @@
 )
 
 // regressionSeeds are seeds that failed once, with the cause. CI plays them and one more.
+// Seed 1 left a third of the requests unserved after healing, when the soak started two
+// processes for one gateway.
 var regressionSeeds = []uint64{1}
 
 // Real processes must keep the promises of the pages while their connections, their store
