--- a/internal/forward/escalate.go
+++ b/internal/forward/escalate.go
@@ -30,7 +30,7 @@
 	fullConfidence = 50
 	// easyRatio and hardRatio are the parts of the time left to the target that the larger
 	// model is expected to take, at which the confidence asked for begins and ends to fall.
-	easyRatio = 0.6
+	easyRatio = 0.3
 	hardRatio = 1.2
 	// headGain is the weight of one answer in the mean time.
 	headGain = 0.1
