Show what a running gateway believes

Cause: operators had no look at a gateway's knowledge and its age. Change: /state on the health and metrics listeners and the subcommand gateway. Result: TestStateShowsBeliefs passes.

--- /dev/null
+++ b/cmd/borageflow/gateway.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/borageflow/borageflow/internal/gateway"
+)
+
+// gatewayTimeout bounds the call to a gateway.
+const gatewayTimeout = 3 * time.Second
+
+// gatewayFlags are the flags of the subcommand gateway.
+type gatewayFlags struct {
+	health string
+	json   bool
+}
+
+func newGateway() command {
+	f := &gatewayFlags{health: "127.0.0.1:7340"}
+	c := newCommand("gateway", "Shows what a gateway believes and how old it is.", f.run)
+	c.sub.AdditionalHelpAppend = "\n  Exit code 1: the gateway is not ready or does not answer."
+	c.sub.String(&f.health, "a", "address", "host:port of the gateway's health or metrics listener.")
+	c.sub.Bool(&f.json, "j", "json", "Print JSON.")
+	return c
+}
+
+func (f *gatewayFlags) run(ctx context.Context, s streams) error {
+	ctx, cancel := context.WithTimeout(ctx, gatewayTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.health+"/state", nil)
+	if err != nil {
+		return usageError{fmt.Sprintf("address %q is not host:port", f.health)}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return eris.Wrapf(err, "gateway at %s does not answer", f.health)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var state gateway.State
+	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+		return eris.Wrapf(err, "answer of the gateway at %s cannot be read", f.health)
+	}
+	if f.json {
+		err = printJSON(s, state)
+	} else {
+		err = printGateway(s, state)
+	}
+	if err == nil && !state.Ready {
+		return errNotMet
+	}
+	return err
+}
+
+func printGateway(s streams, state gateway.State) error {
+	out := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(out, "instance\t%s\nready\t%t %s\nconfiguration\t%d, known %d ms ago\nactive requests\t%d\n", state.Instance, state.Ready, state.Reason, state.Config, state.ConfigAgeMs, state.Active)
+	if len(state.Workers) > 0 {
+		fmt.Fprintln(out, "\nWORKER\tSERVICE\tVERSION\tSHARE\tLOAD\tSTATED")
+	}
+	for _, w := range state.Workers {
+		stated := "never"
+		if w.LoadAgeMs >= 0 {
+			stated = fmt.Sprintf("%d ms ago", w.LoadAgeMs)
+		}
+		fmt.Fprintf(out, "%s\t%s\t%s\t%.2f\t%.1f\t%s\n", w.ID, w.Service, w.Version, w.Share, w.Load, stated)
+	}
+	if len(state.Rollouts) > 0 {
+		fmt.Fprintln(out, "\nROLLOUT\tTARGET\tRECORDED\tSTEP\tSHARE\tEVIDENCE AGAINST IT")
+	}
+	for _, r := range state.Rollouts {
+		fmt.Fprintf(out, "%s\t%s\t%s\t%d\t%.2f\t%s\n", r.Service, r.Target, r.Recorded, r.Step, r.Share, r.Bad)
+	}
+	return out.Flush()
+}
--- a/cmd/borageflow/registry.go
+++ b/cmd/borageflow/registry.go
@@ -18,6 +18,7 @@
 	newDev,
 	newManifest,
 	newStatus,
+	newGateway,
 	newUsage,
 	newClaims,
 	newLoad,
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -265,24 +265,15 @@
 	}
 }
 
-// Room sums over the usable workers of a service: the believed number of requests and
-// the number of slots.
-func (p *Placer) Room(now Elapsed, service string, allowed func(string) bool) (load float64, slots int) {
-	for _, s := range p.services[service] {
-		if allowed != nil && !allowed(s.Version) {
-			continue
-		}
-		load += p.load(now, s)
-		slots += s.Slots
+// Believed returns the believed number of requests at a worker and the age of what it
+// stated; the age is negative when it never stated any.
+func (p *Placer) Believed(now Elapsed, id string) (float64, time.Duration) {
+	s := p.workers[id]
+	if s == nil {
+		return 0, -1
 	}
-	return load, slots
-}
-
-// Versions lists the software versions of a service's workers and how many run each.
-func (p *Placer) Versions(service string) map[string]int {
-	out := map[string]int{}
-	for _, s := range p.services[service] {
-		out[s.Version]++
+	if !s.reported {
+		return p.load(now, s), -1
 	}
-	return out
+	return p.load(now, s), now - s.loadAt
 }
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -156,7 +156,7 @@
 	for id := range next {
 		c.placer.SetShare(id, c.health.Share(id))
 	}
-	c.rollouts.sawVersions(c.placer, usable)
+	c.rollouts.sawVersions(usable)
 }
 
 func (c *core) judge(e membership.HealthEvent) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,6 +238,7 @@
 	if g.settings.ReadyPath != "" {
 		router.HandleFunc(g.settings.ReadyPath, g.readyz)
 	}
+	router.HandleFunc("/state", g.serveState)
 	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.metrics.set.WritePrometheus(w)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -422,3 +423,23 @@
 	assert.Equal(t, a.status, 200)
 	assert.Equal(t, a.body, "late")
 }
+
+// Operators must see what a gateway believes and how old it is.
+func TestStateShowsBeliefs(t *testing.T) {
+	w := startWorker(t, "w1", func(_ int, c net.Conn, r seen) bool {
+		reply(c, r, 200, "done", OwnNames.Load+": 3,1,8")
+		return true
+	})
+	b := startGateway(t, w)
+	assert.Equal(t, b.call("GET", "/safe/x", "").status, 200)
+	resp, err := http.Get(b.health + "/state")
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var s State
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&s))
+	assert.Equal(t, s.Instance, "test")
+	assert.Assert(t, s.Ready)
+	assert.Equal(t, s.Config, int64(1))
+	assert.Equal(t, len(s.Workers), 1)
+	assert.Assert(t, s.Workers[0].Load > 2 && s.Workers[0].LoadAgeMs >= 0, "%+v", s.Workers[0])
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -97,7 +97,7 @@
 
 // sawVersions records which versions serve before any order. A version that appears
 // later is not used before its order is known.
-func (r *rollouts) sawVersions(_ *forward.Placer, workers []forward.Worker) {
+func (r *rollouts) sawVersions(workers []forward.Worker) {
 	for _, w := range workers {
 		known := r.established[w.Service]
 		if known == nil {
