Order a rollout in the soak

Cause: the soak never brought a version in. Change: workers of another version and an order, with faults around them; no run on the target in the first half.

--- a/test/soak/verdict.go
+++ b/test/soak/verdict.go
@@ -74,6 +74,9 @@
 		add("%s: answered %d and ran", a.id, a.status)
 	}
 	for _, r := range runs {
+		if r.version == targetVersion && r.at.Before(w.ordered.Add(rolloutSeconds*time.Second/2)) {
+			add("%s: ran on %s in the first half of its rollout", a.id, r.version)
+		}
 		if taken, ok := w.revoked[a.key]; ok && a.sent.After(taken.Add(revokeTime)) {
 			add("%s: ran %v after its key was taken away", a.id, a.sent.Sub(taken))
 		}
--- a/test/soak/world.go
+++ b/test/soak/world.go
@@ -47,8 +47,10 @@
 	drained   map[string]time.Time
 	faults    []faultSpan
 	healed    time.Time
-	restarts  sync.WaitGroup
-	failures  chan error
+	// ordered is when the rollout was ordered; zero before.
+	ordered  time.Time
+	restarts sync.WaitGroup
+	failures chan error
 }
 
 // placedWorker is a worker and the proxy through which it is reached.
@@ -197,7 +199,7 @@
 	g := w.gateways[n]
 	p := w.workers[rng.IntN(len(w.workers))]
 	length := time.Duration(300+rng.IntN(2500)) * time.Millisecond
-	switch rng.IntN(13) {
+	switch rng.IntN(14) {
 	case 0, 1:
 		mode := []string{"delay", "silent", "oneway", "refuse"}[rng.IntN(4)]
 		w.touched(n, length)
@@ -238,9 +240,32 @@
 		}
 	case 12:
 		w.replaceWorker(p)
+	case 13:
+		w.orderRollout()
 	}
 }
 
+// rolloutSeconds is the ordered time of a rollout.
+const rolloutSeconds = 6
+
+// orderRollout starts workers of another version and orders the move to it, once.
+func (w *world) orderRollout() {
+	if !w.ordered.IsZero() {
+		return
+	}
+	w.ordered = time.Now()
+	for range w.shape.workers {
+		if err := w.addWorker(targetVersion); err != nil {
+			w.failures <- err
+			return
+		}
+	}
+	w.store.put("rollouts", service, wireRollout{Service: service, Target: targetVersion, DurationS: rolloutSeconds})
+}
+
+// targetVersion is the version that a rollout moves to.
+const targetVersion = "v2"
+
 // stopTime is the grace time of a stop.
 const stopTime = 8 * time.Second
 
@@ -249,7 +274,7 @@
 	if _, ok := w.drained[p.id]; ok {
 		return
 	}
-	if err := w.addWorker("v1"); err != nil {
+	if err := w.addWorker(p.version); err != nil {
 		w.failures <- err
 		return
 	}
