--- a/test/soak/verdict.go
+++ b/test/soak/verdict.go
@@ -63,7 +63,7 @@
 	return b.String()
 }
 
-// checkRuns: once at most, truthful refusals, keys and workers in time.
+// checkRuns: once at most, and truthful refusals.
 func (w *world) checkRuns(a *asked, add report) {
 	runs := w.ledger.of(a.id)
 	if a.path == unsafePath && len(runs) > 1 {
@@ -74,15 +74,20 @@
 		add("%s: answered %d and ran", a.id, a.status)
 	}
 	for _, r := range runs {
-		if r.version == targetVersion && r.at.Before(w.ordered.Add(rolloutSeconds*time.Second/2)) {
-			add("%s: ran on %s in the first half of its rollout", a.id, r.version)
-		}
-		if taken, ok := w.revoked[a.key]; ok && a.sent.After(taken.Add(revokeTime)) {
-			add("%s: ran %v after its key was taken away", a.id, a.sent.Sub(taken))
-		}
-		if left, ok := w.drained[r.worker]; ok && r.at.After(left.Add(drainTime)) && a.sent.After(left) && w.calm(a.gateway, left, r.at) {
-			add("%s: reached %s %v after it was draining", a.id, r.worker, r.at.Sub(left))
-		}
+		w.checkRun(a, r, add)
+	}
+}
+
+// checkRun: keys, draining workers and the target of a rollout in time.
+func (w *world) checkRun(a *asked, r run, add report) {
+	if r.version == targetVersion && r.at.Before(w.ordered.Add(rolloutSeconds*time.Second/2)) {
+		add("%s: ran on %s in the first half of its rollout", a.id, r.version)
+	}
+	if taken, ok := w.revoked[a.key]; ok && a.sent.After(taken.Add(revokeTime)) {
+		add("%s: ran %v after its key was taken away", a.id, a.sent.Sub(taken))
+	}
+	if left, ok := w.drained[r.worker]; ok && r.at.After(left.Add(drainTime)) && a.sent.After(left) && w.calm(a.gateway, left, r.at) {
+		add("%s: reached %s %v after it was draining", a.id, r.worker, r.at.Sub(left))
 	}
 }
 
