Apply changes of the store in their order

Change: an update lists changes in order; after an answer with many changes the next call follows at once.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -57,7 +57,7 @@
 func TestLapsedWorkersKeepServing(t *testing.T) {
 	w := NewWorkers(2 * time.Second)
 	a, b := Worker{ID: "a", Service: "s"}, Worker{ID: "b", Service: "s", Draining: true}
-	w.Replace(0, []Worker{a, b, {ID: "c", Service: "s"}})
+	w.Replace(0, []WorkerChange{{Worker: a}, {Worker: b}, {Worker: Worker{ID: "c", Service: "s"}}})
 	w.Remove(time.Second, "c")
 	assert.Equal(t, len(w.Usable(time.Second)), 1)
 	w.StoreLost()
@@ -71,7 +71,7 @@
 // A lapsed worker that comes back draining must get nothing.
 func TestLapsedWorkerThatDrainsGetsNothing(t *testing.T) {
 	w := NewWorkers(2 * time.Second)
-	w.Replace(0, []Worker{{ID: "a", Service: "s"}})
+	w.Replace(0, []WorkerChange{{Worker: Worker{ID: "a", Service: "s"}}})
 	w.StoreLost()
 	w.StoreReached(5 * time.Second)
 	w.Replace(5*time.Second, nil)
--- a/internal/forward/store.go
+++ b/internal/forward/store.go
@@ -26,18 +26,30 @@
 	// Full reports whether the update lists every object of the topic.
 	Full bool
 
-	Configs         []*Config
-	Workers         []Worker
-	RemovedWorkers  []string
-	Rollouts        []Rollout
-	RemovedRollouts []string
+	Configs []*Config
+	// Workers and Rollouts are in the order of the changes: an object may change several
+	// times in one update.
+	Workers  []WorkerChange
+	Rollouts []RolloutChange
 	// Faults are objects that could not be decoded. They take no part in the update.
 	Faults []Fault
 }
 
-// Empty reports whether nothing changed.
-func (u *Update) Empty() bool {
-	return len(u.Configs)+len(u.Workers)+len(u.RemovedWorkers)+len(u.Rollouts)+len(u.RemovedRollouts)+len(u.Faults) == 0
+// Changes returns the number of changes, usable or not.
+func (u *Update) Changes() int {
+	return len(u.Configs) + len(u.Workers) + len(u.Rollouts) + len(u.Faults)
+}
+
+// WorkerChange is an entry of a worker, or the end of the entry with its ID.
+type WorkerChange struct {
+	Worker
+	Removed bool
+}
+
+// RolloutChange is an order, or the end of the order for its service.
+type RolloutChange struct {
+	Rollout
+	Removed bool
 }
 
 // Fault is an object that could not be decoded.
--- a/internal/forward/workers.go
+++ b/internal/forward/workers.go
@@ -66,12 +66,25 @@
 	}
 }
 
+// Apply records changes in their order.
+func (w *Workers) Apply(now Elapsed, changes []WorkerChange) {
+	for _, c := range changes {
+		if c.Removed {
+			w.Remove(now, c.ID)
+			continue
+		}
+		w.Put(c.Worker)
+	}
+}
+
 // Replace records a whole list.
-func (w *Workers) Replace(now Elapsed, list []Worker) {
+func (w *Workers) Replace(now Elapsed, list []WorkerChange) {
 	seen := make(map[string]bool, len(list))
-	for _, worker := range list {
-		seen[worker.ID] = true
-		w.Put(worker)
+	for _, c := range list {
+		if !c.Removed {
+			seen[c.ID] = true
+			w.Put(c.Worker)
+		}
 	}
 	for id := range w.listed {
 		if !seen[id] {
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -103,12 +103,7 @@
 		c.workers.Replace(now, u.Workers)
 		c.listed = true
 	} else {
-		for _, id := range u.RemovedWorkers {
-			c.workers.Remove(now, id)
-		}
-		for _, w := range u.Workers {
-			c.workers.Put(w)
-		}
+		c.workers.Apply(now, u.Workers)
 	}
 	c.refresh(now)
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -17,6 +17,10 @@
 	maxPause   = 800 * time.Millisecond
 )
 
+// pageOfChanges is the number of changes from which an answer may be a page of many: the
+// rest is asked for at once.
+const pageOfChanges = 20
+
 // follower lists one topic and then watches it.
 type follower struct {
 	topic forward.Topic
@@ -47,7 +51,7 @@
 			continue
 		}
 		f.answered(&u, sent)
-		if f.listed && !u.Empty() {
+		if n := u.Changes(); n > 0 && n < pageOfChanges {
 			f.rest(ctx, f.gather)
 		}
 	}
@@ -69,7 +73,7 @@
 	confirmed := sent
 	// The store held an unanswered watch for the whole wait, so that nothing had changed by
 	// then, however late the answer is read.
-	if !u.Full && u.Empty() && elapsed()-sent >= f.wait {
+	if !u.Full && u.Changes() == 0 && elapsed()-sent >= f.wait {
 		confirmed = sent + f.wait
 	}
 	f.revision, f.listed = u.Revision, true
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -63,7 +63,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.workers[w.ID] = w
-	s.commit(forward.WorkerTopic, forward.Update{Workers: []forward.Worker{w}})
+	s.commit(forward.WorkerTopic, forward.Update{Workers: []forward.WorkerChange{{Worker: w}}})
 }
 
 func (s *fakeStore) putRollout(r forward.Rollout) {
@@ -72,7 +72,7 @@
 	r.Revision = s.revision + 1
 	r.Created = r.Revision
 	s.rollouts[r.Service] = r
-	s.commit(forward.RolloutTopic, forward.Update{Rollouts: []forward.Rollout{r}})
+	s.commit(forward.RolloutTopic, forward.Update{Rollouts: []forward.RolloutChange{{Rollout: r}}})
 }
 
 func (s *fakeStore) setDown(down bool) {
@@ -98,11 +98,11 @@
 		}
 	case forward.WorkerTopic:
 		for _, w := range s.workers {
-			u.Workers = append(u.Workers, w)
+			u.Workers = append(u.Workers, forward.WorkerChange{Worker: w})
 		}
 	case forward.RolloutTopic:
 		for _, r := range s.rollouts {
-			u.Rollouts = append(u.Rollouts, r)
+			u.Rollouts = append(u.Rollouts, forward.RolloutChange{Rollout: r})
 		}
 	}
 	return u, nil
@@ -150,7 +150,7 @@
 	held.Revision = s.revision + 1
 	s.rollouts[order.Service] = held
 	s.records = append(s.records, p)
-	s.commit(forward.RolloutTopic, forward.Update{Rollouts: []forward.Rollout{held}})
+	s.commit(forward.RolloutTopic, forward.Update{Rollouts: []forward.RolloutChange{{Rollout: held}}})
 	return held, nil
 }
 
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -62,11 +62,12 @@
 }
 
 func (r *rollouts) apply(now time.Duration, u *forward.Update, log *zap.Logger) {
-	for _, record := range u.Rollouts {
-		r.put(now, record, log)
-	}
-	for _, service := range u.RemovedRollouts {
-		delete(r.orders, service)
+	for _, change := range u.Rollouts {
+		if change.Removed {
+			delete(r.orders, change.Service)
+			continue
+		}
+		r.put(now, change.Rollout, log)
 	}
 	if u.Full {
 		r.listed = true
