--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -40,6 +40,7 @@
 	UpstreamFailed      Kind = "upstream_failed"
 	Truncated           Kind = "truncated"
 	PayloadTooLarge     Kind = "payload_too_large"
+	UnknownRoute        Kind = "unknown_route"
 	Internal            Kind = "internal"
 )
 
@@ -78,6 +79,7 @@
 	UpstreamFailed:      {http.StatusBadGateway, -32020, true, api.RunStateUnknown},
 	Truncated:           {http.StatusBadGateway, -32021, true, api.RunStateRan},
 	PayloadTooLarge:     {http.StatusRequestEntityTooLarge, -32022, false, api.RunStateNotRun},
+	UnknownRoute:        {http.StatusNotFound, -32024, false, api.RunStateNotRun},
 	Internal:            {http.StatusInternalServerError, -32023, false, api.RunStateUnknown},
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -100,7 +100,7 @@
 	if keys.Age(now) > g.core.keyAge() {
 		return errkind.New(errkind.StoreUnavailable, "routes cannot be checked: the store has not answered recently").WithRetryAfter(retryLater)
 	}
-	return errkind.New(errkind.UnknownModel, "no route for this host and path")
+	return errkind.New(errkind.UnknownRoute, "no route for this host and path")
 }
 
 // limit is the time that a request may take.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -79,7 +79,7 @@
 		if refusal != nil {
 			return refusal, "refused"
 		}
-		outcome, done := r.attempt(ctx, a)
+		outcome, done := r.run(ctx, a)
 		r.path = append(r.path, step{a.worker.ID, a.model, outcome.String(), r.placement.Load, r.placement.LoadAge.Milliseconds()})
 		if done && r.aborted {
 			return nil, "cut"
@@ -116,7 +116,7 @@
 	LoadAgeMs int64   `json:"load_age_ms"`
 }
 
-// mayRun checks the key and the route against the newest configuration, before each send.
+// mayRun checks the key against the newest configuration, before each attempt.
 func (r *request) mayRun() *errkind.Error {
 	v := r.g.core.view.Load()
 	if _, refusal := forward.Authorize(r.g.core.keyView(v), r.route, r.key, elapsed(), r.g.core.keyAge()); refusal != nil {
@@ -183,9 +183,9 @@
 // connection that a worker has dropped resets the request, which then may have run.
 const freshFor = 2 * time.Second
 
-// attempt sends the request to a worker and passes its answer on. It returns true when
-// the caller has an answer or its connection was ended.
-func (r *request) attempt(ctx context.Context, a attempt) (forward.Outcome, bool) {
+// run sends the request to a worker and passes its answer on. It returns true when the
+// caller has an answer or its connection was ended.
+func (r *request) run(ctx context.Context, a attempt) (forward.Outcome, bool) {
 	defer func() { r.g.core.release(a.worker.ID) }()
 	r.tried = append(r.tried, a.worker.ID)
 	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds buffers only
@@ -231,7 +231,7 @@
 		}
 		return forward.Broken, false
 	}
-	return r.head(ctx, a)
+	return r.judgeHead(ctx, a)
 }
 
 // awaitHead waits for the begin of the answer. An overdue one is given up only when the
@@ -271,8 +271,8 @@
 	return by
 }
 
-// head decides what becomes of the head of an answer.
-func (r *request) head(ctx context.Context, a attempt) (forward.Outcome, bool) {
+// judgeHead decides what becomes of an answer by its head.
+func (r *request) judgeHead(ctx context.Context, a attempt) (forward.Outcome, bool) {
 	ex := a.ex
 	now := elapsed()
 	if ex.meta.HasLoad {
