Forward nothing before rollouts are listed; keep a completed target

Cause: read in the diff: a process that had listed the workers and not yet the rollouts took a version that is being rolled in for an established one; after the order of a completed rollout was removed only the version before it was allowed. Change: readiness and forwarding need every topic once; removing a completed order makes its target the established version. Result: TestNothingIsForwardedBeforeRolloutsAreListed and TestTargetServesAfterItsOrderIsRemoved.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -163,18 +163,29 @@
 	}
 }
 
-// ready reports whether requests can be served.
-func (c *core) ready(now time.Duration) (bool, string) {
-	v := c.view.Load()
-	if v == nil {
+// informed reports whether every topic of the store has been listed once. Before, a worker
+// of a version that is being rolled in looks like any other.
+func (c *core) informed() (bool, string) {
+	if c.view.Load() == nil {
 		return false, "configuration is not known yet"
 	}
 	c.mu.Lock()
-	listed := c.listed
-	c.mu.Unlock()
-	if !listed {
+	defer c.mu.Unlock()
+	switch {
+	case !c.listed:
 		return false, "workers are not known yet"
+	case !c.rollouts.listed:
+		return false, "rollouts are not known yet"
 	}
+	return true, ""
+}
+
+// ready reports whether requests can be served.
+func (c *core) ready(now time.Duration) (bool, string) {
+	if known, missing := c.informed(); !known {
+		return false, missing
+	}
+	v := c.view.Load()
 	if v.config.HasCustomers && c.keyView(v).Age(now) > c.keyAge() {
 		return false, "API keys cannot be checked: the store has not answered recently"
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -45,11 +45,11 @@
 	defer g.active.Add(-1)
 	meta := g.dialect.Request(req.Header)
 	g.metrics.requests.Inc()
-	v := g.core.view.Load()
-	if v == nil {
-		g.refuse(w, meta, nil, errkind.New(errkind.NotReady, "configuration is not known yet").WithRetryAfter(retryLater))
+	if known, missing := g.core.informed(); !known {
+		g.refuse(w, meta, &view{config: &forward.Config{}}, errkind.New(errkind.NotReady, missing).WithRetryAfter(retryLater))
 		return
 	}
+	v := g.core.view.Load()
 	now := elapsed()
 	keys := g.core.keyView(v)
 	route := v.routes.Match(req.Host, req.RequestURI)
@@ -163,13 +163,9 @@
 	}
 	g.closeWhenLeaving(w)
 	g.metrics.refused(e.Kind)
-	if v != nil || g.core.view.Load() == nil {
-		var version int64
-		if v != nil {
-			version = v.config.Version
-		}
+	if v != nil {
 		g.requestLog.Info("request is refused", zap.String("request", meta.RequestID), zap.String("kind", string(e.Kind)), zap.String("reason", e.Message),
-			zap.Int64("config", version), zap.Int64("config_age_ms", (elapsed()-time.Duration(g.core.confirmedAt.Load())).Milliseconds()))
+			zap.Int64("config", v.config.Version), zap.Int64("config_age_ms", (elapsed()-time.Duration(g.core.confirmedAt.Load())).Milliseconds()))
 	}
 	http.Error(w, string(e.Kind)+": "+e.Message, answer.HTTPStatus)
 }
--- a/internal/gateway/operate_test.go
+++ b/internal/gateway/operate_test.go
@@ -93,3 +93,31 @@
 	assert.Equal(t, len(s.Workers), 1)
 	assert.Assert(t, s.Workers[0].Load > 2 && s.Workers[0].LoadAgeMs >= 0, "%+v", s.Workers[0])
 }
+
+// When the order of a completed rollout is removed, its target goes on serving.
+func TestTargetServesAfterItsOrderIsRemoved(t *testing.T) {
+	r := newRollouts(Settings{Instance: "test", Session: time.Second})
+	old, target := forward.Worker{ID: "a", Service: "svc", Version: "v1"}, forward.Worker{ID: "b", Service: "svc", Version: "v2"}
+	r.sawVersions([]forward.Worker{old})
+	done := forward.Rollout{Service: "svc", Target: "v2", Duration: time.Second, State: forward.RolloutCompleted, StatusTarget: "v2", Revision: 5}
+	r.apply(0, &forward.Update{Rollouts: []forward.RolloutChange{{Rollout: done}}}, nopLog())
+	r.apply(0, &forward.Update{Rollouts: []forward.RolloutChange{{Rollout: forward.Rollout{Service: "svc"}, Removed: true}}}, nopLog())
+	r.sawVersions([]forward.Worker{target})
+	choice := r.choose(0, "svc", "", "r1", false)
+	assert.Assert(t, choice.allows("v2"))
+	assert.Assert(t, !choice.allows("v1"))
+}
+
+// Before the rollouts are listed, a worker of a version that is being rolled in looks like
+// any other: nothing must be forwarded.
+func TestNothingIsForwardedBeforeRolloutsAreListed(t *testing.T) {
+	c := newCore(Settings{Instance: "test"}, nopLog())
+	c.applyConfig(testConfig(1))
+	c.applyWorkers(0, &forward.Update{Full: true})
+	known, missing := c.informed()
+	assert.Assert(t, !known)
+	assert.Equal(t, missing, "rollouts are not known yet")
+	c.applyRollouts(0, &forward.Update{Full: true})
+	known, _ = c.informed()
+	assert.Assert(t, known)
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -64,7 +64,7 @@
 func (r *rollouts) apply(now time.Duration, u *forward.Update, log *zap.Logger) {
 	for _, change := range u.Rollouts {
 		if change.Removed {
-			delete(r.orders, change.Service)
+			r.remove(change.Service)
 			continue
 		}
 		r.put(now, change.Rollout, log)
@@ -74,6 +74,14 @@
 	}
 }
 
+// remove forgets an order. The target of a completed one is the version that serves now.
+func (r *rollouts) remove(service string) {
+	if o := r.orders[service]; o != nil && o.state() == forward.RolloutCompleted {
+		r.established[service] = map[string]bool{o.record.Target: true}
+	}
+	delete(r.orders, service)
+}
+
 func (r *rollouts) put(now time.Duration, record forward.Rollout, log *zap.Logger) {
 	held := r.orders[record.Service]
 	if held != nil && held.record.Revision > record.Revision {
@@ -97,7 +105,7 @@
 }
 
 // sawVersions records which versions serve before any order. A version that appears
-// later is not used before its order is known.
+// later is not used before its order is known, unless no worker of another is left.
 func (r *rollouts) sawVersions(workers []forward.Worker) {
 	for _, w := range workers {
 		known := r.established[w.Service]
@@ -139,7 +147,7 @@
 		if len(known) == 0 {
 			return versionChoice{}
 		}
-		return versionChoice{allows: func(v string) bool { return known[v] }}
+		return versionChoice{allows: func(v string) bool { return known[v] }, fallback: func(string) bool { return true }}
 	}
 	target := o.record.Target
 	isTarget := func(v string) bool { return v == target }
