Let a repeated call wait for the end of the call that holds its key

A completion is stored NoteWindow (20 ms), Pace (10 ms) and one write after its caller has the answer; a repeat whose fresh read fell into that time found the key still claimed. Ruled out: a second grant (none was made) and a stale read (the decision rests on a read sent after the claim).

Change: a claim whose key is held by a running call waits up to RepeatWait (half of ClaimTimeout) and reads again every RepeatPoll (20 ms) before it is refused as in progress. A key with another body is still refused at once.

--- a/internal/claims/build.go
+++ b/internal/claims/build.go
@@ -74,7 +74,7 @@
 		return nil, false, false
 	}
 	if st.state != stateCompleted && s.freshAt <= p.sequence {
-		return nil, false, true
+		return nil, false, !now.Before(p.lookAgain)
 	}
 	r := Resolved{Key: p.claim.Key, Request: p.claim.Request}
 	switch {
@@ -83,6 +83,11 @@
 	case st.state == stateCompleted:
 		return s.answer(p, st)
 	case st.state == stateClaimed && now.UnixMilli() < st.until:
+		if giveUp := p.arrived.Add(s.opts.RepeatWait); now.Before(giveUp) {
+			p.sequence = s.sequence
+			p.lookAgain = earlier(now.Add(s.opts.RepeatPoll), giveUp)
+			return nil, false, false
+		}
 		r.Result, r.RetryAfter = InProgress, s.opts.RetryAfter
 	default:
 		r.Result = OutcomeUnknown
--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -81,6 +81,12 @@
 	RunTimeout time.Duration
 	// RetryAfter is advised to a caller that was refused.
 	RetryAfter time.Duration
+	// RepeatWait is how long a repeat waits for the end of the call that holds its
+	// key. A caller has its answer before the completion is stored, so that a
+	// repeat through another entry may find the key still claimed.
+	RepeatWait time.Duration
+	// RepeatPoll is the time between two looks for that end.
+	RepeatPoll time.Duration
 	// BackOff is the pause after a failed call of the store.
 	BackOff time.Duration
 	// MaxAnswerBytes bounds a stored answer.
@@ -116,6 +122,8 @@
 	setDuration(&o.ClaimTimeout, time.Second)
 	setDuration(&o.RunTimeout, 10*time.Minute)
 	setDuration(&o.RetryAfter, 2*time.Second)
+	setDuration(&o.RepeatWait, o.ClaimTimeout/2)
+	setDuration(&o.RepeatPoll, o.NoteWindow)
 	setDuration(&o.BackOff, 100*time.Millisecond)
 	o.SegmentBytes = min(o.SegmentBytes, hardSegmentBytes/2)
 	o.MaxAnswerBytes = min(o.MaxAnswerBytes, 64<<10)
--- a/internal/claims/shard.go
+++ b/internal/claims/shard.go
@@ -21,6 +21,9 @@
 	hash     hash
 	arrived  time.Time
 	sequence uint64
+	// lookAgain is when a repeat that waits for the end of another call asks the
+	// store again; zero when it does not wait.
+	lookAgain time.Time
 	// exposed means that a write of the claim may still take effect.
 	exposed bool
 }
@@ -203,8 +206,8 @@
 // pace of writes permits the next one.
 func (s *shard) dueAt() time.Time {
 	var due time.Time
-	if len(s.waiting) > 0 {
-		due = s.waiting[0].arrived.Add(s.opts.Window)
+	for _, p := range s.waiting {
+		due = earlier(due, later(p.arrived.Add(s.opts.Window), p.lookAgain))
 	}
 	if len(s.notes) > 0 {
 		due = earlier(due, s.notes[0].arrived.Add(s.opts.NoteWindow))
