Let the followers of the store learn of a lost history from each other

The store dropped its history at 1 to 2 s (platform_compact). The watch of the configuration (1.5 s) was cut and listed again, but the watch of the rollouts (10 s) stayed open and heard nothing. Ruled out: late steps (each step came at its part of the ordered time, counted from when the order was known).

Change: the first call that succeeds after a failure, or an answer that the history is gone, ends the waiting calls of the other followers, at most every 2 s. They list again at once.

Before: TestLostHistoryIsNoticedByAllTopics failed (known after 999 ms, the length of the long watch). After: it passes.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -33,7 +33,9 @@
 	lost  func()
 	// called counts a call.
 	called func(topic string, ok bool)
-	log    *zap.Logger
+	// renewals joins the followers of the store.
+	renewals *renewals
+	log      *zap.Logger
 
 	revision int64
 	listed   bool
@@ -44,10 +46,13 @@
 func (f *follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		sent := elapsed()
-		u, err := f.next(ctx)
+		callCtx, end := f.renewals.begin(ctx, f)
+		u, err := f.next(callCtx)
+		renewed := callCtx.Err() != nil
+		end()
 		f.called(f.topic.String(), err == nil)
 		if err != nil {
-			f.failed(ctx, err)
+			f.failed(ctx, err, renewed)
 			continue
 		}
 		f.answered(&u, sent)
@@ -66,7 +71,8 @@
 
 func (f *follower) answered(u *forward.Update, sent time.Duration) {
 	if f.failing {
-		f.log.Info("store answers again", zap.Stringer("topic", f.topic))
+		renews := f.renewals.announce(f, elapsed())
+		f.log.Info("store answers again", zap.Stringer("topic", f.topic), zap.Bool("other_topics_listed_again", renews))
 		f.failing = false
 	}
 	f.pause = 0
@@ -83,13 +89,19 @@
 	f.apply(u, confirmed)
 }
 
-func (f *follower) failed(ctx context.Context, err error) {
+// failed takes the end of a call without an answer; renewed is set when another follower
+// had it end.
+func (f *follower) failed(ctx context.Context, err error, renewed bool) {
 	if ctx.Err() != nil {
 		return
 	}
 	f.listed = false
-	if errors.Is(err, forward.ErrHistoryGone) {
-		f.log.Info("history of the store is gone, listing again", zap.Stringer("topic", f.topic), zap.Int64("revision", f.revision))
+	switch {
+	case errors.Is(err, forward.ErrHistoryGone):
+		renews := f.renewals.announce(f, elapsed())
+		f.log.Info("history of the store is gone, listing again", zap.Stringer("topic", f.topic), zap.Int64("revision", f.revision), zap.Bool("other_topics_listed_again", renews))
+		return
+	case renewed:
 		return
 	}
 	if !f.failing {
--- /dev/null
+++ b/internal/gateway/follow_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/forward"
+)
+
+// Guards against an order that is learned only when a long watch ends: a store that drops
+// its history leaves watches hanging that hear nothing any more, and only the short watch
+// of the configuration notices.
+func TestLostHistoryIsNoticedByAllTopics(t *testing.T) {
+	b := startGateway(t)
+	b.waitFor("rollouts are watched", func() bool { return b.store.watching(forward.RolloutTopic) })
+	b.store.loseHistory()
+	b.store.putRollout(forward.Rollout{Service: "svc", Target: "v2", Duration: time.Minute})
+	put := time.Now()
+	b.waitFor("order is known", func() bool {
+		b.gateway.core.mu.Lock()
+		defer b.gateway.core.mu.Unlock()
+		return b.gateway.core.rollouts.orders["svc"] != nil
+	})
+	// The watch of the configuration lasts 0.2 s, that of the rollouts 1 s.
+	assert.Assert(t, time.Since(put) < 600*time.Millisecond, "known after %v", time.Since(put))
+}
+
+// Guards against followers that wake each other without end.
+func TestFollowersRestAfterLostHistory(t *testing.T) {
+	b := startGateway(t)
+	b.store.loseHistory()
+	time.Sleep(500 * time.Millisecond)
+	b.store.mu.Lock()
+	before := b.store.lists
+	b.store.mu.Unlock()
+	time.Sleep(1500 * time.Millisecond)
+	b.store.mu.Lock()
+	defer b.store.mu.Unlock()
+	assert.Equal(t, b.store.lists, before)
+	assert.Assert(t, before <= 9, "%d lists", before)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -119,14 +119,15 @@
 func (g *Gateway) followers() []*follower {
 	log := observe.Part(g.log, "store")
 	lost := func() {}
+	renewals := newRenewals()
 	return []*follower{
-		{topic: forward.ConfigTopic, store: g.store, wait: g.settings.Watch, gather: gatherConfig, apply: g.applyConfig, lost: lost, called: g.metrics.storeCall, log: log},
+		{topic: forward.ConfigTopic, store: g.store, wait: g.settings.Watch, gather: gatherConfig, apply: g.applyConfig, lost: lost, called: g.metrics.storeCall, renewals: renewals, log: log},
 		{topic: forward.WorkerTopic, store: g.store, wait: g.settings.LongWatch, gather: gatherWorkers, apply: func(u *forward.Update, _ time.Duration) {
 			g.core.applyWorkers(elapsed(), u)
-		}, lost: g.core.storeLost, called: g.metrics.storeCall, log: log},
+		}, lost: g.core.storeLost, called: g.metrics.storeCall, renewals: renewals, log: log},
 		{topic: forward.RolloutTopic, store: g.store, wait: g.settings.LongWatch, gather: gatherRollouts, apply: func(u *forward.Update, _ time.Duration) {
 			g.core.applyRollouts(elapsed(), u)
-		}, lost: lost, called: g.metrics.storeCall, log: log},
+		}, lost: lost, called: g.metrics.storeCall, renewals: renewals, log: log},
 	}
 }
 
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -30,6 +30,11 @@
 	log      []storeChange
 	down     bool
 	records  []forward.Progress
+	// oldest is the first revision of the history that is left. Watches that waited when
+	// the history was lost hear nothing more.
+	oldest   int64
+	lists    int
+	watchers map[forward.Topic]int
 }
 
 type storeChange struct {
@@ -39,7 +44,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{revision: 1, changed: make(chan struct{}), workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}}
+	return &fakeStore{revision: 1, changed: make(chan struct{}), workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, watchers: map[forward.Topic]int{}}
 }
 
 var errStoreDown = fmt.Errorf("store is down")
@@ -83,10 +88,25 @@
 	s.changed = make(chan struct{})
 }
 
+func (s *fakeStore) loseHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.oldest = s.revision
+	s.log = nil
+}
+
+func (s *fakeStore) watching(topic forward.Topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.watchers[topic] > 0
+}
+
 // List implements forward.Store.
 func (s *fakeStore) List(_ context.Context, topic forward.Topic) (forward.Update, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lists++
 	if s.down {
 		return forward.Update{}, errStoreDown
 	}
@@ -111,12 +131,32 @@
 // Watch implements forward.Store.
 func (s *fakeStore) Watch(ctx context.Context, topic forward.Topic, revision int64, wait time.Duration) (forward.Update, error) {
 	timer := time.After(wait)
-	for {
+	s.mu.Lock()
+	s.watchers[topic]++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.watchers[topic]--
+	}()
+	for first := true; ; first = false {
 		s.mu.Lock()
 		if s.down {
 			s.mu.Unlock()
 			return forward.Update{}, errStoreDown
 		}
+		if revision < s.oldest {
+			s.mu.Unlock()
+			if first {
+				return forward.Update{}, forward.ErrHistoryGone
+			}
+			select {
+			case <-timer:
+				return forward.Update{Revision: revision}, nil
+			case <-ctx.Done():
+				return forward.Update{}, ctx.Err()
+			}
+		}
 		for _, change := range s.log {
 			if change.revision > revision && change.topic == topic {
 				s.mu.Unlock()
