Pass the news of the store on through relays

Change: the gateways that the settings name as relays (the platform's seeds) answer the others from memory (package internal/news, method news of the links between daemons). An answer states the age of the relay's knowledge; the asking gateway counts from when it asked, less that age. A relay without news, cut off or behind leads to a call to the store.

Found by its tests before the first commit: a decoded configuration that is null (FuzzMerge).

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -633,10 +633,18 @@
 
 // GatewayBounds are limits that the deployment sets; 0 means the default.
 type GatewayBounds struct {
+	// ApplyMs is the time after which a configuration must be in force, in
+	// milliseconds; 0 means unknown, and relays are not used.
+	ApplyMs int `json:"applyMs,omitempty,omitzero"`
+
 	// CanaryShare is the largest share of a service's requests that a bad version may
 	// get; default 0.1.
 	CanaryShare float64 `json:"canaryShare,omitempty,omitzero"`
 
+	// DrainMs is the time after which a leaving worker must get no new work, in
+	// milliseconds; 0 means unknown, and relays are not used.
+	DrainMs int `json:"drainMs,omitempty,omitzero"`
+
 	// GraceSeconds is the time from SIGTERM until the process is killed; default 8.
 	GraceSeconds float64 `json:"graceSeconds,omitempty,omitzero"`
 
@@ -697,6 +705,18 @@
 const GatewayLogLevelInfo GatewayLogLevel = "info"
 const GatewayLogLevelWarn GatewayLogLevel = "warn"
 
+// GatewayPeers joins the gateways of a deployment.
+type GatewayPeers struct {
+	// Listen is host:port at which this instance answers other gateways; empty means
+	// that it does not.
+	Listen string `json:"listen,omitempty,omitzero"`
+
+	// Relays are host:port of the gateways that pass on the news of the store, this
+	// one included if it is a relay; empty means that every gateway watches the store
+	// itself.
+	Relays []string `json:"relays,omitempty,omitzero"`
+}
+
 // GatewaySettings configures one borageflowd process with role gateway: it
 // forwards opaque HTTP requests to the workers that the store lists.
 type GatewaySettings struct {
@@ -715,6 +735,9 @@
 	// Log corresponds to the JSON schema field "log".
 	Log *GatewayLog `json:"log,omitempty,omitzero"`
 
+	// Peers corresponds to the JSON schema field "peers".
+	Peers *GatewayPeers `json:"peers,omitempty,omitzero"`
+
 	// Role is gateway.
 	Role GatewaySettingsRole `json:"role"`
 
@@ -1192,6 +1215,36 @@
 	Versions int `json:"versions,omitempty,omitzero"`
 }
 
+// NewsParams asks a relay for the news of a topic, method news. It is answered
+// when there is news, or when the wait has passed.
+type NewsParams struct {
+	// Revision is the store's revision that the asking gateway knows of the topic.
+	Revision int `json:"revision"`
+
+	// Topic is config, workers or rollouts.
+	Topic string `json:"topic"`
+
+	// WaitMs is the longest wait for news in milliseconds.
+	WaitMs int `json:"waitMs"`
+}
+
+// NewsResult holds the news of a topic since a revision.
+type NewsResult struct {
+	// AgeMs is the age of the knowledge that there is no newer update, in
+	// milliseconds.
+	AgeMs int `json:"ageMs"`
+
+	// Full is set when the updates hold the whole topic.
+	Full bool `json:"full,omitempty,omitzero"`
+
+	// Revision is the store's revision of the news.
+	Revision int `json:"revision"`
+
+	// Updates are the gateway's own encoding of the changes, in their order; gateways
+	// of one deployment run the same version.
+	Updates []json.RawMessage `json:"updates,omitempty,omitzero"`
+}
+
 // Objective is a service-level objective of a class.
 type Objective struct {
 	// Class corresponds to the JSON schema field "class".
--- a/cmd/borageflow/gateway.go
+++ b/cmd/borageflow/gateway.go
@@ -58,9 +58,19 @@
 	return err
 }
 
+func newsFrom(state gateway.State) string {
+	switch {
+	case state.Relay != "":
+		return "relay " + state.Relay
+	case state.PassesOn:
+		return "store, passed on to others"
+	}
+	return "store"
+}
+
 func printGateway(s streams, state gateway.State) error {
 	out := tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintf(out, "instance\t%s\nready\t%t %s\nconfiguration\t%d, known %d ms ago\nactive requests\t%d\n", state.Instance, state.Ready, state.Reason, state.Config, state.ConfigAgeMs, state.Active)
+	fmt.Fprintf(out, "instance\t%s\nready\t%t %s\nconfiguration\t%d, known %d ms ago\nactive requests\t%d\nnews from\t%s\n", state.Instance, state.Ready, state.Reason, state.Config, state.ConfigAgeMs, state.Active, newsFrom(state))
 	if len(state.Workers) > 0 {
 		fmt.Fprintln(out, "\nWORKER\tSERVICE\tVERSION\tSHARE\tLOAD\tSTATED")
 	}
--- a/internal/forward/store.go
+++ b/internal/forward/store.go
@@ -31,6 +31,11 @@
 	// times in one update.
 	Workers  []WorkerChange
 	Rollouts []RolloutChange
+	// Relayed is set when another process passed the update on, and Age is then how old its
+	// knowledge was that no newer update existed.
+	Relayed bool
+	Age     time.Duration
+
 	// Faults are objects that could not be decoded. They take no part in the update.
 	Faults []Fault
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -31,10 +31,12 @@
 	// apply takes an update; confirmed is a time at which it was the newest.
 	apply func(u *forward.Update, confirmed time.Duration)
 	lost  func()
-	// called counts a call.
-	called func(topic string, ok bool)
+	// called counts a call to the store, or a question to a relay.
+	called func(topic string, relayed, ok bool)
 	// renewals joins the followers of the store.
 	renewals *renewals
+	// relaying passes the news on; nil where relays are not used.
+	relaying *relaying
 	log      *zap.Logger
 
 	revision int64
@@ -50,13 +52,13 @@
 		u, err := f.next(callCtx)
 		renewed := callCtx.Err() != nil
 		end()
-		f.called(f.topic.String(), err == nil)
+		f.called(f.topic.String(), u.Relayed, err == nil)
 		if err != nil {
 			f.failed(ctx, err, renewed)
 			continue
 		}
 		f.answered(&u, sent)
-		if n := u.Changes(); n > 0 && n < pageOfChanges {
+		if n := u.Changes(); n > 0 && n < pageOfChanges && !u.Relayed {
 			f.rest(ctx, f.gather)
 		}
 	}
@@ -82,11 +84,13 @@
 	if !u.Full && u.Changes() == 0 && elapsed()-sent >= f.wait {
 		confirmed = sent + f.wait
 	}
+	confirmed -= u.Age
 	f.revision, f.listed = u.Revision, true
 	for _, fault := range u.Faults {
 		f.log.Warn("object of the store is unusable", zap.Stringer("topic", f.topic), zap.String("name", fault.Name), zap.String("problem", fault.Problem), zap.Int64("revision", u.Revision))
 	}
 	f.apply(u, confirmed)
+	f.relaying.took(f.topic, u, confirmed)
 }
 
 // failed takes the end of a call without an answer; renewed is set when another follower
@@ -109,6 +113,7 @@
 		f.failing = true
 	}
 	f.lost()
+	f.relaying.lost(f.topic)
 	f.pause = min(max(2*f.pause, firstPause), maxPause)
 	f.rest(ctx, f.pause)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 type Gateway struct {
 	settings   Settings
 	core       *core
+	relaying   *relaying
 	store      forward.Store
 	dialect    Dialect
 	reload     func() (Settings, error)
@@ -86,6 +87,7 @@
 		log: observe.Part(log, "gateway"), requestLog: observe.Part(log, "request"), lines: lines,
 		ctx: ctx, cancel: cancel,
 	}
+	g.relaying, g.store = joinRelays(s, p.Store, time.Now(), log)
 	g.core = newCore(s, observe.Part(log, "state"))
 	m.set.NewGauge("borageflow_gateway_active_requests", func() float64 { return float64(g.active.Load()) })
 	m.set.NewGauge("borageflow_gateway_config_age_seconds", func() float64 {
@@ -99,6 +101,9 @@
 	if err := g.listen(); err != nil {
 		return err
 	}
+	if err := g.relaying.listen(g.settings, g.log); err != nil {
+		return err
+	}
 	for _, f := range g.followers() {
 		g.group.Go(func() { f.run(g.ctx) })
 	}
@@ -120,8 +125,8 @@
 	log := observe.Part(g.log, "store")
 	lost := func() {}
 	renewals := newRenewals()
-	return []*follower{
-		{topic: forward.ConfigTopic, store: g.store, wait: g.settings.Watch, gather: gatherConfig, apply: g.applyConfig, lost: lost, called: g.metrics.storeCall, renewals: renewals, log: log},
+	followers := []*follower{
+		{topic: forward.ConfigTopic, store: g.store, wait: g.settings.configWatch(), gather: gatherConfig, apply: g.applyConfig, lost: lost, called: g.metrics.storeCall, renewals: renewals, log: log},
 		{topic: forward.WorkerTopic, store: g.store, wait: g.settings.LongWatch, gather: gatherWorkers, apply: func(u *forward.Update, _ time.Duration) {
 			g.core.applyWorkers(elapsed(), u)
 		}, lost: g.core.storeLost, called: g.metrics.storeCall, renewals: renewals, log: log},
@@ -129,6 +134,10 @@
 			g.core.applyRollouts(elapsed(), u)
 		}, lost: lost, called: g.metrics.storeCall, renewals: renewals, log: log},
 	}
+	for _, f := range followers {
+		f.relaying = g.relaying
+	}
+	return followers
 }
 
 func (g *Gateway) applyConfig(u *forward.Update, confirmed time.Duration) {
@@ -169,7 +178,7 @@
 
 func (g *Gateway) recordRollout(w rolloutWrite) {
 	result, err := g.store.RecordRollout(g.ctx, w.record, w.progress)
-	g.metrics.storeCall("record", err == nil)
+	g.metrics.storeCall("record", false, err == nil)
 	g.core.rolloutWritten(elapsed(), w, result, err)
 	if err == nil {
 		g.log.Info("state of a rollout is recorded", zap.String("service", w.record.Service), zap.String("state", string(w.progress.State)), zap.Int("step", w.progress.Step), zap.Int64("revision", result.Revision))
@@ -296,6 +305,7 @@
 	now := time.Now()
 	g.leftAt.Store(&now)
 	g.leaving.Store(true)
+	g.relaying.leave()
 	g.log.Info("instance leaves, readiness is withdrawn", zap.Int64("active", g.active.Load()))
 	wait := min(balancerTime, g.settings.Grace/2)
 	select {
@@ -309,6 +319,7 @@
 		_ = g.callers.Close()
 	}
 	g.cancel()
+	g.relaying.close()
 	g.pool.close()
 	for _, s := range []*http.Server{g.health, g.extra} {
 		if s != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -39,7 +39,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("borageflow_gateway_request_seconds{outcome=%q}", outcome)).Update(d.Seconds())
 }
 
-// storeCall counts a call to the store.
-func (m *meters) storeCall(topic string, ok bool) {
+// storeCall counts a call to the store, or an answer of a relay in its place.
+func (m *meters) storeCall(topic string, relayed, ok bool) {
+	if relayed {
+		m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_relayed_answers_total{topic=%q}", topic)).Inc()
+		return
+	}
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_store_calls_total{topic=%q,ok=\"%t\"}", topic, ok)).Inc()
 }
--- /dev/null
+++ b/internal/gateway/relays_test.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/forward"
+)
+
+// startPair starts a relay and a gateway that gets its news from it, each with its own way
+// to one store.
+func startPair(t *testing.T) (relay, other *bench) {
+	t.Helper()
+	address := freeAddress(t)
+	store := newFakeStore()
+	store.putConfig(testConfig(1))
+	with := func(instance, listen string) *bench {
+		s := testSettings(t)
+		s.Instance, s.PeerListen, s.Relays = instance, listen, []string{address}
+		s.Drain, s.Apply = 3*time.Second, 3*time.Second
+		return startWith(t, s, &fakeStore{shared: store})
+	}
+	return with("relay", address), with("other", freeAddress(t))
+}
+
+func (b *bench) knows(version int64) bool {
+	return b.gateway.core.view.Load().config.Version == version
+}
+
+// Guards against calls to the store by a gateway that has a relay, and against changes
+// that reach it late or not at all.
+func TestRelayPassesChangesOn(t *testing.T) {
+	relay, other := startPair(t)
+	other.waitFor("all topics are watched at the relay", func() bool {
+		return other.store.watchesOf(forward.ConfigTopic)+other.store.watchesOf(forward.WorkerTopic)+other.store.watchesOf(forward.RolloutTopic) == 0
+	})
+	relay.store.shared.putConfig(testConfig(2))
+	relay.store.shared.putWorker(forward.Worker{ID: "w", Service: "svc", Address: "127.0.0.1:1"})
+	put := time.Now()
+	other.waitFor("change is known", func() bool {
+		other.gateway.core.mu.Lock()
+		defer other.gateway.core.mu.Unlock()
+		return other.knows(2) && len(other.gateway.core.known) == 1
+	})
+	assert.Assert(t, time.Since(put) < 1500*time.Millisecond)
+	assert.Equal(t, other.store.watchesOf(forward.ConfigTopic), 0)
+}
+
+// Guards against keys that are accepted on old news, and against a gateway that serves
+// nothing because its relay is cut off: it turns to the store before its knowledge of the
+// keys is too old.
+func TestCutOffRelayIsLeft(t *testing.T) {
+	relay, other := startPair(t)
+	other.waitFor("configuration is watched at the relay", func() bool { return other.store.watchesOf(forward.ConfigTopic) == 0 })
+	relay.store.setDown(true)
+	relay.store.shared.putConfig(testConfig(2))
+	put := time.Now()
+	other.waitFor("change is known", func() bool {
+		ok, _ := other.gateway.core.ready(elapsed())
+		assert.Assert(t, ok)
+		return other.knows(2)
+	})
+	assert.Assert(t, time.Since(put) < other.gateway.settings.Apply)
+	assert.Assert(t, !relay.knows(2))
+}
+
+// Guards against relays where the bounds are too short for one that is cut off unnoticed.
+func TestShortBoundsUseNoRelays(t *testing.T) {
+	s := testSettings(t)
+	s.StoreTimeout = defaultStoreTimeout
+	s.Relays = []string{"127.0.0.1:1"}
+	for _, c := range []struct {
+		drain, apply time.Duration
+		want         bool
+	}{{0, 0, false}, {2 * time.Second, 2 * time.Second, false}, {3 * time.Second, 2 * time.Second, false}, {3 * time.Second, 3 * time.Second, true}} {
+		s.Drain, s.Apply = c.drain, c.apply
+		assert.Equal(t, s.usesRelays(), c.want)
+	}
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -45,9 +45,11 @@
 	Callers, Health, Metrics           string
 	ReadyPath                          string
 	StoreAddress                       string
+	PeerListen                         string
+	Relays                             []string
 	StoreTimeout, Watch, LongWatch     time.Duration
 	Revoke, Grace, Stable, RetryWindow time.Duration
-	Session                            time.Duration
+	Session, Drain, Apply              time.Duration
 	RetryRatio, RetrySlack             float64
 	CanaryShare                        float64
 	LogLevel                           string
@@ -77,13 +79,21 @@
 
 func checkAddresses(s *api.GatewaySettings) schemacheck.Faults {
 	var faults schemacheck.Faults
-	for path, address := range map[string]string{
-		"$.listen.callers": s.Listen.Callers, "$.listen.health": s.Listen.Health,
-		"$.listen.metrics": s.Listen.Metrics, "$.store.address": s.Store.Address,
-	} {
-		if address == "" && path == "$.listen.metrics" {
-			continue
+	addresses := map[string]string{
+		"$.listen.callers": s.Listen.Callers, "$.listen.health": s.Listen.Health, "$.store.address": s.Store.Address,
+	}
+	if s.Listen.Metrics != "" {
+		addresses["$.listen.metrics"] = s.Listen.Metrics
+	}
+	if s.Peers != nil {
+		if s.Peers.Listen != "" {
+			addresses["$.peers.listen"] = s.Peers.Listen
+		}
+		for i, relay := range s.Peers.Relays {
+			addresses[fmt.Sprintf("$.peers.relays[%d]", i)] = relay
 		}
+	}
+	for path, address := range addresses {
 		host, _, err := net.SplitHostPort(address)
 		if err != nil || net.ParseIP(host) == nil {
 			faults = append(faults, schemacheck.Fault{Path: path, Problem: fmt.Sprintf("%q is not host:port with an IP number", address)})
@@ -110,6 +120,10 @@
 	out.Grace = seconds(b.GraceSeconds, defaultGrace)
 	out.RetryWindow = seconds(b.RetryWindowSeconds, defaultRetryWindow)
 	out.Session = seconds(b.SessionSeconds, defaultSession)
+	out.Drain, out.Apply = milliseconds(b.DrainMs, 0), milliseconds(b.ApplyMs, 0)
+	if s.Peers != nil {
+		out.PeerListen, out.Relays = s.Peers.Listen, s.Peers.Relays
+	}
 	out.RetryRatio, out.RetrySlack, out.CanaryShare = b.RetryRatio, b.RetrySlack, b.CanaryShare
 	if b.RetryRatio == 0 {
 		out.RetryRatio = defaultRetryRatio
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/borageflow/borageflow/internal/news"
 )
 
 // State is what a gateway believes, for operators. Ages are in milliseconds.
@@ -18,11 +20,15 @@
 	Reason string `json:"reason,omitempty"`
 	// Config is the version of the configuration; ConfigAgeMs is how long ago it was known to
 	// be the newest.
-	Config      int64          `json:"config"`
-	ConfigAgeMs int64          `json:"configAgeMs"`
-	Active      int64          `json:"activeRequests"`
-	Workers     []WorkerState  `json:"workers"`
-	Rollouts    []RolloutState `json:"rollouts"`
+	Config      int64 `json:"config"`
+	ConfigAgeMs int64 `json:"configAgeMs"`
+	Active      int64 `json:"activeRequests"`
+	// Relay is the gateway that news of the store come from; empty means the store itself.
+	// PassesOn is set where this gateway is a relay.
+	Relay    string         `json:"relay,omitempty"`
+	PassesOn bool           `json:"passesOn,omitempty"`
+	Workers  []WorkerState  `json:"workers"`
+	Rollouts []RolloutState `json:"rollouts"`
 }
 
 // WorkerState is what a gateway believes of a worker.
@@ -77,6 +83,10 @@
 func (g *Gateway) serveState(w http.ResponseWriter, _ *http.Request) {
 	s := g.core.state(elapsed())
 	s.Instance, s.Active = g.settings.Instance, g.active.Load()
+	if asked, ok := g.store.(*news.Store); ok {
+		s.Relay = asked.Relay()
+	}
+	s.PassesOn = g.relaying != nil && g.relaying.passesOn
 	if g.leaving.Load() {
 		s.Ready, s.Reason = false, "instance is leaving"
 	}
--- /dev/null
+++ b/internal/news/board_test.go
@@ -0,0 +1,166 @@
+package news
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/forward"
+)
+
+func worker(id string) forward.WorkerChange {
+	return forward.WorkerChange{Worker: forward.Worker{ID: id, Service: "svc", Address: "10.0.0.1:1"}}
+}
+
+func update(revision int64, workers ...forward.WorkerChange) *forward.Update {
+	return &forward.Update{Revision: revision, Workers: workers}
+}
+
+func listed(revision int64, workers ...forward.WorkerChange) *forward.Update {
+	u := update(revision, workers...)
+	u.Full = true
+	return u
+}
+
+// boardAt returns a Board that confirmed all topics at a time.
+func boardAt(t *testing.T, at Elapsed) *Board {
+	t.Helper()
+	b := NewBoard(2 * time.Second)
+	for _, topic := range []forward.Topic{forward.ConfigTopic, forward.WorkerTopic, forward.RolloutTopic} {
+		_, err := b.Took(topic, listed(10), at)
+		assert.NilError(t, err)
+	}
+	return b
+}
+
+func since(t *testing.T, b *Board, now Elapsed, revision int64) (forward.Update, bool) {
+	t.Helper()
+	a, found, err := b.Since(now, forward.WorkerTopic, revision)
+	assert.NilError(t, err)
+	u, err := Merge(a)
+	assert.NilError(t, err)
+	return u, found
+}
+
+// Guards against a change that a gateway misses, gets twice or in another order: each
+// revision that the relay has told leads to exactly the changes after it.
+func TestNewsContinueAtEachRevision(t *testing.T) {
+	b := boardAt(t, 0)
+	gone := forward.WorkerChange{Worker: forward.Worker{ID: "a"}, Removed: true}
+	for _, u := range []*forward.Update{update(12, worker("a")), update(15), update(17, worker("b"), gone)} {
+		_, err := b.Took(forward.WorkerTopic, u, time.Second)
+		assert.NilError(t, err)
+	}
+	for _, c := range []struct {
+		revision int64
+		want     []forward.WorkerChange
+	}{
+		{10, []forward.WorkerChange{worker("a"), worker("b"), gone}},
+		{12, []forward.WorkerChange{worker("b"), gone}},
+		{15, []forward.WorkerChange{worker("b"), gone}},
+	} {
+		u, found := since(t, b, time.Second, c.revision)
+		assert.Assert(t, found && !u.Full)
+		assert.Equal(t, u.Revision, int64(17))
+		assert.DeepEqual(t, u.Workers, c.want)
+	}
+	_, found := since(t, b, time.Second, 17)
+	assert.Assert(t, !found)
+}
+
+// Guards against a gateway that is taken back to an older state by a relay that is behind,
+// and against one that stays behind because it knows a revision of its own.
+func TestUnknownRevisionGetsWholeTopicOnlyForward(t *testing.T) {
+	b := boardAt(t, 0)
+	_, err := b.Took(forward.WorkerTopic, update(20, worker("a")), 0)
+	assert.NilError(t, err)
+	u, found := since(t, b, 0, 13)
+	assert.Assert(t, found && u.Full)
+	assert.DeepEqual(t, u.Workers, []forward.WorkerChange{worker("a")})
+
+	u, found = since(t, b, 0, 25)
+	assert.Assert(t, !found)
+	assert.Equal(t, u.Revision, int64(25))
+	_, err = b.Took(forward.WorkerTopic, update(26), 0)
+	assert.NilError(t, err)
+	u, found = since(t, b, 0, 25)
+	assert.Assert(t, found && u.Full)
+	assert.Equal(t, u.Revision, int64(26))
+}
+
+// Guards against keys that are believed for too long: the age that a relay states grows
+// from when its knowledge was confirmed, and a relay that the store does not answer, or
+// that has not heard of the configuration for too long, tells nothing.
+func TestRelayTellsNothingOld(t *testing.T) {
+	b := boardAt(t, time.Second)
+	a, _, err := b.Since(2500*time.Millisecond, forward.ConfigTopic, 10)
+	assert.NilError(t, err)
+	assert.Equal(t, a.Age, 1500*time.Millisecond)
+	assert.Assert(t, b.Available(3*time.Second, forward.WorkerTopic))
+	assert.Assert(t, !b.Available(3*time.Second+1, forward.WorkerTopic))
+
+	_, err = b.Took(forward.ConfigTopic, update(11), 4*time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, b.Available(4*time.Second, forward.WorkerTopic))
+	b.Lost(forward.WorkerTopic)
+	assert.Assert(t, !b.Available(4*time.Second, forward.WorkerTopic))
+	assert.Assert(t, b.Available(4*time.Second, forward.RolloutTopic))
+	b.Lost(forward.ConfigTopic)
+	assert.Assert(t, !b.Available(4*time.Second, forward.RolloutTopic))
+	b.Leave()
+	_, err = b.Took(forward.ConfigTopic, listed(12), 4*time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, !b.Available(4*time.Second, forward.ConfigTopic))
+}
+
+// Guards against memory that grows with the number of changes.
+func TestBoardIsBounded(t *testing.T) {
+	b := boardAt(t, 0)
+	for i := range 1000 {
+		_, err := b.Took(forward.WorkerTopic, update(int64(11+i), worker("a")), 0)
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, len(b.topics[forward.WorkerTopic].entries), maxEntries)
+	u, found := since(t, b, 0, 10)
+	assert.Assert(t, found && u.Full)
+	assert.DeepEqual(t, u.Workers, []forward.WorkerChange{worker("a")})
+}
+
+// Guards against a relay that spoils a configuration on its way.
+func TestConfigurationIsPassedOnWhole(t *testing.T) {
+	config := &forward.Config{
+		Version: 7, HasCustomers: true, Customers: map[string]forward.Customer{"key": {Name: "ada", Priority: 2, HasPriority: true}},
+		Routes:   []forward.Route{{Name: "r", Host: "h", PathPrefix: "/p/", Kind: forward.Stream, Timeout: 3 * time.Second, Target: time.Second, GapTarget: 500 * time.Millisecond, Models: []string{"s", "l"}, Splits: []forward.Split{{Service: "svc", Weight: 0.5}}, MaxAttempts: 3, Resumable: true}},
+		Services: map[string]forward.Service{"svc": {Name: "svc", MaxConnections: 9, Engine: &forward.Engine{Slots: 4, KVCapacity: 5, Costs: map[string]float64{"s": 0.1}}}},
+		Limits:   forward.ClientLimits{HeaderBytes: 1, BodyBytes: 2, HeaderTimeout: 3, IdleTimeout: 4},
+	}
+	rollout := forward.Rollout{Service: "svc", Target: "v2", Duration: time.Minute, State: forward.RolloutRunning, Step: 2, StatusTarget: "v2", Revision: 5, Created: 3}
+	b := NewBoard(time.Second)
+	sent := &forward.Update{Revision: 9, Full: true, Configs: []*forward.Config{config}, Rollouts: []forward.RolloutChange{{Rollout: rollout}}}
+	_, err := b.Took(forward.ConfigTopic, sent, 0)
+	assert.NilError(t, err)
+	a, found, err := b.Since(0, forward.ConfigTopic, 1)
+	assert.NilError(t, err)
+	assert.Assert(t, found)
+	got, err := Merge(a)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Configs, sent.Configs)
+	assert.DeepEqual(t, got.Rollouts, sent.Rollouts)
+}
+
+// Guards against a decoder that panics on what another process sends.
+func FuzzMerge(f *testing.F) {
+	f.Add([]byte(`{"Workers":[{"ID":"a","Removed":true}]}`))
+	f.Add([]byte(`{"Configs":[null]}`))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		u, err := Merge(Answer{Updates: []json.RawMessage{raw}})
+		if err != nil {
+			return
+		}
+		for _, c := range u.Configs {
+			_ = c.Version // a configuration that is not one must be refused
+		}
+	})
+}
--- /dev/null
+++ b/internal/news/store_test.go
@@ -0,0 +1,188 @@
+package news
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/peer"
+)
+
+// directStore counts the watches that reach the store.
+type directStore struct {
+	forward.Store
+	watches atomic.Int64
+}
+
+func (d *directStore) Watch(context.Context, forward.Topic, int64, time.Duration) (forward.Update, error) {
+	d.watches.Add(1)
+	return forward.Update{Revision: 99}, nil
+}
+
+// clock is a clock that tests move; it starts at an hour.
+type clock struct{ now atomic.Int64 }
+
+func (c *clock) elapsed() Elapsed { return Elapsed(c.now.Load()) + time.Hour }
+
+const testTimeout = 200 * time.Millisecond
+
+func startNode(t *testing.T, handler peer.Handler) *peer.Node {
+	t.Helper()
+	node := peer.NewNode(peer.Options{Handler: handler, Local: func() api.Hello {
+		return api.Hello{Member: api.Member{Instance: "test", State: api.MemberStateReady}}
+	}})
+	t.Cleanup(node.Close)
+	return node
+}
+
+type exchange struct {
+	relay  *Relay
+	node   *peer.Node
+	direct *directStore
+	store  *Store
+	clock  *clock
+}
+
+// startExchange starts a relay that knows the topics as of revision 10, and a gateway that
+// asks it.
+func startExchange(t *testing.T) *exchange {
+	t.Helper()
+	e := &exchange{direct: &directStore{}, clock: &clock{}}
+	e.relay = NewRelay(2*time.Second, e.clock.elapsed, zap.NewNop())
+	e.node = startNode(t, e.relay)
+	address, err := e.node.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	for _, topic := range []forward.Topic{forward.ConfigTopic, forward.WorkerTopic, forward.RolloutTopic} {
+		e.relay.Took(topic, listed(10), e.clock.elapsed())
+	}
+	asking := startNode(t, NewRelay(0, e.clock.elapsed, zap.NewNop()))
+	e.store = NewStore(e.direct, asking, "gateway-1", []string{address}, testTimeout, e.clock.elapsed, zap.NewNop())
+	return e
+}
+
+func (e *exchange) watch(t *testing.T, revision int64, wait time.Duration) forward.Update {
+	t.Helper()
+	u, err := e.store.Watch(context.Background(), forward.WorkerTopic, revision, wait)
+	assert.NilError(t, err)
+	return u
+}
+
+// Guards against calls to the store while a relay has news, and against an age that leaves
+// out the time before the relay's answer.
+func TestNewsComeFromRelay(t *testing.T) {
+	e := startExchange(t)
+	e.clock.now.Add(int64(time.Second))
+	u := e.watch(t, 10, 20*time.Millisecond)
+	assert.Assert(t, u.Relayed && u.Changes() == 0)
+	assert.Assert(t, u.Age >= time.Second)
+	time.AfterFunc(20*time.Millisecond, func() {
+		e.relay.Took(forward.WorkerTopic, update(11, worker("a")), e.clock.elapsed())
+	})
+	u = e.watch(t, 10, 5*time.Second)
+	assert.DeepEqual(t, u.Workers, []forward.WorkerChange{worker("a")})
+	assert.Equal(t, u.Revision, int64(11))
+	assert.Equal(t, e.direct.watches.Load(), int64(0))
+}
+
+// Guards against a gateway that waits in vain at a relay that has lost the store, leaves or
+// knows too little: it asks the store at once, and the relay again only after a while.
+func TestStoreIsAskedWhenRelayHasNoNews(t *testing.T) {
+	for name, end := range map[string]func(e *exchange){
+		"store lost":  func(e *exchange) { e.relay.Lost(forward.ConfigTopic) },
+		"leaving":     func(e *exchange) { e.relay.Leave() },
+		"killed":      func(e *exchange) { e.node.Close() },
+		"too old now": func(e *exchange) { e.clock.now.Add(int64(3 * time.Second)); e.relay.Lost(forward.RolloutTopic) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startExchange(t)
+			time.AfterFunc(30*time.Millisecond, func() { end(e) })
+			started := time.Now()
+			u := e.watch(t, 10, 5*time.Second)
+			assert.Assert(t, !u.Relayed)
+			assert.Assert(t, time.Since(started) < time.Second)
+			assert.Assert(t, !e.watch(t, 99, time.Second).Relayed)
+			assert.Equal(t, e.direct.watches.Load(), int64(2))
+		})
+	}
+}
+
+// Guards against a relay that stays out of use after it has come back.
+func TestRelayIsAskedAgain(t *testing.T) {
+	e := startExchange(t)
+	e.relay.Lost(forward.ConfigTopic)
+	assert.Assert(t, !e.watch(t, 10, time.Millisecond).Relayed)
+	e.clock.now.Add(int64(avoidFor))
+	e.relay.Took(forward.ConfigTopic, listed(12), e.clock.elapsed())
+	assert.Assert(t, e.watch(t, 10, time.Millisecond).Relayed)
+}
+
+// Guards against a relay that is cut off without notice: its connection hears nothing, and
+// the other topics must not wait out their own, longer watches.
+func TestSilentRelayIsLeftInTime(t *testing.T) {
+	e := startExchange(t)
+	proxy, silence := startProxy(t, e.store.relays[0].address)
+	e.store.relays[0].address = proxy
+	e.watch(t, 10, time.Millisecond)
+	long := make(chan forward.Update, 1)
+	go func() {
+		u, _ := e.store.Watch(context.Background(), forward.RolloutTopic, 10, 10*time.Second)
+		long <- u
+	}()
+	time.Sleep(50 * time.Millisecond)
+	silence()
+	started := time.Now()
+	assert.Assert(t, !e.watch(t, 10, 100*time.Millisecond).Relayed)
+	assert.Assert(t, time.Since(started) < time.Second)
+	select {
+	case u := <-long:
+		assert.Assert(t, !u.Relayed)
+	case <-time.After(time.Second):
+		t.Fatal("the watch of another topic still waits at the silent relay")
+	}
+}
+
+// startProxy forwards connections to an address until silence is called; then it holds
+// them open and forwards nothing.
+func startProxy(t *testing.T, to string) (string, func()) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var silent atomic.Bool
+	pipe := func(from, to net.Conn) {
+		buf := make([]byte, 4096)
+		for {
+			n, err := from.Read(buf)
+			if err != nil {
+				_ = to.Close()
+				return
+			}
+			if !silent.Load() {
+				_, _ = to.Write(buf[:n])
+			}
+		}
+	}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", to)
+			if err != nil {
+				_ = near.Close()
+				continue
+			}
+			go pipe(near, far)
+			go pipe(far, near)
+		}
+	}()
+	return listener.Addr().String(), func() { silent.Store(true) }
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -35,6 +35,8 @@
 	// MethodPlacementOrder and MethodPlacementDemand belong to placement.
 	MethodPlacementOrder  = "placement.order"
 	MethodPlacementDemand = "placement.demand"
+	// MethodNews is between gateways.
+	MethodNews = "news"
 )
 
 // helloTimeout bounds dialing and the exchange of hello messages.
