Judge the latency of a new version by the tokens that it read

Ruled out: a wrong record by another gateway (the version was running at step 4 until that write).

Change: times are compared for a prompt of mean length, counting the tokens that the worker had not cached, and an answer counts as slow from 5 times the median on; slow versions of the deployments take 8 times as long. Relays write the state of a rollout first, the others 0.6 s later: in the same log 8 gateways wrote at the same tick, 7 of them in vain.

--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -11,6 +11,7 @@
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/membership"
 	"github.com/borageflow/borageflow/internal/retry"
+	"github.com/borageflow/borageflow/internal/rollout"
 )
 
 // view is the configuration that requests are matched against. It is replaced as a whole.
@@ -260,10 +261,10 @@
 }
 
 // observed records an answer as evidence for a rollout.
-func (c *core) observed(w forward.Worker, kind string, failed bool, firstByte time.Duration) {
+func (c *core) observed(w forward.Worker, a rollout.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rollouts.observed(w, kind, failed, firstByte, c.log)
+	c.rollouts.observed(w, a, c.log)
 }
 
 // budget returns the retry budget of a service. Each process earns repeats from the
--- a/internal/gateway/relays.go
+++ b/internal/gateway/relays.go
@@ -41,6 +41,11 @@
 	return len(s.Relays) > 0 && s.Drain >= needed && s.Apply >= needed
 }
 
+// isRelay reports whether this process passes news on.
+func (s *Settings) isRelay() bool {
+	return s.PeerListen != "" && slices.Contains(s.Relays, s.PeerListen)
+}
+
 // configWatch is the longest watch on the configuration.
 func (s *Settings) configWatch() time.Duration {
 	if s.usesRelays() {
@@ -59,7 +64,7 @@
 	relay := news.NewRelay(relayWatch+s.StoreTimeout+newsAge, elapsed, part)
 	hello := api.Hello{Member: api.Member{Instance: s.Instance, Incarnation: int(started.UnixNano()), FailureDomain: s.FailureDomain, Address: s.PeerListen, State: api.MemberStateReady}}
 	r := &relaying{relay: relay, node: peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello { return hello }})}
-	r.passesOn = s.PeerListen != "" && slices.Contains(s.Relays, s.PeerListen)
+	r.passesOn = s.isRelay()
 	if r.passesOn {
 		return r, direct
 	}
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
 	"gotest.tools/v3/assert"
 
 	"github.com/borageflow/borageflow/internal/forward"
@@ -79,3 +81,26 @@
 		assert.Equal(t, s.usesRelays(), c.want)
 	}
 }
+
+// Guards against all gateways writing the state of a rollout at once: those that are no
+// relay write later than every relay, and still do if no relay has.
+func TestRelaysWriteFirst(t *testing.T) {
+	s := testSettings(t)
+	s.StoreTimeout = 700 * time.Millisecond
+	s.Relays, s.Drain, s.Apply = []string{"127.0.0.1:1"}, 3*time.Second, 3*time.Second
+	latest := func(listen string) (lowest, highest time.Duration) {
+		s.PeerListen, lowest = listen, time.Hour
+		for n := range 50 {
+			s.Instance = fmt.Sprint("gateway-", n)
+			r := newRollouts(s)
+			r.put(0, forward.Rollout{Service: "svc", Target: "v2", Duration: 24 * time.Second}, zap.NewNop())
+			d := r.writeDelay(r.orders["svc"])
+			lowest, highest = min(lowest, d), max(highest, d)
+		}
+		return lowest, highest
+	}
+	_, relays := latest("127.0.0.1:1")
+	others, last := latest("127.0.0.1:2")
+	assert.Assert(t, relays < others)
+	assert.Assert(t, last < 1200*time.Millisecond)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,6 +13,7 @@
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/membership"
+	"github.com/borageflow/borageflow/internal/rollout"
 )
 
 // request is one caller's request on its way through the gateway. One goroutine owns it.
@@ -292,7 +293,10 @@
 	r.ran = true
 	latency := time.Since(a.started)
 	failed := status >= http.StatusInternalServerError
-	r.g.core.observed(a.worker, r.route.Name+"/"+a.model, failed, latency)
+	r.g.core.observed(a.worker, rollout.Answer{
+		Kind: r.route.Name + "/" + a.model, Failed: failed, Worker: a.worker.ID, FirstByte: latency,
+		Tokens: r.call.meta.PromptTokens - r.placement.CachedTokens,
+	})
 	r.runs++
 	if failed {
 		r.answerFailed = true
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -17,9 +17,11 @@
 // rollouts holds the orders of all services. The core's lock guards it.
 type rollouts struct {
 	instance string
-	session  time.Duration
-	listed   bool
-	orders   map[string]*ordered
+	// writesLate is set on instances that hear of changes from relays, which write first.
+	writesLate bool
+	session    time.Duration
+	listed     bool
+	orders     map[string]*ordered
 	// established holds the versions that served before any order, by service.
 	established map[string]map[string]bool
 	sessions    *lru.LRU[sessionKey, sessionVersion]
@@ -47,7 +49,7 @@
 		panic(err) // only a size below 1 fails
 	}
 	return &rollouts{
-		instance: s.Instance, session: s.Session, orders: map[string]*ordered{},
+		instance: s.Instance, writesLate: s.usesRelays() && !s.isRelay(), session: s.Session, orders: map[string]*ordered{},
 		established: map[string]map[string]bool{}, sessions: sessions,
 	}
 }
@@ -190,12 +192,11 @@
 }
 
 // observed records an answer as evidence.
-func (r *rollouts) observed(w forward.Worker, kind string, failed bool, firstByte time.Duration, log *zap.Logger) {
+func (r *rollouts) observed(w forward.Worker, a rollout.Answer, log *zap.Logger) {
 	o := r.orders[w.Service]
 	if o == nil || o.state() == forward.RolloutCompleted || o.state() == forward.RolloutRolledBack {
 		return
 	}
-	a := rollout.Answer{Kind: kind, Failed: failed, Worker: w.ID, FirstByte: firstByte}
 	if w.Version != o.record.Target {
 		o.order.Usual(a)
 		return
@@ -211,12 +212,17 @@
 // to reach the others, shorter than the shortest step of a rollout.
 const writeSpread = 600
 
-// writeDelay spreads the processes, so that usually one of them writes a
-// change and the others learn of it.
+// writeDelay spreads the processes, so that usually one of them writes a change and the
+// others learn of it. Of 28 processes without relays eight wrote at the same tick, and all
+// but one in vain.
 func (r *rollouts) writeDelay(o *ordered) time.Duration {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(r.instance + o.record.Target + string(rune('0'+o.order.Step()))))
-	return time.Duration(h.Sum32()%writeSpread) * time.Millisecond
+	delay := h.Sum32() % writeSpread
+	if r.writesLate {
+		delay += writeSpread
+	}
+	return time.Duration(delay) * time.Millisecond
 }
 
 // rolloutWrite is a change of a recorded state that is due.
--- a/internal/rollout/order.go
+++ b/internal/rollout/order.go
@@ -39,6 +39,8 @@
 	Worker string
 	// FirstByte is the time until the answer began; 0 when unknown.
 	FirstByte time.Duration
+	// Tokens is the length of the prompt without what the worker had cached; 0 when unknown.
+	Tokens int
 }
 
 // Order follows one ordered rollout in one process.
@@ -65,6 +67,22 @@
 	failed  baseline
 	slow    baseline
 	latency median
+	// tokens is the mean of Answer.Tokens.
+	tokens float64
+}
+
+// tokensGain is the weight of one answer in the mean of the tokens.
+const tokensGain = 0.05
+
+// milliseconds is the time to the first byte for a prompt of mean length: half of the time
+// does not depend on the length. The workers of a new version have cached nothing, and a
+// prompt read whole took 3.2 times as long.
+func (u *usualAnswers) milliseconds(a Answer) float64 {
+	ms := float64(a.FirstByte) / float64(time.Millisecond)
+	if u.tokens <= 0 || a.Tokens <= 0 {
+		return ms
+	}
+	return ms / (0.5 + 0.5*float64(a.Tokens)/u.tokens)
 }
 
 // NewOrder follows a rollout from a recorded step.
@@ -148,7 +166,11 @@
 	if a.FirstByte <= 0 || a.Failed {
 		return
 	}
-	ms := float64(a.FirstByte) / float64(time.Millisecond)
+	if u.tokens == 0 {
+		u.tokens = float64(a.Tokens)
+	}
+	u.tokens += tokensGain * (float64(a.Tokens) - u.tokens)
+	ms := u.milliseconds(a)
 	if u.latency.value == 0 {
 		u.latency.value = ms
 	}
@@ -157,8 +179,9 @@
 }
 
 // slowFactor is how many times the usual median an answer of the target must take to
-// count as slow. Prompts of one kind differ by a factor of three.
-const slowFactor = 3.0
+// count as slow. Slow versions of the deployments take 8 times as long; a good one took 3
+// times as long while its workers had cached nothing and fell behind.
+const slowFactor = 5.0
 
 func (o *Order) usualOf(kind string) *usualAnswers {
 	u := o.usual[kind]
@@ -188,7 +211,7 @@
 	}
 	o.judge(one, failed, p0, "errors of one kind of request")
 	if a.FirstByte > 0 && !a.Failed && u.latency.value > 0 {
-		ms := float64(a.FirstByte) / float64(time.Millisecond)
+		ms := u.milliseconds(a)
 		slow := counts{1, boolCount(ms > slowFactor*u.latency.value)}
 		if slow.bad > 0 {
 			o.badBy[a.Worker]++
--- a/internal/rollout/order_test.go
+++ b/internal/rollout/order_test.go
@@ -99,6 +99,27 @@
 	assert.Equal(t, o.Step(), 3)
 }
 
+// The workers of a new version have cached nothing: a prompt of 9,190 tokens of which 6,300
+// are usually cached is read whole, and the workers fall behind at first. That must not be
+// taken for a slow version.
+func TestColdCachesDoNotTakeBackVersion(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		o := NewOrder("svc", "v2", orderTime, 4, 0)
+		for range 300 {
+			size := 0.5 + rng.Float64()
+			o.Usual(Answer{Kind: "r", Tokens: int(2890 * size), FirstByte: time.Duration(float64(100*time.Millisecond) * size)})
+		}
+		for i := range 200 {
+			size := 0.5 + rng.Float64()
+			behind := 1 + 0.5*rng.Float64()
+			o.Observed(Answer{Kind: "r", Worker: fmt.Sprint(i % 9), Tokens: int(9190 * size), FirstByte: time.Duration(float64(320*time.Millisecond) * size * behind)})
+		}
+		bad, reason := o.Bad()
+		assert.Assert(t, !bad, "seed %d: %s", seed, reason)
+	}
+}
+
 // A version that answers several times slower must be found by its latency.
 func TestSlowVersionIsTakenBack(t *testing.T) {
 	o := NewOrder("svc", "v2", orderTime, 1, 0)
