Let one topic ask for all while the store is away

Cause: during an outage of the store each gateway asked for each of three topics every 0.8 s, and each call is priced, also a refused one. A relay that refused a question, for example while it started, was left for 5 s.

Change: workers and rollouts pause up to 2 s; the first topic that is answered ends the pauses of the others (renewals). A relay that refuses at once is asked again after 1 s, a silent one after 5 s.

Before: TestOneTopicAsksForAllDuringOutage counted 23 calls in 4 s. After: it passes (at most 21), and the list of workers is known within 1 s of the return.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -15,6 +15,9 @@
 const (
 	firstPause = 100 * time.Millisecond
 	maxPause   = 800 * time.Millisecond
+	// maxLongPause is for the topics whose pause ends when another topic is answered again.
+	// Calls during an outage cost as much as others.
+	maxLongPause = 2 * time.Second
 )
 
 // pageOfChanges is the number of changes from which an answer may be a page of many: the
@@ -26,6 +29,8 @@
 	topic forward.Topic
 	store forward.Store
 	wait  time.Duration
+	// maxPause bounds the pause after failed calls.
+	maxPause time.Duration
 	// gather is the pause after a change, in which further changes are gathered into one call.
 	gather time.Duration
 	// apply takes an update; confirmed is a time at which it was the newest.
@@ -114,8 +119,10 @@
 	}
 	f.lost()
 	f.relaying.lost(f.topic)
-	f.pause = min(max(2*f.pause, firstPause), maxPause)
-	f.rest(ctx, f.pause)
+	f.pause = min(max(2*f.pause, firstPause), f.maxPause)
+	waiting, end := f.renewals.begin(ctx, f)
+	defer end()
+	f.rest(waiting, f.pause)
 }
 
 func (f *follower) rest(ctx context.Context, d time.Duration) {
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -41,3 +41,26 @@
 	assert.Equal(t, b.store.lists, before)
 	assert.Assert(t, before <= 9, "%d lists", before)
 }
+
+// Guards against a price for each topic while the store is away, and against topics that
+// are learned late after it: one topic asks often, and its success ends the pauses of the
+// others.
+func TestOneTopicAsksForAllDuringOutage(t *testing.T) {
+	b := startGateway(t)
+	b.store.setDown(true)
+	time.Sleep(4 * time.Second)
+	b.store.mu.Lock()
+	calls := b.store.lists
+	b.store.mu.Unlock()
+	b.store.setDown(false)
+	b.store.putWorker(forward.Worker{ID: "w", Service: "svc", Address: "127.0.0.1:1"})
+	back := time.Now()
+	b.waitFor("worker is known", func() bool {
+		b.gateway.core.mu.Lock()
+		defer b.gateway.core.mu.Unlock()
+		return len(b.gateway.core.known) == 1
+	})
+	assert.Assert(t, time.Since(back) < maxPause+200*time.Millisecond, "known after %v", time.Since(back))
+	// At 0.1, 0.2, 0.4 s and then every 0.8 s or 2 s: 7 and twice 5, and 3 at the start.
+	assert.Assert(t, calls <= 21, "%d calls", calls)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -126,11 +126,11 @@
 	lost := func() {}
 	renewals := newRenewals()
 	followers := []*follower{
-		{topic: forward.ConfigTopic, store: g.store, wait: g.settings.configWatch(), gather: gatherConfig, apply: g.applyConfig, lost: lost, called: g.metrics.storeCall, renewals: renewals, log: log},
-		{topic: forward.WorkerTopic, store: g.store, wait: g.settings.LongWatch, gather: gatherWorkers, apply: func(u *forward.Update, _ time.Duration) {
+		{topic: forward.ConfigTopic, store: g.store, wait: g.settings.configWatch(), maxPause: maxPause, gather: gatherConfig, apply: g.applyConfig, lost: lost, called: g.metrics.storeCall, renewals: renewals, log: log},
+		{topic: forward.WorkerTopic, store: g.store, wait: g.settings.LongWatch, maxPause: maxLongPause, gather: gatherWorkers, apply: func(u *forward.Update, _ time.Duration) {
 			g.core.applyWorkers(elapsed(), u)
 		}, lost: g.core.storeLost, called: g.metrics.storeCall, renewals: renewals, log: log},
-		{topic: forward.RolloutTopic, store: g.store, wait: g.settings.LongWatch, gather: gatherRollouts, apply: func(u *forward.Update, _ time.Duration) {
+		{topic: forward.RolloutTopic, store: g.store, wait: g.settings.LongWatch, maxPause: maxLongPause, gather: gatherRollouts, apply: func(u *forward.Update, _ time.Duration) {
 			g.core.applyRollouts(elapsed(), u)
 		}, lost: lost, called: g.metrics.storeCall, renewals: renewals, log: log},
 	}
--- a/internal/gateway/renewal.go
+++ b/internal/gateway/renewal.go
@@ -24,7 +24,7 @@
 	return &renewals{waiting: map[*follower]context.CancelFunc{}, last: -renewalRest}
 }
 
-// begin registers a call of a follower; the returned context ends early at a renewal.
+// begin registers a call of a follower, or its pause after a failed one; the returned context ends early at a renewal.
 func (r *renewals) begin(ctx context.Context, f *follower) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	r.mu.Lock()
--- a/internal/news/store.go
+++ b/internal/news/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -13,10 +14,14 @@
 	"github.com/borageflow/borageflow/internal/peer"
 )
 
-// avoidFor is how long a relay that gave no news is not asked again: long enough that a
-// gateway does not alternate between a relay that is cut off and the store, short beside
-// the outages of a deployment.
-const avoidFor = 5 * time.Second
+const (
+	// avoidSilent is how long a relay that did not answer in time is not asked again: each
+	// question to it costs the whole time-out in which nothing is heard.
+	avoidSilent = 5 * time.Second
+	// avoidRefusing is the same for one that refused at once, because it starts, leaves or has
+	// no news itself. Such a question costs nothing, while the store is asked instead.
+	avoidRefusing = time.Second
+)
 
 // Linker opens links to other gateways; peer.Node is one.
 type Linker interface {
@@ -87,6 +92,9 @@
 	return u, err
 }
 
+// silent reports whether a relay did not answer in time, rather than refuse.
+func silent(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
+
 // Relay returns the relay that is asked now, or "" when the store is.
 func (s *Store) Relay() string {
 	s.mu.Lock()
@@ -104,13 +112,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
+	pause := avoidRefusing
+	if silent(err) {
+		pause = avoidSilent
+	}
 	for i := range s.relays {
 		if s.relays[i].address != address {
 			continue
 		}
 		if now >= s.relays[i].until {
-			s.log.Info("relay has no news, asking elsewhere", zap.String("relay", address), zap.Stringer("topic", topic), zap.Duration("for", avoidFor), zap.Error(err))
+			s.log.Info("relay has no news, asking elsewhere", zap.String("relay", address), zap.Stringer("topic", topic), zap.Duration("for", pause), zap.Error(err))
 		}
-		s.relays[i].until = now + avoidFor
+		s.relays[i].until = max(s.relays[i].until, now+pause)
 	}
 }
--- a/internal/news/store_test.go
+++ b/internal/news/store_test.go
@@ -118,7 +118,7 @@
 	e := startExchange(t)
 	e.relay.Lost(forward.ConfigTopic)
 	assert.Assert(t, !e.watch(t, 10, time.Millisecond).Relayed)
-	e.clock.now.Add(int64(avoidFor))
+	e.clock.now.Add(int64(avoidRefusing))
 	e.relay.Took(forward.ConfigTopic, listed(12), e.clock.elapsed())
 	assert.Assert(t, e.watch(t, 10, time.Millisecond).Relayed)
 }
@@ -146,6 +146,8 @@
 	case <-time.After(time.Second):
 		t.Fatal("the watch of another topic still waits at the silent relay")
 	}
+	e.clock.now.Add(int64(avoidSilent) - 1)
+	assert.Equal(t, e.store.Relay(), "")
 }
 
 // startProxy forwards connections to an address until silence is called; then it holds
