Notice each loss of history; list at a relay what was heard of before

The store lost its history twice: the topics listed again at 1.9 s, and the loss at 2.3 s was noticed by the configuration only, whose announcement fell into the 2 s in which none is repeated. Workers and rollouts heard nothing until 12.2 s. And a gateway cut off from the store listed there in vain and stopped accepting keys, although relays had news.

Change: an answer that the history is gone always makes the other topics list again. A topic that was heard of before is listed at a relay if the relay is not behind; the first list comes from the store.

Before: TestSecondLossOfHistoryIsNoticed failed (999 ms). After: it passes.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -78,7 +78,7 @@
 
 func (f *follower) answered(u *forward.Update, sent time.Duration) {
 	if f.failing {
-		renews := f.renewals.announce(f, elapsed())
+		renews := f.renewals.answersAgain(f, elapsed())
 		f.log.Info("store answers again", zap.Stringer("topic", f.topic), zap.Bool("other_topics_listed_again", renews))
 		f.failing = false
 	}
@@ -107,8 +107,8 @@
 	f.listed = false
 	switch {
 	case errors.Is(err, forward.ErrHistoryGone):
-		renews := f.renewals.announce(f, elapsed())
-		f.log.Info("history of the store is gone, listing again", zap.Stringer("topic", f.topic), zap.Int64("revision", f.revision), zap.Bool("other_topics_listed_again", renews))
+		f.renewals.historyGone(f, elapsed())
+		f.log.Info("history of the store is gone, all topics are listed again", zap.Stringer("topic", f.topic), zap.Int64("revision", f.revision))
 		return
 	case renewed:
 		return
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -64,3 +64,25 @@
 	// At 0.1, 0.2, 0.4 s and then every 0.8 s or 2 s: 7 and twice 5, and 3 at the start.
 	assert.Assert(t, calls <= 21, "%d calls", calls)
 }
+
+// Guards against a second loss of the history right after the first: the topics that have
+// just listed again watch a history that is gone as well.
+func TestSecondLossOfHistoryIsNoticed(t *testing.T) {
+	b := startGateway(t)
+	b.store.loseHistory()
+	b.waitFor("all topics are listed again", func() bool {
+		b.store.mu.Lock()
+		defer b.store.mu.Unlock()
+		return b.store.lists >= 6
+	})
+	b.waitFor("rollouts are watched", func() bool { return b.store.watchesOf(forward.RolloutTopic) > 0 })
+	b.store.loseHistory()
+	b.store.putRollout(forward.Rollout{Service: "svc", Target: "v2", Duration: time.Minute})
+	put := time.Now()
+	b.waitFor("order is known", func() bool {
+		b.gateway.core.mu.Lock()
+		defer b.gateway.core.mu.Unlock()
+		return b.gateway.core.rollouts.orders["svc"] != nil
+	})
+	assert.Assert(t, time.Since(put) < 600*time.Millisecond, "known after %v", time.Since(put))
+}
--- a/internal/gateway/renewal.go
+++ b/internal/gateway/renewal.go
@@ -16,8 +16,8 @@
 	last    time.Duration
 }
 
-// renewalRest is the least time between two renewals. All followers of a store notice one
-// outage within it.
+// renewalRest is the least time between two renewals because the store answers again. All
+// followers of a store notice one outage within it.
 const renewalRest = 2 * time.Second
 
 func newRenewals() *renewals {
@@ -38,18 +38,31 @@
 	}
 }
 
-// announce ends the calls of all followers but f. It reports whether it did.
-func (r *renewals) announce(f *follower, now time.Duration) bool {
+// answersAgain ends the calls of all followers but f, unless that has just been done. It
+// reports whether it did.
+func (r *renewals) answersAgain(f *follower, now time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if now-r.last < renewalRest {
 		return false
 	}
+	r.renew(f, now)
+	return true
+}
+
+// historyGone ends the calls of all followers but f. Each loss counts, also one right after
+// another; a follower that lists after it does not meet the same one again.
+func (r *renewals) historyGone(f *follower, now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.renew(f, now)
+}
+
+func (r *renewals) renew(f *follower, now time.Duration) {
 	r.last = now
 	for other, cancel := range r.waiting {
 		if other != f {
 			cancel()
 		}
 	}
-	return true
 }
--- a/internal/news/store.go
+++ b/internal/news/store.go
@@ -21,15 +21,22 @@
 	// avoidRefusing is the same for one that refused at once, because it starts, leaves or has
 	// no news itself. Such a question costs nothing, while the store is asked instead.
 	avoidRefusing = time.Second
+	// directPause is the time between calls to a store that does not answer, while relays are
+	// asked more often: they notice its return first. It does not hold for the configuration:
+	// its age decides whether keys are accepted, and a slow store answers some calls in time.
+	directPause = 2 * time.Second
 )
 
+// errStoreAway stands for a call that is not made because the last one has just failed.
+var errStoreAway = errors.New("store did not answer just now and no relay has news")
+
 // Linker opens links to other gateways; peer.Node is one.
 type Linker interface {
 	Link(ctx context.Context, address string) (*peer.Link, error)
 }
 
-// Store is the store as a gateway sees it that gets its news from relays. It lists and
-// writes at the store itself, and watches there while no relay has news.
+// Store is the store as a gateway sees it that gets its news from relays. It writes at the
+// store itself, and lists and watches there while no relay has news.
 type Store struct {
 	forward.Store
 	linker Linker
@@ -40,6 +47,15 @@
 
 	mu     sync.Mutex
 	relays []relayState
+	known  map[forward.Topic]known
+}
+
+// known is what this gateway has heard of a topic.
+type known struct {
+	// revision is the highest that it was told; an older list would take it back.
+	revision int64
+	// failed is when the store last failed to answer; zero after an answer.
+	failed Elapsed
 }
 
 type relayState struct {
@@ -50,7 +66,7 @@
 // NewStore returns a Store in front of a direct one. Each instance has its own order of the
 // relays, so that they share the questions.
 func NewStore(direct forward.Store, linker Linker, instance string, relays []string, timeout time.Duration, clock func() Elapsed, log *zap.Logger) *Store {
-	s := &Store{Store: direct, linker: linker, timeout: timeout, clock: clock, log: log}
+	s := &Store{Store: direct, linker: linker, timeout: timeout, clock: clock, log: log, known: map[forward.Topic]known{}}
 	ordered := slices.Clone(relays)
 	slices.SortFunc(ordered, func(a, b string) int {
 		if xxhash.Sum64String(instance+"/"+a) < xxhash.Sum64String(instance+"/"+b) {
@@ -64,16 +80,86 @@
 	return s
 }
 
+// List implements forward.Store. A relay that is behind what was heard before is not used.
+// The first list comes from the store: after a power loss the relays are starting too, and
+// a connection to one that is not up yet hangs.
+func (s *Store) List(ctx context.Context, topic forward.Topic) (forward.Update, error) {
+	direct := func() (forward.Update, error) { return s.Store.List(ctx, topic) }
+	if s.heardOf(topic) {
+		return s.hear(ctx, topic, 0, 0, direct)
+	}
+	u, err := direct()
+	if err == nil {
+		s.heard(topic, &u)
+	}
+	return u, err
+}
+
+// heardOf reports whether there was an answer about a topic.
+func (s *Store) heardOf(topic forward.Topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.known[topic].revision > 0
+}
+
 // Watch implements forward.Store.
 func (s *Store) Watch(ctx context.Context, topic forward.Topic, revision int64, wait time.Duration) (forward.Update, error) {
+	return s.hear(ctx, topic, revision, wait, func() (forward.Update, error) { return s.Store.Watch(ctx, topic, revision, wait) })
+}
+
+// hear asks a relay, and the store when the relay has no news.
+func (s *Store) hear(ctx context.Context, topic forward.Topic, revision int64, wait time.Duration, direct func() (forward.Update, error)) (forward.Update, error) {
 	if address := s.Relay(); address != "" {
 		u, err := s.watchAt(ctx, address, topic, revision, wait)
-		if err == nil || ctx.Err() != nil {
-			return u, err
+		switch {
+		case err == nil && (u.Full || revision > 0) && s.heard(topic, &u):
+			return u, nil
+		case ctx.Err() != nil:
+			return forward.Update{}, ctx.Err()
+		case err != nil:
+			s.avoid(address, topic, err)
 		}
-		s.avoid(address, topic, err)
 	}
-	return s.Store.Watch(ctx, topic, revision, wait)
+	if s.justFailed(topic) {
+		return forward.Update{}, errStoreAway
+	}
+	u, err := direct()
+	if err != nil {
+		if ctx.Err() == nil && !errors.Is(err, forward.ErrHistoryGone) {
+			s.failed(topic)
+		}
+		return u, err
+	}
+	s.heard(topic, &u)
+	return u, nil
+}
+
+// heard records an answer. It reports whether the answer is as new as those before.
+func (s *Store) heard(topic forward.Topic, u *forward.Update) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.known[topic]
+	if u.Relayed && u.Revision < k.revision {
+		return false
+	}
+	// The store may have been set back; what it says itself holds.
+	s.known[topic] = known{revision: u.Revision}
+	return true
+}
+
+func (s *Store) failed(topic forward.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.known[topic]
+	k.failed = s.clock()
+	s.known[topic] = k
+}
+
+func (s *Store) justFailed(topic forward.Topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	failed := s.known[topic].failed
+	return topic != forward.ConfigTopic && failed > 0 && s.clock()-failed < directPause
 }
 
 func (s *Store) watchAt(ctx context.Context, address string, topic forward.Topic, revision int64, wait time.Duration) (forward.Update, error) {
--- a/internal/news/store_test.go
+++ b/internal/news/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -18,11 +19,25 @@
 // directStore counts the watches that reach the store.
 type directStore struct {
 	forward.Store
-	watches atomic.Int64
+	watches, lists atomic.Int64
+	down           atomic.Bool
+}
+
+var errDown = errors.New("store is down")
+
+func (d *directStore) List(context.Context, forward.Topic) (forward.Update, error) {
+	d.lists.Add(1)
+	if d.down.Load() {
+		return forward.Update{}, errDown
+	}
+	return forward.Update{Revision: 99, Full: true}, nil
 }
 
 func (d *directStore) Watch(context.Context, forward.Topic, int64, time.Duration) (forward.Update, error) {
 	d.watches.Add(1)
+	if d.down.Load() {
+		return forward.Update{}, errDown
+	}
 	return forward.Update{Revision: 99}, nil
 }
 
@@ -120,7 +135,59 @@
 	assert.Assert(t, !e.watch(t, 10, time.Millisecond).Relayed)
 	e.clock.now.Add(int64(avoidRefusing))
 	e.relay.Took(forward.ConfigTopic, listed(12), e.clock.elapsed())
-	assert.Assert(t, e.watch(t, 10, time.Millisecond).Relayed)
+	assert.Assert(t, e.watch(t, 99, time.Millisecond).Relayed)
+}
+
+// Guards against a gateway without a way to the store that serves nothing although a relay
+// has news, and against one that is taken back by a relay that is behind.
+func TestListComesFromRelayThatIsNotBehind(t *testing.T) {
+	e := startExchange(t)
+	e.relay.Took(forward.WorkerTopic, listed(20, worker("a")), e.clock.elapsed())
+	e.watch(t, 10, time.Millisecond)
+	e.direct.down.Store(true)
+	u, err := e.store.List(context.Background(), forward.WorkerTopic)
+	assert.NilError(t, err)
+	assert.Assert(t, u.Relayed && u.Full)
+	assert.DeepEqual(t, u.Workers, []forward.WorkerChange{worker("a")})
+
+	e.direct.down.Store(false)
+	e.relay.Lost(forward.WorkerTopic)
+	assert.Equal(t, e.watch(t, 20, time.Millisecond).Revision, int64(99))
+	e.clock.now.Add(int64(avoidRefusing))
+	e.relay.Took(forward.ConfigTopic, listed(20), e.clock.elapsed())
+	e.relay.Took(forward.WorkerTopic, listed(30, worker("a")), e.clock.elapsed())
+	u, err = e.store.List(context.Background(), forward.WorkerTopic)
+	assert.NilError(t, err)
+	assert.Assert(t, !u.Relayed, "a list as of revision 30 came after news as of 99")
+}
+
+// Guards against a start that waits for relays which are starting too.
+func TestFirstListComesFromStore(t *testing.T) {
+	e := startExchange(t)
+	u, err := e.store.List(context.Background(), forward.WorkerTopic)
+	assert.NilError(t, err)
+	assert.Assert(t, !u.Relayed)
+	assert.Equal(t, e.direct.lists.Load(), int64(1))
+}
+
+// Guards against calls that grow with the number of gateways while the store is away.
+func TestStoreIsAskedSeldomWhileAway(t *testing.T) {
+	e := startExchange(t)
+	e.watch(t, 10, time.Millisecond)
+	e.relay.Lost(forward.ConfigTopic)
+	e.direct.down.Store(true)
+	for range 100 { // 10 s
+		_, err := e.store.List(context.Background(), forward.WorkerTopic)
+		assert.Assert(t, err != nil)
+		e.clock.now.Add(int64(100 * time.Millisecond))
+	}
+	assert.Equal(t, e.direct.lists.Load(), int64(5))
+	e.direct.down.Store(false)
+	e.relay.Took(forward.ConfigTopic, listed(20), e.clock.elapsed())
+	e.clock.now.Add(int64(avoidRefusing))
+	u, err := e.store.List(context.Background(), forward.WorkerTopic)
+	assert.NilError(t, err)
+	assert.Assert(t, u.Relayed)
 }
 
 // Guards against a relay that is cut off without notice: its connection hears nothing, and
