Compress long updates between gateways

Cause: relays sent 7.5 kB/s to each of 300 gateways: configurations of 22 kB and series of workers' entries, as plain JSON.

Change: an update of 512 bytes or more is sent as DEFLATE in base64, compressed once by the relay. What it unpacks to is bounded.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1250,7 +1250,8 @@
 	Revision int `json:"revision"`
 
 	// Updates are the gateway's own encoding of the changes, in their order; gateways
-	// of one deployment run the same version.
+	// of one deployment run the same version. A long one is a string, its DEFLATE
+	// compression in base64.
 	Updates []json.RawMessage `json:"updates,omitempty,omitzero"`
 }
 
--- a/internal/news/board.go
+++ b/internal/news/board.go
@@ -31,6 +31,7 @@
 	maxAge  time.Duration
 	topics  map[forward.Topic]*topic
 	leaving bool
+	packer  packer
 }
 
 type topic struct {
@@ -98,7 +99,7 @@
 		t.whole = nil
 	}
 	if changed && !base {
-		raw, err := encode(changes)
+		raw, err := b.encode(changes)
 		if err != nil {
 			return false, err
 		}
@@ -229,7 +230,7 @@
 		return a, len(a.Updates) > 0, nil
 	}
 	if t.whole == nil {
-		raw, err := encode(t.list())
+		raw, err := b.encode(t.list())
 		if err != nil {
 			return a, false, err
 		}
@@ -258,18 +259,25 @@
 }
 
 // encode leaves out the faults: they are logged where the store was read.
-func encode(u *forward.Update) (json.RawMessage, error) {
+func (b *Board) encode(u *forward.Update) (json.RawMessage, error) {
 	told := *u
 	told.Faults = nil
 	raw, err := json.Marshal(&told)
-	return raw, eris.Wrap(err, "update cannot be encoded")
+	if err != nil {
+		return nil, eris.Wrap(err, "update cannot be encoded")
+	}
+	return b.packer.pack(raw)
 }
 
 // Merge decodes the updates of an answer into one.
 func Merge(a Answer) (forward.Update, error) {
 	out := forward.Update{Revision: a.Revision, Full: a.Full, Age: a.Age, Relayed: true}
-	for _, raw := range a.Updates {
+	for _, packed := range a.Updates {
 		var u forward.Update
+		raw, err := unpack(packed)
+		if err != nil {
+			return forward.Update{}, err
+		}
 		if err := json.Unmarshal(raw, &u); err != nil {
 			return forward.Update{}, eris.Wrap(err, "news cannot be decoded")
 		}
--- a/internal/news/board_test.go
+++ b/internal/news/board_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -25,6 +27,16 @@
 	return u
 }
 
+// manyWorkers returns workers whose names and addresses differ as much as real ones.
+func manyWorkers(n int) []forward.WorkerChange {
+	out := make([]forward.WorkerChange, n)
+	for i := range out {
+		out[i] = worker("i-" + strconv.FormatUint(uint64(i)*0x9e3779b97f4a7c15, 16))
+		out[i].Address = fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250)
+	}
+	return out
+}
+
 // boardAt returns a Board that confirmed all topics at a time.
 func boardAt(t *testing.T, at Elapsed) *Board {
 	t.Helper()
@@ -171,10 +183,7 @@
 // restart of all: they took 0.04 of worth at 300 gateways. A gateway without a way to the
 // store still gets them.
 func TestLongListIsLeftToStore(t *testing.T) {
-	var many []forward.WorkerChange
-	for i := range 1000 {
-		many = append(many, worker(strconv.Itoa(i)))
-	}
+	many := manyWorkers(3000)
 	b := boardAt(t, 0)
 	_, err := b.Took(forward.WorkerTopic, listed(20, many...), 0)
 	assert.NilError(t, err)
@@ -267,10 +276,39 @@
 	assert.DeepEqual(t, got.Rollouts, sent.Rollouts)
 }
 
+// Guards against bytes between failure domains: a configuration and a series of workers
+// are sent to every gateway.
+func TestLongUpdatesArePacked(t *testing.T) {
+	many := manyWorkers(100)
+	b := boardAt(t, 0)
+	_, err := b.Took(forward.WorkerTopic, update(11, many...), 0)
+	assert.NilError(t, err)
+	_, err = b.Took(forward.WorkerTopic, update(12, many[0]), 0)
+	assert.NilError(t, err)
+	plain, err := json.Marshal(update(11, many...))
+	assert.NilError(t, err)
+	a, _, err := b.Since(0, forward.WorkerTopic, 10, false)
+	assert.NilError(t, err)
+	assert.Assert(t, len(a.Updates[0]) < len(plain)/3, "%d of %d bytes", len(a.Updates[0]), len(plain))
+	u, err := Merge(a)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, u.Workers, many)
+}
+
+// Guards against a small message that fills the memory of a gateway.
+func TestUnpackedUpdatesAreBounded(t *testing.T) {
+	var p packer
+	packed, err := p.pack(json.RawMessage(`"` + strings.Repeat("a", maxUnpacked) + `"`))
+	assert.NilError(t, err)
+	_, err = Merge(Answer{Updates: []json.RawMessage{packed}})
+	assert.ErrorContains(t, err, "longer than")
+}
+
 // Guards against a decoder that panics on what another process sends.
 func FuzzMerge(f *testing.F) {
 	f.Add([]byte(`{"Workers":[{"ID":"a","Removed":true}]}`))
 	f.Add([]byte(`{"Configs":[null]}`))
+	f.Add([]byte(`"qlZyzs9Ly0xXsoqurgUA"`))
 	f.Fuzz(func(_ *testing.T, raw []byte) {
 		u, err := Merge(Answer{Updates: []json.RawMessage{raw}})
 		if err != nil {
--- a/internal/news/store_test.go
+++ b/internal/news/store_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net"
-	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -211,10 +210,7 @@
 // without a way to the store that then gets no news at all.
 func TestGapIsFilledByStore(t *testing.T) {
 	e := startExchange(t)
-	var many []forward.WorkerChange
-	for i := range 1000 {
-		many = append(many, worker(strconv.Itoa(i)))
-	}
+	many := manyWorkers(3000)
 	list := func() forward.Update {
 		u, err := e.store.List(context.Background(), forward.WorkerTopic)
 		assert.NilError(t, err)
@@ -228,7 +224,7 @@
 	assert.ErrorIs(t, err, errDown)
 	u := list()
 	assert.Assert(t, u.Relayed && u.Full)
-	assert.Equal(t, len(u.Workers), 1000)
+	assert.Equal(t, len(u.Workers), len(many))
 
 	e.direct.down.Store(false)
 	e.direct.ahead.Store(10)
