Weigh shared prompt parts by their length in placement

Cause: the holder of a prompt's shared parts got a request only while it had at most 3 requests more than the least loaded worker.

Change: the holder may have one request more for each 600 tokens of the shared parts.

--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -14,10 +14,10 @@
 type PlaceOptions struct {
 	// FailureDomain is where the process runs.
 	FailureDomain string
-	// CacheAllowance is how many requests more than the least loaded worker the holder of
-	// cached prompt parts may have. 0 lost cached parts to noise in the load, 8 built
-	// queues on calm days; see docs/decisions/forwarding.md.
-	CacheAllowance float64
+	// TokensPerRequest is how many cached tokens weigh as much as one request more than the
+	// least loaded worker has. An engine reads some 600 tokens in the time of one step; see
+	// docs/decisions/forwarding.md.
+	TokensPerRequest float64
 	// DomainPenalty is what another failure domain counts for, in requests.
 	DomainPenalty float64
 	// PoolPenalty is what a worker of the other pool counts for, in requests.
@@ -29,8 +29,8 @@
 }
 
 func (o PlaceOptions) withDefaults() PlaceOptions {
-	if o.CacheAllowance == 0 {
-		o.CacheAllowance = 3
+	if o.TokensPerRequest == 0 {
+		o.TokensPerRequest = 600
 	}
 	if o.DomainPenalty == 0 {
 		o.DomainPenalty = 0.5
@@ -144,9 +144,10 @@
 	Candidates int
 }
 
-// Pick chooses the worker of a request: the one that has cached most of the prompt if
-// it has few requests more than the least loaded one, otherwise the least loaded one.
-// This answers loads at which workers have free slots; Full answers the others.
+// Pick chooses the worker of a request: the one that has cached most of the prompt if the
+// requests that it has more than the least loaded one cost less than reading the shared
+// parts again, otherwise the least loaded one. This answers loads up to the capacity of the
+// workers, where reading is most of their work; above it the Escalator takes work off them.
 func (p *Placer) Pick(now Elapsed, q Query, rng *rand.Rand) (Placement, bool) {
 	if q.Heavy {
 		p.sawHeavy(q.Service)
@@ -157,7 +158,8 @@
 	}
 	cached := 0
 	if len(q.Prompt) > 0 {
-		if s, tokens := p.cachedAt(now, &q, leastScore+p.opts.CacheAllowance); s != nil {
+		allowance := float64(sharedTokens(q.Prompt)) / p.opts.TokensPerRequest
+		if s, tokens := p.cachedAt(now, &q, leastScore+allowance); s != nil {
 			best, cached = s, tokens
 		}
 	}
--- a/internal/news/board.go
+++ b/internal/news/board.go
@@ -207,18 +207,7 @@
 		return a, false, nil
 	}
 	a.Revision = last
-	// A revision between two entries is one that the store told the other side itself. The
-	// next entry then repeats some of its changes, which ends in the same state.
-	from := -1
-	for i, e := range t.entries {
-		if e.revision <= revision {
-			from = i
-		}
-	}
-	if from+1 < len(t.entries) && t.entries[from+1].relisted && (from < 0 || t.entries[from].revision < revision) {
-		from = -1
-	}
-	if from >= 0 {
+	if from := t.reaches(revision); from >= 0 {
 		for _, e := range t.entries[from+1:] {
 			if e.update != nil {
 				a.Updates = append(a.Updates, e.update)
@@ -244,6 +233,23 @@
 	return a, true, nil
 }
 
+// reaches returns the entry after which the changes since a revision begin, or -1 when they
+// are not held. A revision between two entries is one that the store told the other side
+// itself. The next entry then repeats some of its changes, which ends in the same state,
+// unless it is the difference between two lists.
+func (t *topic) reaches(revision int64) int {
+	from := -1
+	for i, e := range t.entries {
+		if e.revision <= revision {
+			from = i
+		}
+	}
+	if from < 0 || t.entries[from].revision == revision || from+1 == len(t.entries) || !t.entries[from+1].relisted {
+		return from
+	}
+	return -1
+}
+
 func (t *topic) list() *forward.Update {
 	u := &forward.Update{Full: true}
 	if t.config != nil {
