Compile each schema at its first use

Change: schemacheck.Embedded compiles on first use. A test compiles every embedded schema, which a start did before.

--- a/internal/burn/read.go
+++ b/internal/burn/read.go
@@ -12,7 +12,7 @@
 	"github.com/borageflow/borageflow/internal/trace"
 )
 
-var counterSchema = schemacheck.MustLoad("counters")
+var counterSchema = schemacheck.Embedded("counters")
 
 // ReadTrace feeds every record of a trace.
 func (m *Meter) ReadTrace(r io.Reader) error {
--- a/internal/claims/trace_test.go
+++ b/internal/claims/trace_test.go
@@ -97,7 +97,7 @@
 
 // checkStored decodes every object by its schema.
 func checkStored(t *testing.T, s *sim) {
-	schema := schemacheck.MustLoad("claims")
+	schema := schemacheck.Embedded("claims")
 	for key, o := range s.objects {
 		if window, _, _ := parseKey(key); window < 0 {
 			continue
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -38,7 +38,7 @@
 	defaultAlive        = time.Second
 )
 
-var settingsSchema = schemacheck.MustLoad("settings")
+var settingsSchema = schemacheck.Embedded("settings")
 
 // ReadSettings reads and checks a settings file. The error lists every fault.
 func ReadSettings(file string) (api.Settings, error) {
--- a/internal/devcluster/topology.go
+++ b/internal/devcluster/topology.go
@@ -11,7 +11,7 @@
 	"github.com/borageflow/borageflow/internal/standin/service"
 )
 
-var topologySchema = schemacheck.MustLoad("dev")
+var topologySchema = schemacheck.Embedded("dev")
 
 // ParseTopology checks the description of the stand-ins of borageflow dev.
 func ParseTopology(raw []byte) (api.DevTopology, error) {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -37,7 +37,7 @@
 	maxSecondsInSetting = 3600
 )
 
-var settingsSchema = schemacheck.MustLoad("gateway")
+var settingsSchema = schemacheck.Embedded("gateway")
 
 // Settings are the checked settings of a gateway.
 type Settings struct {
--- a/internal/loadgen/plan.go
+++ b/internal/loadgen/plan.go
@@ -12,7 +12,7 @@
 	"github.com/borageflow/borageflow/internal/schemacheck"
 )
 
-var planSchema = schemacheck.MustLoad("loadplan")
+var planSchema = schemacheck.Embedded("loadplan")
 
 // DecodePlan decodes and checks a plan. The error is schemacheck.Faults and
 // names every fault.
--- a/internal/manifest/check.go
+++ b/internal/manifest/check.go
@@ -12,7 +12,7 @@
 	"github.com/borageflow/borageflow/internal/schemacheck"
 )
 
-var manifestSchema = schemacheck.MustLoad("manifest")
+var manifestSchema = schemacheck.Embedded("manifest")
 
 // Check decodes a manifest and checks its form and its meaning. The error is
 // schemacheck.Faults and names every fault. The meaning is checked once the form
--- a/internal/replay/replay.go
+++ b/internal/replay/replay.go
@@ -11,7 +11,7 @@
 	"github.com/borageflow/borageflow/internal/trace"
 )
 
-var outcomesSchema = schemacheck.MustLoad("outcomes")
+var outcomesSchema = schemacheck.Embedded("outcomes")
 
 // DecodeOutcomes decodes stated outcomes. The error is schemacheck.Faults and
 // names every fault.
--- a/internal/schemacheck/schemacheck.go
+++ b/internal/schemacheck/schemacheck.go
@@ -10,6 +10,7 @@
 	"io"
 	"sort"
 	"strings"
+	"sync"
 
 	"github.com/rotisserie/eris"
 	"github.com/santhosh-tekuri/jsonschema/v6"
@@ -57,15 +58,24 @@
 	}
 }
 
-// Schema checks documents of one kind.
+// Schema checks documents of one kind. It is compiled at its first use: a process needs one
+// or two of the schemas, and all of them took 16 ms of its start.
 type Schema struct {
-	name     string
+	load func() (*rules, error)
+}
+
+// rules is a compiled schema.
+type rules struct {
 	compiled *jsonschema.Schema
 	defaults *node
 }
 
-// Load compiles the embedded schema "<name>.json".
-func Load(name string) (*Schema, error) {
+// Embedded returns the schema "<name>.json" that is part of the binary.
+func Embedded(name string) *Schema {
+	return &Schema{load: sync.OnceValues(func() (*rules, error) { return compile(name) })}
+}
+
+func compile(name string) (*rules, error) {
 	raw, err := schema.Files.ReadFile(name + ".json")
 	if err != nil {
 		return nil, eris.Wrapf(err, "schema %q does not exist", name)
@@ -86,29 +96,24 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "schema %q has unreadable defaults", name)
 	}
-	return &Schema{name: name, compiled: compiled, defaults: defaults}, nil
-}
-
-// MustLoad is Load for schemas that are part of the binary.
-func MustLoad(name string) *Schema {
-	s, err := Load(name)
-	if err != nil {
-		panic(err)
-	}
-	return s
+	return &rules{compiled: compiled, defaults: defaults}, nil
 }
 
 // Decode checks raw, fills in defaults and decodes it into out. A document that
 // does not match yields Faults.
 func (s *Schema) Decode(raw []byte, out any) error {
+	rules, err := s.load()
+	if err != nil {
+		return err
+	}
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(raw))
 	if err != nil {
 		return Faults{{Path: "$", Problem: fmt.Sprintf("is not JSON: %v", err)}}
 	}
-	if err := s.compiled.Validate(doc); err != nil {
+	if err := rules.compiled.Validate(doc); err != nil {
 		return toFaults(err)
 	}
-	s.defaults.fill(doc)
+	rules.defaults.fill(doc)
 	filled, err := json.Marshal(doc)
 	if err != nil {
 		return eris.Wrap(err, "document cannot be encoded")
--- a/internal/schemacheck/schemacheck_test.go
+++ b/internal/schemacheck/schemacheck_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/schema"
 )
 
 const validSettings = `{"role":"entry","instance":"e1","failureDomain":"a","region":"r",
@@ -18,7 +20,7 @@
 	 "models":[{"name":"m","versions":[{"name":"m-1","phase":"serving","costPerKiloToken":1}]}],
 	 "classes":[{"name":"q","qualityTarget":0.5,"deadlineMs":10,"weighting":"latency"}]}`
 	var m api.Manifest
-	assert.NilError(t, MustLoad("manifest").Decode([]byte(raw), &m))
+	assert.NilError(t, Embedded("manifest").Decode([]byte(raw), &m))
 	assert.Equal(t, m.Customers[0].Weight, 1)
 	assert.Equal(t, m.Models[0].Versions[0].FirstTokenMs, 200.0)
 	assert.Equal(t, m.Classes[0].Priority, 5)
@@ -31,7 +33,7 @@
 	raw := `{"role":"router","instance":"E 1","failureDomain":"a","region":"r","colour":1,
 	 "listen":{"health":"127.0.0.1:1"},"platform":{"url":"x"}}`
 	var s api.Settings
-	err := MustLoad("settings").Decode([]byte(raw), &s)
+	err := Embedded("settings").Decode([]byte(raw), &s)
 	var faults Faults
 	assert.Assert(t, errors.As(err, &faults))
 	paths := map[string]bool{}
@@ -46,7 +48,7 @@
 func FuzzDecodeSettings(f *testing.F) {
 	f.Add([]byte(validSettings))
 	f.Add([]byte(`{"role":[]}`))
-	s := MustLoad("settings")
+	s := Embedded("settings")
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		var out api.Settings
 		if err := s.Decode(raw, &out); err == nil && out.Instance == "" {
@@ -54,3 +56,15 @@
 		}
 	})
 }
+
+// Guards against a schema that is found to be broken only when a process first needs it.
+func TestEverySchemaCompiles(t *testing.T) {
+	entries, err := schema.Files.ReadDir(".")
+	assert.NilError(t, err)
+	assert.Assert(t, len(entries) > 0)
+	for _, entry := range entries {
+		_, err := Embedded(strings.TrimSuffix(entry.Name(), ".json")).load()
+		assert.NilError(t, err)
+	}
+	assert.ErrorContains(t, Embedded("missing").Decode([]byte("{}"), &struct{}{}), "does not exist")
+}
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -20,7 +20,7 @@
 // MaxLine bounds one line of a trace, in bytes.
 const MaxLine = 1 << 20
 
-var recordSchema = schemacheck.MustLoad("trace")
+var recordSchema = schemacheck.Embedded("trace")
 
 // LineError is a fault in one line of a trace.
 type LineError struct {
