Weigh begun answers less than unread prompts in the load of engines

Both counted as one request each, so that an engine with a queue of prompts was preferred to one that only had more answers under way.

Change: at the workers of a cascade a request weighs 0.1 once its answer has begun, in what workers state and in what this process has in flight.

TestUnreadPromptsWeighMore does not pass with equal weights.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -120,7 +120,7 @@
 			prompt := []PromptPart{{ID: 7, Tokens: 2000}, {ID: 8, Tokens: 4000}, {ID: uint64(100*process + request), Tokens: 10}}
 			got, _ := p.Pick(0, Query{Service: "s", Prompt: prompt, Model: "m"}, rng)
 			p.Start(0, got.Worker.ID, "m", prompt)
-			p.End(got.Worker.ID)
+			p.End(got.Worker.ID, true)
 			seen[got.Worker.ID] = true
 		}
 	}
@@ -154,7 +154,7 @@
 		heavy := i%2 == 0
 		got, _ := p.Pick(0, Query{Service: "s", Heavy: heavy}, rng)
 		p.Start(0, got.Worker.ID, "", nil)
-		p.End(got.Worker.ID)
+		p.End(got.Worker.ID, true)
 		if i > 0 {
 			pools[heavy][got.Worker.ID] = true
 		}
@@ -178,6 +178,37 @@
 	assert.Assert(t, p.load(time.Minute, p.workers["w1"]) > 15)
 }
 
+// Guards against an engine with a queue of unread prompts that is preferred to one which
+// only has more answers under way: callers waited for the prompts. Plain workers have no
+// prompts to read; each of their requests weighs the same.
+func TestUnreadPromptsWeighMore(t *testing.T) {
+	rng := rand.New(rand.NewPCG(8, 2))
+	p := newTestPlacer(2)
+	stated := func() {
+		p.Stated(0, "w0", Load{Running: 4, Waiting: 8, Slots: 64})
+		p.Stated(0, "w1", Load{Running: 16, Slots: 64})
+	}
+	stated()
+	got, _ := p.Pick(0, Query{Service: "s"}, rng)
+	assert.Equal(t, got.Worker.ID, "w0")
+	p.sawHeavy("s")
+	stated()
+	got, _ = p.Pick(0, Query{Service: "s"}, rng)
+	assert.Equal(t, got.Worker.ID, "w1")
+
+	// An own request stops weighing when its answer begins, not when it ends.
+	for range 8 {
+		p.Start(0, "w1", "m", nil)
+	}
+	got, _ = p.Pick(0, Query{Service: "s"}, rng)
+	assert.Equal(t, got.Worker.ID, "w0")
+	for range 8 {
+		p.Began("w1")
+	}
+	got, _ = p.Pick(0, Query{Service: "s"}, rng)
+	assert.Equal(t, got.Worker.ID, "w1")
+}
+
 // A worker that starts again under its ID holds nothing of before.
 func TestReborneWorkerHoldsNoPrompt(t *testing.T) {
 	p := newTestPlacer(1)
@@ -206,24 +237,35 @@
 func TestOwnRequestsNeverDrift(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newTestPlacer(3)
-		own := map[string]int{}
+		own, begun := map[string]int{}, map[string]int{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			id := fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "worker"))
-			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
 				p.Start(0, id, "m", nil)
 				own[id]++
 			case 1:
-				p.End(id)
+				ofBegun := begun[id] > 0 && rapid.Bool().Draw(t, "begun")
+				p.End(id, ofBegun)
 				own[id] = max(own[id]-1, 0)
+				if ofBegun {
+					begun[id]--
+				}
+				begun[id] = min(begun[id], own[id])
 			case 2:
 				p.SetWorkers(fleet(3))
+			case 3:
+				p.Began(id)
+				begun[id] = min(begun[id]+1, own[id])
 			}
 		}
 		for id, n := range own {
 			if p.workers[id].own != n {
 				t.Fatalf("worker %s has %d requests, %d counted", id, n, p.workers[id].own)
 			}
+			if p.workers[id].begun != begun[id] {
+				t.Fatalf("worker %s has begun %d answers, %d counted", id, begun[id], p.workers[id].begun)
+			}
 		}
 	})
 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -70,10 +70,11 @@
 	divided  bool // the worker belongs to one of two pools
 	heavy    bool // the pool of the larger models
 	own      int
+	begun    int // the requests of own whose answer has begun
 	share    float64
 	load     Load
 	loadAt   Elapsed
-	ownAt    int
+	ownAt    float64
 	reported bool
 }
 
@@ -207,10 +208,10 @@
 func (p *Placer) load(now Elapsed, s *placed) float64 {
 	others := p.poolsOf(s.Service).others[s.pool()]
 	if s.reported {
-		stated := float64(max(s.load.Running+s.load.Waiting-s.ownAt, 0))
+		stated := max(p.stated(s)-s.ownAt, 0)
 		others += (stated - others) * math.Exp2(-float64(now-s.loadAt)/float64(p.opts.ReportHalfLife))
 	}
-	return float64(s.own) + others
+	return p.owned(s) + others
 }
 
 func (p *Placer) score(now Elapsed, s *placed, heavy bool) float64 {
@@ -242,11 +243,11 @@
 	if s == nil {
 		return
 	}
-	s.load, s.loadAt, s.ownAt, s.reported = load, now, s.own, true
+	s.load, s.loadAt, s.ownAt, s.reported = load, now, p.owned(s), true
 	l := p.poolsOf(s.Service)
-	total := float64(load.Running + load.Waiting)
+	total := p.stated(s)
 	l.total[s.pool()] += meanGain * (total - l.total[s.pool()])
-	l.others[s.pool()] += meanGain * (max(total-float64(s.own), 0) - l.others[s.pool()])
+	l.others[s.pool()] += meanGain * (max(total-s.ownAt, 0) - l.others[s.pool()])
 }
 
 // meanGain is the weight of one statement in the mean of a pool: some twenty statements,
@@ -260,10 +261,21 @@
 	return 0
 }
 
-// End records that a request has left a worker.
-func (p *Placer) End(id string) {
+// End records that a request has left a worker; begun tells whether its answer had begun.
+func (p *Placer) End(id string, begun bool) {
 	if s := p.workers[id]; s != nil && s.own > 0 {
 		s.own--
+		if begun && s.begun > 0 {
+			s.begun--
+		}
+		s.begun = min(s.begun, s.own)
+	}
+}
+
+// Began records that the answer of a request has begun.
+func (p *Placer) Began(id string) {
+	if s := p.workers[id]; s != nil && s.begun < s.own {
+		s.begun++
 	}
 }
 
@@ -279,3 +291,27 @@
 	}
 	return p.load(now, s), now - s.loadAt
 }
+
+// runningWeight is what a request whose answer has begun weighs at an engine, beside one
+// whose prompt is still to be read: it makes each step some 2% longer, while a prompt holds
+// up all others by some ten steps. Workers with many begun answers and no prompts waiting
+// were passed over for others with a queue of prompts.
+const runningWeight = 0.1
+
+// weight is what a begun request weighs at a worker. Only engines read prompts.
+func (p *Placer) weight(s *placed) float64 {
+	if p.poolsOf(s.Service).cascades {
+		return runningWeight
+	}
+	return 1
+}
+
+// stated is the load that a worker stated.
+func (p *Placer) stated(s *placed) float64 {
+	return p.weight(s)*float64(s.load.Running) + float64(s.load.Waiting)
+}
+
+// owned is the load of this process's own requests at a worker.
+func (p *Placer) owned(s *placed) float64 {
+	return float64(s.own-s.begun) + p.weight(s)*float64(s.begun)
+}
--- a/internal/forward/prompts_test.go
+++ b/internal/forward/prompts_test.go
@@ -73,7 +73,7 @@
 			ends = ends[1:]
 			running[e.worker]--
 			p, id := placers[e.placer], "w"+strconv.Itoa(e.worker)
-			p.End(id)
+			p.End(id, true)
 			p.Stated(e.at, id, Load{Running: running[e.worker], Slots: 64})
 		}
 		asked++
--- a/internal/gateway/core.go
+++ b/internal/gateway/core.go
@@ -233,10 +233,17 @@
 }
 
 // release records that a request has left a worker.
-func (c *core) release(id string) {
+func (c *core) release(id string, begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.placer.End(id)
+	c.placer.End(id, begun)
+}
+
+// began records that the answer of a worker has begun.
+func (c *core) began(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.placer.Began(id)
 }
 
 func (c *core) stated(now time.Duration, id string, load forward.Load) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -187,7 +187,8 @@
 // run sends the request to a worker and passes its answer on. It returns true when the
 // caller has an answer or its connection was ended.
 func (r *request) run(ctx context.Context, a attempt) (forward.Outcome, bool) {
-	defer func() { r.g.core.release(a.worker.ID) }()
+	begun := false
+	defer func() { r.g.core.release(a.worker.ID, begun) }()
 	r.tried = append(r.tried, a.worker.ID)
 	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds buffers only
 	defer bufferPool.Put(buf)
@@ -232,6 +233,8 @@
 		}
 		return forward.Broken, false
 	}
+	begun = true
+	r.g.core.began(a.worker.ID)
 	return r.judgeHead(ctx, a)
 }
 
