Count a worker of the other pool as two requests more

Cause: with four, one pool queued prompts while the other had room; since begun answers weigh little, four requests are four unread prompts.

TestFullPoolUsesTheOther fails with four.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -165,6 +165,23 @@
 	assert.Equal(t, len(pools[false]), 5)
 }
 
+// Guards against a pool whose workers queue prompts while those of the other have none:
+// each light request finds three prompts waiting at every worker of its own pool.
+func TestFullPoolUsesTheOther(t *testing.T) {
+	p := newTestPlacer(20)
+	rng := rand.New(rand.NewPCG(4, 3))
+	p.sawHeavy("s")
+	for id, s := range p.workers {
+		load := Load{Running: 2, Slots: 64}
+		if !s.heavy {
+			load.Waiting = 3
+		}
+		p.Stated(0, id, load)
+	}
+	got, _ := p.Pick(0, Query{Service: "s"}, rng)
+	assert.Assert(t, p.workers[got.Worker.ID].heavy)
+}
+
 // A worker that has not been heard of for long must not look idle: its last statement
 // gives way to the mean of its pool.
 func TestOldStatementGivesWayToMean(t *testing.T) {
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -20,7 +20,8 @@
 	TokensPerRequest float64
 	// DomainPenalty is what another failure domain counts for, in requests.
 	DomainPenalty float64
-	// PoolPenalty is what a worker of the other pool counts for, in requests.
+	// PoolPenalty is what a worker of the other pool counts for, in requests. With 4, one
+	// pool queued prompts while the other had none.
 	PoolPenalty float64
 	// ReportHalfLife is the age at which the load that others cause counts for half.
 	ReportHalfLife time.Duration
@@ -36,7 +37,7 @@
 		o.DomainPenalty = 0.5
 	}
 	if o.PoolPenalty == 0 {
-		o.PoolPenalty = 4
+		o.PoolPenalty = 2
 	}
 	if o.ReportHalfLife == 0 {
 		o.ReportHalfLife = time.Second
