Hold the head limit of the configuration, and bound the time of a body

Cause: the configuration limits the length of a head, which nothing checked; and a caller that sent its body without end held its connection and memory for good, since only the head had a time limit.

Change: a longer head is refused with payload_too_large, not run. A body has to end within the time limit of its request.

TestBodyLimitEndsWithBody shows that the limit ends with the body.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -70,7 +71,8 @@
 		g.refuse(w, meta, v, refusal)
 		return
 	}
-	body, refusal := readBody(w, req, v.config.Limits.BodyBytes)
+	deadline := started.Add(limit(meta.Deadline, route.Timeout))
+	body, refusal := readWithin(w, req, v.config.Limits, deadline)
 	if refusal != nil {
 		g.refuse(w, meta, v, refusal)
 		return
@@ -81,7 +83,7 @@
 			method: req.Method, target: target(req), host: req.Host, header: endToEnd(req.Header), body: body,
 			hasBody: req.ContentLength != 0, meta: meta,
 		},
-		deadline: started.Add(limit(meta.Deadline, route.Timeout)),
+		deadline: deadline,
 	}
 	r.modelChosen = g.dialect.ChoosesModel(meta)
 	r.service = route.PickService(g.core.uniform())
@@ -124,10 +126,41 @@
 	return req.URL.RequestURI()
 }
 
-func readBody(w http.ResponseWriter, req *http.Request, maxBytes int64) ([]byte, *errkind.Error) {
+// readWithin checks the head and reads the body within the limits of the configuration and
+// the time of the request.
+func readWithin(w http.ResponseWriter, req *http.Request, limits forward.ClientLimits, deadline time.Time) ([]byte, *errkind.Error) {
+	if limits.HeaderBytes > 0 && headBytes(req.Header) > limits.HeaderBytes {
+		return nil, errkind.New(errkind.PayloadTooLarge, "head is larger than "+strconv.Itoa(limits.HeaderBytes)+" bytes")
+	}
 	if req.ContentLength == 0 {
 		return nil, nil
 	}
+	control := http.NewResponseController(w)
+	if err := control.SetReadDeadline(deadline); err != nil {
+		return nil, errkind.New(errkind.Internal, "body cannot be bounded: "+err.Error())
+	}
+	body, refusal := readBody(w, req, limits.BodyBytes)
+	if refusal != nil {
+		return nil, refusal // the limit stays: net/http reads on after a refusal
+	}
+	if err := control.SetReadDeadline(time.Time{}); err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "connection ended after the body: "+err.Error())
+	}
+	return body, nil
+}
+
+// headBytes is the length of the header lines without the Host line, which net/http removes.
+func headBytes(header http.Header) int {
+	n := 0
+	for name, values := range header {
+		for _, value := range values {
+			n += len(name) + len(": \r\n") + len(value)
+		}
+	}
+	return n
+}
+
+func readBody(w http.ResponseWriter, req *http.Request, maxBytes int64) ([]byte, *errkind.Error) {
 	if maxBytes <= 0 {
 		maxBytes = defaultBodyBytes
 	}
@@ -143,6 +176,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, errkind.New(errkind.PayloadTooLarge, "body is larger than "+strconv.FormatInt(maxBytes, 10)+" bytes")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, errkind.New(errkind.InvalidRequest, "body did not end within the time limit")
 	case err != nil && !errors.Is(err, io.EOF):
 		return nil, errkind.New(errkind.InvalidRequest, "body ended early")
 	}
--- /dev/null
+++ b/internal/gateway/limits_test.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a head that is longer than the configuration allows reaching a worker.
+func TestLongHeadIsRefused(t *testing.T) {
+	w := startWorker(t, "w1", func(_ int, c net.Conn, r seen) bool { reply(c, r, 200, "ok"); return true })
+	b := startGateway(t, w)
+	config := testConfig(2)
+	config.Limits.HeaderBytes = 2000
+	b.store.putConfig(config)
+	b.waitFor("configuration is in force", func() bool { return b.gateway.core.view.Load().config.Version == 2 })
+	assert.Equal(t, b.call("GET", "/safe/a", "", "X-Long", strings.Repeat("a", 1500)).status, http.StatusOK)
+	got := b.call("GET", "/safe/a", "", "X-Long", strings.Repeat("a", 2000))
+	assert.Equal(t, got.status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, len(w.requests()), 1)
+}
+
+// Guards against callers that hold a connection and its memory by sending a body that
+// never ends: it counts against the time limit of the route.
+func TestSlowBodyIsEnded(t *testing.T) {
+	w := startWorker(t, "w1", func(_ int, c net.Conn, r seen) bool { reply(c, r, 200, "ok"); return true })
+	b := startGateway(t, w)
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	fmt.Fprintf(c, "POST /safe/a HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-1\r\n%s: 400\r\nContent-Length: 100\r\n\r\nabc", OwnNames.DeadlineMs)
+	started := time.Now()
+	assert.NilError(t, c.SetReadDeadline(started.Add(3*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_ = resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+	assert.Assert(t, time.Since(started) < 2*time.Second)
+	assert.Equal(t, len(w.requests()), 0)
+}
+
+// Guards against the time limit of a body that ends a request which is under way, or the
+// next one on the connection.
+func TestBodyLimitEndsWithBody(t *testing.T) {
+	w := startWorker(t, "w1", func(_ int, c net.Conn, r seen) bool {
+		time.Sleep(300 * time.Millisecond)
+		reply(c, r, 200, "ok")
+		return true
+	})
+	b := startGateway(t, w)
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.url, "http://"))
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for range 2 {
+		fmt.Fprintf(c, "POST /unsafe/a HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-1\r\n%s: 600\r\nContent-Length: 3\r\n\r\nabc", OwnNames.DeadlineMs)
+		resp, err := http.ReadResponse(br, nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		_ = resp.Body.Close()
+		time.Sleep(700 * time.Millisecond)
+	}
+}
