Run a gateway under borageflow dev

Cause: forwarded requests could not be tried without the users' platform; the only stand-ins of a gateway's store and workers were in its tests.

Change: the store in memory of the gateway's tests becomes internal/standin/forwarding, with a worker that answers in the product's own headers. dev starts a gateway, its store and five workers and prints a request. The test of the examples sends it, and one that only the large model answers.

--- a/cmd/borageflow/dev.go
+++ b/cmd/borageflow/dev.go
@@ -45,7 +45,7 @@
 
 func newDev() command {
 	f := &devFlags{level: "error", subnet: 1}
-	c := newCommand("dev", "Runs entries, sidecars and stand-ins in one process over loopback.", f.run)
+	c := newCommand("dev", "Runs entries, sidecars, a gateway and stand-ins in one process over loopback.", f.run)
 	c.sub.String(&f.manifest, "m", "manifest", "File of a manifest; default a small demonstration.")
 	c.sub.String(&f.topology, "t", "topology", "File that describes the stand-ins, schema/dev.json; default the demonstration's.")
 	c.sub.String(&f.level, "l", "log-level", "Level of the daemons' logs: debug, info, warn or error.")
@@ -73,6 +73,12 @@
 	if err := awaitEntries(ctx, cluster.Settings); err != nil {
 		return err
 	}
+	demo, err := startForwardDemo(ctx, f.subnet, f.level, s)
+	if err != nil {
+		return err
+	}
+	defer demo.close()
+	demo.printHelp(s)
 	f.printHelp(s, cluster, spec.Manifest)
 	if f.seconds > 0 {
 		var cancel context.CancelFunc
--- a/examples/dev_test.go
+++ b/examples/dev_test.go
@@ -84,6 +84,8 @@
 	}, poll.WithTimeout(startLimit), poll.WithDelay(100*time.Millisecond))
 	t.Logf("%s answers after %v", name, time.Since(started).Round(time.Millisecond))
 
+	forwardAsPrinted(t, output.String())
+
 	assert.NilError(t, dev.Process.Signal(syscall.SIGTERM))
 	select {
 	case err := <-done:
@@ -114,6 +116,30 @@
 	}
 }
 
+var forwardCommand = regexp.MustCompile(`curl -N (http://\S+)/assist/note -H 'Host: (\S+)' -H 'Authorization: Bearer (\S+)' \\\s+-H '(\S+): (\S+)'`)
+
+// forwardAsPrinted sends the forwarded request that dev prints, and the one that only the
+// large model answers.
+func forwardAsPrinted(t *testing.T, printed string) {
+	t.Helper()
+	match := forwardCommand.FindStringSubmatch(printed)
+	assert.Assert(t, match != nil, "no forwarded request in %s", printed)
+	for path, model := range map[string]string{"/assist/note": "small", "/assist/hard/note": "large"} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, match[1]+path, strings.NewReader("x"))
+		assert.NilError(t, err)
+		request.Host = match[2]
+		request.Header.Set("Authorization", "Bearer "+match[3])
+		request.Header.Set(match[4], match[5])
+		response, err := http.DefaultClient.Do(request)
+		assert.NilError(t, err)
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusOK, string(body))
+		assert.Equal(t, strings.Count(string(body), model+", event"), 3, string(body))
+	}
+}
+
 func ask(ctx context.Context, url, key string) (status int, header http.Header, answer []byte, err error) {
 	body := strings.NewReader(`{"model":"auto","max_tokens":4,"messages":[{"role":"user","content":"Where does the escort wait?"}]}`)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, body)
--- a/internal/gateway/follow_test.go
+++ b/internal/gateway/follow_test.go
@@ -14,9 +14,9 @@
 // of the configuration notices.
 func TestLostHistoryIsNoticedByAllTopics(t *testing.T) {
 	b := startGateway(t)
-	b.waitFor("rollouts are watched", func() bool { return b.store.watchesOf(forward.RolloutTopic) > 0 })
-	b.store.loseHistory()
-	b.store.putRollout(forward.Rollout{Service: "svc", Target: "v2", Duration: time.Minute})
+	b.waitFor("rollouts are watched", func() bool { return b.store.WatchesOf(forward.RolloutTopic) > 0 })
+	b.store.LoseHistory()
+	b.store.Order(forward.Rollout{Service: "svc", Target: "v2", Duration: time.Minute})
 	put := time.Now()
 	b.waitFor("order is known", func() bool {
 		b.gateway.core.mu.Lock()
@@ -30,15 +30,11 @@
 // Guards against followers that wake each other without end.
 func TestFollowersRestAfterLostHistory(t *testing.T) {
 	b := startGateway(t)
-	b.store.loseHistory()
+	b.store.LoseHistory()
 	time.Sleep(500 * time.Millisecond)
-	b.store.mu.Lock()
-	before := b.store.lists
-	b.store.mu.Unlock()
+	before := b.store.Lists()
 	time.Sleep(1500 * time.Millisecond)
-	b.store.mu.Lock()
-	defer b.store.mu.Unlock()
-	assert.Equal(t, b.store.lists, before)
+	assert.Equal(t, b.store.Lists(), before)
 	assert.Assert(t, before <= 9, "%d lists", before)
 }
 
@@ -47,13 +43,11 @@
 // others.
 func TestOneTopicAsksForAllDuringOutage(t *testing.T) {
 	b := startGateway(t)
-	b.store.setDown(true)
+	b.store.SetDown(true)
 	time.Sleep(4 * time.Second)
-	b.store.mu.Lock()
-	calls := b.store.lists
-	b.store.mu.Unlock()
-	b.store.setDown(false)
-	b.store.putWorker(forward.Worker{ID: "w", Service: "svc", Address: "127.0.0.1:1"})
+	calls := b.store.Lists()
+	b.store.SetDown(false)
+	b.store.PutWorker(forward.Worker{ID: "w", Service: "svc", Address: "127.0.0.1:1"})
 	back := time.Now()
 	b.waitFor("worker is known", func() bool {
 		b.gateway.core.mu.Lock()
@@ -69,15 +63,13 @@
 // just listed again watch a history that is gone as well.
 func TestSecondLossOfHistoryIsNoticed(t *testing.T) {
 	b := startGateway(t)
-	b.store.loseHistory()
+	b.store.LoseHistory()
 	b.waitFor("all topics are listed again", func() bool {
-		b.store.mu.Lock()
-		defer b.store.mu.Unlock()
-		return b.store.lists >= 6
+		return b.store.Lists() >= 6
 	})
-	b.waitFor("rollouts are watched", func() bool { return b.store.watchesOf(forward.RolloutTopic) > 0 })
-	b.store.loseHistory()
-	b.store.putRollout(forward.Rollout{Service: "svc", Target: "v2", Duration: time.Minute})
+	b.waitFor("rollouts are watched", func() bool { return b.store.WatchesOf(forward.RolloutTopic) > 0 })
+	b.store.LoseHistory()
+	b.store.Order(forward.Rollout{Service: "svc", Target: "v2", Duration: time.Minute})
 	put := time.Now()
 	b.waitFor("order is known", func() bool {
 		b.gateway.core.mu.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -237,16 +237,16 @@
 	assert.Equal(t, b.call("GET", "/safe/x", "", "Authorization", "Bearer other").status, http.StatusUnauthorized)
 	next := testConfig(2)
 	next.Customers = map[string]forward.Customer{"key-2": {Name: "ada"}}
-	b.store.putConfig(next)
+	b.store.PutConfig(next)
 	b.waitFor("key is refused", func() bool { return b.call("GET", "/safe/x", "").status == http.StatusUnauthorized })
-	b.store.setDown(true)
+	b.store.SetDown(true)
 	b.waitFor("stale keys are refused", func() bool {
 		return b.call("GET", "/safe/x", "", "Authorization", "Bearer key-2").status == http.StatusServiceUnavailable
 	})
 	ready, err := http.Get(b.health + "/ready")
 	assert.NilError(t, err)
 	assert.Equal(t, ready.StatusCode, http.StatusServiceUnavailable)
-	b.store.setDown(false)
+	b.store.SetDown(false)
 	b.waitFor("keys are known again", func() bool {
 		return b.call("GET", "/safe/x", "", "Authorization", "Bearer key-2").status == 200
 	})
@@ -272,7 +272,7 @@
 	for i := range next.Routes {
 		next.Routes[i].Timeout = 300 * time.Millisecond
 	}
-	b.store.putConfig(next)
+	b.store.PutConfig(next)
 	b.waitFor("configuration is in force", func() bool { return b.gateway.core.view.Load().config.Version == 2 })
 	started := time.Now()
 	a := b.call("POST", "/unsafe/x", "q")
@@ -397,7 +397,7 @@
 		}
 	}()
 	b := startGateway(t)
-	b.store.putWorker(forward.Worker{ID: "w1", Service: "svc", Address: listener.Addr().String(), FailureDomain: "a", Version: "v1", Slots: 8})
+	b.store.PutWorker(forward.Worker{ID: "w1", Service: "svc", Address: listener.Addr().String(), FailureDomain: "a", Version: "v1", Slots: 8})
 	b.waitFor("worker is known", func() bool {
 		b.gateway.core.mu.Lock()
 		defer b.gateway.core.mu.Unlock()
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -16,12 +16,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/standin/forwarding"
 )
 
 // bench is a gateway with its store.
 type bench struct {
 	t       *testing.T
-	store   *fakeStore
+	store   *forwarding.Store
 	gateway *Gateway
 	log     *lockedBuffer
 	url     string
@@ -76,10 +77,10 @@
 // startGateway starts a gateway in front of workers and waits until it is ready.
 func startGateway(t *testing.T, workers ...*testWorker) *bench {
 	t.Helper()
-	store := newFakeStore()
-	store.putConfig(testConfig(1))
+	store := forwarding.NewStore()
+	store.PutConfig(testConfig(1))
 	for _, w := range workers {
-		store.putWorker(w.worker())
+		store.PutWorker(w.worker())
 	}
 	b := startWith(t, testSettings(t), store)
 	b.waitFor("workers are known", func() bool {
@@ -101,7 +102,7 @@
 }
 
 // startWith starts a gateway and waits until it is ready.
-func startWith(t *testing.T, s Settings, store *fakeStore) *bench {
+func startWith(t *testing.T, s Settings, store *forwarding.Store) *bench {
 	t.Helper()
 	out := &lockedBuffer{}
 	log, lines, err := newLogger(s, out)
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -18,7 +18,7 @@
 	b := startGateway(t, w)
 	config := testConfig(2)
 	config.Limits.HeaderBytes = 2000
-	b.store.putConfig(config)
+	b.store.PutConfig(config)
 	b.waitFor("configuration is in force", func() bool { return b.gateway.core.view.Load().config.Version == 2 })
 	assert.Equal(t, b.call("GET", "/safe/a", "", "X-Long", strings.Repeat("a", 1500)).status, http.StatusOK)
 	got := b.call("GET", "/safe/a", "", "X-Long", strings.Repeat("a", 2000))
--- a/internal/gateway/operate_test.go
+++ b/internal/gateway/operate_test.go
@@ -24,19 +24,17 @@
 	b := startGateway(t, old)
 	w := target.worker()
 	w.Version = "v2"
-	b.store.putWorker(w)
-	b.store.putRollout(forward.Rollout{Service: "svc", Target: "v2", Duration: 4 * time.Second})
+	b.store.PutWorker(w)
+	b.store.Order(forward.Rollout{Service: "svc", Target: "v2", Duration: 4 * time.Second})
 	started := time.Now()
 	b.waitFor("rollout is completed", func() bool {
 		assert.Equal(t, b.call("GET", "/safe/x", "").status, 200)
 		if time.Since(started) < 1500*time.Millisecond {
 			assert.Equal(t, len(target.requests()), 0)
 		}
-		b.store.mu.Lock()
-		defer b.store.mu.Unlock()
-		return b.store.rollouts["svc"].State == forward.RolloutCompleted
+		return b.store.Rollout("svc").State == forward.RolloutCompleted
 	})
-	assert.Equal(t, b.store.records[0].State, forward.RolloutRunning)
+	assert.Equal(t, b.store.Records()[0].State, forward.RolloutRunning)
 	assert.Assert(t, len(target.requests()) > 0)
 }
 
@@ -50,7 +48,7 @@
 	b := startGateway(t, old)
 	w := other.worker()
 	w.Version = "v2"
-	b.store.putWorker(w)
+	b.store.PutWorker(w)
 	b.waitFor("worker is known", func() bool {
 		b.gateway.core.mu.Lock()
 		defer b.gateway.core.mu.Unlock()
--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -9,22 +9,23 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/standin/forwarding"
 )
 
 // startPair starts a relay and a gateway that gets its news from it, each with its own way
 // to one store.
-func startPair(t *testing.T) (relay, other *bench) {
+func startPair(t *testing.T) (store *forwarding.Store, relay, other *bench) {
 	t.Helper()
 	address := freeAddress(t)
-	store := newFakeStore()
-	store.putConfig(testConfig(1))
+	store = forwarding.NewStore()
+	store.PutConfig(testConfig(1))
 	with := func(instance, listen string) *bench {
 		s := testSettings(t)
 		s.Instance, s.PeerListen, s.Relays = instance, listen, []string{address}
 		s.Drain, s.Apply = 3*time.Second, 3*time.Second
-		return startWith(t, s, &fakeStore{shared: store})
+		return startWith(t, s, forwarding.NewWay(store))
 	}
-	return with("relay", address), with("other", freeAddress(t))
+	return store, with("relay", address), with("other", freeAddress(t))
 }
 
 func (b *bench) knows(version int64) bool {
@@ -34,12 +35,12 @@
 // Guards against calls to the store by a gateway that has a relay, and against changes
 // that reach it late or not at all.
 func TestRelayPassesChangesOn(t *testing.T) {
-	relay, other := startPair(t)
+	store, _, other := startPair(t)
 	other.waitFor("all topics are watched at the relay", func() bool {
-		return other.store.watchesOf(forward.ConfigTopic)+other.store.watchesOf(forward.WorkerTopic)+other.store.watchesOf(forward.RolloutTopic) == 0
+		return other.store.WatchesOf(forward.ConfigTopic)+other.store.WatchesOf(forward.WorkerTopic)+other.store.WatchesOf(forward.RolloutTopic) == 0
 	})
-	relay.store.shared.putConfig(testConfig(2))
-	relay.store.shared.putWorker(forward.Worker{ID: "w", Service: "svc", Address: "127.0.0.1:1"})
+	store.PutConfig(testConfig(2))
+	store.PutWorker(forward.Worker{ID: "w", Service: "svc", Address: "127.0.0.1:1"})
 	put := time.Now()
 	other.waitFor("change is known", func() bool {
 		other.gateway.core.mu.Lock()
@@ -47,17 +48,17 @@
 		return other.knows(2) && len(other.gateway.core.known) == 1
 	})
 	assert.Assert(t, time.Since(put) < 1500*time.Millisecond)
-	assert.Equal(t, other.store.watchesOf(forward.ConfigTopic), 0)
+	assert.Equal(t, other.store.WatchesOf(forward.ConfigTopic), 0)
 }
 
 // Guards against keys that are accepted on old news, and against a gateway that serves
 // nothing because its relay is cut off: it turns to the store before its knowledge of the
 // keys is too old.
 func TestCutOffRelayIsLeft(t *testing.T) {
-	relay, other := startPair(t)
-	other.waitFor("configuration is watched at the relay", func() bool { return other.store.watchesOf(forward.ConfigTopic) == 0 })
-	relay.store.setDown(true)
-	relay.store.shared.putConfig(testConfig(2))
+	store, relay, other := startPair(t)
+	other.waitFor("configuration is watched at the relay", func() bool { return other.store.WatchesOf(forward.ConfigTopic) == 0 })
+	relay.store.SetDown(true)
+	store.PutConfig(testConfig(2))
 	put := time.Now()
 	other.waitFor("change is known", func() bool {
 		ok, _ := other.gateway.core.ready(elapsed())
--- a/internal/gateway/fakestore_test.go
+++ b/internal/standin/forwarding/store.go
@@ -1,18 +1,21 @@
-package gateway
+// Package forwarding stands in for what a gateway needs: the store with its configuration,
+// and workers that answer forwarded requests.
+package forwarding
 
 import (
 	"context"
-	"fmt"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/borageflow/borageflow/internal/forward"
 )
 
-// fakeStore is a store in memory whose answers the tests control.
-type fakeStore struct {
+// Store is a store in memory that can be taken down and lose its history.
+type Store struct {
 	// shared is the store behind this way to it, nil for the store itself.
-	shared   *fakeStore
+	shared   *Store
 	mu       sync.Mutex
 	revision int64
 	changed  chan struct{}
@@ -35,13 +38,21 @@
 	update   forward.Update
 }
 
-func newFakeStore() *fakeStore {
-	return &fakeStore{revision: 1, changed: make(chan struct{}), workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, watchers: map[forward.Topic]int{}}
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{revision: 1, changed: make(chan struct{}), workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, watchers: map[forward.Topic]int{}}
 }
 
-var errStoreDown = fmt.Errorf("store is down")
+// NewWay returns a way to a store. It can be down while the store is not.
+func NewWay(to *Store) *Store {
+	s := NewStore()
+	s.shared = to
+	return s
+}
+
+var errStoreDown = errors.New("store is down")
 
-func (s *fakeStore) commit(topic forward.Topic, u forward.Update) {
+func (s *Store) commit(topic forward.Topic, u forward.Update) {
 	s.revision++
 	u.Revision = s.revision
 	s.log = append(s.log, storeChange{s.revision, topic, u})
@@ -49,21 +60,24 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) putConfig(c *forward.Config) {
+// PutConfig writes a configuration.
+func (s *Store) PutConfig(c *forward.Config) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.config = c
 	s.commit(forward.ConfigTopic, forward.Update{Configs: []*forward.Config{c}})
 }
 
-func (s *fakeStore) putWorker(w forward.Worker) {
+// PutWorker writes the entry of a worker.
+func (s *Store) PutWorker(w forward.Worker) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.workers[w.ID] = w
 	s.commit(forward.WorkerTopic, forward.Update{Workers: []forward.WorkerChange{{Worker: w}}})
 }
 
-func (s *fakeStore) putRollout(r forward.Rollout) {
+// Order writes an order to move a service to another version.
+func (s *Store) Order(r forward.Rollout) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.Revision = s.revision + 1
@@ -72,17 +86,17 @@
 	s.commit(forward.RolloutTopic, forward.Update{Rollouts: []forward.RolloutChange{{Rollout: r}}})
 }
 
-func (s *fakeStore) setDown(down bool) {
+// SetDown has the store answer nothing, or answer again.
+func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.down = down
-	if s.changed != nil {
-		close(s.changed)
-	}
+	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) loseHistory() {
+// LoseHistory drops the changes so far. Watches that wait hear nothing more.
+func (s *Store) LoseHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
@@ -91,7 +105,7 @@
 }
 
 // List implements forward.Store.
-func (s *fakeStore) List(ctx context.Context, topic forward.Topic) (forward.Update, error) {
+func (s *Store) List(ctx context.Context, topic forward.Topic) (forward.Update, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lists++
@@ -120,7 +134,7 @@
 }
 
 // Watch implements forward.Store.
-func (s *fakeStore) Watch(ctx context.Context, topic forward.Topic, revision int64, wait time.Duration) (forward.Update, error) {
+func (s *Store) Watch(ctx context.Context, topic forward.Topic, revision int64, wait time.Duration) (forward.Update, error) {
 	if s.shared != nil {
 		return s.watchShared(ctx, topic, revision, wait)
 	}
@@ -170,14 +184,10 @@
 }
 
 // watchShared watches the store behind a way that may go down.
-func (s *fakeStore) watchShared(ctx context.Context, topic forward.Topic, revision int64, wait time.Duration) (forward.Update, error) {
+func (s *Store) watchShared(ctx context.Context, topic forward.Topic, revision int64, wait time.Duration) (forward.Update, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.mu.Lock()
-	if s.watchers == nil {
-		s.watchers = map[forward.Topic]int{}
-		s.changed = make(chan struct{})
-	}
 	down, changed := s.down, s.changed
 	s.watchers[topic]++
 	s.mu.Unlock()
@@ -199,15 +209,36 @@
 	return s.shared.Watch(ctx, topic, revision, wait)
 }
 
-// watchesOf returns the number of watches on a topic that wait now.
-func (s *fakeStore) watchesOf(topic forward.Topic) int {
+// WatchesOf returns the number of watches on a topic that wait now.
+func (s *Store) WatchesOf(topic forward.Topic) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.watchers[topic]
 }
 
+// Lists returns the number of lists so far.
+func (s *Store) Lists() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists
+}
+
+// Rollout returns the order of a service with its recorded state.
+func (s *Store) Rollout(service string) forward.Rollout {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rollouts[service]
+}
+
+// Records returns what was recorded of rollouts, in order.
+func (s *Store) Records() []forward.Progress {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.records)
+}
+
 // RecordRollout implements forward.Store.
-func (s *fakeStore) RecordRollout(_ context.Context, order forward.Rollout, p forward.Progress) (forward.Rollout, error) {
+func (s *Store) RecordRollout(_ context.Context, order forward.Rollout, p forward.Progress) (forward.Rollout, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held := s.rollouts[order.Service]
