List at a relay when the store does not answer the first list

Cause: a gateway that started cut off from the store knew nothing and was never ready, although it reached a relay with news: the first list came from the store only.

Change: the store is asked first, as before; when it does not answer, a relay is asked for the whole topic.

Result: TestStartsCutOffFromStore waited 10 s in vain before and passes; TestStartWithoutWayToStore likewise.

--- a/internal/gateway/relays_test.go
+++ b/internal/gateway/relays_test.go
@@ -105,3 +105,19 @@
 	assert.Assert(t, relays < others)
 	assert.Assert(t, last < 1200*time.Millisecond)
 }
+
+// Guards against a gateway that starts cut off from the store and is never ready, although
+// it reaches a relay.
+func TestStartsCutOffFromStore(t *testing.T) {
+	store, relay, _ := startPair(t)
+	s := testSettings(t)
+	s.Instance, s.PeerListen, s.Relays = "late", freeAddress(t), relay.gateway.settings.Relays
+	s.Drain, s.Apply = 3*time.Second, 3*time.Second
+	way := forwarding.NewWay(store)
+	way.SetDown(true)
+	late := startWith(t, s, way)
+	store.PutConfig(testConfig(2))
+	late.waitFor("change is known", func() bool { return late.knows(2) })
+	ok, reason := late.gateway.core.ready(elapsed())
+	assert.Assert(t, ok, reason)
+}
--- a/internal/news/store.go
+++ b/internal/news/store.go
@@ -88,18 +88,38 @@
 
 // List implements forward.Store. A relay is asked for the changes since what was heard
 // before, and not used when it is behind that: all gateways list again after each outage.
-// The first list comes from the store: after a power loss the relays are starting too, and
-// a connection to one that is not up yet hangs.
+// The first list comes from the store if it answers: after a power loss the relays are
+// starting too, and a connection to one that is not up yet hangs.
 func (s *Store) List(ctx context.Context, topic forward.Topic) (forward.Update, error) {
 	direct := func() (forward.Update, error) { return s.Store.List(ctx, topic) }
 	if revision := s.heardOf(topic); revision > 0 {
 		return s.hear(ctx, topic, revision, 0, direct)
 	}
 	u, err := direct()
-	if err == nil {
-		s.heard(topic, &u)
+	if err != nil {
+		return s.firstFromRelay(ctx, topic, err)
 	}
-	return u, err
+	s.heard(topic, &u)
+	return u, nil
+}
+
+// firstFromRelay asks a relay for a whole topic that the store did not list, so that a
+// gateway that starts without a way to the store serves. It returns the store's error when
+// no relay has news.
+func (s *Store) firstFromRelay(ctx context.Context, topic forward.Topic, direct error) (forward.Update, error) {
+	address := s.Relay()
+	if address == "" || ctx.Err() != nil {
+		return forward.Update{}, direct
+	}
+	s.failed(topic)
+	u, err := s.watchAt(ctx, address, topic, 0, 0)
+	switch {
+	case err == nil && u.Full && s.heard(topic, &u):
+		return u, nil
+	case err != nil && ctx.Err() == nil:
+		s.avoid(address, topic, err)
+	}
+	return forward.Update{}, direct
 }
 
 // heardOf returns the revision of the last answer about a topic, 0 if there was none.
--- a/internal/news/store_test.go
+++ b/internal/news/store_test.go
@@ -247,6 +247,23 @@
 	assert.Equal(t, e.direct.lists.Load(), int64(1))
 }
 
+// Guards against a gateway that starts without a way to the store and knows nothing although
+// a relay has news, and against one that takes an empty answer for a list.
+func TestStartWithoutWayToStore(t *testing.T) {
+	e := startExchange(t)
+	e.direct.down.Store(true)
+	e.relay.Lost(forward.WorkerTopic)
+	_, err := e.store.List(context.Background(), forward.WorkerTopic)
+	assert.ErrorIs(t, err, errDown)
+	e.relay.Took(forward.WorkerTopic, listed(20, manyWorkers(3000)...), e.clock.elapsed())
+	e.clock.now.Add(int64(avoidRefusing))
+	u, err := e.store.List(context.Background(), forward.WorkerTopic)
+	assert.NilError(t, err)
+	assert.Assert(t, u.Relayed && u.Full)
+	assert.Equal(t, len(u.Workers), 3000)
+	assert.Equal(t, e.direct.lists.Load(), int64(2))
+}
+
 // Guards against calls that grow with the number of gateways while the store is away.
 func TestStoreIsAskedSeldomWhileAway(t *testing.T) {
 	e := startExchange(t)
