--- a/internal/news/store.go
+++ b/internal/news/store.go
@@ -222,22 +222,33 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock()
-	best, rank := "", 3
+	best, distance := "", noRelay
 	for _, r := range s.relays {
-		next := 2
-		switch {
-		case r.located && r.domain == s.domain:
-			next = 0
-		case !r.located:
-			next = 1
-		}
-		if now >= r.until && next < rank {
-			best, rank = r.address, next
+		if d := r.distance(s.domain); now >= r.until && d < distance {
+			best, distance = r.address, d
 		}
 	}
 	return best
 }
 
+// The distances of relays from a failure domain, in the order of preference.
+const (
+	ownDomain = iota
+	unknownDomain
+	otherDomain
+	noRelay
+)
+
+func (r *relayState) distance(domain string) int {
+	switch {
+	case !r.located:
+		return unknownDomain
+	case r.domain == domain:
+		return ownDomain
+	}
+	return otherDomain
+}
+
 // locate records the failure domain of a relay.
 func (s *Store) locate(address, domain string) {
 	s.mu.Lock()
