Look at the budget again while an overdue answer is awaited

Cause: a stream that paused, or an answer that did not begin, while the budget had no repeat left was awaited until its deadline, although the budget had some again a moment later.

Change: the wait goes on in steps of the patience, and the stream or answer is given up as soon as a repeat is left. The connection extends its own time-outs, since the readers of a body keep a time-out for good. A first form that waited with Peek between events failed TestStreamResumesAtAnotherWorker: the end of a body is read with its last event.

--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +46,68 @@
 	assert.Equal(t, len(w.requests()), 0)
 }
 
+// emptyBudget takes all repeats of the service.
+func (b *bench) emptyBudget() {
+	for b.gateway.core.spend("svc") {
+	}
+}
+
+// refillBudget earns some repeats, as requests of other callers do.
+func (b *bench) refillBudget() {
+	for range 50 {
+		b.gateway.core.firstAttempt("svc")
+	}
+}
+
+// Guards against a stream that pauses while the budget has no repeat left, and is then
+// awaited until its deadline although the budget has some again: after a start, callers
+// waited 17 s (lbsc-borage-grown inc-f482).
+func TestStalledStreamGoesOnOnceBudgetAllows(t *testing.T) {
+	stall := make(chan struct{})
+	t.Cleanup(func() { close(stall) })
+	script := func(_ int, c net.Conn, r seen) bool {
+		streamHead(c, r)
+		if r.request.Header.Get("Last-Event-Id") == "" {
+			chunk(c, event(1))
+			<-stall
+			return false
+		}
+		chunk(c, event(2))
+		fmt.Fprint(c, "0\r\n\r\n")
+		return true
+	}
+	b := startGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+	b.emptyBudget()
+	time.AfterFunc(2*time.Second, b.refillBudget)
+	started := time.Now()
+	got := b.call("POST", "/stream/a", "x", OwnNames.DeadlineMs, "9000")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.body, event(1)+event(2))
+	assert.Assert(t, time.Since(started) < 5*time.Second, "went on after %v", time.Since(started))
+}
+
+// Guards against the same for an answer that does not begin.
+func TestOverdueAnswerIsRepeatedOnceBudgetAllows(t *testing.T) {
+	var first atomic.Bool
+	stall := make(chan struct{})
+	t.Cleanup(func() { close(stall) })
+	script := func(_ int, c net.Conn, r seen) bool {
+		if first.CompareAndSwap(false, true) {
+			<-stall
+			return false
+		}
+		reply(c, r, 200, "ok")
+		return true
+	}
+	b := startGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+	b.emptyBudget()
+	time.AfterFunc(time.Second, b.refillBudget)
+	started := time.Now()
+	got := b.call("GET", "/safe/a", "", OwnNames.DeadlineMs, "9000")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Assert(t, time.Since(started) < 2500*time.Millisecond, "repeated after %v", time.Since(started))
+}
+
 // Guards against the time limit of a body that ends a request which is under way, or the
 // next one on the connection.
 func TestBodyLimitEndsWithBody(t *testing.T) {
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -38,6 +38,27 @@
 	idle   time.Duration
 	since  time.Time
 	reused bool
+	// overdue is asked at each time-out of a read, if set; the read goes on until the time
+	// that it returns, or ends when that is zero.
+	overdue func() time.Time
+}
+
+// Read reads from the connection. The readers of a body keep a time-out for good, so that
+// it must not reach them while the wait goes on.
+func (c *conn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if err == nil || c.overdue == nil || !isTimeout(err) {
+			return n, err
+		}
+		by := c.overdue()
+		if by.IsZero() {
+			return n, err
+		}
+		if err := c.SetReadDeadline(by); err != nil {
+			return n, err
+		}
+	}
 }
 
 // pool keeps idle connections by address.
@@ -85,7 +106,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBufferBytes), idle: defaultIdle}, nil
+	c := &conn{Conn: raw, idle: defaultIdle}
+	c.br = bufio.NewReaderSize(c, readBufferBytes)
+	return c, nil
 }
 
 func (p *pool) take(address string) *conn {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -115,8 +115,10 @@
 // copyEvents copies whole events until the stream ends.
 func (r *request) copyEvents(a attempt) error {
 	events := newEventReader(a.ex.resp.Body)
+	a.ex.conn.overdue = r.waitOn
+	defer func() { a.ex.conn.overdue = nil }()
 	for {
-		if err := a.ex.conn.SetReadDeadline(r.eventBy()); err != nil {
+		if err := a.ex.conn.SetReadDeadline(r.overdueAt()); err != nil {
 			return eris.Wrap(err, "connection is closed")
 		}
 		event, id, err := events.next()
@@ -158,9 +160,10 @@
 	return nil
 }
 
-// eventBy is when the next event counts as overdue.
-func (r *request) eventBy() time.Time {
-	if !r.route.Resumable || r.runs >= r.route.MaxAttempts || !r.g.core.canSpend(r.service) {
+// overdueAt is when the next event counts as overdue. Only a stream that may go on at
+// another worker is taken there before its deadline.
+func (r *request) overdueAt() time.Time {
+	if !r.route.Resumable || r.runs >= r.route.MaxAttempts {
 		return r.deadline
 	}
 	wait := max(time.Duration(eventPatience*float64(r.route.GapTarget)), minEventWait)
@@ -170,6 +173,15 @@
 	return r.deadline
 }
 
+// waitOn returns until when an overdue stream is awaited further, zero when it is given up.
+// It is given up only when the budget has a repeat left.
+func (r *request) waitOn() time.Time {
+	if r.remaining() <= 0 || r.g.core.canSpend(r.service) {
+		return time.Time{}
+	}
+	return r.overdueAt()
+}
+
 const (
 	// eventPatience is how many times the allowed pause a stream is waited for before it
 	// goes on at another worker. A preempted request pauses for about one such time.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -239,17 +239,18 @@
 }
 
 // awaitHead waits for the begin of the answer. An overdue one is given up only when the
-// budget has a repeat left; otherwise the wait goes on.
+// budget has a repeat left; as long as it has none, the wait goes on.
 func (r *request) awaitHead(ex *exchange) error {
-	err := ex.await(r.headBy())
-	if err == nil || !isTimeout(err) || r.remaining() <= 0 {
-		return err
-	}
-	if r.g.core.spend(r.service) {
-		r.prepaid = true
-		return err
+	for {
+		err := ex.await(r.headBy())
+		if err == nil || !isTimeout(err) || r.remaining() <= 0 {
+			return err
+		}
+		if r.g.core.spend(r.service) {
+			r.prepaid = true
+			return err
+		}
 	}
-	return ex.await(r.deadline)
 }
 
 // repeatLeft takes a repeat from the budget, unless the wait for the last answer has
