End the watchers of a gateway before its peer node closes

Cause: Gateway.drain canceled its watchers and closed the peer node at once. Change: a closed node refuses Link and Listen; the gateway waits for its watchers and its ticker before it closes the node. The test harness stops gateways the same way.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -326,8 +326,7 @@
 		g.log.Warn("grace period is over, closing the connections of running requests", zap.Int64("active", g.activeRequests.Load()), zap.Error(err))
 		_ = g.callerServer.Close()
 	}
-	g.cancel()
-	g.relayPeer.close()
+	g.stopBackground()
 	g.pool.close()
 	for _, s := range []*http.Server{g.healthServer, g.metricsServer} {
 		if s != nil {
@@ -339,5 +338,13 @@
 	return nil
 }
 
+// stopBackground ends the watchers and the ticker, and then closes the relay connection that
+// they use.
+func (g *Gateway) stopBackground() {
+	g.cancel()
+	g.goroutines.Wait()
+	g.relayPeer.close()
+}
+
 // logFlushTimeout bounds the wait for the last log lines to be written.
 const logFlushTimeout = 100 * time.Millisecond
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -114,11 +114,9 @@
 	assert.NilError(t, g.start(context.Background()))
 	gw := &gatewayHarness{t: t, store: store, gateway: g, log: out, url: "http://" + s.CallerAddress, health: "http://" + s.HealthAddress}
 	t.Cleanup(func() {
-		g.cancel()
-		g.relayPeer.close()
+		g.stopBackground()
 		_ = g.callerServer.Close()
 		_ = g.healthServer.Close()
-		g.goroutines.Wait()
 	})
 	gw.waitFor("gateway is ready", func() bool {
 		ok, _ := g.dispatcher.isReady(sinceBoot())
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -24,7 +24,9 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// closed is set by Close. From then on no goroutine may start.
+	closed     bool
 	listener   net.Listener
 	outgoing   map[string]*outgoingLink
 	accepted   map[*Link]bool
@@ -72,8 +74,11 @@
 // Counters returns the byte counters of all links, which the node keeps updating.
 func (n *Node) Counters() *Counters { return &n.counters }
 
+// errClosed is returned by calls of a closed node.
+var errClosed = eris.New("node is closed")
+
 // Listen accepts links on address until StopListening or Close, and returns the
-// bound address.
+// bound address. A closed node returns an error.
 func (n *Node) Listen(address string) (string, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -83,8 +88,12 @@
 		listener = tls.NewListener(listener, n.serverTLS)
 	}
 	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		_ = listener.Close()
+		return "", eris.Wrapf(errClosed, "peer listener %s cannot be opened", address)
+	}
 	n.listener = listener
-	n.mu.Unlock()
 	n.goroutines.Go(func() { n.acceptLoop(listener) })
 	return listener.Addr().String(), nil
 }
@@ -138,9 +147,14 @@
 }
 
 // Link returns the open outgoing link to address, or dials one. Concurrent callers
-// share one dial, which takes at most helloTimeout. Every error wraps ErrNotSent.
+// share one dial, which takes at most helloTimeout. Every error wraps ErrNotSent. A
+// closed node dials no link.
 func (n *Node) Link(ctx context.Context, address string) (*Link, error) {
 	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return nil, dialError(errClosed, address)
+	}
 	out, ok := n.outgoing[address]
 	if !ok {
 		out = &outgoingLink{dialed: make(chan struct{})}
@@ -217,6 +231,9 @@
 
 // Close closes the listener and every link, and waits for the node's goroutines.
 func (n *Node) Close() {
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
 	n.StopListening()
 	n.cancel()
 	n.goroutines.Wait()
