Let claims wait by the time that their call has left

Cause: a claim was refused after 1 s whatever time its call had left. Change: a claim may stay undecided for 0.4 of the time left, 1 s to 3 s, and for 1 s while the store is known to fail. An entry that becomes the preferred writer of a shard loads it before the first claim arrives. A longer wait for the answer of another entry was tried and reverted: TestLostGrantIsReleased rightly requires an answer within 1.5 s when that answer is lost.

--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -83,8 +83,12 @@
 	Retention time.Duration
 	// SkewAllowance is added to Retention for entries whose clocks run ahead.
 	SkewAllowance time.Duration
-	// ClaimTimeout is how long a claim may stay undecided before it is refused.
+	// ClaimTimeout is how long a claim may stay undecided before it is refused, while
+	// the store is known to fail or the claim has no RunDeadline.
 	ClaimTimeout time.Duration
+	// MaxClaimTimeout bounds the wait of a claim with a RunDeadline. It ends a claim whose
+	// store call gets no answer.
+	MaxClaimTimeout time.Duration
 	// RunTimeout is how long a claimed request without a stated deadline may run
 	// before its outcome counts as unknown.
 	RunTimeout time.Duration
@@ -136,6 +140,7 @@
 	defaultDuration(&o.Retention, time.Hour)
 	defaultDuration(&o.SkewAllowance, 10*time.Minute)
 	defaultDuration(&o.ClaimTimeout, time.Second)
+	defaultDuration(&o.MaxClaimTimeout, 3*o.ClaimTimeout)
 	defaultDuration(&o.RunTimeout, 10*time.Minute)
 	defaultDuration(&o.RetryAfter, 2*time.Second)
 	defaultDuration(&o.DuplicateWait, o.ClaimTimeout/2)
@@ -146,6 +151,21 @@
 	return o
 }
 
+// claimWaitShare is the part of the time until its RunDeadline that a claim may stay
+// undecided. A refused caller keeps more than half of its time for another attempt.
+const claimWaitShare = 0.4
+
+// claimWait returns how long a claim may stay undecided while the store is not known to
+// fail. It follows the time that the call has left: a writer that restarts or that is
+// starved of processor time can still decide a claim that has time left.
+func (o *Options) claimWait(now, runDeadline time.Time) time.Duration {
+	if runDeadline.IsZero() {
+		return o.ClaimTimeout
+	}
+	wait := time.Duration(claimWaitShare * float64(runDeadline.Sub(now)))
+	return min(max(wait, o.ClaimTimeout), o.MaxClaimTimeout)
+}
+
 func defaultInt(v *int, def int) {
 	if *v <= 0 {
 		*v = def
@@ -175,6 +195,7 @@
 	Sidecar            string
 	SidecarIncarnation int64
 	// RunDeadline is the latest time at which the run ends; zero means now plus RunTimeout.
+	// The time until then also bounds how long the claim may stay undecided.
 	RunDeadline time.Time
 }
 
--- a/internal/claims/shard.go
+++ b/internal/claims/shard.go
@@ -10,7 +10,8 @@
 type loadPhase int
 
 const (
-	// phaseUnloaded lasts until the first claim or update of the shard arrives.
+	// phaseUnloaded lasts until the first claim or update of the shard arrives, or until
+	// this entry becomes the preferred writer of the shard.
 	phaseUnloaded loadPhase = iota
 	phaseReadingHint
 	phaseLoading
@@ -22,6 +23,8 @@
 	claim     Claim
 	hash      keyHash
 	arrivedAt time.Time
+	// refuseAt is when the claim is refused if it is still undecided.
+	refuseAt time.Time
 	// sequence is compared with shard.syncedSequence: a claim of a key in use is
 	// only decided on a state that was read or written later.
 	sequence uint64
@@ -119,7 +122,9 @@
 		return []Effect{s.unavailable(c)}
 	}
 	s.lastSequence++
-	s.claims = append(s.claims, &pendingClaim{claim: c, hash: c.Key.hash(), arrivedAt: now, sequence: s.lastSequence})
+	s.claims = append(s.claims, &pendingClaim{
+		claim: c, hash: c.Key.hash(), arrivedAt: now, refuseAt: now.Add(s.opts.claimWait(now, c.RunDeadline)), sequence: s.lastSequence,
+	})
 	return s.step(now)
 }
 
@@ -142,7 +147,7 @@
 // step. A release alone would be dropped as long as the claim is not in the log.
 func (s *shard) cancelClaim(now time.Time, e Released) {
 	if p := s.findClaim(api.ClaimRecord{Key: e.Key.HashHex(), Request: e.Request}); p != nil {
-		p.arrivedAt = now.Add(-s.opts.ClaimTimeout)
+		p.refuseAt = now
 	}
 }
 
@@ -166,8 +171,7 @@
 	switch s.phase {
 	case phaseUnloaded:
 		if len(s.claims)+len(s.updates) > 0 {
-			s.phase = phaseReadingHint
-			out = append(out, ReadObject{hintKey(s.index)})
+			out = append(out, s.startLoad(now)...)
 		}
 	case phaseLoading:
 		out = append(out, s.readSegments()...)
@@ -177,14 +181,32 @@
 	return out
 }
 
-// refuseTimedOut refuses the claims that have been pending for ClaimTimeout. If a
+// startLoad starts to load a shard that is not loaded yet, unless it is backing off.
+func (s *shard) startLoad(now time.Time) []Effect {
+	if s.phase != phaseUnloaded || now.Before(s.retryAt) {
+		return nil
+	}
+	s.phase = phaseReadingHint
+	return []Effect{ReadObject{hintKey(s.index)}}
+}
+
+// refusalTime returns when a claim that is still undecided is refused: after
+// ClaimTimeout while the store is known to fail, and at refuseAt otherwise.
+func (s *shard) refusalTime(p *pendingClaim) time.Time {
+	if s.consecutiveFailures == 0 {
+		return p.refuseAt
+	}
+	return earlierNonZero(p.refuseAt, p.arrivedAt.Add(s.opts.ClaimTimeout))
+}
+
+// refuseTimedOut refuses the claims whose time to be decided has passed. If a
 // write of the claim may yet take effect, a fencing release is queued. If its
 // record is found in the log later, applyRecords releases it.
 func (s *shard) refuseTimedOut(now time.Time) []Effect {
 	var out []Effect
 	remaining := s.claims[:0]
 	for _, p := range s.claims {
-		if now.Sub(p.arrivedAt) >= s.opts.ClaimTimeout {
+		if !now.Before(s.refusalTime(p)) {
 			out = append(out, s.unavailable(p.claim))
 			if p.writeAmbiguous {
 				s.addUpdate(now, api.ClaimRecord{Key: p.claim.Key.HashHex(), Request: p.claim.Request, State: api.ClaimStateReleased}, true)
@@ -254,8 +276,8 @@
 		return time.Time{}
 	}
 	var next time.Time
-	if len(s.claims) > 0 {
-		next = s.claims[0].arrivedAt.Add(s.opts.ClaimTimeout)
+	for _, p := range s.claims {
+		next = earlierNonZero(next, s.refusalTime(p))
 	}
 	switch {
 	case s.phase == phaseReady && s.writeInFlight == nil && s.headReadSequence == 0:
--- a/internal/claims/state_machine.go
+++ b/internal/claims/state_machine.go
@@ -57,6 +57,7 @@
 		}
 	case SetEntries:
 		m.entries = append([]string(nil), e.Entries...)
+		return m.loadPreferredShards(now)
 	case Tick:
 		return m.stepShards(now)
 	}
@@ -86,7 +87,11 @@
 // claims to that entry batches them into fewer writes; safety does not depend on
 // it.
 func (m *StateMachine) PreferredWriter(key Key) string {
-	shard := strconv.Itoa(key.hash().shardIndex(m.opts.Shards))
+	return m.preferredWriterOf(key.hash().shardIndex(m.opts.Shards))
+}
+
+func (m *StateMachine) preferredWriterOf(index int) string {
+	shard := strconv.Itoa(index)
 	best, bestScore := "", uint64(0)
 	for _, entry := range m.entries {
 		score := xxhash.Sum64String(entry + "\x00" + shard)
@@ -97,6 +102,19 @@
 	return best
 }
 
+// loadPreferredShards starts to load the shards whose preferred writer this entry has
+// become, so that the first claims that are forwarded to it do not wait for the load. A
+// leaving entry is no longer live some time before it refuses claims.
+func (m *StateMachine) loadPreferredShards(now time.Time) []Effect {
+	var out []Effect
+	for _, s := range m.shards {
+		if m.preferredWriterOf(s.index) == m.entryName {
+			out = append(out, s.startLoad(now)...)
+		}
+	}
+	return out
+}
+
 // IsPreferredWriter reports whether this entry is the preferred writer of a key's
 // shard.
 func (m *StateMachine) IsPreferredWriter(key Key) bool { return m.PreferredWriter(key) == m.entryName }
