Keep a leaving sidecar until its notice is heard, and duplicates from removing runs

Cause: a sidecar without work ended 5 ms after its notice. An entry that had sent a call at that moment met a closed link, so that the call may have run (TestRollingRestartCutsNothing beside 36 busy loops, 1 of 2 runs: status 502, run state unknown after 26 ms). refuse removed the attempt of that identifier, also when the refused one was a duplicate over another link; the original then ended without a result. A failed call to store copies of usage records kept the first of them; a record that could not be kept was dropped without a log line. Change: a sidecar stays 300 ms after its notice and refuses attempts until its link closes; refuse removes only the attempt it was given; AddAll stores all records or none; UsageDropped is logged.

--- a/internal/daemon/entrylink.go
+++ b/internal/daemon/entrylink.go
@@ -119,6 +119,10 @@
 		call.Fail(err)
 		return
 	}
+	if l.stopped.Load() {
+		call.Fail(errkind.New(errkind.Draining, "instance is leaving"))
+		return
+	}
 	e := l.entryLinkFor(p)
 	key := attemptKey{params.Request, params.Attempt}
 	if _, loaded := e.runCalls.LoadOrStore(key, call); loaded {
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -115,6 +115,7 @@
 	if !waitOrTimeout(ctx, d.loop.drained, ms(d.settings.Timing.DrainMs)) {
 		log.Warn("drain time has passed with work left")
 	}
+	d.loop.stopped.Store(true)
 	d.flushLinks(ctx)
 	d.stopBackground()
 	d.node.Close()
--- a/internal/daemon/sidecarloop.go
+++ b/internal/daemon/sidecarloop.go
@@ -51,6 +51,9 @@
 
 	ctx     context.Context
 	drained chan struct{}
+	// stopped is set when the main loop is about to end. Attempts that arrive later are
+	// refused without it.
+	stopped atomic.Bool
 	load    atomic.Pointer[api.LoadReport]
 	// cancelFuncs holds the context.CancelFunc of each running attempt, by attemptKey.
 	cancelFuncs sync.Map
@@ -148,6 +151,8 @@
 		l.answerUsageReplica(e)
 	case sidecar.WriteUsage:
 		go l.writeUsage(e)
+	case sidecar.UsageDropped:
+		l.log.Warn("usage record cannot be kept, only the entry has it", zap.String("request", e.Request), zap.Error(e.Err))
 	case sidecar.VersionsClosed:
 		l.orderExecutor.signalVersionsIdle(e.Fence)
 	case sidecar.Drained:
--- a/internal/sidecar/core.go
+++ b/internal/sidecar/core.go
@@ -67,6 +67,7 @@
 	loadReadAt       time.Time
 	failedLoadReads  int
 	drain            drainState
+	drainStartedAt   time.Time
 	closeOrder       closeOrder
 	lastEventAt      time.Time
 	// manifestUnconfirmed is set after a pause of this process until a peer confirms
@@ -173,7 +174,7 @@
 	case BackendLoad:
 		out = c.backendLoad(now, e)
 	case DrainStarted:
-		out = c.drainStarted()
+		out = c.drainStarted(now)
 	case EntriesChanged:
 		c.entriesChanged(e.ReadyEntries)
 	case UsageConfirmed:
@@ -218,7 +219,7 @@
 	out = append(out, c.startQueued(now)...)
 	out = append(out, c.flushUsage(now)...)
 	out = append(out, c.checkVersionsClosed()...)
-	return append(out, c.checkDrained()...)
+	return append(out, c.checkDrained(now)...)
 }
 
 // snapshotApplied puts a newer manifest in force and admits the attempts that waited
--- a/internal/sidecar/events.go
+++ b/internal/sidecar/events.go
@@ -142,6 +142,13 @@
 // ConfirmConfig requests a ConfigConfirmed event after this process was paused.
 type ConfirmConfig struct{}
 
+// UsageDropped reports that the usage record of a run cannot be kept. The entry that
+// answered the caller still holds its own record.
+type UsageDropped struct {
+	Request string
+	Err     error
+}
+
 // AnnounceLeaving notifies all linked entries that this instance is leaving.
 type AnnounceLeaving struct{}
 
@@ -170,6 +177,7 @@
 func (SendResult) effect()         {}
 func (FetchConfig) effect()        {}
 func (ConfirmConfig) effect()      {}
+func (UsageDropped) effect()       {}
 func (AnnounceLeaving) effect()    {}
 func (MemberChanged) effect()      {}
 func (WriteUsage) effect()         {}
--- a/internal/sidecar/refuse.go
+++ b/internal/sidecar/refuse.go
@@ -66,13 +66,18 @@
 }
 
 // refuse ends an attempt that has not started. It releases the attempt's usage
-// reservation and, if the error states that nothing ran, its idempotency key.
+// reservation and, if the error states that nothing ran, its idempotency key. An earlier
+// attempt with the same identifier is kept: the refused one may be its duplicate.
 func (c *Core) refuse(a *attempt, err *errkind.Error) []Effect {
-	delete(c.awaitingConfig, a.id)
-	delete(c.attempts, a.id)
 	if a.running {
 		return nil
 	}
+	if c.awaitingConfig[a.id] == a {
+		delete(c.awaitingConfig, a.id)
+	}
+	if c.attempts[a.id] == a {
+		delete(c.attempts, a.id)
+	}
 	if a.usageReserved {
 		a.usageReserved = false
 		c.unconfirmedUsage.CancelReservation()
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -127,8 +127,9 @@
 	c.finishedAttempts.add(id)
 	c.recordRunEnd(now, a, e)
 	result := c.runResult(a, e)
+	var out []Effect
 	if result.RunState != api.RunStateNotRun {
-		c.addUsage(now, a, result)
+		out = c.addUsage(now, a, result)
 	} else {
 		c.unconfirmedUsage.CancelReservation()
 	}
@@ -136,9 +137,9 @@
 		c.recentKeys.remove(scopedKey(a.params))
 	}
 	if a.linkClosed {
-		return nil
+		return out
 	}
-	return []Effect{SendResult{Link: a.link, Result: result}}
+	return append(out, SendResult{Link: a.link, Result: result})
 }
 
 // recordRunEnd reports the outcome of a run to the queue, in tokens, and to the
@@ -186,10 +187,12 @@
 
 // addUsage keeps a usage record until the entry confirms it. An attempt with an unknown
 // run state is recorded too; billing counts only attempts that certainly ran.
-func (c *Core) addUsage(now time.Time, a *attempt, result api.RunResult) {
+func (c *Core) addUsage(now time.Time, a *attempt, result api.RunResult) []Effect {
 	if err := c.unconfirmedUsage.Add(now, c.usageRecord(now, a, result)); err != nil {
 		c.unconfirmedUsage.CancelReservation()
+		return []Effect{UsageDropped{Request: a.id.request, Err: err}}
 	}
+	return nil
 }
 
 func (c *Core) usageRecord(now time.Time, a *attempt, result api.RunResult) api.UsageRecord {
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -64,18 +64,23 @@
 // Load returns the current load report, as sent with results and probe answers.
 func (c *Core) Load() api.LoadReport { return *c.loadReport() }
 
-func (c *Core) drainStarted() []Effect {
+// leaveNoticeTime is the least time between the notice that this instance leaves and its
+// end. An entry may send an attempt before it handles the notice, tens of milliseconds later
+// beside heavy load; it then gets a refusal instead of a closed link.
+const leaveNoticeTime = 300 * time.Millisecond
+
+func (c *Core) drainStarted(now time.Time) []Effect {
 	if c.drain != drainNone {
 		return nil
 	}
-	c.drain = drainWaiting
+	c.drain, c.drainStartedAt = drainWaiting, now
 	return append(c.refreshState(), AnnounceLeaving{})
 }
 
-// checkDrained returns Drained once, when no attempt is left and no usage record is
-// unwritten.
-func (c *Core) checkDrained() []Effect {
-	if c.drain != drainWaiting || len(c.attempts)+len(c.awaitingConfig) > 0 || c.unconfirmedUsage.RecordCount() > 0 {
+// checkDrained returns Drained once, when leaveNoticeTime has passed, no attempt is left and
+// no usage record is unwritten.
+func (c *Core) checkDrained(now time.Time) []Effect {
+	if c.drain != drainWaiting || now.Sub(c.drainStartedAt) < leaveNoticeTime || len(c.attempts)+len(c.awaitingConfig) > 0 || c.unconfirmedUsage.RecordCount() > 0 {
 		return nil
 	}
 	c.drain = drainDone
@@ -83,18 +88,10 @@
 }
 
 // storeUsageReplica keeps copies of usage records for an entry of another failure
-// domain.
+// domain: all of them, or none if the call fails.
 func (c *Core) storeUsageReplica(now time.Time, e UsageReplicaReceived) []Effect {
-	for _, record := range e.Records {
-		if err := c.unconfirmedUsage.Reserve(); err != nil {
-			return []Effect{UsageReplicaStored{ID: e.ID, Err: err}}
-		}
-		if err := c.unconfirmedUsage.Add(now, record); err != nil {
-			c.unconfirmedUsage.CancelReservation()
-			return []Effect{UsageReplicaStored{ID: e.ID, Err: err}}
-		}
-	}
-	return []Effect{UsageReplicaStored{ID: e.ID}}
+	err := c.unconfirmedUsage.AddAll(now, e.Records)
+	return []Effect{UsageReplicaStored{ID: e.ID, Err: err}}
 }
 
 // flushUsage returns the writes of usage records that are due; while draining, of all
--- a/internal/usage/unconfirmed.go
+++ b/internal/usage/unconfirmed.go
@@ -109,6 +109,32 @@
 	return nil
 }
 
+// AddAll holds all of the given records, without reservations, or none of them if it returns
+// an error. The errors are those of Add.
+func (u *UnconfirmedRecords) AddAll(now time.Time, records []api.UsageRecord) *errkind.Error {
+	var added []stageID
+	for _, r := range records {
+		id := stageID{r.Request, r.Stage}
+		if _, ok := u.unconfirmed[id]; ok {
+			continue
+		}
+		err := u.Reserve()
+		if err == nil {
+			if err = u.Add(now, r); err != nil {
+				u.CancelReservation()
+			}
+		}
+		if err != nil {
+			for _, id := range added {
+				u.remove(id)
+			}
+			return err
+		}
+		added = append(added, id)
+	}
+	return nil
+}
+
 // Confirm drops the record of a stage that the entry has stored.
 func (u *UnconfirmedRecords) Confirm(c api.UsageConfirm) { u.remove(stageID{c.Request, c.Stage}) }
 
