Keep the answer at hand while a larger model is asked

Cause: an answer of the smallest model that was dropped for its confidence was gone for good. A worker's 5xx was dropped before the retry budget was asked, so that the caller got the router's 502 instead; responses of status 1xx counted as responses to other requests; a caller who left was logged as deadline_exceeded. Change: forward.Fallback keeps the answer for 0.3 s (no two workers run a request for 0.4 s), delivers it when the larger model fails or has not begun at 3 times the target, and asks the smallest model again if it was not kept. A stalled stream goes on elsewhere after 0.4 of the time left. The line of a request states start, header time, confidence and threshold of each attempt, what was delivered and why no attempt followed; escalations are counted by outcome.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -318,14 +318,18 @@
 	} {
 		r := base
 		r.Outcome, r.Idempotent, r.Runs = c.outcome, c.idempotent, c.runs
-		assert.Equal(t, r.ShouldRetry(1), c.want, "%+v", c)
+		ok, reason := r.ShouldRetry(1)
+		assert.Equal(t, ok, c.want, "%+v", c)
+		assert.Equal(t, reason == "", c.want, "%+v", c)
 	}
 	expired := base
 	expired.Outcome, expired.Remaining = NotRun, time.Millisecond
-	assert.Assert(t, !expired.ShouldRetry(0))
+	_, reason := expired.ShouldRetry(0)
+	assert.Equal(t, reason, "no time is left")
 	exhausted := base
 	exhausted.Outcome, exhausted.TakeBudget = NotRun, func() bool { return false }
-	assert.Assert(t, !exhausted.ShouldRetry(0))
+	_, reason = exhausted.ShouldRetry(0)
+	assert.Equal(t, reason, "retry budget is empty")
 }
 
 // Guards against low-confidence answers that are delivered although the larger models
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -55,25 +55,34 @@
 // connect timeout.
 const maxUnsentAttempts = 4
 
-// ShouldRetry reports whether the request is sent to another worker; unsent is the number of
-// attempts so far that never reached one.
-func (r RetryState) ShouldRetry(unsent int) bool {
+// ShouldRetry reports whether the request is sent to another worker, and otherwise why not;
+// unsent is the number of attempts so far that never reached one.
+func (r RetryState) ShouldRetry(unsent int) (ok bool, reason string) {
 	if r.Remaining < minRetryTime {
-		return false
+		return false, "no time is left"
 	}
 	switch r.Outcome {
 	case NotSent:
-		return unsent < maxUnsentAttempts
+		if unsent >= maxUnsentAttempts {
+			return false, "too many workers could not be reached"
+		}
+		return true, ""
 	case NotRun, WrongWorker:
 		// The request did not run: it uses the retry budget, but no attempt of MaxAttempts.
 	case WorkerFailed, Broken:
-		if !r.Idempotent || r.Runs >= r.MaxAttempts {
-			return false
+		if !r.Idempotent {
+			return false, "request may run only once"
+		}
+		if r.Runs >= r.MaxAttempts {
+			return false, "route allows no further run"
 		}
 	default:
-		return false
+		return false, "response was delivered"
+	}
+	if !r.TakeBudget() {
+		return false, "retry budget is empty"
 	}
-	return r.TakeBudget()
+	return true, ""
 }
 
 // NextModel returns the index of the model to ask after the one at index stage: always the
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -131,8 +131,14 @@
 	return eris.Wrap(err, "no response from the worker")
 }
 
-// maxStaleResponses is how many responses may be read while looking for the one to this request.
-const maxStaleResponses = 3
+const (
+	// maxStaleResponses is how many responses to other requests are skipped, plus one, while
+	// looking for the one to this request.
+	maxStaleResponses = 3
+	// maxInformationalResponses is how many responses of status 1xx are skipped, as in
+	// net/http.
+	maxInformationalResponses = 5
+)
 
 // readHeader reads the header of the response until the deadline. Responses to other requests,
 // which may arrive late on the same connection, are skipped.
@@ -140,14 +146,10 @@
 	if err := e.conn.SetReadDeadline(deadline); err != nil {
 		return eris.Wrap(err, "connection is closed")
 	}
-	req := &http.Request{Method: method}
 	for range maxStaleResponses {
-		resp, err := http.ReadResponse(e.conn.br, req) //nolint:bodyclose // releaseConn or close handles the connection
+		resp, err := e.readFinalResponse(method)
 		if err != nil {
-			return eris.Wrap(err, "answer cannot be read")
-		}
-		if resp.StatusCode < http.StatusOK {
-			continue
+			return err
 		}
 		meta := codec.ResponseMeta(resp.Header)
 		if meta.RequestID != "" && meta.RequestID != requestID {
@@ -162,6 +164,21 @@
 	return eris.New("worker sent only responses to other requests")
 }
 
+// readFinalResponse reads the header of the next response whose status is not 1xx.
+func (e *exchange) readFinalResponse(method string) (*http.Response, error) {
+	req := &http.Request{Method: method}
+	for range maxInformationalResponses + 1 {
+		resp, err := http.ReadResponse(e.conn.br, req) //nolint:bodyclose // releaseConn or close handles the connection
+		if err != nil {
+			return nil, eris.Wrap(err, "answer cannot be read")
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, eris.New("worker sent only informational responses")
+}
+
 // maxStaleResponseBytes bounds the body of a response to another request.
 const maxStaleResponseBytes = 1 << 20
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,7 +52,9 @@
 	healthServer   *http.Server
 	metricsServer  *http.Server
 	activeRequests atomic.Int64
-	draining       atomic.Bool
+	// heldSlots holds one value for each answer that is kept; see heldAnswer.
+	heldSlots chan struct{}
+	draining  atomic.Bool
 	// drainStartedAt is when readiness was withdrawn; nil before.
 	drainStartedAt atomic.Pointer[time.Time]
 	ctx            context.Context
@@ -87,7 +89,8 @@
 		settings: s, store: deps.Store, headers: deps.Headers, reload: deps.Reload,
 		pool: newConnPool(m.workerConnections.Inc), metrics: m,
 		log: observe.ComponentLogger(log, "gateway"), requestLog: observe.ComponentLogger(log, "request"), logWriter: logWriter,
-		ctx: ctx, cancel: cancel,
+		heldSlots: make(chan struct{}, maxHeldAnswers),
+		ctx:       ctx, cancel: cancel,
 	}
 	g.relayPeer, g.store = newRelayPeer(s, deps.Store, time.Now(), log)
 	g.dispatcher = newDispatcher(s, observe.ComponentLogger(log, "state"))
--- /dev/null
+++ b/internal/gateway/held.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/borageflow/borageflow/internal/forward"
+)
+
+const (
+	// maxHeldBytes is the largest answer that is kept while a larger model is asked.
+	maxHeldBytes = 64 << 10
+	// maxHeldAnswers bounds the answers that one process keeps at a time, to 4 MiB together.
+	maxHeldAnswers = 64
+)
+
+// errHeldTooLarge is returned for an answer larger than maxHeldBytes.
+var errHeldTooLarge = eris.New("answer is too large to be kept")
+
+// heldAnswer is an answer that was set aside for that of a larger model. A goroutine reads the
+// rest of it, which ends at the latest when the context of the request ends.
+type heldAnswer struct {
+	attempt attempt
+	// mu guards ended, which is set before the connection is given back or closed.
+	mu    sync.Mutex
+	ended bool
+	// done is closed when reading has ended. The fields below are valid from then on.
+	done   chan struct{}
+	events []byte
+	lastID int64
+	err    error
+}
+
+// holdAnswer sets the answer of an attempt aside and reads the rest of it until the given time.
+// release is called when reading has ended. It returns nil if too many answers are kept already;
+// the caller then closes the exchange and calls release.
+func (g *Gateway) holdAnswer(a attempt, until time.Time, release func()) *heldAnswer {
+	select {
+	case g.heldSlots <- struct{}{}:
+	default:
+		return nil
+	}
+	h := &heldAnswer{attempt: a, done: make(chan struct{}), lastID: -1}
+	if err := a.exchange.conn.SetReadDeadline(until); err != nil {
+		h.err = eris.Wrap(err, "connection is closed")
+	}
+	go func() {
+		defer close(h.done)
+		defer release()
+		if h.err == nil {
+			h.err = h.read()
+		}
+		h.mu.Lock()
+		h.ended = true
+		h.mu.Unlock()
+		if h.err != nil {
+			a.exchange.close()
+			h.events = nil
+			return
+		}
+		a.exchange.releaseConn(g.pool)
+	}()
+	return h
+}
+
+// read reads the events of the answer until it ends.
+func (h *heldAnswer) read() error {
+	reader := newEventReader(h.attempt.exchange.resp.Body)
+	for {
+		event, id, err := reader.next()
+		if err != nil && !errors.Is(err, io.EOF) {
+			return eris.Wrap(err, "answer ended early")
+		}
+		if len(h.events)+len(event) > maxHeldBytes {
+			return errHeldTooLarge
+		}
+		h.events = append(h.events, event...)
+		if id >= 0 {
+			h.lastID = id
+		}
+		if err != nil {
+			return nil
+		}
+	}
+}
+
+// readUntil sets until when the answer is read, if it is still being read.
+func (h *heldAnswer) readUntil(until time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.ended {
+		_ = h.attempt.exchange.conn.SetReadDeadline(until) // fails on a closed connection, where reading ends
+	}
+}
+
+// state returns the state of the answer.
+func (h *heldAnswer) state() forward.HeldState {
+	select {
+	case <-h.done:
+	default:
+		return forward.HeldReading
+	}
+	if h.err != nil {
+		return forward.HeldLost
+	}
+	return forward.HeldComplete
+}
+
+// drop ends reading and gives the answer's place to another one.
+func (h *heldAnswer) drop(g *Gateway) {
+	h.readUntil(time.Unix(1, 0))
+	<-h.done
+	<-g.heldSlots
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -35,6 +35,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_refused_total{kind=%q}", kind)).Inc()
 }
 
+// countEscalation counts a request for which a larger model was asked, by what came of it. The
+// routes of the configuration are few, and requests on unknown routes are refused before.
+func (m *gatewayMetrics) countEscalation(route, outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_escalation_outcomes_total{route=%q,outcome=%q}", route, outcome)).Inc()
+}
+
 func (m *gatewayMetrics) observeRequest(outcome string, d time.Duration) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf("borageflow_gateway_request_seconds{outcome=%q}", outcome)).Update(d.Seconds())
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -8,8 +8,6 @@
 	"strconv"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/membership"
@@ -56,6 +54,17 @@
 	placement        forward.Placement
 	firstByteLatency time.Duration
 	lastError        error
+	// noRetryReason states why no further attempt followed the last one, for the log.
+	noRetryReason string
+	// keyWithdrawn reports whether the API key was withdrawn while the request was processed.
+	keyWithdrawn bool
+
+	// fallback is set once a larger model was asked, and fallbackAt is its latest moment. held
+	// is the answer that was set aside, if it is kept.
+	fallback      *forward.Fallback
+	fallbackAt    time.Time
+	held          *heldAnswer
+	deliveredHeld bool
 }
 
 // attempt is one attempt between the choice of a worker and its end.
@@ -66,6 +75,9 @@
 	// startedSinceBoot is the time of the start since boot, the clock that package forward uses.
 	startedSinceBoot time.Duration
 	model            string
+	// isHeld reports whether the response was set aside. Its reader then ends the attempt.
+	isHeld bool
+	record attemptRecord
 }
 
 // remaining returns the time until the deadline of the request.
@@ -77,6 +89,34 @@
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	r.gateway.dispatcher.recordFirstAttempt(r.service)
+	for {
+		refusal, outcome := r.runAttempts(ctx)
+		if refusal != nil {
+			done, again := r.fallBack(ctx)
+			if again {
+				continue
+			}
+			if done {
+				refusal, outcome = nil, r.deliveredOutcome()
+			}
+		}
+		r.endEscalation(refusal)
+		return refusal, outcome
+	}
+}
+
+// deliveredOutcome returns the outcome of a request whose caller has a response or a closed
+// connection.
+func (r *request) deliveredOutcome() string {
+	if r.aborted {
+		return "cut"
+	}
+	return "answered"
+}
+
+// runAttempts runs attempts until one succeeds or none may follow. The results are those of
+// serve.
+func (r *request) runAttempts(ctx context.Context) (*errkind.Error, string) {
 	for {
 		if refusal := r.authorize(); refusal != nil {
 			return refusal, "refused"
@@ -85,48 +125,38 @@
 		if refusal != nil {
 			return refusal, "refused"
 		}
-		outcome, done := r.runAttempt(ctx, a)
-		r.attempts = append(r.attempts, attemptRecord{a.worker.ID, a.model, outcome.String(), r.placement.Load, r.placement.LoadAge.Milliseconds()})
-		if done && r.aborted {
-			return nil, "cut"
-		}
+		outcome, done := r.runAttempt(ctx, &a)
+		r.recordAttempt(&a, outcome.String())
 		if done {
-			return nil, "answered"
+			return nil, r.deliveredOutcome()
 		}
-		if err := r.contextError(ctx); err != nil {
-			return err, "given up"
+		if err, outcome := r.contextError(ctx); err != nil {
+			return err, outcome
 		}
 		if outcome == outcomeEscalated {
 			continue
 		}
 		retry := forward.RetryState{
-			Outcome: outcome, Idempotent: r.route.Idempotent(), Runs: r.runCount, MaxAttempts: r.route.MaxAttempts,
+			Outcome: outcome, Idempotent: r.route.Idempotent(), Runs: r.runCount, MaxAttempts: r.maxRuns(),
 			Remaining: r.remaining(), TakeBudget: r.takeRetryBudget,
 		}
-		if !retry.ShouldRetry(r.unsentAttempts) {
+		if r.isOverdue() {
+			return errkind.New(errkind.DeadlineExceeded, "larger model did not begin in time"), "failed"
+		}
+		if ok, reason := retry.ShouldRetry(r.unsentAttempts); !ok {
+			r.noRetryReason = reason
 			return r.finalError(outcome), "failed"
 		}
 		r.gateway.metrics.retries.Inc()
 	}
 }
 
-// outcomeEscalated is the outcome of a response that was dropped for that of a larger model.
-const outcomeEscalated = forward.Superseded
-
-// attemptRecord is one attempt in the log line of a request.
-type attemptRecord struct {
-	Worker    string  `json:"worker"`
-	Model     string  `json:"model,omitempty"`
-	Outcome   string  `json:"outcome"`
-	Load      float64 `json:"load"`
-	LoadAgeMs int64   `json:"load_age_ms"`
-}
-
 // authorize checks the API key against the newest configuration. It is called before each
 // attempt.
 func (r *request) authorize() *errkind.Error {
 	snapshot := r.gateway.dispatcher.snapshot.Load()
 	if _, refusal := forward.Authorize(r.gateway.dispatcher.confirmedConfig(snapshot), r.route, r.apiKey, sinceBoot(), r.gateway.dispatcher.maxKeyAge()); refusal != nil {
+		r.keyWithdrawn = refusal.Kind == errkind.Unauthenticated
 		if r.mayHaveRun {
 			return errkind.New(errkind.UpstreamFailed, "request cannot be retried: "+refusal.Message)
 		}
@@ -135,17 +165,21 @@
 	return nil
 }
 
+// outcomeCallerLeft is the outcome of a request whose caller closed its connection. Nobody
+// receives its error.
+const outcomeCallerLeft = "caller left"
+
 // contextError returns why the request must end, because its time is over or the caller
-// disconnected, or nil.
-func (r *request) contextError(ctx context.Context) *errkind.Error {
+// disconnected, and the outcome; or nil.
+func (r *request) contextError(ctx context.Context) (*errkind.Error, string) {
 	err := ctx.Err()
 	switch {
 	case err == nil:
-		return nil
+		return nil, ""
 	case errors.Is(err, context.DeadlineExceeded):
-		return errkind.New(errkind.DeadlineExceeded, "no response within the time limit of the request")
+		return errkind.New(errkind.DeadlineExceeded, "no response within the time limit of the request"), "given up"
 	}
-	return errkind.New(errkind.DeadlineExceeded, "caller closed its connection")
+	return errkind.New(errkind.DeadlineExceeded, "caller closed its connection"), outcomeCallerLeft
 }
 
 // finalError returns the error for the caller after the last attempt.
@@ -177,7 +211,10 @@
 		return attempt{}, errkind.New(errkind.NoCandidate, "no usable worker of the service is known").WithRetryAfter(defaultRetryAfter)
 	}
 	r.placement = p
-	return attempt{worker: p.Worker, started: time.Now(), startedSinceBoot: sinceBoot(), model: model}, nil
+	return attempt{
+		worker: p.Worker, started: time.Now(), startedSinceBoot: sinceBoot(), model: model,
+		record: attemptRecord{Load: p.Load, LoadAgeMs: p.LoadAge.Milliseconds(), StartMs: time.Since(r.started).Milliseconds(), HeaderMs: -1},
+	}, nil
 }
 
 // routedModel returns the model that the router chooses, or "" to keep the caller's.
@@ -195,9 +232,13 @@
 // runAttempt sends the request to a worker and its response to the caller. It returns the outcome
 // and whether the request is done: the caller has a response or its connection must be
 // closed.
-func (r *request) runAttempt(ctx context.Context, a attempt) (forward.Outcome, bool) {
+func (r *request) runAttempt(ctx context.Context, a *attempt) (forward.Outcome, bool) {
 	headerReceived := false
-	defer func() { r.gateway.dispatcher.releaseWorker(a.worker.ID, headerReceived) }()
+	defer func() {
+		if !a.isHeld {
+			r.gateway.dispatcher.releaseWorker(a.worker.ID, headerReceived)
+		}
+	}()
 	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
 	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds only buffers
 	defer bufferPool.Put(buf)
@@ -218,7 +259,11 @@
 		return forward.NotSent, false
 	}
 	a.exchange = ex
-	defer ex.close()
+	defer func() {
+		if !a.isHeld {
+			ex.close()
+		}
+	}()
 	if r.modelIndex > 0 {
 		r.gateway.dispatcher.recordLargerModelStart(r.route.Name, a.startedSinceBoot)
 	}
@@ -237,22 +282,24 @@
 		r.lastError = err
 		r.mayHaveRun = true
 		r.runCount++
-		if ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if !r.isOverdue() && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
 			r.recordFailure(a)
 		}
 		return forward.Broken, false
 	}
 	headerReceived = true
+	a.record.HeaderMs = time.Since(a.started).Milliseconds()
 	r.gateway.dispatcher.recordFirstByte(a.worker.ID)
 	return r.handleHeader(ctx, a)
 }
 
 // awaitHeader waits for the start of the response. An overdue response is given up only if a retry
-// is left in the budget. Otherwise the wait continues until the deadline of the request.
+// is left in the budget, or if there is an answer to deliver instead. Otherwise the wait
+// continues until the deadline of the request.
 func (r *request) awaitHeader(ex *exchange) error {
 	for {
 		err := ex.awaitFirstByte(r.headerDeadline())
-		if err == nil || !isTimeout(err) || r.remaining() <= 0 {
+		if err == nil || !isTimeout(err) || r.remaining() <= 0 || r.isOverdue() {
 			return err
 		}
 		if r.gateway.dispatcher.takeRetryBudget(r.service) {
@@ -273,21 +320,30 @@
 }
 
 // headerDeadline returns when the header of a response is overdue. This is the deadline of
-// the request unless the request may run again at another worker.
+// the request unless the request may run again at another worker, or may fall back to an answer
+// that was set aside.
 func (r *request) headerDeadline() time.Time {
-	if !r.route.Idempotent() || r.runCount+1 >= r.route.MaxAttempts {
-		return r.deadline
+	deadline := r.deadline
+	if r.route.Idempotent() && r.runCount+1 < r.maxRuns() {
+		timeout := r.gateway.dispatcher.headerTimeout(r.route, r.modelIndex > 0, r.inbound.meta.PromptTokens)
+		deadline = earlier(deadline, time.Now().Add(timeout))
 	}
-	deadline := time.Now().Add(r.gateway.dispatcher.headerTimeout(r.route, r.modelIndex > 0, r.inbound.meta.PromptTokens))
-	if deadline.After(r.deadline) {
-		return r.deadline
+	if r.fallback != nil && r.modelIndex > 0 && time.Now().Before(r.fallbackAt) {
+		deadline = earlier(deadline, r.fallbackAt)
 	}
 	return deadline
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // handleHeader decides by the header of a response whether to send the response to the caller or
 // to make another attempt. The results are those of runAttempt.
-func (r *request) handleHeader(ctx context.Context, a attempt) (forward.Outcome, bool) {
+func (r *request) handleHeader(ctx context.Context, a *attempt) (forward.Outcome, bool) {
 	ex := a.exchange
 	now := sinceBoot()
 	if ex.meta.HasLoad {
@@ -315,7 +371,7 @@
 	if failed {
 		r.workerFailed = true
 		r.gateway.dispatcher.recordAttempt(a.worker, membership.Failed, latency)
-		if r.route.Idempotent() && r.runCount < r.route.MaxAttempts && r.remaining() > minFailureRetryTime && !r.headerSent {
+		if !r.headerSent && (r.reserveFailureRetry() || r.hasAnswerAtHand()) {
 			ex.drainAndRelease(r.gateway.pool)
 			return forward.WorkerFailed, false
 		}
@@ -323,10 +379,8 @@
 		r.gateway.dispatcher.recordAttempt(a.worker, membership.Succeeded, latency)
 	}
 	if r.route.Kind == forward.Stream && !failed && status < http.StatusMultipleChoices {
-		if next, ok := r.shouldEscalate(ex); ok {
-			r.modelIndex = next
-			r.gateway.metrics.escalations.Inc()
-			r.triedWorkers = nil
+		if next, ok := r.shouldEscalate(a); ok {
+			r.escalate(a, next)
 			return outcomeEscalated, false
 		}
 		return r.copyStream(ctx, a)
@@ -334,23 +388,22 @@
 	return r.copyResponse(a)
 }
 
+// reserveFailureRetry takes a retry for a request that a worker failed and reports whether there
+// was one. Without one the caller gets the response of the worker.
+func (r *request) reserveFailureRetry() bool {
+	if !r.route.Idempotent() || r.runCount >= r.maxRuns() || r.remaining() <= minFailureRetryTime {
+		return false
+	}
+	r.retryReserved = r.takeRetryBudget()
+	return r.retryReserved
+}
+
 // minFailureRetryTime is the least remaining time with which a failed response is dropped for
 // another attempt. RetryState.ShouldRetry then still requires 50 ms.
 const minFailureRetryTime = 60 * time.Millisecond
 
-// shouldEscalate returns the index of the model to ask next and whether the response is
-// dropped for that of this larger model. If so, it has taken a retry.
-func (r *request) shouldEscalate(ex *exchange) (int, bool) {
-	if !r.routerPicksModel || r.headerSent || r.runCount >= r.route.MaxAttempts {
-		return r.modelIndex, false
-	}
-	minConfidence := r.gateway.dispatcher.minConfidence(sinceBoot(), r.route.Name, r.route.LatencyTarget-time.Since(r.started))
-	next, ok := forward.NextModel(r.route.Models, r.modelIndex, ex.meta.Confidence, minConfidence)
-	return next, ok && r.gateway.dispatcher.takeRetryBudget(r.service)
-}
-
 // recordFailure records a failed attempt for the ejection of workers.
-func (r *request) recordFailure(a attempt) {
+func (r *request) recordFailure(a *attempt) {
 	r.gateway.dispatcher.recordAttempt(a.worker, membership.Failed, time.Since(a.started))
 }
 
@@ -383,21 +436,3 @@
 	}
 	r.gateway.closeConnWhenDraining(r.writer)
 }
-
-// logEnd writes the log line of the request.
-func (r *request) logEnd(snapshot *configSnapshot, refusal *errkind.Error, outcome string) {
-	fields := []zap.Field{
-		zap.String("request", r.inbound.meta.RequestID), zap.String("route", r.route.Name), zap.String("customer", r.customer.Name),
-		zap.String("outcome", outcome), zap.Int64("config", snapshot.config.Version),
-		zap.Int64("config_age_ms", r.gateway.dispatcher.confirmedConfig(snapshot).Age(sinceBoot()).Milliseconds()),
-		zap.Any("attempts", r.attempts), zap.Int("cached_tokens", r.placement.CachedTokens), zap.String("version", r.placement.Worker.Version),
-		zap.Int64("first_byte_ms", r.firstByteLatency.Milliseconds()), zap.Int64("total_ms", time.Since(r.started).Milliseconds()),
-	}
-	if refusal != nil {
-		fields = append(fields, zap.String("kind", string(refusal.Kind)), zap.String("reason", refusal.Message), zap.Bool("ran", r.mayHaveRun))
-	}
-	if r.lastError != nil {
-		fields = append(fields, zap.String("last_error", r.lastError.Error()))
-	}
-	r.gateway.requestLog.Info("request has ended", fields...)
-}
--- /dev/null
+++ b/internal/gateway/request_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a worker's response that is replaced by an error of the router although no retry
+// is left to replace it with a better one.
+func TestWorkerFailureIsForwardedWithoutBudget(t *testing.T) {
+	script := func(_ int, c net.Conn, r receivedRequest) bool {
+		writeResponse(c, r, http.StatusInternalServerError, "no")
+		return true
+	}
+	gw := startGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+	for gw.gateway.dispatcher.takeRetryBudget("svc") {
+	}
+	resp := gw.call("GET", "/safe/x", "")
+	assert.Equal(t, resp.status, http.StatusInternalServerError)
+	assert.Equal(t, resp.body, "no")
+	assert.Assert(t, resp.header.Get("X-Signature") != "")
+}
+
+// Guards against a response that is given up because informational responses precede it.
+func TestInformationalResponsesAreSkipped(t *testing.T) {
+	w := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool {
+		for range 4 {
+			fmt.Fprint(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+		}
+		writeResponse(c, r, http.StatusOK, "done")
+		return true
+	})
+	gw := startGateway(t, w)
+	assert.Equal(t, gw.call("POST", "/unsafe/x", "q").status, http.StatusOK)
+}
+
+// Guards against a log line that reports a caller who left as a time limit that was exceeded.
+func TestCallerWhoLeftIsLoggedAsSuch(t *testing.T) {
+	w := startWorker(t, "w1", func(_ int, _ net.Conn, _ receivedRequest) bool {
+		time.Sleep(500 * time.Millisecond)
+		return false
+	})
+	gw := startGateway(t, w)
+	c, err := net.Dial("tcp", strings.TrimPrefix(gw.url, "http://"))
+	assert.NilError(t, err)
+	fmt.Fprint(c, "GET /safe/x HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-1\r\n\r\n")
+	gw.waitFor("request reaches the worker", func() bool { return len(w.requests()) == 1 })
+	assert.NilError(t, c.Close())
+	gw.waitFor("request is logged", func() bool { return strings.Contains(gw.log.String(), "request has ended") })
+	assert.Assert(t, strings.Contains(gw.log.String(), `"outcome":"caller left"`), gw.log.String())
+	assert.Assert(t, !strings.Contains(gw.log.String(), "deadline_exceeded"), gw.log.String())
+}
--- /dev/null
+++ b/internal/gateway/requestlog.go
@@ -0,0 +1,65 @@
+package gateway
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/borageflow/borageflow/internal/errkind"
+)
+
+// attemptRecord is one attempt in the log line of a request.
+type attemptRecord struct {
+	Worker  string `json:"worker"`
+	Model   string `json:"model,omitempty"`
+	Outcome string `json:"outcome"`
+	// Load and LoadAgeMs are the estimated load of the worker when it was chosen, and the age
+	// of its last report, -1 without one.
+	Load      float64 `json:"load"`
+	LoadAgeMs int64   `json:"load_age_ms"`
+	// StartMs is the time from the arrival of the request to the start of the attempt.
+	StartMs int64 `json:"start_ms"`
+	// HeaderMs is the time from the start of the attempt to the header of the response, -1 if
+	// none arrived.
+	HeaderMs int64 `json:"header_ms"`
+	// Confidence is the stated confidence, and MinConfidence the one below which the answer is
+	// set aside; both are 0 where no larger model could be asked.
+	Confidence    int `json:"confidence,omitempty"`
+	MinConfidence int `json:"min_confidence,omitempty"`
+}
+
+// maxLoggedAttempts bounds the attempts in the log line of a request.
+const maxLoggedAttempts = 8
+
+// recordAttempt keeps an attempt for the log line.
+func (r *request) recordAttempt(a *attempt, outcome string) {
+	if len(r.attempts) >= maxLoggedAttempts {
+		return
+	}
+	a.record.Worker, a.record.Model, a.record.Outcome = a.worker.ID, a.model, outcome
+	r.attempts = append(r.attempts, a.record)
+}
+
+// logEnd writes the log line of the request.
+func (r *request) logEnd(snapshot *configSnapshot, refusal *errkind.Error, outcome string) {
+	fields := []zap.Field{
+		zap.String("request", r.inbound.meta.RequestID), zap.String("route", r.route.Name), zap.String("customer", r.customer.Name),
+		zap.String("outcome", outcome), zap.Int64("config", snapshot.config.Version),
+		zap.Int64("config_age_ms", r.gateway.dispatcher.confirmedConfig(snapshot).Age(sinceBoot()).Milliseconds()),
+		zap.Any("attempts", r.attempts), zap.Int("cached_tokens", r.placement.CachedTokens), zap.String("version", r.placement.Worker.Version),
+		zap.Int64("first_byte_ms", r.firstByteLatency.Milliseconds()), zap.Int64("total_ms", time.Since(r.started).Milliseconds()),
+	}
+	if r.deliveredHeld {
+		fields = append(fields, zap.String("delivered", "answer set aside for a larger model"))
+	}
+	if refusal != nil && outcome != outcomeCallerLeft {
+		fields = append(fields, zap.String("kind", string(refusal.Kind)), zap.String("reason", refusal.Message), zap.Bool("ran", r.mayHaveRun))
+	}
+	if r.noRetryReason != "" {
+		fields = append(fields, zap.String("no_retry", r.noRetryReason))
+	}
+	if r.lastError != nil {
+		fields = append(fields, zap.String("last_error", r.lastError.Error()))
+	}
+	r.gateway.requestLog.Info("request has ended", fields...)
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -19,7 +19,7 @@
 
 // copyResponse sends a response that is not a stream to the caller. It returns the outcome of
 // the attempt and whether the caller has a response or its connection must be closed.
-func (r *request) copyResponse(a attempt) (forward.Outcome, bool) {
+func (r *request) copyResponse(a *attempt) (forward.Outcome, bool) {
 	resp := a.exchange.resp
 	_ = a.exchange.conn.SetReadDeadline(r.deadline) // if the connection is closed, the read fails
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
@@ -74,7 +74,7 @@
 // copyStream sends the events of a stream to the caller as they arrive. If the stream breaks
 // off, the request continues at another worker when it may. The results are those of
 // copyResponse.
-func (r *request) copyStream(ctx context.Context, a attempt) (forward.Outcome, bool) {
+func (r *request) copyStream(ctx context.Context, a *attempt) (forward.Outcome, bool) {
 	resp := a.exchange.resp
 	err := r.copyEvents(a)
 	if err == nil {
@@ -110,12 +110,13 @@
 		r.writer.Header()["Content-Length"] = []string{strconv.FormatInt(resp.ContentLength, 10)}
 	}
 	r.headerSent = true
+	r.dropHeld()
 	r.firstByteLatency = time.Since(r.started)
 	r.writer.WriteHeader(resp.StatusCode)
 }
 
 // copyEvents copies whole events until the stream ends.
-func (r *request) copyEvents(a attempt) error {
+func (r *request) copyEvents(a *attempt) error {
 	events := newEventReader(a.exchange.resp.Body)
 	a.exchange.conn.onReadTimeout = r.extendEventDeadline
 	defer func() { a.exchange.conn.onReadTimeout = nil }()
@@ -144,7 +145,7 @@
 
 // writeEvent sends one event to the caller, after the header if that is not sent yet, and
 // remembers its ID for resuming the stream.
-func (r *request) writeEvent(a attempt, event []byte, id int64, flush bool) error {
+func (r *request) writeEvent(a *attempt, event []byte, id int64, flush bool) error {
 	if len(event) > 0 {
 		if !r.headerSent {
 			r.sendStreamHeader(a.exchange.resp)
@@ -171,6 +172,7 @@
 		return r.deadline
 	}
 	timeout := max(time.Duration(eventTimeoutFactor*float64(r.route.GapTarget)), minEventTimeout)
+	timeout = min(timeout, max(time.Duration(eventTimeoutShare*float64(r.remaining())), r.route.GapTarget))
 	if deadline := time.Now().Add(timeout); deadline.Before(r.deadline) {
 		return deadline
 	}
@@ -194,6 +196,9 @@
 	eventTimeoutFactor = 3.0
 	// minEventTimeout is the shortest wait where the allowed pause is short or unknown.
 	minEventTimeout = 1500 * time.Millisecond
+	// eventTimeoutShare bounds the wait for an event to a part of the remaining time, so that
+	// another worker can still end the stream in time.
+	eventTimeoutShare = 0.4
 )
 
 func isTimeout(err error) bool {
