Mend faults of keys, long responses, own demand records and stream times

Cause and change: an operator key was accepted without the Bearer scheme (TestOperatorKeyNeedsBearerScheme, 200 before, 401 now). Events of a stream had created 0 (TestStreamEventsCarryTime).

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -84,8 +84,13 @@
 	})
 }
 
+// bearerKey returns the bearer token of a request, or "" without one. No operator has the key "".
 func bearerKey(r *http.Request) string {
-	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return key
 }
 
 // checkOperatorKey returns an error of kind unauthenticated unless the manifest in
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -104,3 +104,19 @@
 	raw, _ := json.Marshal(n)
 	return string(raw)
 }
+
+// Guards against an operator key that is accepted in another scheme of authorization, or without
+// one.
+func TestOperatorKeyNeedsBearerScheme(t *testing.T) {
+	_, h := newTestHandler()
+	assert.Equal(t, request(h, http.MethodPut, firstCommitPath, "operator", testManifest("operator", "first")).Code, http.StatusOK)
+	for authorization, want := range map[string]int{
+		"Bearer operator": http.StatusOK, "operator": http.StatusUnauthorized, "Basic operator": http.StatusUnauthorized, "": http.StatusUnauthorized,
+	} {
+		req := httptest.NewRequest(http.MethodGet, "/admin/v1/manifest", nil)
+		req.Header.Set("Authorization", authorization)
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, req)
+		assert.Equal(t, w.Code, want, "%q: %s", authorization, w.Body.String())
+	}
+}
--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -23,7 +23,7 @@
 	// callTimeout bounds one call. For a usage call the entry reads every usage batch
 	// from the store in this time.
 	callTimeout = 15 * time.Second
-	// maxResponseBytes is the largest response that is read; the rest is cut off.
+	// maxResponseBytes is the largest response that is accepted.
 	maxResponseBytes = 16 << 20
 )
 
@@ -149,10 +149,13 @@
 		return eris.Wrap(err, "administration API cannot be reached")
 	}
 	defer resp.Body.Close() //nolint:errcheck // a failed close of a read body has no consequence
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return eris.Wrap(err, "response of the administration API is incomplete")
 	}
+	if len(raw) > maxResponseBytes {
+		return eris.Errorf("response of the administration API is larger than %d bytes", maxResponseBytes)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return decodeError(resp.StatusCode, raw)
 	}
--- a/internal/callerapi/handler_test.go
+++ b/internal/callerapi/handler_test.go
@@ -128,6 +128,17 @@
 	assert.Assert(t, !strings.Contains(w.Body.String(), "[DONE]"))
 }
 
+// Guards against events of a stream without the time of the answer, which clients require.
+func TestStreamEventsCarryTime(t *testing.T) {
+	f := &fakeBackend{onSubmit: func(r entry.RequestArrived, s *Stream) {
+		s.Deliver(entry.Deliver{Request: r.Request, Version: "v", Text: "a", Tokens: 1})
+		s.Finish(entry.Answer{Request: r.Request, Version: "v", FinishReason: "stop"})
+	}}
+	w := postRequest(f, chatPath, `{"model":"m","stream":true,"stream_options":{"include_usage":true},"messages":[{"role":"user","content":"x"}]}`, nil)
+	assert.Assert(t, strings.Count(w.Body.String(), `"created":`) >= 3, w.Body.String())
+	assert.Assert(t, !strings.Contains(w.Body.String(), `"created":0`), w.Body.String())
+}
+
 // FuzzParseChat guards against a panic of parseChat and against accepting a request
 // without model or messages, or with a negative token limit.
 func FuzzParseChat(f *testing.F) {
--- a/internal/callerapi/write.go
+++ b/internal/callerapi/write.go
@@ -21,8 +21,10 @@
 	streaming     bool
 	includeUsage  bool
 	headerWritten bool
-	content       strings.Builder
-	eventBuffer   bytes.Buffer
+	// created is the time of the first part of the answer in Unix seconds, 0 before.
+	created     int64
+	content     strings.Builder
+	eventBuffer bytes.Buffer
 }
 
 func (c *chatWriter) writeUpdate(update streamUpdate) error {
@@ -52,7 +54,7 @@
 	}
 	if c.includeUsage {
 		if err := c.writeEvent(completionBody{
-			ID: c.requestID, Object: "chat.completion.chunk", Model: answer.Version,
+			ID: c.requestID, Object: "chat.completion.chunk", Created: c.createdAt(), Model: answer.Version,
 			Choices: []completionChoice{}, Usage: tokenUsage(answer),
 		}); err != nil {
 			return err
@@ -74,7 +76,7 @@
 func (c *chatWriter) writeCompletion(answer *entry.Answer) error {
 	setAnswerHeaders(c.response, answer)
 	writeJSON(c.response, http.StatusOK, completionBody{
-		ID: c.requestID, Object: "chat.completion", Created: time.Now().Unix(), Model: answer.Version,
+		ID: c.requestID, Object: "chat.completion", Created: c.createdAt(), Model: answer.Version,
 		Choices: []completionChoice{{
 			Message:      &responseMessage{Role: "assistant", Content: c.content.String() + answer.Text},
 			FinishReason: &answer.FinishReason,
@@ -84,6 +86,15 @@
 	return nil
 }
 
+// createdAt returns the time of the first part of the answer in Unix seconds. It is the same in
+// all events of a stream.
+func (c *chatWriter) createdAt() int64 {
+	if c.created == 0 {
+		c.created = time.Now().Unix()
+	}
+	return c.created
+}
+
 func tokenUsage(a *entry.Answer) *completionUsage {
 	return &completionUsage{PromptTokens: a.InputTokens, CompletionTokens: a.OutputTokens, TotalTokens: a.InputTokens + a.OutputTokens}
 }
@@ -106,7 +117,7 @@
 		delta.Role = "assistant"
 	}
 	return c.writeEvent(completionBody{
-		ID: c.requestID, Object: "chat.completion.chunk", Model: version,
+		ID: c.requestID, Object: "chat.completion.chunk", Created: c.createdAt(), Model: version,
 		Choices: []completionChoice{{Delta: delta, FinishReason: finish}},
 	})
 }
--- a/internal/limits/reports.go
+++ b/internal/limits/reports.go
@@ -165,7 +165,7 @@
 	return out
 }
 
-// expireOrigins removes entries without a report for twice the origin timeout, and
+// expireOrigins removes the other entries without a report for twice the origin timeout, and
 // their records. It does so at most once per refresh interval.
 func (r *demandReports) expireOrigins(now time.Time) {
 	if now.Sub(r.expiredAt) < r.refreshInterval() {
@@ -174,7 +174,7 @@
 	r.expiredAt = now
 	dropped := false
 	for name, o := range r.origins {
-		if now.Sub(o.lastReportAt) > 2*r.originTimeout() {
+		if name != r.self && now.Sub(o.lastReportAt) > 2*r.originTimeout() {
 			delete(r.origins, name)
 			dropped = true
 		}
@@ -276,7 +276,7 @@
 		return true
 	}
 	own := c.reports.origins[c.reports.self].records[name]
-	return s.config.Concurrency > 0 && differsBy(float64(s.running), float64(own.demand.Running), reportThreshold)
+	return s.config.Concurrency > 0 && differsBy(float64(s.running), float64(own.demand.Running), c.reports.reportThreshold())
 }
 
 // cappedDemand returns the customer's demand at this entry, in requests/s, capped at
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -39,6 +39,13 @@
 	return &Budget{opts: opts, tokens: opts.Burst}
 }
 
+// SetOptions replaces the options and keeps the tokens, up to the new maximum.
+func (b *Budget) SetOptions(opts BudgetOptions) {
+	tokens := b.tokens
+	*b = Budget{opts: NewBudget(opts).opts, refilledAt: b.refilledAt}
+	b.tokens = math.Min(tokens, b.opts.Burst)
+}
+
 // RecordFirstAttempt adds the tokens that the first attempt of a request earns.
 func (b *Budget) RecordFirstAttempt(now time.Time) {
 	b.refill(now)
