Share the first lists of the relays until callers arrive

Gateways that had no relay watched the configuration every second, which only relays need. Change: a first list is asked of the relays for up to 0.5 s; a caller that arrives ends the wait.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -16,6 +16,7 @@
 
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/news"
 )
 
 // HeaderCodec reads and writes the headers that a deployment uses on requests and responses.
@@ -50,6 +51,9 @@
 	meta := g.headers.RequestMeta(req.Header)
 	g.metrics.requests.Inc()
 	if synced, reason := g.dispatcher.hasSynced(); !synced {
+		if relayed, ok := g.store.(*news.RelayedStore); ok {
+			relayed.ListNow()
+		}
 		g.writeError(w, meta, &configSnapshot{config: &forward.Config{}}, errkind.New(errkind.NotReady, reason).WithRetryAfter(defaultRetryAfter))
 		return
 	}
--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -48,9 +48,10 @@
 	return s.PeerAddress != "" && slices.Contains(s.Relays, s.PeerAddress)
 }
 
-// configWatchTimeout returns the longest wait of a watch on the configuration.
+// configWatchTimeout returns the longest wait of a watch on the configuration. Only relays need
+// the shorter one.
 func (s *Settings) configWatchTimeout() time.Duration {
-	if s.usesRelays() {
+	if s.usesRelays() && s.isRelay() {
 		return min(s.WatchTimeout, relayWatchTimeout)
 	}
 	return s.WatchTimeout
--- a/internal/news/store.go
+++ b/internal/news/store.go
@@ -29,6 +29,14 @@
 	// interval does not apply to the configuration: its age decides whether API keys are
 	// accepted, and a slow store answers some of the calls in time.
 	storeRetryInterval = 2 * time.Second
+	// firstListPatience is how long after the start a gateway waits for a relay that has a
+	// topic. A relay that starts at the same time has listed all topics within 0.2 s.
+	firstListPatience = 500 * time.Millisecond
+	// firstListTimeout bounds one request for a first list, and firstListRetryInterval is the
+	// pause after a relay that does not have the topic.
+	firstListTimeout       = 200 * time.Millisecond
+	firstListRetryInterval = 40 * time.Millisecond
+	maxFirstListRequests   = 12
 )
 
 // errStoreBackoff is returned instead of calling the store within storeRetryInterval after
@@ -50,7 +58,12 @@
 	// timeout bounds a request to a relay beyond its waiting time.
 	timeout time.Duration
 	clock   func() Elapsed
-	log     *zap.Logger
+	// startedAt is the time at which the store was made.
+	startedAt Elapsed
+	// listNow is closed by ListNow.
+	listNow     chan struct{}
+	listNowOnce sync.Once
+	log         *zap.Logger
 
 	mu       sync.Mutex
 	relays   []relayState
@@ -79,7 +92,7 @@
 // which relays are tried depends on instance, so that gateways spread their requests over
 // the relays.
 func NewRelayedStore(direct forward.Store, dialer LinkDialer, instance, domain string, relays []string, timeout time.Duration, clock func() Elapsed, log *zap.Logger) *RelayedStore {
-	s := &RelayedStore{Store: direct, dialer: dialer, domain: domain, timeout: timeout, clock: clock, log: log, progress: map[forward.Topic]topicProgress{}}
+	s := &RelayedStore{Store: direct, dialer: dialer, domain: domain, timeout: timeout, clock: clock, startedAt: clock(), listNow: make(chan struct{}), log: log, progress: map[forward.Topic]topicProgress{}}
 	ordered := slices.Clone(relays)
 	slices.SortFunc(ordered, func(a, b string) int {
 		if xxhash.Sum64String(instance+"/"+a) < xxhash.Sum64String(instance+"/"+b) {
@@ -93,16 +106,19 @@
 	return s
 }
 
-// List implements forward.Store. The first list comes from the store if that answers: after
-// a power loss the relays are starting too, and a connection to a relay that is not running
-// yet hangs. Because all gateways list again after each outage, later lists ask a relay for
-// the changes since the last answer, and the store only if no relay has them. A relay that is
-// behind is ignored.
+// List implements forward.Store. The first list comes from a relay if one has the topic soon
+// after the start, and otherwise from the store: when all gateways start at once, they share
+// the lists of the relays. Because all gateways list again after each outage, later lists ask a
+// relay for the changes since the last answer, and the store only if no relay has them. A relay
+// that is behind is ignored.
 func (s *RelayedStore) List(ctx context.Context, topic forward.Topic) (forward.Update, error) {
 	direct := func() (forward.Update, error) { return s.Store.List(ctx, topic) }
 	if revision := s.lastRevision(topic); revision > 0 {
 		return s.relayOrStore(ctx, topic, revision, 0, direct)
 	}
+	if u, ok := s.firstListFromRelay(ctx, topic); ok {
+		return u, nil
+	}
 	u, err := direct()
 	if err != nil {
 		return s.snapshotFromRelay(ctx, topic, err)
@@ -111,6 +127,49 @@
 	return u, nil
 }
 
+// ListNow ends the wait of first lists for a relay: callers are waiting.
+func (s *RelayedStore) ListNow() {
+	s.listNowOnce.Do(func() { close(s.listNow) })
+}
+
+// firstListFromRelay requests a whole topic from the relays in turn until one has it, ListNow is
+// called, or firstListPatience has passed since the start. The relays may be starting too, and
+// a connection to a machine that is not running hangs. Without ListNow, callers were refused for
+// half a second after a power loss.
+func (s *RelayedStore) firstListFromRelay(ctx context.Context, topic forward.Topic) (forward.Update, bool) {
+	ctx, cancelWait := context.WithCancel(ctx)
+	defer cancelWait()
+	go func() {
+		select {
+		case <-s.listNow:
+			cancelWait()
+		case <-ctx.Done():
+		}
+	}()
+	for n := 0; len(s.relays) > 0 && n < maxFirstListRequests && ctx.Err() == nil; n++ {
+		remaining := s.startedAt + firstListPatience - s.clock()
+		if remaining <= 0 {
+			break
+		}
+		callCtx, cancel := context.WithTimeout(ctx, min(remaining, firstListTimeout))
+		u, err := s.watchRelay(callCtx, s.relays[n%len(s.relays)].address, topic, 0, 0)
+		cancel()
+		switch {
+		case err == nil && u.Full && s.accept(topic, &u):
+			return u, true
+		case errors.Is(err, errGap):
+			return forward.Update{}, false // the list is too long to be worth sending
+		}
+		timer := time.NewTimer(min(remaining, firstListRetryInterval))
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+	return forward.Update{}, false
+}
+
 // snapshotFromRelay requests a whole topic from a relay after the store failed to list it,
 // so that a gateway can start and serve while it cannot reach the store. It returns
 // storeErr if no relay has the topic.
