Exchange the loads and failures of workers between gateways

Cause: 30 gateways before 55 workers, and 103 before 128, chose workers nearly at random: each hears from a worker every ten seconds. A prompt of 90,000 tokens counted as much as one of 1,500. A reload filled the retry budgets; known rollouts were logged at each list. Change: gateways state their loads and failures to their relay every 200 ms or less often and get the sums of the others (news.LoadTable); a request weighs by the tokens to read; the sums are used where answers take longer than the exchange, and all gateways together level them (chooseLevel). Failures count as load for 3 s.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1087,6 +1087,41 @@
 	Seconds float64 `json:"seconds"`
 }
 
+// LoadsParams states the loads that a gateway causes at the workers to a relay,
+// method loads.
+type LoadsParams struct {
+	// Failures holds the requests that ended without an answer in the last seconds,
+	// decayed, encoded as Loads.
+	Failures string `json:"failures,omitempty,omitzero"`
+
+	// Loads holds the loads above zero in base64: for each worker the distance of its
+	// key from the one before, and its load in eighths of a request, both as unsigned
+	// varints. The key is the highest 20 bits of the xxHash of the ID.
+	Loads string `json:"loads"`
+
+	// Relay is set by relays, which state no loads and ask for those of the gateways
+	// that report to the answering relay.
+	Relay bool `json:"relay,omitempty,omitzero"`
+}
+
+// LoadsResult states the loads that other gateways cause at the workers. A relay
+// gets those of the answering relay and of the gateways that report to it.
+type LoadsResult struct {
+	// Failures holds the failures of the same gateways, encoded as in LoadsParams.
+	Failures string `json:"failures,omitempty,omitzero"`
+
+	// Gateways is the number of gateways whose loads are known; to a relay, of those
+	// that report to the answering one.
+	Gateways int `json:"gateways"`
+
+	// Loads holds the loads above zero, encoded as in LoadsParams.
+	Loads string `json:"loads"`
+
+	// NextMs is the time until the gateway is to state its loads again, in
+	// milliseconds.
+	NextMs int `json:"nextMs"`
+}
+
 // LogSettings configure the log.
 type LogSettings struct {
 	// Level is debug, info, warn or error; empty means info.
--- /dev/null
+++ b/internal/forward/choice.go
@@ -0,0 +1,111 @@
+package forward
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+// leastLoaded chooses a worker by its score alone. It returns the worker, the score up to which
+// workers are filled, and the number of workers compared. A worker with a reduced share is
+// skipped at random in proportion, unless no other worker is left.
+//
+// While nothing is known of other processes, the worker with the lowest score is chosen. The
+// loads of other processes are as old as the last exchange. If all processes chose the lowest
+// score, they would all send their requests to the same worker until the next exchange, to one
+// that was just added above all. Each therefore chooses at random so that the work which all
+// of them place meanwhile levels the scores.
+func (p *Placer) leastLoaded(now Elapsed, q *WorkerQuery, rng *rand.Rand) (*workerState, float64, int) {
+	p.candidates = p.candidates[:0]
+	for _, ignoreShare := range []bool{false, true} {
+		for _, s := range p.services[q.Service] {
+			if s.eligible(q) && (ignoreShare || s.share >= 1 || rng.Float64() < s.share) {
+				p.candidates = append(p.candidates, scoredWorker{s, p.score(now, s, q.Heavy) + rng.Float64()*tieBreakNoise})
+			}
+		}
+		if len(p.candidates) > 0 {
+			break
+		}
+	}
+	if len(p.candidates) == 0 {
+		return nil, math.Inf(1), 0
+	}
+	worker, level := chooseLevel(p.candidates, p.unseenWork(now, q), rng.Float64())
+	return worker, level, len(p.candidates)
+}
+
+// usesPeerLoads reports whether the loads that other processes state are used for a pool: if its
+// requests wait longer for their answers than a stated load is old. Where answers start within
+// some ten milliseconds, such a load is gone before it is known, and the reports in the answers
+// of the workers say more.
+func (p *Placer) usesPeerLoads(service string, pool int) bool {
+	return p.statsFor(service).meanWait[pool] >= p.peerInterval
+}
+
+// scoredWorker is a candidate with its score.
+type scoredWorker struct {
+	worker *workerState
+	score  float64
+}
+
+// chooseLevel returns the worker for a request and the score up to which work fills the workers
+// with the lowest scores, as water fills vessels of different depth. A worker is chosen with a
+// probability in proportion to what it lacks to that score, by the random number draw in [0, 1).
+// Without work it returns the worker with the lowest score. It sorts candidates.
+func chooseLevel(candidates []scoredWorker, work, draw float64) (*workerState, float64) {
+	slices.SortFunc(candidates, func(a, b scoredWorker) int { return cmp.Compare(a.score, b.score) })
+	sum, level, filled := 0.0, candidates[0].score, 1
+	for i := range candidates {
+		if i > 0 && level <= candidates[i].score {
+			break
+		}
+		sum += candidates[i].score
+		level, filled = (work+sum)/float64(i+1), i+1
+	}
+	for _, c := range candidates[:filled] {
+		if draw -= (level - c.score) / max(work, math.SmallestNonzeroFloat64); draw < 0 {
+			return c.worker, level
+		}
+	}
+	return candidates[0].worker, level
+}
+
+// unseenWork returns the work that other processes have placed on the workers of a pool and that
+// this one does not know of yet, in requests: since their last reports, which are up to one
+// interval old, and since the last exchange. All processes are taken to place as much as this one.
+func (p *Placer) unseenWork(now Elapsed, q *WorkerQuery) float64 {
+	age := now - p.peersAt
+	if p.peers <= 1 || age > p.opts.PeerLoadTTL {
+		return 0
+	}
+	i := 0
+	if q.Heavy {
+		i = 1
+	}
+	if !p.usesPeerLoads(q.Service, i) {
+		return 0
+	}
+	return float64(p.peers-1) * p.statsFor(q.Service).startRate(now, i) * (age + p.peerInterval).Seconds()
+}
+
+// tieBreakNoise is the range of a random addition to scores, in requests. It spreads
+// requests over workers of equal load.
+const tieBreakNoise = 0.1
+
+func (s *workerState) eligible(q *WorkerQuery) bool {
+	return (q.Allowed == nil || q.Allowed(s.Version)) && !slices.Contains(q.Exclude, s.ID)
+}
+
+// score returns the estimated load of a worker with the penalties for another pool and
+// another failure domain. Lower is better.
+func (p *Placer) score(now Elapsed, s *workerState, heavy bool) float64 {
+	score := p.estimatedLoad(now, s) + failurePenalty*s.recentFailures(now) + peerFailurePenalty*decayed(s.peerFailures, now-s.peerFailuresAt)
+	if s.pooled && s.heavy != heavy {
+		score += p.opts.PoolPenalty
+	}
+	if s.FailureDomain != p.opts.FailureDomain {
+		score += p.opts.DomainPenalty
+	}
+	return score
+}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -104,7 +106,7 @@
 	for range 40 {
 		got, ok := p.Pick(0, WorkerQuery{Service: "s"}, rng)
 		assert.Assert(t, ok)
-		p.RecordStart(0, got.Worker.ID, "", nil)
+		p.RecordStart(0, got.Worker.ID, "", nil, 0)
 		count[got.Worker.ID]++
 	}
 	for id, n := range count {
@@ -123,8 +125,7 @@
 		for request := range 3 {
 			prompt := []PromptPart{{ID: 7, Tokens: 2000}, {ID: 8, Tokens: 4000}, {ID: uint64(100*process + request), Tokens: 10}}
 			got, _ := p.Pick(0, WorkerQuery{Service: "s", Prompt: prompt, Model: "m"}, rng)
-			p.RecordStart(0, got.Worker.ID, "m", prompt)
-			p.RecordEnd(got.Worker.ID, true)
+			p.RecordStart(0, got.Worker.ID, "m", prompt, 0).End()
 			seen[got.Worker.ID] = true
 		}
 	}
@@ -141,7 +142,7 @@
 	prompt := []PromptPart{{ID: 7, Tokens: 2000}, {ID: 8, Tokens: 10}}
 	for range 60 {
 		got, _ := p.Pick(0, WorkerQuery{Service: "s", Prompt: prompt, Model: "m"}, rng)
-		p.RecordStart(0, got.Worker.ID, "m", prompt)
+		p.RecordStart(0, got.Worker.ID, "m", prompt, 0)
 		count[got.Worker.ID]++
 	}
 	for id, n := range count {
@@ -158,8 +159,7 @@
 	for i := range 200 {
 		heavy := i%2 == 0
 		got, _ := p.Pick(0, WorkerQuery{Service: "s", Heavy: heavy}, rng)
-		p.RecordStart(0, got.Worker.ID, "", nil)
-		p.RecordEnd(got.Worker.ID, true)
+		p.RecordStart(0, got.Worker.ID, "", nil, 0).End()
 		if i > 0 {
 			pools[heavy][got.Worker.ID] = true
 		}
@@ -220,13 +220,14 @@
 
 	// A request of this process loses most of its weight when its answer starts, not when it
 	// ends.
+	var inFlight []*InFlight
 	for range 8 {
-		p.RecordStart(0, "w1", "m", nil)
+		inFlight = append(inFlight, p.RecordStart(0, "w1", "m", nil, 0))
 	}
 	got, _ = p.Pick(0, WorkerQuery{Service: "s"}, rng)
 	assert.Equal(t, got.Worker.ID, "w0")
-	for range 8 {
-		p.RecordAnswerStart("w1")
+	for _, f := range inFlight {
+		f.AnswerStarted(0)
 	}
 	got, _ = p.Pick(0, WorkerQuery{Service: "s"}, rng)
 	assert.Equal(t, got.Worker.ID, "w1")
@@ -237,7 +238,7 @@
 func TestRestartedWorkerHasEmptyCache(t *testing.T) {
 	p := newTestPlacer(1)
 	prompt := []PromptPart{{ID: 1, Tokens: 100}, {ID: 2, Tokens: 10}}
-	p.RecordStart(0, "w0", "m", prompt)
+	p.RecordStart(0, "w0", "m", prompt, 0)
 	rng := rand.New(rand.NewPCG(5, 2))
 	got, _ := p.Pick(0, WorkerQuery{Service: "s", Prompt: prompt, Model: "m"}, rng)
 	assert.Equal(t, got.CachedTokens, 110)
@@ -257,39 +258,53 @@
 	assert.Equal(t, got.Candidates, 900)
 }
 
-// Guards against counts of requests in flight and of running answers that drift or become
-// negative after any order of starts, ends and changes of the worker list.
-func TestInFlightCountsMatchEvents(t *testing.T) {
+// Guards against loads that drift or become negative after any order of starts, ends and
+// changes of the worker list.
+func TestOwnLoadMatchesEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := newTestPlacer(3)
-		inFlight, answering := map[string]int{}, map[string]int{}
+		p := NewPlacer(PlacerOptions{FailureDomain: "a", TokensPerWork: 1000})
+		p.SetWorkers(testWorkers(3))
+		type request struct {
+			inFlight  *InFlight
+			work      float64
+			answering bool
+		}
+		requests := map[string][]request{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			id := fmt.Sprint("w", rapid.IntRange(0, 2).Draw(t, "worker"))
-			switch rapid.IntRange(0, 3).Draw(t, "step") {
-			case 0:
-				p.RecordStart(0, id, "m", nil)
-				inFlight[id]++
-			case 1:
-				wasAnswering := answering[id] > 0 && rapid.Bool().Draw(t, "begun")
-				p.RecordEnd(id, wasAnswering)
-				inFlight[id] = max(inFlight[id]-1, 0)
-				if wasAnswering {
-					answering[id]--
-				}
-				answering[id] = min(answering[id], inFlight[id])
-			case 2:
+			list := requests[id]
+			switch step := rapid.IntRange(0, 3).Draw(t, "step"); {
+			case step == 0:
+				tokens, cached := rapid.IntRange(0, 5000).Draw(t, "tokens"), rapid.IntRange(0, 1000).Draw(t, "cached")
+				f := p.RecordStart(0, id, "m", []PromptPart{{ID: 1, Tokens: tokens}}, cached)
+				requests[id] = append(list, request{f, minPromptWork + float64(max(tokens-cached, 0))/1000, false})
+			case step == 1:
 				p.SetWorkers(testWorkers(3))
-			case 3:
-				p.RecordAnswerStart(id)
-				answering[id] = min(answering[id]+1, inFlight[id])
+			case len(list) == 0:
+			case step == 2:
+				i := rapid.IntRange(0, len(list)-1).Draw(t, "ended")
+				list[i].inFlight.End()
+				requests[id] = slices.Delete(list, i, i+1)
+			case step == 3:
+				i := rapid.IntRange(0, len(list)-1).Draw(t, "started")
+				list[i].inFlight.AnswerStarted(0)
+				list[i].answering = true
 			}
 		}
-		for id, n := range inFlight {
-			if p.workers[id].inFlight != n {
-				t.Fatalf("worker %s has %d requests in flight, Placer counts %d", id, n, p.workers[id].inFlight)
+		for id, list := range requests {
+			unread, answering := 0.0, 0
+			for _, r := range list {
+				if r.answering {
+					answering++
+				} else {
+					unread += r.work
+				}
+			}
+			if math.Abs(p.workers[id].unreadWork-unread) > 1e-6 {
+				t.Fatalf("worker %s has %.3f of unread work, Placer counts %.3f", id, unread, p.workers[id].unreadWork)
 			}
-			if p.workers[id].answering != answering[id] {
-				t.Fatalf("worker %s has %d running answers, Placer counts %d", id, answering[id], p.workers[id].answering)
+			if p.workers[id].answering != answering {
+				t.Fatalf("worker %s has %d running answers, Placer counts %d", id, answering, p.workers[id].answering)
 			}
 		}
 	})
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -27,6 +26,11 @@
 	// ReportHalfLife is the age at which a worker's report of the load of other processes
 	// has half its weight.
 	ReportHalfLife time.Duration
+	// TokensPerWork is the number of prompt tokens that count as one request in the load of
+	// a worker.
+	TokensPerWork float64
+	// PeerLoadTTL is how long the load that other processes state is used.
+	PeerLoadTTL time.Duration
 	// CacheTTL is the time after its last use for which a prompt part is assumed to be
 	// cached.
 	CacheTTL time.Duration
@@ -42,6 +46,12 @@
 	if o.PoolPenalty == 0 {
 		o.PoolPenalty = 2
 	}
+	if o.TokensPerWork == 0 {
+		o.TokensPerWork = 4000
+	}
+	if o.PeerLoadTTL == 0 {
+		o.PeerLoadTTL = 2 * time.Second
+	}
 	if o.ReportHalfLife == 0 {
 		o.ReportHalfLife = time.Second
 	}
@@ -67,16 +77,34 @@
 	services map[string][]*workerState
 	pools    map[string]*poolStats
 	cache    *lru.LRU[partKey, *[maxHoldersPerPart]partHolder]
+	// peers is the number of processes whose loads are exchanged, this one included, as of
+	// peersAt. peerInterval is the time between the last two exchanges.
+	peers        int
+	peersAt      Elapsed
+	peerInterval time.Duration
+	// candidates is reused between calls.
+	candidates []scoredWorker
 }
 
 // workerState is a worker with its load as seen by this process.
 type workerState struct {
 	Worker
-	hash            uint64
-	pooled          bool // the worker belongs to one of two pools
-	heavy           bool // the pool of the larger models
-	inFlight        int  // requests of this process
-	answering       int  // the requests in flight whose answer has started
+	hash      uint64
+	pooled    bool // the worker belongs to one of two pools
+	heavy     bool // the pool of the larger models
+	answering int  // requests of this process whose answer has started
+	// unreadWork is the work of the other requests of this process, in requests.
+	unreadWork float64
+	// peerLoad is the load that other processes cause, as of peerLoadAt.
+	peerLoad    float64
+	peerLoadAt  Elapsed
+	hasPeerLoad bool
+	// failures is the number of requests without an answer, decayed as of failedAt.
+	failures float64
+	failedAt Elapsed
+	// peerFailures are those of the other processes, as of peerFailuresAt.
+	peerFailures    float64
+	peerFailuresAt  Elapsed
 	share           float64
 	load            Load
 	reportedAt      Elapsed
@@ -180,158 +208,3 @@
 	}
 	return out, true
 }
-
-// leastLoaded returns the worker with the lowest score, its score, and the number of
-// workers compared. A worker with a reduced share is skipped at random in proportion,
-// unless no other worker is left.
-func (p *Placer) leastLoaded(now Elapsed, q *WorkerQuery, rng *rand.Rand) (*workerState, float64, int) {
-	var least *workerState
-	leastScore := math.Inf(1)
-	candidates := 0
-	for _, ignoreShare := range []bool{false, true} {
-		for _, s := range p.services[q.Service] {
-			if !s.eligible(q) || !ignoreShare && s.share < 1 && rng.Float64() >= s.share {
-				continue
-			}
-			candidates++
-			if score := p.score(now, s, q.Heavy) + rng.Float64()*tieBreakNoise; score < leastScore {
-				least, leastScore = s, score
-			}
-		}
-		if least != nil {
-			break
-		}
-	}
-	return least, leastScore, candidates
-}
-
-// tieBreakNoise is the range of a random addition to scores, in requests. It spreads
-// requests over workers of equal load.
-const tieBreakNoise = 0.1
-
-func (s *workerState) eligible(q *WorkerQuery) bool {
-	return (q.Allowed == nil || q.Allowed(s.Version)) && !slices.Contains(q.Exclude, s.ID)
-}
-
-// estimatedLoad returns the estimated load of a worker in requests, weighted as in ownLoad:
-// that of this process, and that of other processes from the worker's last report. An old
-// report decays to the mean of the pool, because a worker without reports is no less loaded
-// than the others.
-func (p *Placer) estimatedLoad(now Elapsed, s *workerState) float64 {
-	foreignLoad := p.statsFor(s.Service).meanForeignLoad[s.poolIndex()]
-	if s.hasReport {
-		reported := max(p.reportedLoad(s)-s.ownLoadAtReport, 0)
-		foreignLoad += (reported - foreignLoad) * math.Exp2(-float64(now-s.reportedAt)/float64(p.opts.ReportHalfLife))
-	}
-	return p.ownLoad(s) + foreignLoad
-}
-
-// score returns the estimated load of a worker with the penalties for another pool and
-// another failure domain. Lower is better.
-func (p *Placer) score(now Elapsed, s *workerState, heavy bool) float64 {
-	score := p.estimatedLoad(now, s)
-	if s.pooled && s.heavy != heavy {
-		score += p.opts.PoolPenalty
-	}
-	if s.FailureDomain != p.opts.FailureDomain {
-		score += p.opts.DomainPenalty
-	}
-	return score
-}
-
-// RecordStart records that a request was sent to a worker, which is then expected to cache
-// the parts of its prompt.
-func (p *Placer) RecordStart(now Elapsed, id, model string, prompt []PromptPart) {
-	s := p.workers[id]
-	if s == nil {
-		return
-	}
-	s.inFlight++
-	for _, part := range prompt {
-		p.recordCached(now, partKey{part.ID, model}, s)
-	}
-}
-
-// RecordLoad records the load that a worker reported in an answer.
-func (p *Placer) RecordLoad(now Elapsed, id string, load Load) {
-	s := p.workers[id]
-	if s == nil {
-		return
-	}
-	s.load, s.reportedAt, s.ownLoadAtReport, s.hasReport = load, now, p.ownLoad(s), true
-	stats := p.statsFor(s.Service)
-	reported := p.reportedLoad(s)
-	stats.meanLoad[s.poolIndex()] += poolMeanGain * (reported - stats.meanLoad[s.poolIndex()])
-	stats.meanForeignLoad[s.poolIndex()] += poolMeanGain * (max(reported-s.ownLoadAtReport, 0) - stats.meanForeignLoad[s.poolIndex()])
-}
-
-// poolMeanGain is the weight of one report in the mean load of a pool. The mean covers
-// about twenty reports, which an instance receives within a few seconds.
-const poolMeanGain = 0.05
-
-// poolIndex returns the index of the worker's pool in poolStats: 1 for the heavy pool, 0
-// otherwise.
-func (s *workerState) poolIndex() int {
-	if s.pooled && s.heavy {
-		return 1
-	}
-	return 0
-}
-
-// RecordEnd records that a request to a worker has ended; answerStarted reports whether its
-// answer had started.
-func (p *Placer) RecordEnd(id string, answerStarted bool) {
-	if s := p.workers[id]; s != nil && s.inFlight > 0 {
-		s.inFlight--
-		if answerStarted && s.answering > 0 {
-			s.answering--
-		}
-		s.answering = min(s.answering, s.inFlight)
-	}
-}
-
-// RecordAnswerStart records that the answer of a request has started.
-func (p *Placer) RecordAnswerStart(id string) {
-	if s := p.workers[id]; s != nil && s.answering < s.inFlight {
-		s.answering++
-	}
-}
-
-// LoadEstimate returns the estimated load of a worker, as in Placement.Load, and the age of
-// its last report, which is negative if there is none.
-func (p *Placer) LoadEstimate(now Elapsed, id string) (float64, time.Duration) {
-	s := p.workers[id]
-	if s == nil {
-		return 0, -1
-	}
-	if !s.hasReport {
-		return p.estimatedLoad(now, s), -1
-	}
-	return p.estimatedLoad(now, s), now - s.reportedAt
-}
-
-// runningWeight is the load of a request whose answer has started, relative to one whose
-// prompt is still to be read, on a model engine. A running answer makes each step about 2%
-// longer, while a prompt delays all other requests by about ten steps. With equal weights,
-// workers with many running answers and no queued prompts were passed over in favor of
-// workers with a queue of prompts.
-const runningWeight = 0.1
-
-// answeringWeight returns the weight of a request whose answer has started. Only engines
-// read prompts; on plain workers, all requests weigh the same.
-func (p *Placer) answeringWeight(s *workerState) float64 {
-	if p.statsFor(s.Service).hasCascades {
-		return runningWeight
-	}
-	return 1
-}
-
-// reportedLoad returns the weighted load from the last report of a worker.
-func (p *Placer) reportedLoad(s *workerState) float64 {
-	return p.answeringWeight(s)*float64(s.load.Running) + float64(s.load.Waiting)
-}
-
-// ownLoad returns the weighted load that this process causes at a worker.
-func (p *Placer) ownLoad(s *workerState) float64 {
-	return float64(s.inFlight-s.answering) + p.answeringWeight(s)*float64(s.answering)
-}
--- a/internal/forward/placer_test.go
+++ b/internal/forward/placer_test.go
@@ -30,6 +30,10 @@
 // prefill reads the parts of a prompt that a worker has not cached and returns the time at
 // which the answer starts.
 func (m *prefillModel) prefill(now time.Duration, worker int, prompt []PromptPart) time.Duration {
+	return m.prefillAt(now, worker, prompt, 92)
+}
+
+func (m *prefillModel) prefillAt(now time.Duration, worker int, prompt []PromptPart, tokensPerMs float64) time.Duration {
 	tokens, cached := 0, true
 	for _, part := range prompt {
 		if cached = cached && m.cached[worker][part.ID]; !cached {
@@ -38,7 +42,7 @@
 		}
 	}
 	m.tokensRead += tokens
-	m.freeAt[worker] = max(now, m.freeAt[worker]) + time.Duration(tokens)*time.Millisecond/92
+	m.freeAt[worker] = max(now, m.freeAt[worker]) + time.Duration(float64(tokens)/tokensPerMs*float64(time.Millisecond))
 	return m.freeAt[worker]
 }
 
@@ -56,9 +60,10 @@
 		length    = 40 * time.Second
 	)
 	type completion struct {
-		at     time.Duration
-		placer int
-		worker int
+		at       time.Duration
+		placer   int
+		worker   int
+		inFlight *InFlight
 	}
 	rng := rand.New(rand.NewPCG(1, 7))
 	m := newPrefillModel(workers)
@@ -76,7 +81,7 @@
 			completions = completions[1:]
 			running[e.worker]--
 			p, id := placers[e.placer], "w"+strconv.Itoa(e.worker)
-			p.RecordEnd(id, true)
+			e.inFlight.End()
 			p.RecordLoad(e.at, id, Load{Running: running[e.worker], Slots: 64})
 		}
 		requests++
@@ -87,10 +92,10 @@
 		i := rng.IntN(processes)
 		got, _ := placers[i].Pick(now, WorkerQuery{Service: "s", Prompt: prompt, Model: "m"}, rng)
 		worker, _ := strconv.Atoi(got.Worker.ID[1:])
-		placers[i].RecordStart(now, got.Worker.ID, "m", prompt)
+		f := placers[i].RecordStart(now, got.Worker.ID, "m", prompt, got.CachedTokens)
 		running[worker]++
 		first := m.prefill(now, worker, prompt)
-		completions = append(completions, completion{first + answerTime, i, worker})
+		completions = append(completions, completion{first + answerTime, i, worker, f})
 		if first-now <= target {
 			startedInTime++
 		}
--- a/internal/forward/pools.go
+++ b/internal/forward/pools.go
@@ -1,6 +1,10 @@
 package forward
 
-import "slices"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // The workers of a service that runs cascades are divided into two pools: a light pool for
 // the smallest model, which every request asks first, and a heavy pool for the larger
@@ -26,6 +30,34 @@
 	meanLoad, meanForeignLoad [2]float64
 	// hasCascades is set once a heavy request was placed.
 	hasCascades bool
+	// started is the work of the requests that this process started in each pool, decayed as of
+	// startedAt.
+	started   [2]float64
+	startedAt [2]Elapsed
+	// meanWait is the mean time until the answers of a pool start.
+	meanWait [2]time.Duration
+}
+
+// recordWait records the time until an answer started.
+func (s *poolStats) recordWait(pool int, wait time.Duration) {
+	if s.meanWait[pool] == 0 {
+		s.meanWait[pool] = wait
+	}
+	s.meanWait[pool] += time.Duration(poolMeanGain * float64(wait-s.meanWait[pool]))
+}
+
+// startRateTime is the time over which the rate of started work is averaged.
+const startRateTime = 2 * time.Second
+
+// recordStart records the work of a request that was sent to a pool.
+func (s *poolStats) recordStart(now Elapsed, pool int, work float64) {
+	s.started[pool] = s.startRate(now, pool)*startRateTime.Seconds() + work
+	s.startedAt[pool] = now
+}
+
+// startRate returns the work that this process starts in a pool, in requests a second.
+func (s *poolStats) startRate(now Elapsed, pool int) float64 {
+	return s.started[pool] / startRateTime.Seconds() * math.Exp(-float64(now-s.startedAt[pool])/float64(startRateTime))
 }
 
 func (p *Placer) statsFor(service string) *poolStats {
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -231,7 +231,7 @@
 // pickWorker chooses a worker and counts the request as in flight there. It returns false
 // if no worker is a candidate. With avoidTarget, the target of a rollout in progress is used
 // only when no worker of another version is left.
-func (d *dispatcher) pickWorker(now time.Duration, q forward.WorkerQuery, session, requestID string, avoidTarget bool) (forward.Placement, bool) {
+func (d *dispatcher) pickWorker(now time.Duration, q forward.WorkerQuery, session, requestID string, avoidTarget bool) (forward.Placement, *forward.InFlight, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	filter := d.rollouts.chooseVersion(now, q.Service, session, requestID, avoidTarget)
@@ -242,26 +242,10 @@
 		p, ok = d.placer.Pick(now, q, d.rng)
 	}
 	if !ok {
-		return p, false
+		return p, nil, false
 	}
-	d.placer.RecordStart(now, p.Worker.ID, q.Model, q.Prompt)
 	d.rollouts.recordSession(now, q.Service, session, p.Worker.Version)
-	return p, true
-}
-
-// releaseWorker ends the request that pickWorker counted. headerReceived reports whether the
-// header of the worker's response arrived.
-func (d *dispatcher) releaseWorker(id string, headerReceived bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.placer.RecordEnd(id, headerReceived)
-}
-
-// recordFirstByte records that a worker's response began.
-func (d *dispatcher) recordFirstByte(id string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.placer.RecordAnswerStart(id)
+	return p, d.placer.RecordStart(now, p.Worker.ID, q.Model, q.Prompt, p.CachedTokens), true
 }
 
 // recordLoadReport records the load that a worker stated in the header of a response.
@@ -277,6 +261,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.handleHealthEvent(membership.AttemptEnded{Server: w.ID, Version: w.Service, Outcome: outcome, Latency: latency})
+	if outcome == membership.Succeeded {
+		d.placer.RecordAnswer(sinceBoot(), w.ID)
+	}
+}
+
+// recordNoAnswer records an attempt that ended without an answer of the worker.
+func (d *dispatcher) recordNoAnswer(w forward.Worker, outcome membership.Outcome, latency time.Duration) {
+	d.recordAttempt(w, outcome, latency)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.RecordFailure(sinceBoot(), w.ID)
 }
 
 // removeWorker removes a worker that is no longer at its address.
@@ -300,15 +295,18 @@
 func (d *dispatcher) retryBudget(service string) *retry.Budget {
 	b := d.retryBudgets[service]
 	if b == nil {
-		s := d.settings.Load()
-		b = retry.NewBudget(retry.BudgetOptions{
-			EarnedPerRequest: retryRatioFraction * s.RetryRatio, Burst: retryBurst(s.RetrySlack), RefillPerSecond: retryRefillPerSecond,
-		})
+		b = retry.NewBudget(retryOptions(d.settings.Load()))
 		d.retryBudgets[service] = b
 	}
 	return b
 }
 
+func retryOptions(s *Settings) retry.BudgetOptions {
+	return retry.BudgetOptions{
+		EarnedPerRequest: retryRatioFraction * s.RetryRatio, Burst: retryBurst(s.RetrySlack), RefillPerSecond: retryRefillPerSecond,
+	}
+}
+
 const (
 	// retryRatioFraction is the part of the allowed retry ratio that is used. The rest covers
 	// requests that callers sent and that never arrived.
@@ -376,14 +374,16 @@
 	d.rollouts.handleWriteResult(now, w, result, err, d.log)
 }
 
-// applySettings replaces the settings after a reload. The retry budgets start full again with
-// the new ratio and slack.
+// applySettings replaces the settings after a reload. The retry budgets keep what they hold:
+// with full ones, a series of reloads would allow more retries than the service is bound to get.
 func (d *dispatcher) applySettings(s Settings) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.settings.Store(&s)
 	d.rollouts.sessionTimeout = s.SessionTimeout
-	d.retryBudgets = map[string]*retry.Budget{}
+	for _, b := range d.retryBudgets {
+		b.SetOptions(retryOptions(&s))
+	}
 }
 
 // minConfidence returns the confidence (0 to 100) below which a response is dropped for that
--- a/internal/gateway/escalation.go
+++ b/internal/gateway/escalation.go
@@ -32,9 +32,9 @@
 	r.triedWorkers = nil
 	r.fallback = forward.NewFallback(now-time.Since(r.started), now, r.route.LatencyTarget, r.deadline.Sub(r.started))
 	r.fallbackAt = r.started.Add(r.fallback.Latest() - (now - time.Since(r.started)))
-	worker := a.worker.ID
+	inFlight := a.inFlight
 	r.held = r.gateway.holdAnswer(*a, time.Now().Add(r.fallback.ReadUntil()-now), func() {
-		r.gateway.dispatcher.releaseWorker(worker, true)
+		r.gateway.dispatcher.releaseWorker(inFlight)
 	})
 	a.isHeld = r.held != nil
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -147,7 +147,7 @@
 		return eris.Wrap(err, "connection is closed")
 	}
 	for range maxStaleResponses {
-		resp, err := e.readFinalResponse(method)
+		resp, err := e.readFinalResponse(method) //nolint:bodyclose // releaseConn or close handles the connection
 		if err != nil {
 			return err
 		}
@@ -168,7 +168,7 @@
 func (e *exchange) readFinalResponse(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
 	for range maxInformationalResponses + 1 {
-		resp, err := http.ReadResponse(e.conn.br, req) //nolint:bodyclose // releaseConn or close handles the connection
+		resp, err := http.ReadResponse(e.conn.br, req)
 		if err != nil {
 			return nil, eris.Wrap(err, "answer cannot be read")
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 	healthServer   *http.Server
 	metricsServer  *http.Server
 	activeRequests atomic.Int64
+	// loadFailure is set while exchanges of loads fail.
+	loadFailure atomic.Bool
 	// heldSlots holds one value for each answer that is kept; see heldAnswer.
 	heldSlots chan struct{}
 	draining  atomic.Bool
@@ -112,6 +114,7 @@
 	for _, w := range g.newWatchers() {
 		g.goroutines.Go(func() { w.run(g.ctx) })
 	}
+	g.startLoadExchange()
 	g.goroutines.Go(g.runTicker)
 	g.goroutines.Go(g.reloadOnSignal)
 	g.log.Info("gateway has started", zap.String("callers", g.settings.CallerAddress), zap.String("failure_domain", g.settings.FailureDomain))
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -72,7 +72,8 @@
 	reader := newEventReader(h.attempt.exchange.resp.Body)
 	for {
 		event, id, err := reader.next()
-		if err != nil && !errors.Is(err, io.EOF) {
+		ended := errors.Is(err, io.EOF)
+		if err != nil && !ended {
 			return eris.Wrap(err, "answer ended early")
 		}
 		if len(h.events)+len(event) > maxHeldBytes {
@@ -82,7 +83,7 @@
 		if id >= 0 {
 			h.lastID = id
 		}
-		if err != nil {
+		if ended {
 			return nil
 		}
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -45,6 +45,10 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("borageflow_gateway_request_seconds{outcome=%q}", outcome)).Update(d.Seconds())
 }
 
+func (m *gatewayMetrics) countLoadExchange(ok bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_load_exchanges_total{ok=\"%t\"}", ok)).Inc()
+}
+
 // countStoreCall counts a call to the store, or a response of a relay in its place.
 func (m *gatewayMetrics) countStoreCall(topic string, relayed, ok bool) {
 	if relayed {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -70,6 +70,7 @@
 // attempt is one attempt between the choice of a worker and its end.
 type attempt struct {
 	worker   forward.Worker
+	inFlight *forward.InFlight
 	exchange *exchange
 	started  time.Time
 	// startedSinceBoot is the time of the start since boot, the clock that package forward uses.
@@ -201,7 +202,7 @@
 // if none is left.
 func (r *request) pickWorker() (attempt, *errkind.Error) {
 	model := r.routedModel()
-	p, ok := r.gateway.dispatcher.pickWorker(sinceBoot(), forward.WorkerQuery{
+	p, inFlight, ok := r.gateway.dispatcher.pickWorker(sinceBoot(), forward.WorkerQuery{
 		Service: r.service, Exclude: r.triedWorkers, Model: model, Heavy: r.modelIndex > 0, Prompt: r.inbound.meta.Prompt,
 	}, r.inbound.meta.Session, r.inbound.meta.RequestID, r.workerFailed)
 	if !ok {
@@ -212,7 +213,7 @@
 	}
 	r.placement = p
 	return attempt{
-		worker: p.Worker, started: time.Now(), startedSinceBoot: sinceBoot(), model: model,
+		worker: p.Worker, inFlight: inFlight, started: time.Now(), startedSinceBoot: sinceBoot(), model: model,
 		record: attemptRecord{Load: p.Load, LoadAgeMs: p.LoadAge.Milliseconds(), StartMs: time.Since(r.started).Milliseconds(), HeaderMs: -1},
 	}, nil
 }
@@ -233,10 +234,9 @@
 // and whether the request is done: the caller has a response or its connection must be
 // closed.
 func (r *request) runAttempt(ctx context.Context, a *attempt) (forward.Outcome, bool) {
-	headerReceived := false
 	defer func() {
 		if !a.isHeld {
-			r.gateway.dispatcher.releaseWorker(a.worker.ID, headerReceived)
+			r.gateway.dispatcher.releaseWorker(a.inFlight)
 		}
 	}()
 	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
@@ -255,7 +255,7 @@
 	if err != nil {
 		r.unsentAttempts++
 		r.lastError = err
-		r.gateway.dispatcher.recordAttempt(a.worker, membership.Unreachable, 0)
+		r.gateway.dispatcher.recordNoAnswer(a.worker, membership.Unreachable, 0)
 		return forward.NotSent, false
 	}
 	a.exchange = ex
@@ -279,20 +279,25 @@
 		r.gateway.dispatcher.recordHeaderLatency(r.route.Name, r.modelIndex > 0, r.inbound.meta.PromptTokens, time.Since(a.started))
 	}
 	if err != nil {
-		r.lastError = err
-		r.mayHaveRun = true
-		r.runCount++
-		if !r.isOverdue() && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
-			r.recordFailure(a)
-		}
+		r.handleNoHeader(ctx, a, err)
 		return forward.Broken, false
 	}
-	headerReceived = true
 	a.record.HeaderMs = time.Since(a.started).Milliseconds()
-	r.gateway.dispatcher.recordFirstByte(a.worker.ID)
+	r.gateway.dispatcher.recordFirstByte(a.inFlight)
 	return r.handleHeader(ctx, a)
 }
 
+// handleNoHeader records an attempt whose response has no header. It is no failure of the worker if
+// the caller left, or if the larger model was given up for an answer that was set aside.
+func (r *request) handleNoHeader(ctx context.Context, a *attempt, err error) {
+	r.lastError = err
+	r.mayHaveRun = true
+	r.runCount++
+	if !r.isOverdue() && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
+		r.recordFailure(a)
+	}
+}
+
 // awaitHeader waits for the start of the response. An overdue response is given up only if a retry
 // is left in the budget, or if there is an answer to deliver instead. Otherwise the wait
 // continues until the deadline of the request.
@@ -402,9 +407,10 @@
 // another attempt. RetryState.ShouldRetry then still requires 50 ms.
 const minFailureRetryTime = 60 * time.Millisecond
 
-// recordFailure records a failed attempt for the ejection of workers.
+// recordFailure records an attempt without a whole answer for the ejection and the choice of
+// workers.
 func (r *request) recordFailure(a *attempt) {
-	r.gateway.dispatcher.recordAttempt(a.worker, membership.Failed, time.Since(a.started))
+	r.gateway.dispatcher.recordNoAnswer(a.worker, membership.Failed, time.Since(a.started))
 }
 
 // drainAndRelease reads the rest of a short response so that its connection can be reused.
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -56,3 +56,14 @@
 	assert.Assert(t, strings.Contains(gw.log.String(), `"outcome":"caller left"`), gw.log.String())
 	assert.Assert(t, !strings.Contains(gw.log.String(), "deadline_exceeded"), gw.log.String())
 }
+
+// Guards against retry budgets that are full again after a reload of the settings.
+func TestReloadKeepsRetryBudgets(t *testing.T) {
+	s := testSettings(t)
+	d := newDispatcher(s, newNopLogger())
+	for d.takeRetryBudget("svc") {
+	}
+	s.RetrySlack *= 2
+	d.applySettings(s)
+	assert.Assert(t, !d.takeRetryBudget("svc"))
+}
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -92,8 +92,8 @@
 // another target or creation revision starts a new rollout.
 func (t *rolloutTracker) upsert(now time.Duration, record forward.Rollout, log *zap.Logger) {
 	existing := t.byService[record.Service]
-	if existing != nil && existing.record.Revision > record.Revision {
-		return
+	if existing != nil && (existing.record.Revision > record.Revision || existing.record == record) {
+		return // an older record, or a known one that is listed again
 	}
 	if existing == nil || existing.record.TargetVersion != record.TargetVersion || existing.record.CreatedRevision != record.CreatedRevision {
 		existing = &trackedRollout{record: record}
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"gotest.tools/v3/assert"
 
 	"github.com/borageflow/borageflow/internal/forward"
@@ -122,3 +124,18 @@
 	synced, _ = d.hasSynced()
 	assert.Assert(t, synced)
 }
+
+// Guards against a line in the log for each rollout whenever the topic is listed again, as after
+// each outage of the store.
+func TestKnownRolloutIsNotLoggedAgain(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	tracker := newRolloutTracker(testSettings(t))
+	record := forward.Rollout{Service: "svc", TargetVersion: "v2", Duration: time.Minute, Revision: 7}
+	for range 3 {
+		tracker.upsert(time.Second, record, zap.New(core))
+	}
+	assert.Equal(t, logs.Len(), 1)
+	record.State, record.Revision = forward.RolloutRunning, 8
+	tracker.upsert(2*time.Second, record, zap.New(core))
+	assert.Equal(t, logs.Len(), 2)
+}
--- a/internal/news/relay.go
+++ b/internal/news/relay.go
@@ -22,6 +22,7 @@
 
 	mu      sync.Mutex
 	updates *UpdateLog
+	loads   *LoadTable
 	// changed is closed and replaced when waiting requests must check for updates again.
 	changed chan struct{}
 }
@@ -29,7 +30,7 @@
 // NewRelay returns a Relay without data. It refuses requests while its configuration was
 // not confirmed for longer than maxAge.
 func NewRelay(maxAge time.Duration, clock func() Elapsed, log *zap.Logger) *Relay {
-	return &Relay{clock: clock, log: log, updates: NewUpdateLog(maxAge), changed: make(chan struct{})}
+	return &Relay{clock: clock, log: log, updates: NewUpdateLog(maxAge), loads: NewLoadTable(), changed: make(chan struct{})}
 }
 
 // Publish passes on an update that the store returned and that was current at time confirmed.
@@ -76,9 +77,13 @@
 
 // Serve implements peer.Handler.
 func (r *Relay) Serve(link *peer.Link, call *peer.Call) {
+	if call.Method == peer.MethodLoads {
+		r.serveLoads(link, call)
+		return
+	}
 	var p api.NewsParams
 	if call.Method != peer.MethodNews {
-		call.Fail(errkind.New(errkind.InvalidRequest, "method is unknown, gateways answer "+peer.MethodNews+" only"))
+		call.Fail(errkind.New(errkind.InvalidRequest, "method is unknown, gateways answer "+peer.MethodNews+" and "+peer.MethodLoads+" only"))
 		return
 	}
 	if err := call.Decode(&p); err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -35,8 +35,9 @@
 	// MethodPlacementOrder and MethodPlacementDemand carry replica placement.
 	MethodPlacementOrder  = "placement.order"
 	MethodPlacementDemand = "placement.demand"
-	// MethodNews is called between gateways only.
-	MethodNews = "news"
+	// MethodNews and MethodLoads are called between gateways only.
+	MethodNews  = "news"
+	MethodLoads = "loads"
 )
 
 // helloTimeout bounds dialing plus the exchange of hello messages.
