--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -49,10 +49,10 @@
 	score  float64
 }
 
-// chooseLevel returns the worker for a request and the score up to which work fills the workers
-// with the lowest scores, as water fills vessels of different depth. A worker is chosen with a
-// probability in proportion to what it lacks to that score, by the random number draw in [0, 1).
-// Without work it returns the worker with the lowest score. It sorts candidates.
+// chooseLevel returns the worker for a request and the level of water-filling: the score that the
+// workers with the lowest scores reach if work is divided so that they end up equal. A worker is
+// chosen with a probability in proportion to what it lacks to that level, by the random number
+// draw in [0, 1). Without work it returns the worker with the lowest score. It sorts candidates.
 func chooseLevel(candidates []scoredWorker, work, draw float64) (*workerState, float64) {
 	slices.SortFunc(candidates, func(a, b scoredWorker) int { return cmp.Compare(a.score, b.score) })
 	sum, level, filled := 0.0, candidates[0].score, 1
