--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -48,10 +48,11 @@
 	return s.PeerAddress != "" && slices.Contains(s.Relays, s.PeerAddress)
 }
 
-// configWatchTimeout returns the longest wait of a watch on the configuration. Only relays need
-// the shorter one.
+// configWatchTimeout returns the longest wait of a watch on the configuration. A longer one would
+// make the knowledge of the keys older when the store goes away, so that callers are refused
+// earlier.
 func (s *Settings) configWatchTimeout() time.Duration {
-	if s.usesRelays() && s.isRelay() {
+	if s.usesRelays() {
 		return min(s.WatchTimeout, relayWatchTimeout)
 	}
 	return s.WatchTimeout
