--- a/internal/forward/fleet_test.go
+++ b/internal/forward/fleet_test.go
@@ -166,6 +166,24 @@
 // for 300 ms. Between two exchanges, the added worker is to get about what levels it with the
 // others, 6.4 requests, and not a multiple of that.
 func TestAddedWorkerIsNotFlooded(t *testing.T) {
+	added, _, mean := simulateAddedWorker()
+	if added < mean/2 || added > 4*mean {
+		t.Fatalf("added worker got %.0f requests between two exchanges, the mean is %.1f", added, mean)
+	}
+}
+
+// Guards against any worker, and not only an added one, that gets a multiple of the mean between
+// two exchanges, at the load of TestAddedWorkerIsNotFlooded.
+func TestNoWorkerIsFloodedBetweenExchanges(t *testing.T) {
+	_, most, mean := simulateAddedWorker()
+	if most > 4*mean {
+		t.Fatalf("busiest worker got %.0f requests between two exchanges, the mean is %.1f", most, mean)
+	}
+}
+
+// simulateAddedWorker returns the requests between two exchanges of the added worker, of the
+// busiest one, and in the mean.
+func simulateAddedWorker() (added, most, mean float64) {
 	const processes, workers, rate = 103, 128, 2700
 	const interval, service, addedAt = 200 * time.Millisecond, 300 * time.Millisecond, 2 * time.Second
 	rng := rand.New(rand.NewPCG(9, 9))
@@ -183,7 +201,7 @@
 		inFlight *InFlight
 	}
 	var queue []running
-	nextShare, added := time.Duration(0), false
+	nextShare, isAdded := time.Duration(0), false
 	count := map[string]int{} // since the last exchange
 	for now := time.Duration(0); now < addedAt+interval; now += time.Second / rate {
 		for len(queue) > 0 && queue[0].until <= now {
@@ -194,8 +212,8 @@
 		if now >= nextShare {
 			nextShare = now + interval
 			clear(count)
-			if now >= addedAt && !added {
-				added = true
+			if now >= addedAt && !isAdded {
+				isAdded = true
 				for _, p := range placers {
 					p.SetWorkers(slices.Clone(list))
 				}
@@ -215,14 +233,10 @@
 		queue = append(queue, running{now + service, p.RecordStart(now, got.Worker.ID, "", nil, 0)})
 		count[got.Worker.ID]++
 	}
-	mean, most := float64(rate)*interval.Seconds()/workers, 0
 	for _, n := range count {
-		most = max(most, n)
-	}
-	t.Logf("added worker got %d requests between two exchanges, the busiest %d, the mean is %.1f", count["w0"], most, mean)
-	if float64(count["w0"]) < mean/2 || float64(count["w0"]) > 4*mean {
-		t.Fatalf("added worker got %d requests between two exchanges, the busiest %d, the mean is %.1f", count["w0"], most, mean)
+		most = max(most, float64(n))
 	}
+	return float64(count["w0"]), most, float64(rate) * interval.Seconds() / workers
 }
 
 // simulateLostAnswers plays 103 processes before 128 workers, of which 60% lose 40% of their
@@ -283,7 +297,7 @@
 func TestWorkersThatLoseAnswersAreAvoided(t *testing.T) {
 	before, alone, exchanged := simulateLostAnswers(false, false), simulateLostAnswers(true, false), simulateLostAnswers(true, true)
 	t.Logf("requests without an answer: %.4f, %.4f with own failures, %.4f with those of all processes", before, alone, exchanged)
-	if alone > before || exchanged > 0.25*before {
+	if alone > 0.8*before || exchanged > 0.25*before {
 		t.Fatalf("%.4f and %.4f of the requests got no answer, %.4f before", alone, exchanged, before)
 	}
 }
--- a/internal/news/loads_test.go
+++ b/internal/news/loads_test.go
@@ -88,7 +88,7 @@
 func TestLoadReportsStayWithinBudget(t *testing.T) {
 	table, loads := NewLoadTable(), Loads{}
 	for i := range 910 {
-		loads.Add(fmt.Sprint("worker-", i), 6)
+		loads.Add(fmt.Sprint("worker-", i), 20)
 	}
 	for i := range 124 {
 		table.Report(0, fmt.Sprint("gateway-", i), WorkerStats{})
