Log the evidence behind each step of a rollout

Cause: the lines of a rollout named its state and step only, so that a run could not tell a target that was judged too late from a rollout that had started anew or requests outside of the share. Change: the lines of a record and of a rejection state how many answers were judged, failed and slow, those of the other versions, and the statistic; attempts in the line of a request name the version of their worker; the status page shows the same numbers. TestRolloutLineStatesItsEvidence.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -190,7 +190,7 @@
 	g.metrics.countStoreCall("record", false, err == nil)
 	g.dispatcher.handleRolloutWrite(sinceBoot(), w, result, err)
 	if err == nil {
-		g.log.Info("rollout state is recorded", zap.String("service", w.record.Service), zap.String("state", string(w.progress.State)), zap.Int("step", w.progress.Step), zap.Int64("revision", result.Revision))
+		g.log.Info("rollout state is recorded", zap.String("service", w.record.Service), zap.String("state", string(w.progress.State)), zap.Int("step", w.progress.Step), zap.Int64("revision", result.Revision), evidenceField(w.evidence))
 	}
 }
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -11,6 +11,7 @@
 // attemptRecord is one attempt in the log line of a request.
 type attemptRecord struct {
 	Worker  string `json:"worker"`
+	Version string `json:"version,omitempty"`
 	Model   string `json:"model,omitempty"`
 	Outcome string `json:"outcome"`
 	// Load and LoadAgeMs are the estimated load of the worker when it was chosen, and the age
@@ -36,7 +37,7 @@
 	if len(r.attempts) >= maxLoggedAttempts {
 		return
 	}
-	a.record.Worker, a.record.Model, a.record.Outcome = a.worker.ID, a.model, outcome
+	a.record.Worker, a.record.Version, a.record.Model, a.record.Outcome = a.worker.ID, a.worker.Version, a.model, outcome
 	r.attempts = append(r.attempts, a.record)
 }
 
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
@@ -213,7 +214,7 @@
 	wasBad, _ := tracked.progress.TargetIsBad()
 	tracked.progress.ObserveTarget(a)
 	if bad, reason := tracked.progress.TargetIsBad(); bad && !wasBad {
-		log.Warn("target version of a rollout is rejected", zap.String("service", w.Service), zap.String("target", tracked.record.TargetVersion), zap.String("reason", reason))
+		log.Warn("target version of a rollout is rejected", zap.String("service", w.Service), zap.String("target", tracked.record.TargetVersion), zap.String("reason", reason), evidenceField(tracked.progress.Evidence()))
 	}
 }
 
@@ -239,6 +240,8 @@
 type rolloutWrite struct {
 	record   forward.Rollout
 	progress forward.RolloutProgress
+	// evidence is what this process knew when it decided.
+	evidence rollout.EvidenceSummary
 }
 
 // dueWrites returns the writes that are due now and marks their rollouts as being written.
@@ -253,7 +256,7 @@
 			continue
 		}
 		tracked.isWriting = true
-		out = append(out, rolloutWrite{tracked.record, p})
+		out = append(out, rolloutWrite{tracked.record, p, tracked.progress.Evidence()})
 	}
 	return out
 }
@@ -297,3 +300,9 @@
 // rolloutWriteBackoff is the pause after a write that failed or met another revision. The watch
 // delivers the record of the other process in the meantime.
 const rolloutWriteBackoff = 300 * time.Millisecond
+
+// evidenceField returns the evidence of a rollout as a field of a log line.
+func evidenceField(e rollout.EvidenceSummary) zap.Field {
+	return zap.Dict("evidence", zap.Int("answers", e.Answers), zap.Int("failed", e.Failed), zap.Int("slow", e.Slow),
+		zap.Int("other_answers", e.OtherAnswers), zap.Float64("statistic", math.Round(e.Statistic*100)/100))
+}
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -139,3 +139,19 @@
 	tracker.upsert(2*time.Second, record, zap.New(core))
 	assert.Equal(t, logs.Len(), 2)
 }
+
+// Guards against a log from which it cannot be seen why a rollout went on or was rolled back: the
+// line of a step states the answers that this process had judged.
+func TestRolloutLineStatesItsEvidence(t *testing.T) {
+	serve := func(_ int, c net.Conn, r receivedRequest) bool {
+		writeResponse(c, r, 200, "done")
+		return true
+	}
+	gw := startGateway(t, startWorker(t, "old", serve))
+	gw.store.PutRollout(forward.Rollout{Service: "svc", TargetVersion: "v2", Duration: time.Second})
+	gw.waitFor("first step is recorded", func() bool {
+		assert.Equal(t, gw.call("GET", "/safe/x", "").status, 200)
+		return strings.Contains(gw.log.String(), `"step":1`)
+	})
+	assert.Assert(t, strings.Contains(gw.log.String(), `"evidence":{"answers":0,"failed":0,"slow":0,"other_answers":`), gw.log.String())
+}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -59,6 +59,11 @@
 	Share float64 `json:"share"`
 	// Regression states the evidence of this gateway against the target; empty if there is none.
 	Regression string `json:"bad,omitempty"`
+	// Answers is the number of judged answers of the target, Bad that of the failed and slow ones
+	// among them, and Statistic the highest log-likelihood ratio of the tests.
+	Answers   int     `json:"answers"`
+	Bad       int     `json:"badAnswers"`
+	Statistic float64 `json:"statistic"`
 }
 
 // state returns the status from the data of the dispatcher.
@@ -78,7 +83,11 @@
 	slices.SortFunc(s.Workers, func(a, b WorkerState) int { return strings.Compare(a.Service+a.ID, b.Service+b.ID) })
 	for _, tracked := range d.rollouts.byService {
 		_, reason := tracked.progress.TargetIsBad()
-		s.Rollouts = append(s.Rollouts, RolloutState{tracked.record.Service, tracked.record.TargetVersion, string(tracked.state()), tracked.progress.Step(), tracked.progress.Share(), reason})
+		evidence := tracked.progress.Evidence()
+		s.Rollouts = append(s.Rollouts, RolloutState{
+			tracked.record.Service, tracked.record.TargetVersion, string(tracked.state()), tracked.progress.Step(), tracked.progress.Share(), reason,
+			evidence.Answers, evidence.Failed + evidence.Slow, evidence.Statistic,
+		})
 	}
 	slices.SortFunc(s.Rollouts, func(a, b RolloutState) int { return strings.Compare(a.Service, b.Service) })
 	return s
--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -66,6 +66,28 @@
 	baselines map[string]*kindBaseline
 	// badAnswersByWorker counts the failed and slow answers of the target's workers.
 	badAnswersByWorker map[string]int
+	summary            EvidenceSummary
+}
+
+// EvidenceSummary is the evidence of a rollout in numbers, for the log and the status.
+type EvidenceSummary struct {
+	// Answers is the number of judged answers of the target, Failed and Slow the numbers of
+	// the bad ones among them. OtherAnswers is the number of answers of the other versions.
+	Answers, Failed, Slow, OtherAnswers int
+	// Statistic is the highest log-likelihood ratio of the tests.
+	Statistic float64
+}
+
+// Evidence returns the evidence that this process has.
+func (r *TimedRollout) Evidence() EvidenceSummary {
+	out := r.summary
+	for _, d := range r.detectors {
+		out.Statistic = max(out.Statistic, d.moderate, d.gross)
+	}
+	for _, d := range r.errorDetectors {
+		out.Statistic = max(out.Statistic, d.moderate, d.gross)
+	}
+	return out
 }
 
 // kindBaseline holds the failure rate and the latency of the other versions for one kind
@@ -175,6 +197,7 @@
 
 // ObserveOther adds an answer of another version to the baseline.
 func (r *TimedRollout) ObserveOther(a Answer) {
+	r.summary.OtherAnswers++
 	baseline := r.baselineFor(a.Kind)
 	baseline.failureRate.add(sampleCounts{1, boolToFloat(a.Failed)})
 	if a.TimeToFirstByte <= 0 || a.Failed {
@@ -215,7 +238,9 @@
 	baseline := r.baselineFor(a.Kind)
 	failed := sampleCounts{1, boolToFloat(a.Failed)}
 	p0 := baseline.failureRate.upperBound()
+	r.summary.Answers++
 	if a.Failed {
+		r.summary.Failed++
 		r.badAnswersByWorker[a.Worker]++
 	}
 	r.updateDetector(&r.detectors[kindErrors], failed, p0, "errors")
@@ -229,6 +254,7 @@
 		ms := baseline.normalizedMs(a)
 		slow := sampleCounts{1, boolToFloat(ms > slowLatencyFactor*baseline.medianMs.value)}
 		if slow.bad > 0 {
+			r.summary.Slow++
 			r.badAnswersByWorker[a.Worker]++
 		}
 		r.updateDetector(&r.detectors[kindSlow], slow, math.Max(baseline.slowRate.upperBound(), priorSlowRate), "latency")
