Log how many prompt tokens each worker had to read

Cause: the answer times of two versions can be compared only at equal work, and the log of an attempt did not state the work. Change: uncached_tokens in the attempts of the line of a request.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -214,7 +214,7 @@
 	r.placement = p
 	return attempt{
 		worker: p.Worker, inFlight: inFlight, started: time.Now(), startedSinceBoot: sinceBoot(), model: model,
-		record: attemptRecord{Load: p.Load, LoadAgeMs: p.LoadAge.Milliseconds(), StartMs: time.Since(r.started).Milliseconds(), HeaderMs: -1},
+		record: attemptRecord{Load: p.Load, LoadAgeMs: p.LoadAge.Milliseconds(), UncachedTokens: max(r.inbound.meta.PromptTokens-p.CachedTokens, 0), StartMs: time.Since(r.started).Milliseconds(), HeaderMs: -1},
 	}, nil
 }
 
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -18,6 +18,8 @@
 	// of its last report, -1 without one.
 	Load      float64 `json:"load"`
 	LoadAgeMs int64   `json:"load_age_ms"`
+	// UncachedTokens is the estimated number of prompt tokens that the worker had to read.
+	UncachedTokens int `json:"uncached_tokens,omitempty"`
 	// StartMs is the time from the arrival of the request to the start of the attempt.
 	StartMs int64 `json:"start_ms"`
 	// HeaderMs is the time from the start of the attempt to the header of the response, -1 if
