--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1090,6 +1090,13 @@
 // LoadsParams states the loads that a gateway causes at the workers to a relay,
 // method loads.
 type LoadsParams struct {
+	// Evidence is that of the gateway itself on the rollouts that are in progress.
+	Evidence []RolloutEvidence `json:"evidence,omitempty,omitzero"`
+
+	// EvidenceSince is the evidenceVersion of the last answer to a relay, 0 before
+	// the first.
+	EvidenceSince int `json:"evidenceSince,omitempty,omitzero"`
+
 	// Failures holds the requests that ended without an answer in the last seconds,
 	// decayed, encoded as Loads.
 	Failures string `json:"failures,omitempty,omitzero"`
@@ -1107,6 +1114,14 @@
 // LoadsResult states the loads that other gateways cause at the workers. A relay
 // gets those of the answering relay and of the gateways that report to it.
 type LoadsResult struct {
+	// Evidence is the sum of that of all other gateways on the stated rollouts; to a
+	// relay, the records of single gateways that changed since evidenceSince.
+	Evidence []RolloutEvidence `json:"evidence,omitempty,omitzero"`
+
+	// EvidenceVersion is the version of the answering relay's evidence; set in
+	// answers to relays.
+	EvidenceVersion int `json:"evidenceVersion,omitempty,omitzero"`
+
 	// Failures holds the failures of the same gateways, encoded as in LoadsParams.
 	Failures string `json:"failures,omitempty,omitzero"`
 
@@ -1712,6 +1727,25 @@
 	Version string `json:"version"`
 }
 
+// RolloutEvidence is what gateways observed of the target of a rollout. Its
+// counters only increase.
+type RolloutEvidence struct {
+	// Kinds holds the counters of each kind of answer, encoded as Workers.
+	Kinds string `json:"kinds"`
+
+	// Origin is the gateway that observed it, and its start; empty for a sum over
+	// several gateways.
+	Origin string `json:"origin,omitempty,omitzero"`
+
+	// Rollout identifies the rollout by service, target and creation.
+	Rollout string `json:"rollout"`
+
+	// Workers holds the counters of each worker of the target in base64: for each the
+	// distance of its key from the one before, and its counters, all as unsigned
+	// varints. The key is the highest 24 bits of the xxHash of the ID.
+	Workers string `json:"workers"`
+}
+
 // RolloutProgress is the object rollout/{version}.
 type RolloutProgress struct {
 	// Declaration is a fingerprint of the version and rollout as declared; another
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -41,6 +41,8 @@
 	usableWorkers  map[string]forward.Worker
 	retryBudgets   map[string]*retry.Budget
 	rollouts       *rolloutTracker
+	// exchangesLoads reports whether the loads of other gateways are used.
+	exchangesLoads bool
 	escalator      *forward.Escalator
 	headerTimeouts *forward.HeaderTimeoutEstimator
 	log            *zap.Logger
@@ -64,6 +66,7 @@
 		usableWorkers:  map[string]forward.Worker{},
 		retryBudgets:   map[string]*retry.Budget{},
 		rollouts:       newRolloutTracker(s),
+		exchangesLoads: s.usesRelays(),
 		escalator:      forward.NewEscalator(),
 		headerTimeouts: forward.NewHeaderTimeoutEstimator(),
 	}
@@ -132,6 +135,7 @@
 	d.workers.Expire(now)
 	d.handleHealthEvent(membership.HealthTick{})
 	d.syncWorkers(now)
+	d.rollouts.tick(now, d.log)
 }
 
 // syncWorkers passes the list of usable workers to placement, health and rollouts if it changed.
@@ -282,11 +286,33 @@
 	d.syncWorkers(now)
 }
 
-// recordRolloutEvidence records a response as evidence for or against a rollout.
-func (d *dispatcher) recordRolloutEvidence(w forward.Worker, a rollout.Answer) {
+// startEvidence records that a request was sent to a worker whose service has a rollout in
+// progress. It returns nil for other services.
+func (d *dispatcher) startEvidence(w forward.Worker, kind string, uncachedTokens int) *rollout.Pending {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.rollouts.recordEvidence(w, a, d.log)
+	return d.rollouts.startEvidence(sinceBoot(), w, rollout.Answer{Kind: kind, Worker: w.ID, UncachedTokens: uncachedTokens})
+}
+
+// recordAnswer records that the answer of a request began, as evidence for or against a rollout.
+func (d *dispatcher) recordAnswer(p *rollout.Pending, failed bool) {
+	if p == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rollouts.judging(d.log, func() { p.Answered(sinceBoot(), failed) })
+}
+
+// recordAbandoned records that a request ended without an answer. It does nothing after
+// recordAnswer.
+func (d *dispatcher) recordAbandoned(p *rollout.Pending) {
+	if p == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rollouts.judging(d.log, func() { p.Abandoned(sinceBoot()) })
 }
 
 // retryBudget returns the retry budget of a service. Each process earns retries from the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -52,7 +53,9 @@
 	healthServer   *http.Server
 	metricsServer  *http.Server
 	activeRequests atomic.Int64
-	// loadFailure is set while exchanges of loads fail.
+	// origin identifies this run of the gateway as a source of evidence on rollouts.
+	origin string
+	// loadFailure is set while exchanges with relays fail.
 	loadFailure atomic.Bool
 	// heldSlots holds one value for each answer that is kept; see heldAnswer.
 	heldSlots chan struct{}
@@ -93,6 +96,7 @@
 		log: observe.ComponentLogger(log, "gateway"), requestLog: observe.ComponentLogger(log, "request"), logWriter: logWriter,
 		heldSlots: make(chan struct{}, maxHeldAnswers),
 		ctx:       ctx, cancel: cancel,
+		origin: s.Instance + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
 	g.relayPeer, g.store = newRelayPeer(s, deps.Store, time.Now(), log)
 	g.dispatcher = newDispatcher(s, observe.ComponentLogger(log, "state"))
@@ -114,7 +118,7 @@
 	for _, w := range g.newWatchers() {
 		g.goroutines.Go(func() { w.run(g.ctx) })
 	}
-	g.startLoadExchange()
+	g.startPeerExchange()
 	g.goroutines.Go(g.runTicker)
 	g.goroutines.Go(g.reloadOnSignal)
 	g.log.Info("gateway has started", zap.String("callers", g.settings.CallerAddress), zap.String("failure_domain", g.settings.FailureDomain))
--- a/internal/gateway/loadshare.go
+++ b/internal/gateway/loadshare.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/internal/forward"
@@ -17,33 +18,33 @@
 	// loadRetryInterval is the pause after a failed exchange.
 	loadRetryInterval = time.Second
 	// idleLoadInterval is the pause between two exchanges of a gateway that has no requests.
-	idleLoadInterval = time.Second
+	idleLoadInterval = 500 * time.Millisecond
 	// loadIntervalJitter spreads the exchanges of the gateways.
 	loadIntervalJitter = 0.1
 )
 
-// startLoadExchange starts the goroutines that exchange the loads of the workers with other
-// gateways: each gateway with its relay, and the relays among each other. Without relays, every
-// gateway chooses workers by what it sees itself.
-func (g *Gateway) startLoadExchange() {
+// startPeerExchange starts the goroutines that exchange with other gateways what each knows of the
+// workers: each gateway with its relay, and the relays among each other. Without relays, every
+// gateway goes by what it sees itself.
+func (g *Gateway) startPeerExchange() {
 	switch {
 	case g.relayPeer == nil:
 	case g.relayPeer.isRelay:
-		g.goroutines.Go(func() { g.runLoadLoop(g.recordOwnLoads) })
+		g.goroutines.Go(func() { g.runExchangeLoop(g.recordOwnReport) })
 		for _, address := range g.settings.Relays {
 			if address != g.settings.PeerAddress {
 				g.goroutines.Go(func() {
-					g.runLoadLoop(func(ctx context.Context) time.Duration { return g.fetchLoads(ctx, address) })
+					g.runExchangeLoop(func(ctx context.Context) time.Duration { return g.fetchFromRelay(ctx, address) })
 				})
 			}
 		}
 	default:
-		g.goroutines.Go(func() { g.runLoadLoop(g.exchangeLoads) })
+		g.goroutines.Go(func() { g.runExchangeLoop(g.exchangeWithRelay) })
 	}
 }
 
-// runLoadLoop calls step until the gateway stops, with the pause that step returns.
-func (g *Gateway) runLoadLoop(step func(ctx context.Context) time.Duration) {
+// runExchangeLoop calls step until the gateway stops, with the pause that step returns.
+func (g *Gateway) runExchangeLoop(step func(ctx context.Context) time.Duration) {
 	for g.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(g.ctx, loadExchangeTimeout)
 		pause := step(ctx)
@@ -58,73 +59,88 @@
 	}
 }
 
-// exchangeLoads states this gateway's loads to its relay and applies those of the others.
-func (g *Gateway) exchangeLoads(ctx context.Context) time.Duration {
-	relayed, ok := g.store.(*news.RelayedStore)
-	if !ok {
-		return loadRetryInterval
-	}
-	address := relayed.CurrentRelay()
+// exchangeWithRelay states what this gateway knows to its relay and applies what the others know.
+func (g *Gateway) exchangeWithRelay(ctx context.Context) time.Duration {
+	address := g.exchangeRelay()
 	if address == "" {
 		return loadRetryInterval
 	}
-	own := g.dispatcher.ownStats()
-	got, err := news.ExchangeLoads(ctx, g.relayPeer.node, address, own)
+	own := g.dispatcher.ownReport(g.origin)
+	got, err := news.ExchangeWithRelay(ctx, g.relayPeer.node, address, own)
 	g.metrics.countLoadExchange(err == nil)
 	if err != nil {
-		g.logLoadFailure(address, err)
+		g.logExchangeFailure(address, err)
+		g.relayPeer.failedExchanges++
 		return loadRetryInterval
 	}
 	g.loadFailure.Store(false)
-	g.dispatcher.applyPeerLoads(sinceBoot(), got)
-	if len(own.Loads) == 0 {
+	g.dispatcher.applyPeerReport(sinceBoot(), got)
+	if len(own.Loads) == 0 && len(own.Evidence) == 0 {
 		return max(got.Next, idleLoadInterval)
 	}
 	return got.Next
 }
 
-// recordOwnLoads records the loads of this relay and applies those of the others.
-func (g *Gateway) recordOwnLoads(context.Context) time.Duration {
-	got := g.relayPeer.relay.ReportOwn(g.settings.Instance, g.dispatcher.ownStats())
-	g.dispatcher.applyPeerLoads(sinceBoot(), got)
+// exchangeRelay returns the relay to exchange with: the one that passes on the updates of the
+// store, or else one that is chosen by the name of this gateway, and the next one after a failure.
+func (g *Gateway) exchangeRelay() string {
+	if relayed, ok := g.store.(*news.RelayedStore); ok {
+		if address := relayed.CurrentRelay(); address != "" {
+			return address
+		}
+	}
+	relays := g.settings.Relays
+	return relays[(xxhash.Sum64String(g.settings.Instance)+g.relayPeer.failedExchanges)%uint64(len(relays))]
+}
+
+// recordOwnReport records what this relay knows itself and applies what the others know.
+func (g *Gateway) recordOwnReport(context.Context) time.Duration {
+	got := g.relayPeer.relay.Exchange(g.settings.Instance, g.dispatcher.ownReport(g.origin))
+	g.dispatcher.applyPeerReport(sinceBoot(), got)
 	return got.Next
 }
 
-// fetchLoads fetches the loads of the gateways that report to another relay.
-func (g *Gateway) fetchLoads(ctx context.Context, address string) time.Duration {
-	next, err := g.relayPeer.relay.FetchLoads(ctx, g.relayPeer.node, address)
+// fetchFromRelay fetches what the gateways know that report to another relay.
+func (g *Gateway) fetchFromRelay(ctx context.Context, address string) time.Duration {
+	next, err := g.relayPeer.relay.FetchFromRelay(ctx, g.relayPeer.node, address)
 	g.metrics.countLoadExchange(err == nil)
 	if err != nil {
-		g.logLoadFailure(address, err)
+		g.logExchangeFailure(address, err)
 		return loadRetryInterval
 	}
 	g.loadFailure.Store(false)
 	return next
 }
 
-// logLoadFailure logs the first of consecutive failures.
-func (g *Gateway) logLoadFailure(address string, err error) {
+// logExchangeFailure logs the first of consecutive failures.
+func (g *Gateway) logExchangeFailure(address string, err error) {
 	if g.ctx.Err() == nil && !g.loadFailure.Swap(true) {
-		g.log.Info("loads are not exchanged with a relay", zap.String("relay", address), zap.Error(err))
+		g.log.Info("loads and evidence are not exchanged with a relay", zap.String("relay", address), zap.Error(err))
 	}
 }
 
-// ownStats returns the loads that this gateway causes and its recent failures, by worker.
-func (d *dispatcher) ownStats() news.WorkerStats {
+// ownReport returns what this gateway knows: the loads that it causes and its recent failures, by
+// worker, and its evidence on the rollouts in progress.
+func (d *dispatcher) ownReport(origin string) news.OwnReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	out := news.NewWorkerStats()
-	d.placer.OwnLoads(out.Loads.Add)
-	d.placer.OwnFailures(sinceBoot(), out.Failures.Add)
+	out := news.OwnReport{WorkerStats: news.NewWorkerStats(), Evidence: d.rollouts.ownEvidence(origin)}
+	if d.exchangesLoads {
+		d.placer.OwnLoads(out.Loads.Add)
+		d.placer.OwnFailures(sinceBoot(), out.Failures.Add)
+	}
 	return out
 }
 
-// applyPeerLoads applies the loads that the other gateways cause, and their failures.
-func (d *dispatcher) applyPeerLoads(now time.Duration, p news.PeerLoads) {
+// applyPeerReport applies what the other gateways know.
+func (d *dispatcher) applyPeerReport(now time.Duration, p news.PeerReport) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.placer.SetPeerLoads(now, p.Gateways, p.Loads.Requests)
-	d.placer.SetPeerFailures(now, p.Failures.Requests)
+	if d.exchangesLoads {
+		d.placer.SetPeerLoads(now, p.Gateways, p.Loads.Requests)
+		d.placer.SetPeerFailures(now, p.Failures.Requests)
+	}
+	d.rollouts.mergeEvidence(p.Evidence, d.log)
 }
 
 // releaseWorker ends the request that pickWorker counted.
--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -34,9 +34,12 @@
 	node  *peer.Node
 	// isRelay reports whether this process passes updates on to other gateways.
 	isRelay bool
+	// failedExchanges is the number of failed exchanges with relays. Only the goroutine of the
+	// exchange uses it.
+	failedExchanges uint64
 }
 
-// usesRelays reports whether relays are configured and the bounds for draining and for applying
+// usesRelays reports whether the updates of the store come from relays: they are configured, and the bounds for draining and for applying
 // a configuration leave time for a relay that is cut off from the store without notice.
 func (s *Settings) usesRelays() bool {
 	needed := relayWatchTimeout + s.StoreTimeout + relayDelayReserve
@@ -59,10 +62,10 @@
 }
 
 // newRelayPeer returns the relay connection of this gateway and the store to watch: the store
-// itself on a relay, and a store that asks the relays first elsewhere. The relay connection is
-// nil where relays are not used.
+// itself on a relay and where the bounds do not allow relays, and a store that asks the relays
+// first elsewhere. The relay connection is nil where no relays are configured.
 func newRelayPeer(s Settings, store forward.Store, started time.Time, log *zap.Logger) (*relayPeer, forward.Store) {
-	if !s.usesRelays() {
+	if len(s.Relays) == 0 {
 		return nil, store
 	}
 	relayLog := observe.ComponentLogger(log, "relay")
@@ -70,7 +73,7 @@
 	hello := api.Hello{Member: api.Member{Instance: s.Instance, Incarnation: int(started.UnixNano()), FailureDomain: s.FailureDomain, Address: s.PeerAddress, State: api.MemberStateReady}}
 	p := &relayPeer{relay: relay, node: peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello { return hello }})}
 	p.isRelay = s.isRelay()
-	if p.isRelay {
+	if p.isRelay || !s.usesRelays() {
 		return p, store
 	}
 	return p, news.NewRelayedStore(store, p.node, s.Instance, s.FailureDomain, s.Relays, s.StoreTimeout, sinceBoot, relayLog)
--- a/internal/gateway/relaypeer_test.go
+++ b/internal/gateway/relaypeer_test.go
@@ -123,3 +123,34 @@
 	ok, reason := late.gateway.dispatcher.isReady(sinceBoot())
 	assert.Assert(t, ok, reason)
 }
+
+// Guards against a bad version that each gateway judges by its own answers alone: what one gateway
+// has seen must reach the others within a second, also where the bounds do not allow relays to
+// pass on the updates of the store.
+func TestEvidenceReachesOtherGateways(t *testing.T) {
+	address := freeAddress(t)
+	store := forwarding.NewStore()
+	store.PutConfig(testConfig(1))
+	store.PutRollout(forward.Rollout{Service: "svc", TargetVersion: "v2", Duration: time.Minute})
+	start := func(instance, listen string, store *forwarding.Store) *gatewayHarness {
+		s := testSettings(t)
+		s.Instance, s.PeerAddress, s.Relays = instance, listen, []string{address}
+		s.MaxDrainDelay, s.MaxApplyDelay = 2*time.Second, 2*time.Second
+		return startGatewayWith(t, s, store)
+	}
+	relay, other := start("relay", address, store), start("other", freeAddress(t), forwarding.NewForwardingStore(store))
+	assert.Assert(t, !other.gateway.settings.usesRelays())
+	for _, gw := range []*gatewayHarness{relay, other} {
+		gw.waitFor("rollout is known", func() bool { return len(gw.gateway.dispatcher.state(sinceBoot()).Rollouts) == 1 })
+	}
+	for i := range 20 {
+		w := forward.Worker{ID: fmt.Sprint("w", i%5), Service: "svc", Version: "v2"}
+		other.gateway.dispatcher.recordAnswer(other.gateway.dispatcher.startEvidence(w, "safe/", 0), true)
+	}
+	seenAt := time.Now()
+	relay.waitFor("relay knows that the target is bad", func() bool {
+		return relay.gateway.dispatcher.state(sinceBoot()).Rollouts[0].Regression == "errors"
+	})
+	assert.Assert(t, time.Since(seenAt) < time.Second)
+	relay.waitFor("rollout is rolled back", func() bool { return store.Rollout("svc").State == forward.RolloutRolledBack })
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -76,6 +76,8 @@
 	// startedSinceBoot is the time of the start since boot, the clock that package forward uses.
 	startedSinceBoot time.Duration
 	model            string
+	// evidence is the request as evidence of a rollout, nil without one.
+	evidence *rollout.Pending
 	// isHeld reports whether the response was set aside. Its reader then ends the attempt.
 	isHeld bool
 	record attemptRecord
@@ -259,6 +261,8 @@
 		return forward.NotSent, false
 	}
 	a.exchange = ex
+	a.evidence = r.gateway.dispatcher.startEvidence(a.worker, r.route.Name+"/"+a.model, r.inbound.meta.PromptTokens-r.placement.CachedTokens)
+	defer r.gateway.dispatcher.recordAbandoned(a.evidence)
 	defer func() {
 		if !a.isHeld {
 			ex.close()
@@ -368,10 +372,7 @@
 	r.mayHaveRun = true
 	latency := time.Since(a.started)
 	failed := status >= http.StatusInternalServerError
-	r.gateway.dispatcher.recordRolloutEvidence(a.worker, rollout.Answer{
-		Kind: r.route.Name + "/" + a.model, Failed: failed, Worker: a.worker.ID, TimeToFirstByte: latency,
-		UncachedTokens: r.inbound.meta.PromptTokens - r.placement.CachedTokens,
-	})
+	r.gateway.dispatcher.recordAnswer(a.evidence, failed)
 	r.runCount++
 	if failed {
 		r.workerFailed = true
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -3,12 +3,14 @@
 import (
 	"hash/fnv"
 	"math"
+	"strconv"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/news"
 	"github.com/borageflow/borageflow/internal/rollout"
 )
 
@@ -45,6 +47,8 @@
 	// nextWriteAt is the earliest time of the next write after a failed one.
 	nextWriteAt time.Duration
 	isWriting   bool
+	// rejectionLogged reports whether the log has the reason why the target is bad.
+	rejectionLogged bool
 }
 
 func newRolloutTracker(s Settings) *rolloutTracker {
@@ -200,24 +204,81 @@
 	}
 }
 
-// recordEvidence records a response as evidence on the target, or as the baseline to compare
-// with.
-func (t *rolloutTracker) recordEvidence(w forward.Worker, a rollout.Answer, log *zap.Logger) {
-	tracked := t.byService[w.Service]
+// inProgress returns the rollout of a service that is neither completed nor rolled back, or nil.
+func (t *rolloutTracker) inProgress(service string) *trackedRollout {
+	tracked := t.byService[service]
 	if tracked == nil || tracked.state() == forward.RolloutCompleted || tracked.state() == forward.RolloutRolledBack {
-		return
+		return nil
 	}
-	if w.Version != tracked.record.TargetVersion {
-		tracked.progress.ObserveOther(a)
-		return
+	return tracked
+}
+
+// startEvidence records that a request was sent to a worker. It returns nil without a rollout in
+// progress.
+func (t *rolloutTracker) startEvidence(now time.Duration, w forward.Worker, a rollout.Answer) *rollout.Pending {
+	tracked := t.inProgress(w.Service)
+	if tracked == nil {
+		return nil
 	}
-	wasBad, _ := tracked.progress.TargetIsBad()
-	tracked.progress.ObserveTarget(a)
-	if bad, reason := tracked.progress.TargetIsBad(); bad && !wasBad {
-		log.Warn("target version of a rollout is rejected", zap.String("service", w.Service), zap.String("target", tracked.record.TargetVersion), zap.String("reason", reason), evidenceField(tracked.progress.Evidence()))
+	return tracked.progress.Start(now, w.Version == tracked.record.TargetVersion, a)
+}
+
+// judging calls observe, which adds evidence, and logs each target that it shows to be bad.
+func (t *rolloutTracker) judging(log *zap.Logger, observe func()) {
+	observe()
+	for service, tracked := range t.byService {
+		bad, reason := tracked.progress.TargetIsBad()
+		if bad && !tracked.rejectionLogged {
+			tracked.rejectionLogged = true
+			log.Warn("target version of a rollout is rejected", zap.String("service", service), zap.String("target", tracked.record.TargetVersion), zap.String("reason", reason), evidenceField(tracked.progress.Evidence()))
+		}
 	}
 }
 
+// tick counts the requests whose answers are overdue.
+func (t *rolloutTracker) tick(now time.Duration, log *zap.Logger) {
+	t.judging(log, func() {
+		for service := range t.byService {
+			if tracked := t.inProgress(service); tracked != nil {
+				tracked.progress.Tick(now)
+			}
+		}
+	})
+}
+
+// evidenceKey identifies a rollout in the evidence that gateways exchange.
+func (tracked *trackedRollout) evidenceKey() string {
+	return tracked.record.Service + "/" + tracked.record.TargetVersion + "@" + strconv.FormatInt(tracked.record.CreatedRevision, 10)
+}
+
+// ownEvidence returns the evidence of this gateway on the rollouts in progress.
+func (t *rolloutTracker) ownEvidence(origin string) []news.EvidenceRecord {
+	var out []news.EvidenceRecord
+	for service := range t.byService {
+		if tracked := t.inProgress(service); tracked != nil {
+			out = append(out, news.EvidenceRecord{Rollout: tracked.evidenceKey(), Origin: origin, Evidence: tracked.progress.OwnEvidence()})
+		}
+	}
+	return out
+}
+
+// mergeEvidence adds the evidence of the other gateways.
+func (t *rolloutTracker) mergeEvidence(records []news.EvidenceRecord, log *zap.Logger) {
+	t.judging(log, func() {
+		for service := range t.byService {
+			tracked := t.inProgress(service)
+			if tracked == nil {
+				continue
+			}
+			for _, r := range records {
+				if r.Rollout == tracked.evidenceKey() {
+					tracked.progress.MergeOthers(r.Evidence)
+				}
+			}
+		}
+	})
+}
+
 // writeSpreadMs is the time over which the writes of all processes are spread, in milliseconds.
 // It is longer than a write takes to reach the others and shorter than the shortest step of a
 // rollout.
@@ -303,6 +364,8 @@
 
 // evidenceField returns the evidence of a rollout as a field of a log line.
 func evidenceField(e rollout.EvidenceSummary) zap.Field {
-	return zap.Dict("evidence", zap.Int("answers", e.Answers), zap.Int("failed", e.Failed), zap.Int("slow", e.Slow),
-		zap.Int("other_answers", e.OtherAnswers), zap.Float64("statistic", math.Round(e.Statistic*100)/100))
+	rounded := func(name string, v float64) zap.Field { return zap.Float64(name, math.Round(v*100)/100) }
+	return zap.Dict("evidence", zap.Int("answers", e.Answers), zap.Int("failed", e.Failed), zap.Int("own_answers", e.OwnAnswers),
+		zap.Int("other_answers", e.OtherAnswers), rounded("errors", e.Errors), rounded("slowness", e.Slowness),
+		rounded("spread_errors", e.SpreadErrors), rounded("spread_slowness", e.SpreadSlowness))
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -153,5 +153,5 @@
 		assert.Equal(t, gw.call("GET", "/safe/x", "").status, 200)
 		return strings.Contains(gw.log.String(), `"step":1`)
 	})
-	assert.Assert(t, strings.Contains(gw.log.String(), `"evidence":{"answers":0,"failed":0,"slow":0,"other_answers":`), gw.log.String())
+	assert.Assert(t, strings.Contains(gw.log.String(), `"evidence":{"answers":0,"failed":0,"own_answers":0,"other_answers":`), gw.log.String())
 }
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -57,13 +57,14 @@
 	Step          int    `json:"step"`
 	// Share is the share of sessions that go to the target, 0 to 1.
 	Share float64 `json:"share"`
-	// Regression states the evidence of this gateway against the target; empty if there is none.
+	// Regression states why this gateway takes the target to be bad; empty if it does not.
 	Regression string `json:"bad,omitempty"`
-	// Answers is the number of judged answers of the target, Bad that of the failed and slow ones
-	// among them, and Statistic the highest log-likelihood ratio of the tests.
-	Answers   int     `json:"answers"`
-	Bad       int     `json:"badAnswers"`
-	Statistic float64 `json:"statistic"`
+	// Answers is the number of judged answers of the target in all gateways, Failed that of the
+	// failed ones among them. Errors and Slowness are the log-likelihood ratios of the tests.
+	Answers  int     `json:"answers"`
+	Failed   int     `json:"failed"`
+	Errors   float64 `json:"errors"`
+	Slowness float64 `json:"slowness"`
 }
 
 // state returns the status from the data of the dispatcher.
@@ -86,7 +87,7 @@
 		evidence := tracked.progress.Evidence()
 		s.Rollouts = append(s.Rollouts, RolloutState{
 			tracked.record.Service, tracked.record.TargetVersion, string(tracked.state()), tracked.progress.Step(), tracked.progress.Share(), reason,
-			evidence.Answers, evidence.Failed + evidence.Slow, evidence.Statistic,
+			evidence.Answers, evidence.Failed, evidence.Errors, evidence.Slowness,
 		})
 	}
 	slices.SortFunc(s.Rollouts, func(a, b RolloutState) int { return strings.Compare(a.Service, b.Service) })
--- a/internal/news/loads_test.go
+++ b/internal/news/loads_test.go
@@ -118,14 +118,14 @@
 	own := []Loads{{1: 8}, {1: 16, 2: 24}}
 	exchange := func() (out []Loads) {
 		for i := range 2 {
-			peers, err := ExchangeLoads(context.Background(), gateways[i], addresses[i], WorkerStats{Loads: own[i], Failures: Loads{9: i + 1}})
+			peers, err := ExchangeWithRelay(context.Background(), gateways[i], addresses[i], OwnReport{WorkerStats: WorkerStats{Loads: own[i], Failures: Loads{9: i + 1}}})
 			assert.NilError(t, err)
 			assert.Equal(t, peers.Next, minLoadInterval)
 			out = append(out, peers.Loads)
-			relays[i].ReportOwn(fmt.Sprint("relay-", i), WorkerStats{Loads: Loads{3: 1}})
+			relays[i].Exchange(fmt.Sprint("relay-", i), OwnReport{WorkerStats: WorkerStats{Loads: Loads{3: 1}}})
 		}
 		for i := range 2 {
-			_, err := relays[i].FetchLoads(context.Background(), gateways[i], addresses[1-i])
+			_, err := relays[i].FetchFromRelay(context.Background(), gateways[i], addresses[1-i])
 			assert.NilError(t, err)
 		}
 		return out
@@ -135,7 +135,7 @@
 	got := exchange()
 	assert.DeepEqual(t, got[0], Loads{1: 16, 2: 24, 3: 2})
 	assert.DeepEqual(t, got[1], Loads{1: 8, 3: 2})
-	peers := relays[0].ReportOwn("relay-0", WorkerStats{})
+	peers := relays[0].Exchange("relay-0", OwnReport{})
 	assert.DeepEqual(t, peers.Loads, Loads{1: 24, 2: 24, 3: 1})
 	assert.DeepEqual(t, peers.Failures, Loads{9: 3})
 	assert.Equal(t, peers.Gateways, 4)
--- a/internal/news/relay.go
+++ b/internal/news/relay.go
@@ -23,6 +23,10 @@
 	mu      sync.Mutex
 	updates *UpdateLog
 	loads   *LoadTable
+	// evidence is what gateways observed of the targets of rollouts. fetchedEvidence holds the
+	// version of the evidence that was fetched last from each other relay.
+	evidence        *EvidenceTable
+	fetchedEvidence map[string]int64
 	// changed is closed and replaced when waiting requests must check for updates again.
 	changed chan struct{}
 }
@@ -30,7 +34,10 @@
 // NewRelay returns a Relay without data. It refuses requests while its configuration was
 // not confirmed for longer than maxAge.
 func NewRelay(maxAge time.Duration, clock func() Elapsed, log *zap.Logger) *Relay {
-	return &Relay{clock: clock, log: log, updates: NewUpdateLog(maxAge), loads: NewLoadTable(), changed: make(chan struct{})}
+	return &Relay{
+		clock: clock, log: log, updates: NewUpdateLog(maxAge), loads: NewLoadTable(), changed: make(chan struct{}),
+		evidence: NewEvidenceTable(time.Now().UnixNano()), fetchedEvidence: map[string]int64{},
+	}
 }
 
 // Publish passes on an update that the store returned and that was current at time confirmed.
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 )
 
 // versionModel describes the answers of a target version in a simulated rollout.
@@ -15,14 +16,27 @@
 	// slowdown is the factor on the answer times at each step of the rollout. A slow version
 	// queues more the more requests it gets.
 	slowdown [5]float64
+	// slowWorkers is the number of the target's nine workers that answer four times slower.
+	slowWorkers int
+	// failures is the share of failed answers, of those of one kind if failsOneKind is set.
+	failures     float64
+	failsOneKind bool
 }
 
+// goodVersion answers as fast as the other version.
+var goodVersion = versionModel{slowdown: [5]float64{1, 1, 1, 1, 1}}
+
 // exposureCase is a simulated rollout in several processes whose answers arrive late.
 type exposureCase struct {
 	processes int
 	perSecond float64
 	duration  time.Duration
 	target    versionModel
+	// burst is the factor on the requests in the burst, from 0.7 to 0.95 of the duration; 0 for
+	// none. The answer times rise by the same factor within a second, as queues build up.
+	burst float64
+	// cutOff is set where the processes cannot exchange their evidence.
+	cutOff bool
 }
 
 // exposureResult is the end of a simulated rollout.
@@ -35,8 +49,8 @@
 // sentRequest is a request whose answer arrives at a later time.
 type sentRequest struct {
 	process   int
-	toTarget  bool
-	answer    Answer
+	failed    bool
+	pending   *Pending
 	arrivesAt time.Duration
 }
 
@@ -55,35 +69,47 @@
 	const tick = 50 * time.Millisecond
 	due := 0.0
 	for now := time.Duration(0); now < c.duration; now += tick {
-		for due += c.perSecond * tick.Seconds(); due >= 1; due-- {
+		load, queueing := 1.0, 1.0
+		if fraction := now.Seconds() / c.duration.Seconds(); c.burst > 0 && fraction > 0.7 && fraction < 0.95 {
+			load = c.burst
+			queueing += (load - 1) * math.Min((fraction-0.7)*c.duration.Seconds(), 1)
+		}
+		for due += load * c.perSecond * tick.Seconds(); due >= 1; due-- {
 			out.total++
 			process := rng.IntN(c.processes)
 			r := rollouts[process]
-			ms := 80 * math.Exp(0.5*rng.NormFloat64())
-			request := sentRequest{process: process, answer: Answer{Kind: fmt.Sprint("r", rng.IntN(2)), Worker: fmt.Sprint(rng.IntN(9))}}
-			if r.SelectsTarget(fmt.Sprint("session", out.total)) {
+			ms := 80 * queueing * math.Exp(0.5*rng.NormFloat64())
+			worker, kind := rng.IntN(9), rng.IntN(2)
+			answer := Answer{Kind: fmt.Sprint("r", kind), Worker: fmt.Sprint(worker)}
+			toTarget := r.SelectsTarget(fmt.Sprint("session", out.total))
+			if toTarget {
 				out.target++
-				request.toTarget = true
 				ms *= c.target.slowdown[r.Step()]
+				if worker < c.target.slowWorkers {
+					ms *= 4
+				}
+				answer.Failed = rng.Float64() < c.target.failures && (kind == 0 || !c.target.failsOneKind)
 			}
-			request.answer.TimeToFirstByte = time.Duration(ms * float64(time.Millisecond))
-			request.arrivesAt = now + request.answer.TimeToFirstByte
+			request := sentRequest{process: process, failed: answer.Failed, pending: r.Start(now, toTarget, answer)}
+			request.arrivesAt = now + time.Duration(ms*float64(time.Millisecond))
 			sent = append(sent, request)
 		}
 		waiting := sent[:0]
 		for _, s := range sent {
-			switch {
-			case s.arrivesAt > now:
+			if s.arrivesAt > now {
 				waiting = append(waiting, s)
-			case s.toTarget:
-				rollouts[s.process].ObserveTarget(s.answer)
-			default:
-				rollouts[s.process].ObserveOther(s.answer)
+				continue
 			}
+			s.pending.Answered(s.arrivesAt, s.failed)
 		}
 		sent = waiting
 		if now%(250*time.Millisecond) == 0 {
-			exchangeEvidence(rollouts)
+			for _, r := range rollouts {
+				r.Tick(now)
+			}
+			if !c.cutOff {
+				exchangeEvidence(rollouts)
+			}
 		}
 		for i, r := range rollouts {
 			switch transition := r.DueTransition(now, time.Duration(i%20)*30*time.Millisecond); transition {
@@ -101,23 +127,150 @@
 	return out
 }
 
-// exchangeEvidence lets the processes exchange their evidence. They do not do so yet.
-func exchangeEvidence([]*TimedRollout) {}
+// exchangeEvidence passes the evidence of each process on to all others.
+func exchangeEvidence(rollouts []*TimedRollout) {
+	sum := NewEvidence()
+	for _, r := range rollouts {
+		sum.Add(r.own)
+	}
+	for _, r := range rollouts {
+		others := sum.Clone()
+		others.Subtract(r.own)
+		r.MergeOthers(others)
+	}
+}
+
+// assertRolledBack plays a bad version with ten seeds. It must be rolled back and get less than the
+// smallest allowed share of all requests, see timedSteps.
+func assertRolledBack(t *testing.T, c exposureCase) {
+	t.Helper()
+	for seed := range uint64(10) {
+		got := simulateExposure(t, c, seed)
+		allowed := 0.0975*c.perSecond*c.duration.Seconds() + 30
+		assert.Check(t, got.final == TransitionRollBack && float64(got.target) <= allowed,
+			"%d processes, %.0f requests/s, %v, seed %d: transition %v at %v, %d of %d requests went to the bad version, %.0f allowed",
+			c.processes, c.perSecond, c.duration, seed, got.final, got.at, got.target, got.total, allowed)
+	}
+}
 
 // Guards against a slow version that is judged so late that it completes its rollout or gets more
 // requests than a bad version may get.
 func TestSlowVersionStaysWithinExposure(t *testing.T) {
 	slow := versionModel{slowdown: [5]float64{1, 1.6, 2, 3.3, 6}}
 	for _, c := range []exposureCase{
-		{4, 66, 15 * time.Second, slow}, {4, 88, 15 * time.Second, slow}, {5, 150, 24 * time.Second, slow},
-		{28, 400, 15 * time.Second, slow}, {103, 1400, 15 * time.Second, slow}, {4, 88, 60 * time.Second, slow},
+		{processes: 4, perSecond: 66, duration: 15 * time.Second, target: slow},
+		{processes: 4, perSecond: 88, duration: 15 * time.Second, target: slow},
+		{processes: 5, perSecond: 150, duration: 24 * time.Second, target: slow},
+		{processes: 28, perSecond: 400, duration: 15 * time.Second, target: slow},
+		{processes: 103, perSecond: 1400, duration: 15 * time.Second, target: slow},
+		{processes: 4, perSecond: 88, duration: 60 * time.Second, target: slow},
 	} {
-		for seed := range uint64(10) {
-			got := simulateExposure(t, c, seed)
-			allowed := 0.0975*c.perSecond*c.duration.Seconds() + 30
-			assert.Check(t, got.final == TransitionRollBack && float64(got.target) <= allowed,
-				"%d processes, %.0f requests/s, %v, seed %d: transition %v at %v, %d of %d requests went to the slow version, %.0f allowed",
-				c.processes, c.perSecond, c.duration, seed, got.final, got.at, got.target, got.total, allowed)
+		assertRolledBack(t, c)
+	}
+}
+
+// Guards against a version whose failures are too few in each process, or on one kind of request
+// only, to be seen in time.
+func TestFailingVersionStaysWithinExposure(t *testing.T) {
+	failing, oneKind := goodVersion, goodVersion
+	failing.failures = 0.3
+	oneKind.failures, oneKind.failsOneKind = 0.5, true
+	for _, c := range []exposureCase{
+		{processes: 4, perSecond: 66, duration: 15 * time.Second, target: failing},
+		{processes: 103, perSecond: 1400, duration: 15 * time.Second, target: failing},
+		{processes: 4, perSecond: 88, duration: 15 * time.Second, target: oneKind},
+		{processes: 28, perSecond: 400, duration: 15 * time.Second, target: oneKind},
+	} {
+		assertRolledBack(t, c)
+	}
+}
+
+// Guards against a good version that is rolled back or completed late: at any size, with few
+// requests, in a burst, with two slow workers of nine, and without an exchange of evidence.
+func TestGoodVersionCompletesUnderTrouble(t *testing.T) {
+	slowWorkers := goodVersion
+	slowWorkers.slowWorkers = 2
+	for name, c := range map[string]exposureCase{
+		"4 processes":         {processes: 4, perSecond: 88, target: goodVersion},
+		"28 processes":        {processes: 28, perSecond: 400, target: goodVersion},
+		"103 processes":       {processes: 103, perSecond: 1400, target: goodVersion},
+		"few requests":        {processes: 4, perSecond: 2, target: goodVersion},
+		"burst":               {processes: 4, perSecond: 88, target: goodVersion, burst: 3},
+		"burst, 28":           {processes: 28, perSecond: 400, target: goodVersion, burst: 3},
+		"slow workers":        {processes: 4, perSecond: 88, target: slowWorkers},
+		"slow workers, 28":    {processes: 28, perSecond: 400, target: slowWorkers},
+		"cut off":             {processes: 4, perSecond: 88, target: goodVersion, cutOff: true},
+		"cut off, in a burst": {processes: 4, perSecond: 88, target: goodVersion, cutOff: true, burst: 3},
+	} {
+		for _, c.duration = range []time.Duration{15 * time.Second, 60 * time.Second} {
+			for seed := range uint64(10) {
+				got := simulateExposure(t, c, seed)
+				assert.Check(t, got.final == TransitionComplete && got.at <= c.duration*95/100, "%s, %v, seed %d: transition %v at %v", name, c.duration, seed, got.final, got.at)
+			}
+		}
+	}
+}
+
+// Guards against a slow version whose slowest answers count last or never: requests that still wait
+// and requests that were given up count by the time that they have waited.
+func TestUnfinishedRequestsCount(t *testing.T) {
+	for _, givenUp := range []bool{false, true} {
+		r := NewTimedRollout("svc", "v2", rolloutDuration, 1, 0)
+		now := time.Duration(0)
+		for i := range 50 {
+			now += 50 * time.Millisecond
+			r.Start(now, false, Answer{Kind: "r"}).Answered(now+time.Duration(80+i)*time.Millisecond, false)
+		}
+		for i := range 12 {
+			now += 50 * time.Millisecond
+			p := r.Start(now, true, Answer{Kind: "r", Worker: fmt.Sprint(i % 4)})
+			if givenUp {
+				p.Abandoned(now + time.Second)
+			}
 		}
+		if !givenUp {
+			bad, _ := r.TargetIsBad()
+			assert.Assert(t, !bad)
+		}
+		r.Tick(now + time.Second)
+		bad, reason := r.TargetIsBad()
+		assert.Assert(t, bad, "given up: %v", givenUp)
+		assert.Equal(t, reason, "latency")
+	}
+}
+
+// Guards against evidence that counts twice when a sum arrives again, late or after a restart of
+// the relay, which then knows less.
+func TestEvidenceOfOthersCountsOnce(t *testing.T) {
+	source, r := NewTimedRollout("svc", "v2", rolloutDuration, 1, 0), NewTimedRollout("svc", "v2", rolloutDuration, 1, 0)
+	old := source.OwnEvidence()
+	for i := range 3 {
+		source.ObserveTarget(Answer{Kind: "r", Failed: true, Worker: fmt.Sprint(i)})
+	}
+	for _, e := range []Evidence{source.OwnEvidence(), source.OwnEvidence(), old, source.OwnEvidence()} {
+		r.MergeOthers(e)
 	}
+	assert.Equal(t, r.Evidence().Answers, 3)
+	assert.Equal(t, r.Evidence().Failed, 3)
+	assert.Equal(t, r.Evidence().OwnAnswers, 0)
+}
+
+// Guards against evidence that changes on its way, and against a broken one that is accepted.
+func TestEvidenceEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tallies := Tallies{}
+		for _, hash := range rapid.SliceOfN(rapid.Uint32Range(0, 1<<evidenceHashBits-1), 0, 20).Draw(t, "hashes") {
+			count := rapid.IntRange(0, 1000)
+			tallies[hash] = Tally{count.Draw(t, "a"), count.Draw(t, "b"), count.Draw(t, "c"), count.Draw(t, "d"), count.Draw(t, "e"), count.Draw(t, "f")}
+		}
+		text := tallies.Encode()
+		got, err := DecodeTallies(text)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, got, tallies)
+		if broken := rapid.String().Draw(t, "broken"); broken != "" {
+			_, _ = DecodeTallies(broken) // must not panic
+		}
+	})
+	_, err := DecodeTallies("AAE=")
+	assert.ErrorContains(t, err, "out of range")
 }
--- /dev/null
+++ b/internal/rollout/latency.go
@@ -0,0 +1,171 @@
+package rollout
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// baselineAnswers is the number of the latest answers of other versions that those of the
+	// target are compared with.
+	baselineAnswers = 96
+	// minBaselineAnswers is the number of answers from which a comparison is made.
+	minBaselineAnswers = 8
+	// burstBaselineAge is the greatest age of an answer that one in a burst is compared with.
+	// The times change within a second while queues build up.
+	burstBaselineAge = time.Second
+	// toleratedSlowdown is the factor by which the answers of a good target may be slower. Its
+	// workers start with empty caches and queue requests at first.
+	toleratedSlowdown = 1.3
+	// slowRankExponent is the exponent of the density of the ranks of a slow version's answers
+	// among those of the other versions. Slow versions of the deployments answer 1.6 to 12
+	// times slower.
+	slowRankExponent = 0.5
+	// maxEvidencePerLog bounds the evidence of an answer by the logarithm of its slowdown. Where
+	// the times of the other versions hardly differ, the rank alone would make a small slowdown
+	// strong evidence.
+	maxEvidencePerLog = 2.0
+	// meanTokensGain is the weight of one answer in kindBaseline.meanTokens.
+	meanTokensGain = 0.05
+)
+
+// kindBaseline holds the failure rate and the answer times of the other versions for one kind of
+// answer.
+type kindBaseline struct {
+	failureRate rateBaseline
+	slowRate    rateBaseline
+	medianMs    medianEstimator
+	// meanTokens is the moving average of the uncached prompt tokens.
+	meanTokens float64
+	// times holds the latest answers, next is the index of the oldest of them.
+	times []answerTime
+	next  int
+}
+
+// answerTime is the time to first byte of an answer and the work that it depends on.
+type answerTime struct {
+	ms, uncachedTokens float64
+	inBurst            bool
+	at                 time.Duration
+}
+
+func timeOf(a Answer) answerTime {
+	return answerTime{float64(a.TimeToFirstByte) / float64(time.Millisecond), float64(a.UncachedTokens), a.InBurst, a.At}
+}
+
+// normalizedMs returns the time to first byte in milliseconds, scaled to a prompt of mean
+// length. It assumes that half of the time does not depend on the length. Without the
+// scaling, a new version whose workers have empty caches would look slow: prompts without
+// cached tokens took 3.2 times as long.
+func (b *kindBaseline) normalizedMs(a Answer) float64 {
+	ms := float64(a.TimeToFirstByte) / float64(time.Millisecond)
+	if b.meanTokens <= 0 || a.UncachedTokens <= 0 {
+		return ms
+	}
+	return ms / (0.5 + 0.5*float64(a.UncachedTokens)/b.meanTokens)
+}
+
+// addTime adds the time of an answer of another version.
+func (b *kindBaseline) addTime(a Answer) {
+	if b.meanTokens == 0 {
+		b.meanTokens = float64(a.UncachedTokens)
+	}
+	b.meanTokens += meanTokensGain * (float64(a.UncachedTokens) - b.meanTokens)
+	ms := b.normalizedMs(a)
+	if b.medianMs.value == 0 {
+		b.medianMs.value = ms
+	}
+	b.slowRate.add(sampleCounts{1, boolToFloat(ms > slowLatencyFactor*b.medianMs.value)})
+	b.medianMs.add(ms)
+	if len(b.times) < baselineAnswers {
+		b.times = append(b.times, timeOf(a))
+		return
+	}
+	b.times[b.next] = timeOf(a)
+	b.next = (b.next + 1) % baselineAnswers
+}
+
+// slowEvidence returns the log-likelihood ratio of a slow version to a good one for an answer of
+// the target, and whether it can be compared: with the answers of the other versions in the same
+// burst, or outside of bursts. The ratio is that of the answer's rank among them: uniform for a
+// good version, with a density that rises towards the slowest for a slow one. It does not depend
+// on how the times are distributed.
+func (b *kindBaseline) slowEvidence(a Answer) (float64, bool) {
+	times := make([]answerTime, 0, baselineAnswers)
+	for _, t := range b.times {
+		if t.inBurst == a.InBurst && (!a.InBurst || a.At-t.at <= burstBaselineAge) {
+			times = append(times, t)
+		}
+	}
+	if len(times) < minBaselineAnswers || a.TimeToFirstByte <= 0 {
+		return 0, false
+	}
+	model := fitTimes(times)
+	ratio := model.ratio(timeOf(a)) / toleratedSlowdown
+	slower := 0.5
+	for _, other := range times {
+		if model.ratio(other) >= ratio {
+			slower++
+		}
+	}
+	rank := slower / float64(len(times)+1)
+	evidence := math.Log(slowRankExponent) + (slowRankExponent-1)*math.Log(rank)
+	return math.Min(evidence, math.Max(maxEvidencePerLog*math.Log(ratio), 0)), true
+}
+
+// timeModel predicts the time of an answer from the uncached tokens of its prompt, linearly.
+type timeModel struct{ meanMs, meanTokens, msPerToken float64 }
+
+// fitTimes fits a timeModel by least squares. Times far above the mean count as outlierFactor
+// times the mean, because requests that queued say nothing about the tokens.
+func fitTimes(times []answerTime) timeModel {
+	var sum float64
+	for _, t := range times {
+		sum += t.ms
+	}
+	limit := outlierFactor * sum / float64(len(times))
+	var m timeModel
+	for _, t := range times {
+		m.meanMs += math.Min(t.ms, limit) / float64(len(times))
+		m.meanTokens += t.uncachedTokens / float64(len(times))
+	}
+	var covariance, variance float64
+	for _, t := range times {
+		d := t.uncachedTokens - m.meanTokens
+		covariance += d * (math.Min(t.ms, limit) - m.meanMs)
+		variance += d * d
+	}
+	if variance > 0 && m.meanTokens > 0 {
+		m.msPerToken = math.Min(math.Max(covariance/variance, 0), m.meanMs/m.meanTokens)
+	}
+	return m
+}
+
+// outlierFactor bounds the influence of single slow answers on a timeModel.
+const outlierFactor = 3.0
+
+// ratio returns the time of an answer relative to the predicted one.
+func (m timeModel) ratio(t answerTime) float64 {
+	predicted := m.meanMs + m.msPerToken*(t.uncachedTokens-m.meanTokens)
+	return t.ms / math.Max(predicted, minPredictedShare*m.meanMs)
+}
+
+// minPredictedShare is the least predicted time relative to the mean.
+const minPredictedShare = 0.2
+
+// grossSlowEvidence returns the log-likelihood ratio of an answer that is compared with the median
+// of the other versions alone. It serves while these get no requests, whose times could be
+// compared.
+func (b *kindBaseline) grossSlowEvidence(a Answer) (float64, bool) {
+	if b.medianMs.value <= 0 || a.TimeToFirstByte <= 0 {
+		return 0, false
+	}
+	slow := sampleCounts{1, boolToFloat(b.normalizedMs(a) > slowLatencyFactor*b.medianMs.value)}
+	p0 := math.Max(b.slowRate.upperBound(), priorSlowRate)
+	return logLikelihoodRatio(slow, p0, math.Min(p0+2*timedMaxErrorRise, 0.95)), true
+}
+
+// slowLatencyFactor is the multiple of the baseline median above which an answer counts as
+// slow for itself. A good version took 3 times as long while its workers had empty caches and
+// requests queued up.
+const slowLatencyFactor = 5.0
--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -21,13 +21,21 @@
 // Streams of the old version can end between the last step and then.
 const completionFraction = 0.90
 
+const (
+	// latestLastStep is the fraction of the duration until which the last step waits for
+	// evidence.
+	latestLastStep = 0.82
+	// latestCompletion is the fraction until which a suspicious rollout waits for evidence.
+	latestCompletion = 0.94
+)
+
 // minStepFraction is the fraction of its planned time that a step lasts at least, even if
 // earlier steps were late.
 const minStepFraction = 0.5
 
 // timedAlarmThreshold is the log-likelihood ratio at which a version counts as bad, with
-// one false alarm in about e^9 = 8,100 samples. A timed rollout lasts seconds and gets a
-// few hundred samples, of which at most 50 may be bad.
+// one false alarm in about e^9 = 8,100 answers. A timed rollout lasts seconds, and at most 50
+// of its answers may be bad.
 const timedAlarmThreshold = 9.0
 
 // Answer is the result of one request to a version.
@@ -42,6 +50,12 @@
 	// UncachedTokens is the number of prompt tokens that the worker had not cached; 0 when
 	// unknown.
 	UncachedTokens int
+	// AtFullShare is set if the target got all requests when this one was sent, and InBurst if
+	// far more requests arrived than usual. Its time cannot be compared with that of the other
+	// versions then.
+	AtFullShare, InBurst bool
+	// At is the time at which the answer began.
+	At time.Duration
 }
 
 // TimedRollout is one process's state of a rollout that must complete within a given duration.
@@ -54,70 +68,69 @@
 	stepStart time.Duration
 	// start is the time at which the rollout began.
 	start time.Duration
-	// targetIsBad is set when the answers seen by this process show that the target is
-	// bad, badReason is the reason.
+	// targetIsBad is set when the evidence shows that the target is bad, badReason is the reason.
 	targetIsBad bool
 	badReason   string
-	// detectors tests all answers for errors and latency, errorDetectors the answers
-	// of each kind for errors.
-	detectors      [2]cusumDetector
-	errorDetectors map[string]*cusumDetector
-	// baselines holds the results of the other versions by kind of answer.
-	baselines map[string]*kindBaseline
-	// badAnswersByWorker counts the failed and slow answers of the target's workers.
-	badAnswersByWorker map[string]int
-	summary            EvidenceSummary
+	// own is the evidence of this process, others that of the other processes, and workers the
+	// sum of both by worker.
+	own, others Evidence
+	workers     Tallies
+	// errors and slowness test the answers of all processes, kindErrors those of each kind.
+	errors, slowness cusum
+	kindErrors       map[uint32]*cusum
+	// baselines holds the results of the other versions by kind of answer, and otherAnswers the
+	// number of their answers.
+	baselines    map[string]*kindBaseline
+	otherAnswers int
+	// pending are the requests to the target that have no answer yet.
+	pending map[*Pending]struct{}
+	// rate is the present rate of requests to all versions. usualRate is its mean over requests
+	// requests, without those in the first rateTime after firstRequestAt.
+	rate                requestRate
+	usualRate, requests float64
+	firstRequestAt      time.Duration
 }
 
+// cusum is a sequential test on the sum of log-likelihood ratios.
+type cusum struct{ statistic float64 }
+
+func (c *cusum) add(evidence float64) { c.statistic = math.Max(0, c.statistic+evidence) }
+
 // EvidenceSummary is the evidence of a rollout in numbers, for the log and the status.
 type EvidenceSummary struct {
-	// Answers is the number of judged answers of the target, Failed and Slow the numbers of
-	// the bad ones among them. OtherAnswers is the number of answers of the other versions.
-	Answers, Failed, Slow, OtherAnswers int
-	// Statistic is the highest log-likelihood ratio of the tests.
-	Statistic float64
+	// Answers is the number of judged answers of the target in all processes, Failed that of the
+	// failed ones among them. OwnAnswers and OtherAnswers are the numbers of answers of the target
+	// and of the other versions in this process.
+	Answers, Failed, OwnAnswers, OtherAnswers int
+	// Errors and Slowness are the log-likelihood ratios of the tests. SpreadErrors and
+	// SpreadSlowness are the sums without the workers that speak most against the target.
+	Errors, Slowness, SpreadErrors, SpreadSlowness float64
 }
 
-// Evidence returns the evidence that this process has.
+// Evidence returns the evidence of all processes that this one knows.
 func (r *TimedRollout) Evidence() EvidenceSummary {
-	out := r.summary
-	for _, d := range r.detectors {
-		out.Statistic = max(out.Statistic, d.moderate, d.gross)
+	out := EvidenceSummary{OtherAnswers: r.otherAnswers, Errors: r.errors.statistic, Slowness: r.slowness.statistic}
+	for _, c := range r.kindErrors {
+		out.Errors = max(out.Errors, c.statistic)
 	}
-	for _, d := range r.errorDetectors {
-		out.Statistic = max(out.Statistic, d.moderate, d.gross)
+	for _, tally := range r.workers {
+		out.Answers += tally.Answers
+		out.Failed += tally.Failed
 	}
-	return out
-}
-
-// kindBaseline holds the failure rate and the latency of the other versions for one kind
-// of answer.
-type kindBaseline struct {
-	failureRate rateBaseline
-	slowRate    rateBaseline
-	medianMs    medianEstimator
-	// meanTokens is the moving average of the uncached prompt tokens.
-	meanTokens float64
-}
-
-// meanTokensGain is the weight of one answer in kindBaseline.meanTokens.
-const meanTokensGain = 0.05
-
-// normalizedMs returns the time to first byte in milliseconds, scaled to a prompt of mean
-// length. It assumes that half of the time does not depend on the length. Without the
-// scaling, a new version whose workers have empty caches would look slow: prompts without
-// cached tokens took 3.2 times as long.
-func (b *kindBaseline) normalizedMs(a Answer) float64 {
-	ms := float64(a.TimeToFirstByte) / float64(time.Millisecond)
-	if b.meanTokens <= 0 || a.UncachedTokens <= 0 {
-		return ms
+	for _, tally := range r.own.Workers {
+		out.OwnAnswers += tally.Answers
 	}
-	return ms / (0.5 + 0.5*float64(a.UncachedTokens)/b.meanTokens)
+	out.SpreadErrors = spreadTallies(r.workers, (*Tally).errors)
+	out.SpreadSlowness = spreadTallies(r.workers, (*Tally).slowness)
+	return out
 }
 
 // NewTimedRollout returns the state of a rollout that is at the recorded step at time now.
 func NewTimedRollout(service, target string, duration time.Duration, step int, now time.Duration) *TimedRollout {
-	r := &TimedRollout{Service: service, Target: target, duration: duration, errorDetectors: map[string]*cusumDetector{}, baselines: map[string]*kindBaseline{}, badAnswersByWorker: map[string]int{}}
+	r := &TimedRollout{
+		Service: service, Target: target, duration: duration, own: NewEvidence(), others: NewEvidence(), workers: Tallies{},
+		kindErrors: map[uint32]*cusum{}, baselines: map[string]*kindBaseline{}, pending: map[*Pending]struct{}{},
+	}
 	r.step = min(max(step, 0), len(timedSteps)-1)
 	r.stepStart = now
 	r.start = now - time.Duration(timedSteps[r.step].startFraction*float64(duration))
@@ -172,23 +185,42 @@
 // DueTransition returns the change of the recorded state that this process should write now.
 // delay postpones steps and completion and should differ between processes, so that
 // usually only one process writes and the others read the change.
+//
+// A step needs time and evidence: no step follows while the evidence is suspicious, and the last
+// one waits until it speaks for the target, at most until latestLastStep. A rollout that is still
+// suspicious at latestCompletion is rolled back.
 func (r *TimedRollout) DueTransition(now, delay time.Duration) Transition {
 	if r.targetIsBad {
 		return TransitionRollBack
 	}
+	isLast := r.step+1 == len(timedSteps)
 	nextFraction := completionFraction
-	if r.step+1 < len(timedSteps) {
+	if !isLast {
 		nextFraction = timedSteps[r.step+1].startFraction
 	}
 	planned := time.Duration((nextFraction - timedSteps[r.step].startFraction) * float64(r.duration))
 	minDuration := time.Duration(minStepFraction * float64(planned))
-	if now-r.start < time.Duration(nextFraction*float64(r.duration))+delay || now-r.stepStart < minDuration+delay {
+	if now-r.start < r.timeOf(nextFraction)+delay || now-r.stepStart < minDuration+delay {
 		return TransitionNone
 	}
-	if r.step+1 < len(timedSteps) {
-		return TransitionNextStep
+	switch {
+	case r.isSuspicious():
+		if now-r.start >= r.timeOf(latestCompletion)+delay {
+			r.targetIsBad, r.badReason = true, "suspicious until the end"
+			return TransitionRollBack
+		}
+		return TransitionNone
+	case isLast:
+		return TransitionComplete
+	case r.step+2 == len(timedSteps) && !r.isClear() && now-r.start < r.timeOf(latestLastStep)+delay:
+		return TransitionNone
 	}
-	return TransitionComplete
+	return TransitionNextStep
+}
+
+// timeOf returns the time since the start at which a fraction of the duration has passed.
+func (r *TimedRollout) timeOf(fraction float64) time.Duration {
+	return time.Duration(fraction * float64(r.duration))
 }
 
 // SessionsMayMove reports whether the rollout is past its first half, so that sessions may
@@ -197,29 +229,14 @@
 
 // ObserveOther adds an answer of another version to the baseline.
 func (r *TimedRollout) ObserveOther(a Answer) {
-	r.summary.OtherAnswers++
+	r.otherAnswers++
 	baseline := r.baselineFor(a.Kind)
 	baseline.failureRate.add(sampleCounts{1, boolToFloat(a.Failed)})
-	if a.TimeToFirstByte <= 0 || a.Failed {
-		return
-	}
-	if baseline.meanTokens == 0 {
-		baseline.meanTokens = float64(a.UncachedTokens)
+	if a.TimeToFirstByte > 0 && !a.Failed {
+		baseline.addTime(a)
 	}
-	baseline.meanTokens += meanTokensGain * (float64(a.UncachedTokens) - baseline.meanTokens)
-	ms := baseline.normalizedMs(a)
-	if baseline.medianMs.value == 0 {
-		baseline.medianMs.value = ms
-	}
-	baseline.slowRate.add(sampleCounts{1, boolToFloat(ms > slowLatencyFactor*baseline.medianMs.value)})
-	baseline.medianMs.add(ms)
 }
 
-// slowLatencyFactor is the multiple of the baseline median above which an answer counts as
-// slow. Slow versions in the deployments take 8 times as long. A good version took 3 times
-// as long while its workers had empty caches and requests queued up.
-const slowLatencyFactor = 5.0
-
 func (r *TimedRollout) baselineFor(kind string) *kindBaseline {
 	baseline := r.baselines[kind]
 	if baseline == nil {
@@ -229,62 +246,116 @@
 	return baseline
 }
 
-// ObserveTarget adds an answer of the target to the tests. It does nothing once the target is
+// ObserveTarget adds an answer of the target to the evidence. It does nothing once the target is
 // known to be bad.
 func (r *TimedRollout) ObserveTarget(a Answer) {
 	if r.targetIsBad {
 		return
 	}
 	baseline := r.baselineFor(a.Kind)
-	failed := sampleCounts{1, boolToFloat(a.Failed)}
 	p0 := baseline.failureRate.upperBound()
-	r.summary.Answers++
-	if a.Failed {
-		r.summary.Failed++
-		r.badAnswersByWorker[a.Worker]++
-	}
-	r.updateDetector(&r.detectors[kindErrors], failed, p0, "errors")
-	detector := r.errorDetectors[a.Kind]
-	if detector == nil {
-		detector = &cusumDetector{}
-		r.errorDetectors[a.Kind] = detector
-	}
-	r.updateDetector(detector, failed, p0, "errors of one kind of request")
-	if a.TimeToFirstByte > 0 && !a.Failed && baseline.medianMs.value > 0 {
-		ms := baseline.normalizedMs(a)
-		slow := sampleCounts{1, boolToFloat(ms > slowLatencyFactor*baseline.medianMs.value)}
-		if slow.bad > 0 {
-			r.summary.Slow++
-			r.badAnswersByWorker[a.Worker]++
+	failed := sampleCounts{1, boolToFloat(a.Failed)}
+	tally := Tally{Answers: 1, Failed: int(failed.bad)}
+	tally.ErrorsAgainst, tally.ErrorsFor = evidenceParts(logLikelihoodRatio(failed, p0, math.Min(p0+2*timedMaxErrorRise, 0.95)))
+	if !a.Failed {
+		if evidence, ok := slowEvidence(baseline, a); ok {
+			tally.SlowAgainst, tally.SlowFor = evidenceParts(evidence)
 		}
-		r.updateDetector(&r.detectors[kindSlow], slow, math.Max(baseline.slowRate.upperBound(), priorSlowRate), "latency")
 	}
+	rise := Evidence{Tallies{evidenceHash(a.Worker): tally}, Tallies{evidenceHash(a.Kind): tally}}
+	r.own.Add(rise)
+	r.judge(rise)
 }
 
-// updateDetector adds counts to a test. It marks the target as bad if the test reaches
-// timedAlarmThreshold and badAtSeveralWorkers holds.
-func (r *TimedRollout) updateDetector(detector *cusumDetector, counts sampleCounts, p0 float64, reason string) {
-	_ = detector.add(counts, p0, timedMaxErrorRise)
-	if (detector.moderate >= timedAlarmThreshold || detector.gross >= timedAlarmThreshold) && r.badAtSeveralWorkers() {
-		r.targetIsBad, r.badReason = true, reason
+// slowEvidence returns the evidence of the time of an answer, and whether it can be judged.
+func slowEvidence(baseline *kindBaseline, a Answer) (float64, bool) {
+	switch {
+	case !a.AtFullShare:
+		return baseline.slowEvidence(a)
+	case a.InBurst:
+		return 0, false
 	}
+	return baseline.grossSlowEvidence(a)
+}
+
+// evidenceParts returns a log-likelihood ratio in units of evidenceUnit as its positive or
+// negative part.
+func evidenceParts(ratio float64) (against, inFavor int) {
+	units := int(math.Round(ratio / evidenceUnit))
+	return max(units, 0), max(-units, 0)
 }
 
-// badAtSeveralWorkers reports whether enough bad answers come from workers other than the
-// worst one. A single faulty worker does not show that its version is bad; the ejection of
-// workers handles it.
-func (r *TimedRollout) badAtSeveralWorkers() bool {
-	total, worst := 0, 0
-	for _, n := range r.badAnswersByWorker {
-		total += n
-		worst = max(worst, n)
+// OwnEvidence returns the evidence of this process, to be passed on to the others.
+func (r *TimedRollout) OwnEvidence() Evidence { return r.own.Clone() }
+
+// MergeOthers adds the sum of what the other processes have observed. Counters that are not above
+// the known ones are ignored, so that a sum that arrives twice or late counts once.
+func (r *TimedRollout) MergeOthers(e Evidence) {
+	if rise, changed := r.others.Raise(e); changed && !r.targetIsBad {
+		r.judge(rise)
 	}
-	return total-worst >= minBadAtOtherWorkers
 }
 
-// minBadAtOtherWorkers is the lowest number of bad answers from workers other than the
-// worst one at which the version may count as bad.
-const minBadAtOtherWorkers = 2
+// judge adds evidence to the tests and marks the target as bad if one of them shows it.
+func (r *TimedRollout) judge(rise Evidence) {
+	r.workers.add(rise.Workers)
+	var sum Tally
+	for _, tally := range rise.Workers {
+		sum.add(tally)
+	}
+	r.errors.add(sum.errors())
+	r.slowness.add(sum.slowness())
+	worstKind := 0.0
+	for kind, tally := range rise.Kinds {
+		test := r.kindErrors[kind]
+		if test == nil {
+			test = &cusum{}
+			r.kindErrors[kind] = test
+		}
+		test.add(tally.errors())
+		worstKind = math.Max(worstKind, test.statistic)
+	}
+	switch {
+	case r.slowness.statistic >= timedAlarmThreshold && spreadTallies(r.workers, (*Tally).slowness) >= minSpreadEvidence:
+		r.targetIsBad, r.badReason = true, "latency"
+	case r.errors.statistic >= timedAlarmThreshold && r.failuresAreSpread():
+		r.targetIsBad, r.badReason = true, "errors"
+	case worstKind >= timedAlarmThreshold && r.failuresAreSpread():
+		r.targetIsBad, r.badReason = true, "errors of one kind of request"
+	}
+}
+
+// failuresAreSpread reports whether enough failed answers come from other workers than the worst
+// ones.
+func (r *TimedRollout) failuresAreSpread() bool {
+	failed := func(t *Tally) float64 { return float64(t.Failed) }
+	return spreadTallies(r.workers, failed) >= minSpreadFailures
+}
+
+const (
+	// minSpreadEvidence is the evidence of slow answers that the target's workers without the
+	// worst ones must give before the version counts as slow.
+	minSpreadEvidence = 3.0
+	// minSpreadFailures is the lowest number of failed answers from workers other than the worst
+	// ones at which the version may count as bad.
+	minSpreadFailures = 2
+	// suspicion is the statistic from which a rollout does not go on.
+	suspicion = 3.0
+	// clearEvidence is the evidence for a target, negative, from which it may get all requests.
+	clearEvidence = -2.0
+)
+
+// isSuspicious reports whether the evidence speaks against the target, but does not show yet that
+// it is bad.
+func (r *TimedRollout) isSuspicious() bool {
+	e := r.Evidence()
+	return e.Slowness >= suspicion && e.SpreadSlowness > 0 || e.Errors >= suspicion && r.failuresAreSpread()
+}
+
+// isClear reports whether the evidence speaks for the target.
+func (r *TimedRollout) isClear() bool {
+	return spreadTallies(r.workers, (*Tally).slowness) <= clearEvidence && !r.isSuspicious()
+}
 
 // timedMaxErrorRise is the tolerated rise of the rate of bad answers. Bad versions in the
 // deployments fail at least 20% of their requests.
--- a/internal/rollout/timed_rollout_test.go
+++ b/internal/rollout/timed_rollout_test.go
@@ -97,7 +97,8 @@
 	rollout := NewTimedRollout("svc", "v2", rolloutDuration, 3, 100*time.Second)
 	assert.Equal(t, rollout.Share(), 0.5)
 	assert.Equal(t, rollout.DueTransition(100*time.Second+time.Second, 0), TransitionNone)
-	assert.Equal(t, rollout.DueTransition(102*time.Second, 0), TransitionNextStep)
+	assert.Equal(t, rollout.DueTransition(102*time.Second, 0), TransitionNone, "it has no evidence yet")
+	assert.Equal(t, rollout.DueTransition(104*time.Second, 0), TransitionNextStep)
 	rollout.SetStep(2, 103*time.Second)
 	assert.Equal(t, rollout.Step(), 3)
 }
