Read the limit that a worker names and log its changes

No decision uses it yet. TestRateLimitIsRead. Result: go test ./internal/gateway -run RateLimit passes.

--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -204,4 +204,8 @@
 	Confidence int
 	Load       Load
 	HasLoad    bool
+	// RateLimit is the number of requests a second that the worker takes from all gateways
+	// together, and is valid only if HasRateLimit is set.
+	RateLimit    float64
+	HasRateLimit bool
 }
--- a/internal/gateway/decode_test.go
+++ b/internal/gateway/decode_test.go
@@ -77,3 +77,14 @@
 	assert.Equal(t, parseIdleTimeout("max=100"), defaultIdleTimeout)
 	assert.Assert(t, parseIdleTimeout("timeout=1") <= 0)
 }
+
+// Guards against a limit that is read wrongly, and against a malformed one that counts.
+func TestRateLimitIsRead(t *testing.T) {
+	for value, want := range map[string]float64{"1": 1, "0.25": 0.25, "12.5": 12.5, "0": 0, "": -1, "-1": -1, "NaN": -1, "+Inf": -1, "1e400": -1, "two": -1, "1,2": -1} {
+		meta := DefaultHeaderNames.ResponseMeta(http.Header{DefaultHeaderNames.RateLimit: {value}})
+		assert.Equal(t, meta.HasRateLimit, want >= 0, "%q", value)
+		if meta.HasRateLimit {
+			assert.Equal(t, meta.RateLimit, want, "%q", value)
+		}
+	}
+}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -39,6 +39,7 @@
 	placer         *forward.Placer
 	health         *membership.HealthTracker
 	usableWorkers  map[string]forward.Worker
+	rateLimits     map[string]float64 // by ID of the worker
 	retryBudgets   map[string]*retry.Budget
 	rollouts       *rolloutTracker
 	// exchangesLoads reports whether the loads of other gateways are used.
@@ -64,6 +65,7 @@
 		placer:         forward.NewPlacer(forward.PlacerOptions{FailureDomain: s.FailureDomain}),
 		health:         membership.NewHealthTracker(ejectionConfig),
 		usableWorkers:  map[string]forward.Worker{},
+		rateLimits:     map[string]float64{},
 		retryBudgets:   map[string]*retry.Budget{},
 		rollouts:       newRolloutTracker(s),
 		exchangesLoads: s.usesRelays(),
@@ -158,6 +160,7 @@
 	for id := range d.usableWorkers {
 		if _, ok := usableByID[id]; !ok {
 			d.handleHealthEvent(membership.ServerRemoved{Server: id})
+			delete(d.rateLimits, id)
 			d.log.Info("worker gets no new work", zap.String("worker", id))
 		}
 	}
@@ -259,6 +262,22 @@
 	d.placer.RecordLoad(now, id, load)
 }
 
+// recordRateLimit logs when a worker names another limit of its requests than before.
+func (d *dispatcher) recordRateLimit(id string, meta forward.AnswerMeta) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	old, had := d.rateLimits[id]
+	switch {
+	case meta.HasRateLimit == had && meta.RateLimit == old:
+	case meta.HasRateLimit:
+		d.rateLimits[id] = meta.RateLimit
+		d.log.Info("worker limits its requests", zap.String("worker", id), zap.Float64("per_second", meta.RateLimit))
+	default:
+		delete(d.rateLimits, id)
+		d.log.Info("worker limits its requests no longer", zap.String("worker", id))
+	}
+}
+
 // recordAttempt passes the outcome of an attempt to the health tracker, which may eject the
 // worker.
 func (d *dispatcher) recordAttempt(w forward.Worker, outcome membership.Outcome, latency time.Duration) {
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -36,6 +37,9 @@
 	NotRun string
 	// Load is the load of the worker in a response: running, waiting, slots.
 	Load string
+	// RateLimit is the number of requests a second, a decimal number, that the worker takes from
+	// all gateways together.
+	RateLimit string
 	// Confidence is the confidence of the model in its response, 0 to 100.
 	Confidence string
 	// WorkerID is the ID of the worker that responds.
@@ -52,6 +56,7 @@
 	Customer: "X-Borageflow-Customer", ExpectWorker: "X-Borageflow-Expect-Worker", Model: "X-Borageflow-Model",
 	Tokens: "X-Borageflow-Tokens", Prompt: "X-Borageflow-Prompt", Session: "X-Borageflow-Session", LastEventID: "Last-Event-Id",
 	Urgency: "X-Borageflow-Urgency", NotRun: "X-Borageflow-Not-Run", Load: "X-Borageflow-Load",
+	RateLimit:  "X-Borageflow-Rate-Limit",
 	Confidence: "X-Borageflow-Confidence", WorkerID: "X-Borageflow-Worker", AnyModel: "auto",
 }
 
@@ -149,6 +154,7 @@
 	if n, err := strconv.Atoi(h.Get(n.Confidence)); err == nil {
 		a.Confidence = n
 	}
+	a.RateLimit, a.HasRateLimit = parseRateLimit(h.Get(n.RateLimit))
 	if fields := strings.Split(h.Get(n.Load), ","); len(fields) == 3 {
 		running, err1 := strconv.Atoi(strings.TrimSpace(fields[0]))
 		waiting, err2 := strconv.Atoi(strings.TrimSpace(fields[1]))
@@ -160,6 +166,16 @@
 	return a
 }
 
+// parseRateLimit parses a number of requests a second. A value that is no such number counts as
+// absent.
+func parseRateLimit(value string) (float64, bool) {
+	limit, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+		return 0, false
+	}
+	return limit, true
+}
+
 // SetRequestID sets the ID of the request that a response of the router answers.
 func (n *HeaderNames) SetRequestID(h http.Header, id string) {
 	if id != "" {
