Keep within the limit that a worker names for all gateways together

What callers saw: a worker in need that named a limit of 1 request a second got 18 in 4 s, 11 allowed. Cause: no decision knew of the limit. A worker that gets fewer requests looks idle and attracts more. Change: what a worker asks for is kept by incarnation in internal/forward (notices), beyond a disappearance of its entry. A gateway spends its share of the limit by a token bucket: the share of its requests in those of all gateways, which rises slowly, falls at once, and is an equal one while the others are not known. The requests a second by service travel with the exchange of loads, now on every deployment with relays. What does not fit goes to other workers; if all workers of a service are at their limits, the caller is refused at once, as not run, with the time of the next permit, spread. Such a refusal does not move requests to the target of a rollout. The choice of the least loaded worker no longer sorts when it needs the minimum.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1090,6 +1090,10 @@
 // LoadsParams states the loads that a gateway causes at the workers to a relay,
 // method loads.
 type LoadsParams struct {
+	// Demand holds the requests a second for each service in eighths, encoded as
+	// Loads by the name of the service.
+	Demand string `json:"demand,omitempty,omitzero"`
+
 	// Evidence is that of the gateway itself on the rollouts that are in progress.
 	Evidence []RolloutEvidence `json:"evidence,omitempty,omitzero"`
 
@@ -1114,6 +1118,9 @@
 // LoadsResult states the loads that other gateways cause at the workers. A relay
 // gets those of the answering relay and of the gateways that report to it.
 type LoadsResult struct {
+	// Demand holds the demand of the same gateways, encoded as in LoadsParams.
+	Demand string `json:"demand,omitempty,omitzero"`
+
 	// Evidence is the sum of that of all other gateways on the stated rollouts; to a
 	// relay, the records of single gateways that changed since evidenceSince.
 	Evidence []RolloutEvidence `json:"evidence,omitempty,omitzero"`
--- a/internal/forward/cache.go
+++ b/internal/forward/cache.go
@@ -48,7 +48,7 @@
 	bestTokens, bestScore := 0, math.Inf(1)
 	for _, c := range p.cachedPrefixes(now, q) {
 		s := c.worker
-		if !s.eligible(q) || s.Service != q.Service || s.share < 1 {
+		if !s.eligible(now, q) || s.Service != q.Service || s.share < 1 {
 			continue
 		}
 		score := p.score(now, s, q.Heavy)
@@ -127,7 +127,7 @@
 	var best [rendezvousReplicas]*workerState
 	var rank [rendezvousReplicas]uint64
 	for _, s := range p.services[q.Service] {
-		if !s.eligible(q) || s.share < 1 || s.pooled && s.heavy != q.Heavy {
+		if !s.eligible(now, q) || s.share < 1 || s.pooled && s.heavy != q.Heavy {
 			continue
 		}
 		r := mix64(key ^ s.hash)
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -20,7 +20,7 @@
 	p.candidates = p.candidates[:0]
 	for _, ignoreShare := range []bool{false, true} {
 		for _, s := range p.services[q.Service] {
-			if s.eligible(q) && (ignoreShare || s.share >= 1 || rng.Float64() < s.share) {
+			if s.eligible(now, q) && (ignoreShare || s.share >= 1 || rng.Float64() < s.share) {
 				p.candidates = append(p.candidates, scoredWorker{s, p.score(now, s, q.Heavy) + rng.Float64()*tieBreakNoise})
 			}
 		}
@@ -52,9 +52,14 @@
 // chooseLevel returns the worker for a request and the level of water-filling: the score that the
 // workers with the lowest scores reach if work is divided so that they end up equal. A worker is
 // chosen with a probability in proportion to what it lacks to that level, by the random number
-// draw in [0, 1). Without work it returns the worker with the lowest score. It sorts candidates.
+// draw in [0, 1). Without work it returns the worker with the lowest score, otherwise it sorts candidates.
 func chooseLevel(candidates []scoredWorker, work, draw float64) (*workerState, float64) {
-	slices.SortFunc(candidates, func(a, b scoredWorker) int { return cmp.Compare(a.score, b.score) })
+	byScore := func(a, b scoredWorker) int { return cmp.Compare(a.score, b.score) }
+	if work <= 0 {
+		least := slices.MinFunc(candidates, byScore)
+		return least.worker, least.score
+	}
+	slices.SortFunc(candidates, byScore)
 	sum, level, filled := 0.0, candidates[0].score, 1
 	for i := range candidates {
 		if i > 0 && level <= candidates[i].score {
@@ -93,10 +98,16 @@
 // requests over workers of equal load.
 const tieBreakNoise = 0.1
 
-func (s *workerState) eligible(q *WorkerQuery) bool {
+// matches reports whether a request may go to a worker by its version and earlier attempts.
+func (s *workerState) matches(q *WorkerQuery) bool {
 	return (q.Allowed == nil || q.Allowed(s.Version)) && !slices.Contains(q.Exclude, s.ID)
 }
 
+// eligible reports whether a request may go to a worker now.
+func (s *workerState) eligible(now Elapsed, q *WorkerQuery) bool {
+	return s.matches(q) && s.mayGet(now, q.limitShare)
+}
+
 // score returns the estimated load of a worker with the penalties for another pool and
 // another failure domain. Lower is better.
 func (p *Placer) score(now Elapsed, s *workerState, heavy bool) float64 {
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -31,6 +31,7 @@
 	stats := p.statsFor(s.Service)
 	f := &InFlight{worker: s, work: p.promptWork(prompt, cachedTokens), startedAt: now, stats: stats, pool: s.poolIndex()}
 	s.unreadWork += f.work
+	p.recordSent(now, s)
 	stats.recordStart(now, f.pool, f.work)
 	for _, part := range prompt {
 		p.recordCached(now, partKey{part.ID, model}, s)
--- /dev/null
+++ b/internal/forward/notices.go
@@ -0,0 +1,123 @@
+package forward
+
+import "time"
+
+// notice is what a worker asked of the gateways in its answers. It belongs to one incarnation of
+// the worker and outlives its entry in the store, which may disappear and come back.
+type notice struct {
+	startUnixMs int64
+	limit       *rateLimit
+	// limitNamedAt is the start of the latest request whose answer named the limit.
+	limitNamedAt Elapsed
+	// recordedAt is the time of the last answer that asked for something.
+	recordedAt Elapsed
+}
+
+const (
+	// noticeTTL is how long a notice of a worker without an entry is kept.
+	noticeTTL = 10 * time.Minute
+	// maxNotices bounds the workers whose notices are kept.
+	maxNotices = 8192
+)
+
+// noticeFor returns the notice of a worker, a new one if there is none, or nil if the worker is
+// not known or too many are.
+func (p *Placer) noticeFor(now Elapsed, id string) *notice {
+	s := p.workers[id]
+	if s == nil || s.notice != nil {
+		return p.notices[id]
+	}
+	if len(p.notices) >= maxNotices {
+		for other, n := range p.notices {
+			if p.workers[other] == nil && now-n.recordedAt > noticeTTL {
+				delete(p.notices, other)
+			}
+		}
+		if len(p.notices) >= maxNotices {
+			return nil
+		}
+	}
+	s.notice = &notice{startUnixMs: s.StartUnixMs}
+	p.notices[id] = s.notice
+	return s.notice
+}
+
+// attachNotice gives a worker the notice of its incarnation, if there is one.
+func (p *Placer) attachNotice(s *workerState) {
+	n := p.notices[s.ID]
+	if n != nil && n.startUnixMs != s.StartUnixMs {
+		delete(p.notices, s.ID)
+		n = nil
+	}
+	s.notice = n
+}
+
+// RecordRateLimit records the limit that the answer of a worker named, if any, to a request that
+// was sent at startedAt. An answer without a limit ends the one that was named for an earlier
+// request. draw is a random number in [0, 1). It reports whether the limit changed.
+func (p *Placer) RecordRateLimit(now, startedAt Elapsed, id string, perSecond float64, named bool, draw float64) bool {
+	s := p.workers[id]
+	if s == nil || !named && (s.notice == nil || s.notice.limit == nil || startedAt <= s.notice.limitNamedAt) {
+		return false
+	}
+	n := p.noticeFor(now, id)
+	switch {
+	case n == nil:
+		return false
+	case !named:
+		n.limit = nil
+		return true
+	}
+	n.limitNamedAt, n.recordedAt = max(n.limitNamedAt, startedAt), now
+	if n.limit == nil {
+		n.limit = newRateLimit(now, perSecond, draw)
+		return true
+	}
+	n.limit.advance(now, p.limitShare(now, s.Service))
+	perSecond = max(perSecond, minLimit)
+	changed := n.limit.perSecond != perSecond
+	n.limit.perSecond = perSecond
+	return changed
+}
+
+// mayGet reports whether a worker may get a request now by what it asked for. share is this
+// gateway's share of the limits of the service's workers.
+func (s *workerState) mayGet(now Elapsed, share float64) bool {
+	n := s.notice
+	return n == nil || n.limit == nil || n.limit.allows(now, share)
+}
+
+// recordSent records that a worker gets a request.
+func (p *Placer) recordSent(now Elapsed, s *workerState) {
+	if n := s.notice; n != nil && n.limit != nil {
+		n.limit.take(now, p.limitShare(now, s.Service))
+	}
+}
+
+// NextTurn returns the time until a worker may get the request that may not get it now by what it
+// asked for, and whether there is one.
+func (p *Placer) NextTurn(now Elapsed, q WorkerQuery) (time.Duration, bool) {
+	var shortest time.Duration
+	found := false
+	share := p.limitShare(now, q.Service)
+	for _, s := range p.services[q.Service] {
+		if !s.matches(&q) || s.mayGet(now, share) {
+			continue
+		}
+		if wait, ok := s.notice.limit.nextPermit(now, share); ok && (!found || wait < shortest) {
+			shortest, found = wait, true
+		}
+	}
+	return shortest, found
+}
+
+// LimitedWorkers returns the number of workers that limit their requests.
+func (p *Placer) LimitedWorkers() int {
+	limited := 0
+	for _, s := range p.workers {
+		if s.notice != nil && s.notice.limit != nil {
+			limited++
+		}
+	}
+	return limited
+}
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -29,6 +29,8 @@
 	// TokensPerWork is the number of prompt tokens that count as one request in the load of
 	// a worker.
 	TokensPerWork float64
+	// MinGateways is the least number of gateways to reckon with while they are not known.
+	MinGateways int
 	// PeerLoadTTL is how long the load that other processes state is used.
 	PeerLoadTTL time.Duration
 	// CacheTTL is the time after its last use for which a prompt part is assumed to be
@@ -76,7 +78,14 @@
 	workers  map[string]*workerState
 	services map[string][]*workerState
 	pools    map[string]*poolStats
-	cache    *lru.LRU[partKey, *[maxHoldersPerPart]partHolder]
+	// notices holds what workers asked for, by ID, and demands the requests for each service.
+	notices map[string]*notice
+	demands map[string]*demand
+	// gateways is the number of gateways that exchange their demands, this one included, as of
+	// gatewaysAt.
+	gateways   int
+	gatewaysAt Elapsed
+	cache      *lru.LRU[partKey, *[maxHoldersPerPart]partHolder]
 	// peers is the number of processes whose loads are exchanged, this one included, as of
 	// peersAt. peerInterval is the time between the last two exchanges.
 	peers        int
@@ -90,9 +99,10 @@
 type workerState struct {
 	Worker
 	hash      uint64
-	pooled    bool // the worker belongs to one of two pools
-	heavy     bool // the pool of the larger models
-	answering int  // requests of this process whose answer has started
+	notice    *notice // nil if the worker asked for nothing
+	pooled    bool    // the worker belongs to one of two pools
+	heavy     bool    // the pool of the larger models
+	answering int     // requests of this process whose answer has started
 	// unreadWork is the work of the other requests of this process, in requests.
 	unreadWork float64
 	// peerLoad is the load that other processes cause, as of peerLoadAt.
@@ -118,7 +128,10 @@
 	if err != nil {
 		panic(err) // only a size below 1 fails
 	}
-	return &Placer{opts: o.withDefaults(), workers: map[string]*workerState{}, services: map[string][]*workerState{}, pools: map[string]*poolStats{}, cache: cache}
+	return &Placer{
+		opts: o.withDefaults(), workers: map[string]*workerState{}, services: map[string][]*workerState{}, pools: map[string]*poolStats{}, cache: cache,
+		notices: map[string]*notice{}, demands: map[string]*demand{},
+	}
 }
 
 // SetWorkers replaces the workers that may get new requests, and sorts list. A worker that
@@ -138,6 +151,7 @@
 			s = &workerState{share: 1, hash: xxhash.Sum64String(w.ID)}
 		}
 		s.Worker = w
+		p.attachNotice(s)
 		next[w.ID] = s
 		p.services[w.Service] = append(p.services[w.Service], s)
 	}
@@ -165,6 +179,8 @@
 	// smallest or only model.
 	Heavy  bool
 	Prompt []PromptPart
+	// limitShare is this gateway's share of the limits of the service's workers. Pick sets it.
+	limitShare float64
 }
 
 // Placement is the worker chosen by Pick and the data behind the choice.
@@ -191,6 +207,8 @@
 	if q.Heavy {
 		p.markCascading(q.Service)
 	}
+	p.demandFor(q.Service).add(now)
+	q.limitShare = p.limitShare(now, q.Service)
 	best, leastScore, candidates := p.leastLoaded(now, &q, rng)
 	if best == nil {
 		return Placement{}, false
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -39,7 +39,6 @@
 	placer         *forward.Placer
 	health         *membership.HealthTracker
 	usableWorkers  map[string]forward.Worker
-	rateLimits     map[string]float64 // by ID of the worker
 	retryBudgets   map[string]*retry.Budget
 	rollouts       *rolloutTracker
 	// exchangesLoads reports whether the loads of other gateways are used.
@@ -62,10 +61,9 @@
 		log:            log,
 		rng:            rand.New(rand.NewPCG(now, now>>7)), //nolint:gosec // load balancing needs no cryptographic randomness
 		workers:        forward.NewWorkerList(workerGracePeriod),
-		placer:         forward.NewPlacer(forward.PlacerOptions{FailureDomain: s.FailureDomain}),
+		placer:         forward.NewPlacer(forward.PlacerOptions{FailureDomain: s.FailureDomain, MinGateways: s.minGateways()}),
 		health:         membership.NewHealthTracker(ejectionConfig),
 		usableWorkers:  map[string]forward.Worker{},
-		rateLimits:     map[string]float64{},
 		retryBudgets:   map[string]*retry.Budget{},
 		rollouts:       newRolloutTracker(s),
 		exchangesLoads: s.usesRelays(),
@@ -160,7 +158,6 @@
 	for id := range d.usableWorkers {
 		if _, ok := usableByID[id]; !ok {
 			d.handleHealthEvent(membership.ServerRemoved{Server: id})
-			delete(d.rateLimits, id)
 			d.log.Info("worker gets no new work", zap.String("worker", id))
 		}
 	}
@@ -244,7 +241,7 @@
 	filter := d.rollouts.chooseVersion(now, q.Service, session, requestID, avoidTarget)
 	q.Allowed = filter.allowed
 	p, ok := d.placer.Pick(now, q, d.rng)
-	if !ok && filter.fallback != nil {
+	if !ok && filter.fallback != nil && !d.mustWait(now, q) {
 		q.Allowed = filter.fallback
 		p, ok = d.placer.Pick(now, q, d.rng)
 	}
@@ -255,6 +252,13 @@
 	return p, d.placer.RecordStart(now, p.Worker.ID, q.Model, q.Prompt, p.CachedTokens), true
 }
 
+// mustWait reports whether a worker would get the request if it had not asked for fewer. The caller
+// holds the lock.
+func (d *dispatcher) mustWait(now time.Duration, q forward.WorkerQuery) bool {
+	_, ok := d.placer.NextTurn(now, q)
+	return ok
+}
+
 // recordLoadReport records the load that a worker stated in the header of a response.
 func (d *dispatcher) recordLoadReport(now time.Duration, id string, load forward.Load) {
 	d.mu.Lock()
@@ -262,22 +266,34 @@
 	d.placer.RecordLoad(now, id, load)
 }
 
-// recordRateLimit logs when a worker names another limit of its requests than before.
-func (d *dispatcher) recordRateLimit(id string, meta forward.AnswerMeta) {
+// recordRateLimit records the limit that an answer named, or its absence.
+func (d *dispatcher) recordRateLimit(startedAt time.Duration, id string, meta forward.AnswerMeta) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old, had := d.rateLimits[id]
 	switch {
-	case meta.HasRateLimit == had && meta.RateLimit == old:
+	case !d.placer.RecordRateLimit(sinceBoot(), startedAt, id, meta.RateLimit, meta.HasRateLimit, d.rng.Float64()):
 	case meta.HasRateLimit:
-		d.rateLimits[id] = meta.RateLimit
 		d.log.Info("worker limits its requests", zap.String("worker", id), zap.Float64("per_second", meta.RateLimit))
 	default:
-		delete(d.rateLimits, id)
 		d.log.Info("worker limits its requests no longer", zap.String("worker", id))
 	}
 }
 
+// nextTurn returns the time until a worker may get a request that none may get now by what the
+// workers asked for, and whether there is such a worker.
+func (d *dispatcher) nextTurn(now time.Duration, q forward.WorkerQuery) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.NextTurn(now, q)
+}
+
+// limitedWorkers returns the number of workers that limit their requests.
+func (d *dispatcher) limitedWorkers() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.LimitedWorkers()
+}
+
 // recordAttempt passes the outcome of an attempt to the health tracker, which may eject the
 // worker.
 func (d *dispatcher) recordAttempt(w forward.Worker, outcome membership.Outcome, latency time.Duration) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,6 +104,7 @@
 	m.set.NewGauge("borageflow_gateway_config_age_seconds", func() float64 {
 		return (sinceBoot() - time.Duration(g.dispatcher.confirmedAt.Load())).Seconds()
 	})
+	m.set.NewGauge("borageflow_gateway_limited_workers", func() float64 { return float64(g.dispatcher.limitedWorkers()) })
 	m.set.NewGauge("borageflow_gateway_log_lines_dropped", func() float64 { return float64(logWriter.dropped.Load()) })
 	return g
 }
--- a/internal/gateway/loadshare.go
+++ b/internal/gateway/loadshare.go
@@ -75,7 +75,7 @@
 	}
 	g.loadFailure.Store(false)
 	g.dispatcher.applyPeerReport(sinceBoot(), got)
-	if len(own.Loads) == 0 && len(own.Evidence) == 0 {
+	if len(own.Demand) == 0 && len(own.Evidence) == 0 {
 		return max(got.Next, idleLoadInterval)
 	}
 	return got.Next
@@ -119,12 +119,13 @@
 	}
 }
 
-// ownReport returns what this gateway knows: the loads that it causes and its recent failures, by
-// worker, and its evidence on the rollouts in progress.
+// ownReport returns what this gateway knows: its requests a second by service, the loads that it
+// causes and its recent failures by worker, and its evidence on the rollouts in progress.
 func (d *dispatcher) ownReport(origin string) news.OwnReport {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	out := news.OwnReport{WorkerStats: news.NewWorkerStats(), Evidence: d.rollouts.ownEvidence(origin)}
+	d.placer.OwnDemand(sinceBoot(), out.Demand.Add)
 	if d.exchangesLoads {
 		d.placer.OwnLoads(out.Loads.Add)
 		d.placer.OwnFailures(sinceBoot(), out.Failures.Add)
@@ -140,6 +141,7 @@
 		d.placer.SetPeerLoads(now, p.Gateways, p.Loads.Requests)
 		d.placer.SetPeerFailures(now, p.Failures.Requests)
 	}
+	d.placer.SetPeerDemand(now, p.Gateways, p.Demand.Requests)
 	d.rollouts.mergeEvidence(p.Evidence, d.log)
 }
 
--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -51,6 +51,14 @@
 	return s.PeerAddress != "" && slices.Contains(s.Relays, s.PeerAddress)
 }
 
+// minGateways returns the number of gateways that the settings name: the relays and this one.
+func (s *Settings) minGateways() int {
+	if s.isRelay() {
+		return len(s.Relays)
+	}
+	return len(s.Relays) + 1
+}
+
 // configWatchTimeout returns the longest wait of a watch on the configuration. A longer one would
 // make the knowledge of the keys older when the store goes away, so that callers are refused
 // earlier.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -204,13 +204,15 @@
 // if none is left.
 func (r *request) pickWorker() (attempt, *errkind.Error) {
 	model := r.routedModel()
-	p, inFlight, ok := r.gateway.dispatcher.pickWorker(sinceBoot(), forward.WorkerQuery{
-		Service: r.service, Exclude: r.triedWorkers, Model: model, Heavy: r.modelIndex > 0, Prompt: r.inbound.meta.Prompt,
-	}, r.inbound.meta.Session, r.inbound.meta.RequestID, r.workerFailed)
+	query := forward.WorkerQuery{Service: r.service, Exclude: r.triedWorkers, Model: model, Heavy: r.modelIndex > 0, Prompt: r.inbound.meta.Prompt}
+	p, inFlight, ok := r.gateway.dispatcher.pickWorker(sinceBoot(), query, r.inbound.meta.Session, r.inbound.meta.RequestID, r.workerFailed)
 	if !ok {
 		if r.mayHaveRun {
 			return attempt{}, errkind.New(errkind.UpstreamFailed, "no other worker of the service is left")
 		}
+		if wait, ok := r.gateway.dispatcher.nextTurn(sinceBoot(), query); ok {
+			return attempt{}, errkind.New(errkind.Overloaded, "all workers of the service asked for fewer requests").WithRetryAfter(r.gateway.spreadReturn(wait))
+		}
 		return attempt{}, errkind.New(errkind.NoCandidate, "no usable worker of the service is known").WithRetryAfter(defaultRetryAfter)
 	}
 	r.placement = p
@@ -220,6 +222,12 @@
 	}, nil
 }
 
+// spreadReturn returns when a refused caller may come back: after a time, at random within half of
+// it and defaultRetryAfter, so that those refused together do not return together.
+func (g *Gateway) spreadReturn(wait time.Duration) time.Duration {
+	return wait + time.Duration(g.dispatcher.randomFloat()*float64(wait/2+defaultRetryAfter))
+}
+
 // routedModel returns the model that the router chooses, or "" to keep the caller's.
 func (r *request) routedModel() string {
 	if !r.routerPicksModel || len(r.route.Models) == 0 {
@@ -358,7 +366,7 @@
 	if ex.meta.HasLoad {
 		r.gateway.dispatcher.recordLoadReport(now, a.worker.ID, ex.meta.Load)
 	}
-	r.gateway.dispatcher.recordRateLimit(a.worker.ID, ex.meta)
+	r.gateway.dispatcher.recordRateLimit(a.startedSinceBoot, a.worker.ID, ex.meta)
 	status := ex.resp.StatusCode
 	switch {
 	case status == http.StatusMisdirectedRequest:
--- a/internal/news/loads.go
+++ b/internal/news/loads.go
@@ -102,18 +102,21 @@
 	maxLoadBytesPerMs = 4
 )
 
-// WorkerStats is what a gateway states about the workers: the loads that it causes, and its recent
-// requests that ended without an answer.
+// WorkerStats is what a gateway states about the workers: the loads that it causes, its recent
+// requests that ended without an answer, and its requests a second by service.
 type WorkerStats struct {
-	Loads, Failures Loads
+	Loads, Failures, Demand Loads
 }
 
 // NewWorkerStats returns empty stats.
-func NewWorkerStats() WorkerStats { return WorkerStats{Loads: Loads{}, Failures: Loads{}} }
+func NewWorkerStats() WorkerStats {
+	return WorkerStats{Loads: Loads{}, Failures: Loads{}, Demand: Loads{}}
+}
 
 func (s WorkerStats) add(other WorkerStats, sign int) {
 	s.Loads.add(other.Loads, sign)
 	s.Failures.add(other.Failures, sign)
+	s.Demand.add(other.Demand, sign)
 }
 
 // LoadTable adds up at a relay what each gateway states of the loads that it causes. Gateways
--- a/internal/news/loadsexchange.go
+++ b/internal/news/loadsexchange.go
@@ -38,7 +38,7 @@
 		call.Fail(err)
 		return
 	}
-	own, err := decodeReport(p.Loads, p.Failures, p.Evidence)
+	own, err := decodeReport(p.Loads, p.Failures, p.Demand, p.Evidence)
 	if err != nil {
 		call.Fail(errkind.New(errkind.InvalidRequest, err.Error()))
 		return
@@ -48,12 +48,12 @@
 		return
 	}
 	answer := r.Exchange(link.Remote.Instance, own)
-	result := api.LoadsResult{Loads: answer.Loads.Encode(), Failures: answer.Failures.Encode(), Gateways: answer.Gateways, Evidence: encodeEvidence(answer.Evidence)}
+	result := api.LoadsResult{Loads: answer.Loads.Encode(), Failures: answer.Failures.Encode(), Demand: answer.Demand.Encode(), Gateways: answer.Gateways, Evidence: encodeEvidence(answer.Evidence)}
 	result.NextMs = int(r.interval(&result).Milliseconds())
 	call.Respond(result)
 }
 
-func decodeReport(loads, failures string, evidence []api.RolloutEvidence) (OwnReport, error) {
+func decodeReport(loads, failures, demand string, evidence []api.RolloutEvidence) (OwnReport, error) {
 	var out OwnReport
 	var err error
 	if out.Loads, err = DecodeLoads(loads); err != nil {
@@ -62,6 +62,9 @@
 	if out.Failures, err = DecodeLoads(failures); err != nil {
 		return out, err
 	}
+	if out.Demand, err = DecodeLoads(demand); err != nil {
+		return out, err
+	}
 	out.Evidence, err = decodeEvidence(evidence)
 	return out, err
 }
@@ -84,7 +87,7 @@
 	defer r.mu.Unlock()
 	stats, gateways := r.loads.OfGateways(r.clock())
 	records, version := r.evidence.ChangedSince(evidenceSince)
-	out := api.LoadsResult{Loads: stats.Loads.Encode(), Failures: stats.Failures.Encode(), Gateways: gateways, Evidence: encodeEvidence(records), EvidenceVersion: int(version)}
+	out := api.LoadsResult{Loads: stats.Loads.Encode(), Failures: stats.Failures.Encode(), Demand: stats.Demand.Encode(), Gateways: gateways, Evidence: encodeEvidence(records), EvidenceVersion: int(version)}
 	out.NextMs = int(r.loads.Interval(len(out.Loads) + len(out.Failures)).Milliseconds())
 	return out
 }
@@ -129,7 +132,7 @@
 // ExchangeWithRelay states what a gateway knows to a relay and returns what the others do.
 func ExchangeWithRelay(ctx context.Context, dialer LinkDialer, address string, own OwnReport) (PeerReport, error) {
 	got, _, err := callLoads(ctx, dialer, address, api.LoadsParams{
-		Loads: own.Loads.Encode(), Failures: own.Failures.Encode(), Evidence: encodeEvidence(own.Evidence),
+		Loads: own.Loads.Encode(), Failures: own.Failures.Encode(), Demand: own.Demand.Encode(), Evidence: encodeEvidence(own.Evidence),
 	})
 	return got, err
 }
@@ -144,7 +147,7 @@
 	if err := link.Call(ctx, peer.MethodLoads, params, &result); err != nil {
 		return PeerReport{}, 0, eris.Wrapf(err, "relay %s does not answer with loads", address)
 	}
-	got, err := decodeReport(result.Loads, result.Failures, result.Evidence)
+	got, err := decodeReport(result.Loads, result.Failures, result.Demand, result.Evidence)
 	next := time.Duration(result.NextMs) * time.Millisecond
 	return PeerReport{got.WorkerStats, max(result.Gateways, 1), got.Evidence, next}, int64(result.EvidenceVersion), err
 }
