Compare slow answers with those of all kinds and gateways where a kind has few

Cause: each gateway compared an answer with 17 to 47 others of the service, 8 and more of its kind, so that the rank of one that was eight times slower said little. Change: gateways count the times of the other versions relative to the predicted one of their kind, and exchange these histograms; they serve as the prior of the rank within a kind. A version is suspicious if the evidence of its workers without the worst ones is at least 0.6 against it: a third of slow answers leaves a sum near zero that looked good before. One worker in five may be faulty.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1737,6 +1737,11 @@
 // RolloutEvidence is what gateways observed of the target of a rollout. Its
 // counters only increase.
 type RolloutEvidence struct {
+	// Baseline holds in base64 the numbers of answers of the other versions by their
+	// time relative to the usual one of their kind, as unsigned varints: below an
+	// eighth of it, and in steps of a quarter of an octave.
+	Baseline string `json:"baseline,omitempty,omitzero"`
+
 	// Kinds holds the counters of each kind of answer, encoded as Workers.
 	Kinds string `json:"kinds"`
 
--- a/internal/news/evidence.go
+++ b/internal/news/evidence.go
@@ -118,7 +118,7 @@
 func encodeEvidence(records []EvidenceRecord) []api.RolloutEvidence {
 	out := make([]api.RolloutEvidence, 0, len(records))
 	for _, r := range records {
-		out = append(out, api.RolloutEvidence{Rollout: r.Rollout, Origin: r.Origin, Workers: r.Evidence.Workers.Encode(), Kinds: r.Evidence.Kinds.Encode()})
+		out = append(out, api.RolloutEvidence{Rollout: r.Rollout, Origin: r.Origin, Workers: r.Evidence.Workers.Encode(), Kinds: r.Evidence.Kinds.Encode(), Baseline: r.Evidence.Baseline.Encode()})
 	}
 	return out
 }
@@ -134,7 +134,11 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "evidence on rollout %s", r.Rollout)
 		}
-		out = append(out, EvidenceRecord{r.Rollout, r.Origin, rollout.Evidence{Workers: workers, Kinds: kinds}})
+		baseline, err := rollout.DecodeRatioHistogram(r.Baseline)
+		if err != nil {
+			return nil, eris.Wrapf(err, "evidence on rollout %s", r.Rollout)
+		}
+		out = append(out, EvidenceRecord{r.Rollout, r.Origin, rollout.Evidence{Workers: workers, Kinds: kinds, Baseline: baseline}})
 	}
 	return out, nil
 }
--- a/internal/news/evidence_test.go
+++ b/internal/news/evidence_test.go
@@ -15,7 +15,7 @@
 )
 
 func evidenceOf(answers int) rollout.Evidence {
-	return rollout.Evidence{Workers: rollout.Tallies{7: {Answers: answers}}, Kinds: rollout.Tallies{9: {Answers: answers}}}
+	return rollout.Evidence{Workers: rollout.Tallies{7: {Answers: answers}}, Kinds: rollout.Tallies{9: {Answers: answers}}, Baseline: &rollout.RatioHistogram{3: answers}}
 }
 
 // Guards against evidence that depends on the order, the way or the number of times in which
@@ -53,6 +53,7 @@
 		}
 		for _, table := range tables {
 			assert.Equal(t, table.OthersOf("r", "0").Workers[7].Answers, want)
+			assert.Equal(t, table.OthersOf("r", "0").Baseline[3], want)
 		}
 	})
 }
--- a/internal/news/loadsexchange.go
+++ b/internal/news/loadsexchange.go
@@ -73,7 +73,7 @@
 func (r *Relay) interval(answer *api.LoadsResult) time.Duration {
 	size := len(answer.Loads) + len(answer.Failures)
 	for _, e := range answer.Evidence {
-		size += len(e.Workers) + len(e.Kinds)
+		size += len(e.Workers) + len(e.Kinds) + len(e.Baseline)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"encoding/base64"
 	"encoding/binary"
 	"maps"
@@ -62,32 +63,41 @@
 // Evidence is what processes observed of the target of a rollout. Its counters only increase.
 type Evidence struct {
 	Workers, Kinds Tallies
+	// Baseline counts the answers of the other versions by their time relative to the usual one
+	// of their kind.
+	Baseline *RatioHistogram
 }
 
 // NewEvidence returns evidence without answers.
-func NewEvidence() Evidence { return Evidence{Tallies{}, Tallies{}} }
+func NewEvidence() Evidence { return Evidence{Tallies{}, Tallies{}, &RatioHistogram{}} }
 
 // Add adds other evidence.
 func (e Evidence) Add(other Evidence) {
 	e.Workers.add(other.Workers)
 	e.Kinds.add(other.Kinds)
+	e.Baseline.add(other.Baseline, 1)
 }
 
 // Raise sets each counter to that of other if it is lower here. It returns by how much the counters
 // rose, and whether one did.
 func (e Evidence) Raise(other Evidence) (Evidence, bool) {
-	rise := Evidence{e.Workers.raise(other.Workers), e.Kinds.raise(other.Kinds)}
-	return rise, len(rise.Workers)+len(rise.Kinds) > 0
+	baseline, changed := e.Baseline.raise(other.Baseline)
+	rise := Evidence{e.Workers.raise(other.Workers), e.Kinds.raise(other.Kinds), baseline}
+	return rise, changed || len(rise.Workers)+len(rise.Kinds) > 0
 }
 
 // Subtract subtracts evidence that is contained in this one.
 func (e Evidence) Subtract(other Evidence) {
 	e.Workers.subtract(other.Workers)
 	e.Kinds.subtract(other.Kinds)
+	e.Baseline.add(other.Baseline, -1)
 }
 
 // Clone returns a copy.
-func (e Evidence) Clone() Evidence { return Evidence{maps.Clone(e.Workers), maps.Clone(e.Kinds)} }
+func (e Evidence) Clone() Evidence {
+	baseline := *e.Baseline
+	return Evidence{maps.Clone(e.Workers), maps.Clone(e.Kinds), &baseline}
+}
 
 func (t Tallies) add(other Tallies) {
 	for hash, tally := range other {
@@ -181,26 +191,28 @@
 	return out, nil
 }
 
-// spreadTallies returns the tallies of a target's workers without those that speak most against
-// it: one, and a seventh of those with more than a few answers. A few faulty workers do not show
-// that their version is bad; the ejection of workers handles them.
-func spreadTallies(workers Tallies, against func(t *Tally) float64) float64 {
-	values := make([]float64, 0, len(workers))
-	judged, sum := 0, 0.0
-	for _, tally := range workers {
-		v := against(&tally)
-		values = append(values, v)
-		judged += tally.Answers
-		sum += v
+// withoutSuspects returns the sum of the tallies of a target's workers without those that speak most
+// against it: one, and a fifth of those with more than a few answers. A few faulty workers do not
+// show that their version is bad; the ejection of workers handles them.
+func withoutSuspects(workers Tallies, against func(t *Tally) float64) Tally {
+	tallies := slices.Collect(maps.Values(workers))
+	answers := 0
+	for _, t := range tallies {
+		answers += t.Answers
 	}
-	slices.Sort(values)
-	slices.Reverse(values)
-	left := 1 + min(len(values), judged/answersPerSuspect)/7
-	for _, v := range values[:min(left, len(values))] {
-		sum -= v
+	slices.SortFunc(tallies, func(a, b Tally) int { return cmp.Compare(against(&b), against(&a)) })
+	suspects := 1 + min(len(tallies), answers/answersPerSuspect)/workersPerSuspect
+	var sum Tally
+	for _, t := range tallies[min(suspects, len(tallies)):] {
+		sum.add(t)
 	}
 	return sum
 }
 
-// answersPerSuspect is the number of answers with which a worker can be told to be faulty itself.
-const answersPerSuspect = 8
+const (
+	// answersPerSuspect is the number of answers with which a worker can be told to be faulty
+	// itself.
+	answersPerSuspect = 4
+	// workersPerSuspect is the number of workers of which one more may be faulty.
+	workersPerSuspect = 5
+)
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -274,3 +274,32 @@
 	_, err := DecodeTallies("AAE=")
 	assert.ErrorContains(t, err, "out of range")
 }
+
+// Guards against a slow version of a service with few requests, of which each process compares an
+// answer with a few others only: a third of the answers are eight times slower, as in the incident.
+func TestSlowVersionOfQuietServiceIsNotCompleted(t *testing.T) {
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 5))
+		rollouts := []*TimedRollout{}
+		for range 4 {
+			rollouts = append(rollouts, NewTimedRollout("svc", "v2", 14*time.Second, 3, 0))
+		}
+		answer := func(factor float64) Answer {
+			ms := 18 * factor * math.Exp(0.4*rng.NormFloat64())
+			return Answer{Kind: fmt.Sprint(rng.IntN(3)), Worker: fmt.Sprint(rng.IntN(3)), TimeToFirstByte: time.Duration(ms * float64(time.Millisecond))}
+		}
+		for range 160 {
+			rollouts[rng.IntN(4)].ObserveOther(answer(1))
+		}
+		for i := range 30 {
+			factor := 1.0
+			if i%3 == 0 {
+				factor = 8
+			}
+			rollouts[rng.IntN(4)].ObserveTarget(answer(factor))
+			exchangeEvidence(rollouts)
+		}
+		bad, _ := rollouts[0].TargetIsBad()
+		assert.Check(t, bad || rollouts[0].isSuspicious(), "seed %d: %+v", seed, rollouts[0].Evidence())
+	}
+}
--- a/internal/rollout/latency.go
+++ b/internal/rollout/latency.go
@@ -21,6 +21,9 @@
 	// among those of the other versions. Slow versions of the deployments answer 1.6 to 12
 	// times slower.
 	slowRankExponent = 0.5
+	// priorWeight is the number of answers of its own kind that the relative times of all kinds
+	// count for in the rank of an answer.
+	priorWeight = 20
 	// maxEvidencePerLog bounds the evidence of an answer by the logarithm of its slowdown. Where
 	// the times of the other versions hardly differ, the rank alone would make a small slowdown
 	// strong evidence.
@@ -40,6 +43,9 @@
 	// times holds the latest answers, next is the index of the oldest of them.
 	times []answerTime
 	next  int
+	// ratios and otherRatios count the relative times of all kinds in this process and in the
+	// others.
+	ratios, otherRatios *RatioHistogram
 }
 
 // answerTime is the time to first byte of an answer and the work that it depends on.
@@ -77,6 +83,9 @@
 	}
 	b.slowRate.add(sampleCounts{1, boolToFloat(ms > slowLatencyFactor*b.medianMs.value)})
 	b.medianMs.add(ms)
+	if len(b.times) >= minBaselineAnswers && !a.InBurst {
+		b.ratios.count(fitTimes(b.times).ratio(timeOf(a)))
+	}
 	if len(b.times) < baselineAnswers {
 		b.times = append(b.times, timeOf(a))
 		return
@@ -89,7 +98,8 @@
 // the target, and whether it can be compared: with the answers of the other versions in the same
 // burst, or outside of bursts. The ratio is that of the answer's rank among them: uniform for a
 // good version, with a density that rises towards the slowest for a slow one. It does not depend
-// on how the times are distributed.
+// on how the times are distributed. Where a kind has few answers, the relative times of all kinds
+// and processes tell how rare a slow one is.
 func (b *kindBaseline) slowEvidence(a Answer) (float64, bool) {
 	times := make([]answerTime, 0, baselineAnswers)
 	for _, t := range b.times {
@@ -102,13 +112,17 @@
 	}
 	model := fitTimes(times)
 	ratio := model.ratio(timeOf(a)) / toleratedSlowdown
-	slower := 0.5
+	slower, all := 0.5, 1.0
+	if n, total := tail(ratio, b.ratios, b.otherRatios); total > 0 && !a.InBurst {
+		slower, all = priorWeight*(n+0.5)/(total+1), priorWeight
+	}
 	for _, other := range times {
+		all++
 		if model.ratio(other) >= ratio {
 			slower++
 		}
 	}
-	rank := slower / float64(len(times)+1)
+	rank := slower / all
 	evidence := math.Log(slowRankExponent) + (slowRankExponent-1)*math.Log(rank)
 	return math.Min(evidence, math.Max(maxEvidencePerLog*math.Log(ratio), 0)), true
 }
--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -120,8 +120,9 @@
 	for _, tally := range r.own.Workers {
 		out.OwnAnswers += tally.Answers
 	}
-	out.SpreadErrors = spreadTallies(r.workers, (*Tally).errors)
-	out.SpreadSlowness = spreadTallies(r.workers, (*Tally).slowness)
+	withoutErrors, withoutSlowness := withoutSuspects(r.workers, (*Tally).errors), withoutSuspects(r.workers, (*Tally).slowness)
+	out.SpreadErrors = withoutErrors.errors()
+	out.SpreadSlowness = withoutSlowness.slowness()
 	return out
 }
 
@@ -240,7 +241,7 @@
 func (r *TimedRollout) baselineFor(kind string) *kindBaseline {
 	baseline := r.baselines[kind]
 	if baseline == nil {
-		baseline = &kindBaseline{failureRate: newBaseline(priorErrorRate), slowRate: newBaseline(priorSlowRate)}
+		baseline = &kindBaseline{failureRate: newBaseline(priorErrorRate), slowRate: newBaseline(priorSlowRate), ratios: r.own.Baseline, otherRatios: r.others.Baseline}
 		r.baselines[kind] = baseline
 	}
 	return baseline
@@ -262,7 +263,7 @@
 			tally.SlowAgainst, tally.SlowFor = evidenceParts(evidence)
 		}
 	}
-	rise := Evidence{Tallies{evidenceHash(a.Worker): tally}, Tallies{evidenceHash(a.Kind): tally}}
+	rise := Evidence{Workers: Tallies{evidenceHash(a.Worker): tally}, Kinds: Tallies{evidenceHash(a.Kind): tally}}
 	r.own.Add(rise)
 	r.judge(rise)
 }
@@ -315,8 +316,9 @@
 		test.add(tally.errors())
 		worstKind = math.Max(worstKind, test.statistic)
 	}
+	rest := withoutSuspects(r.workers, (*Tally).slowness)
 	switch {
-	case r.slowness.statistic >= timedAlarmThreshold && spreadTallies(r.workers, (*Tally).slowness) >= minSpreadEvidence:
+	case r.slowness.statistic >= timedAlarmThreshold && rest.slowness() >= minSpreadEvidence:
 		r.targetIsBad, r.badReason = true, "latency"
 	case r.errors.statistic >= timedAlarmThreshold && r.failuresAreSpread():
 		r.targetIsBad, r.badReason = true, "errors"
@@ -328,8 +330,8 @@
 // failuresAreSpread reports whether enough failed answers come from other workers than the worst
 // ones.
 func (r *TimedRollout) failuresAreSpread() bool {
-	failed := func(t *Tally) float64 { return float64(t.Failed) }
-	return spreadTallies(r.workers, failed) >= minSpreadFailures
+	rest := withoutSuspects(r.workers, func(t *Tally) float64 { return float64(t.Failed) })
+	return rest.Failed >= minSpreadFailures
 }
 
 const (
@@ -341,6 +343,10 @@
 	minSpreadFailures = 2
 	// suspicion is the statistic from which a rollout does not go on.
 	suspicion = 3.0
+	// suspiciousShare is the evidence of slow answers against the target, relative to that for it,
+	// from which its workers without the worst ones are suspicious. It is about 0.2 for a good
+	// version, and above 1 if a third of the answers are several times slower.
+	suspiciousShare = 0.6
 	// clearEvidence is the evidence for a target, negative, from which it may get all requests.
 	clearEvidence = -2.0
 )
@@ -348,13 +354,17 @@
 // isSuspicious reports whether the evidence speaks against the target, but does not show yet that
 // it is bad.
 func (r *TimedRollout) isSuspicious() bool {
-	e := r.Evidence()
-	return e.Slowness >= suspicion && e.SpreadSlowness > 0 || e.Errors >= suspicion && r.failuresAreSpread()
+	rest := withoutSuspects(r.workers, (*Tally).slowness)
+	if r.slowness.statistic >= suspicion && float64(rest.SlowAgainst) >= suspiciousShare*float64(rest.SlowFor) {
+		return true
+	}
+	return r.Evidence().Errors >= suspicion && r.failuresAreSpread()
 }
 
 // isClear reports whether the evidence speaks for the target.
 func (r *TimedRollout) isClear() bool {
-	return spreadTallies(r.workers, (*Tally).slowness) <= clearEvidence && !r.isSuspicious()
+	rest := withoutSuspects(r.workers, (*Tally).slowness)
+	return rest.slowness() <= clearEvidence && !r.isSuspicious()
 }
 
 // timedMaxErrorRise is the tolerated rise of the rate of bad answers. Bad versions in the
