Take the usual failure rate of a rollout from the answers of all gateways

Cause: the usual rate of a kind was a mean with a prior of 1% that counted for 100 answers. In the time of a rollout a gateway gets some 15 answers of a kind, so that 14% looked like 2.6%. The evidence of all gateways together then crossed the threshold of suspicion; each gateway alone had not. Change: failed and all answers of the other versions are counted by kind, exchanged and summed; the prior counts for 10 answers. Result: TestGoodVersionCompletesUnderTrouble has cases with usual failures, of which 3 fail with the prior of 100.

--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -16,7 +16,7 @@
 const evidenceUnit = 1.0 / 16
 
 // tallyFields is the number of counters of a Tally.
-const tallyFields = 6
+const tallyFields = 8
 
 // Tally counts the judged answers of one worker, or of one kind of answer, of a target. The
 // evidence is the log-likelihood ratio of a bad version to a good one in units of evidenceUnit,
@@ -27,10 +27,12 @@
 	// SlowAgainst and SlowFor that of answer times.
 	ErrorsAgainst, ErrorsFor int
 	SlowAgainst, SlowFor     int
+	// OtherAnswers and OtherFailed count the answers of the other versions of one kind.
+	OtherAnswers, OtherFailed int
 }
 
 func (t *Tally) fields() [tallyFields]*int {
-	return [tallyFields]*int{&t.Answers, &t.Failed, &t.ErrorsAgainst, &t.ErrorsFor, &t.SlowAgainst, &t.SlowFor}
+	return [tallyFields]*int{&t.Answers, &t.Failed, &t.ErrorsAgainst, &t.ErrorsFor, &t.SlowAgainst, &t.SlowFor, &t.OtherAnswers, &t.OtherFailed}
 }
 
 // errors returns the evidence of failures, slowness that of answer times.
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -35,6 +35,8 @@
 	// burst is the factor on the requests in the burst, from 0.7 to 0.95 of the duration; 0 for
 	// none. The answer times rise by the same factor within a second, as queues build up.
 	burst float64
+	// usualFailures is the share of failed answers of both versions.
+	usualFailures float64
 	// cutOff is set where the processes cannot exchange their evidence.
 	cutOff bool
 }
@@ -90,6 +92,7 @@
 				}
 				answer.Failed = rng.Float64() < c.target.failures && (kind == 0 || !c.target.failsOneKind)
 			}
+			answer.Failed = answer.Failed || rng.Float64() < c.usualFailures
 			request := sentRequest{process: process, failed: answer.Failed, pending: r.Start(now, toTarget, answer)}
 			request.arrivesAt = now + time.Duration(ms*float64(time.Millisecond))
 			sent = append(sent, request)
@@ -197,6 +200,8 @@
 		"few requests":        {processes: 4, perSecond: 2, target: goodVersion},
 		"burst":               {processes: 4, perSecond: 88, target: goodVersion, burst: 3},
 		"burst, 28":           {processes: 28, perSecond: 400, target: goodVersion, burst: 3},
+		"usual failures":      {processes: 4, perSecond: 23, target: goodVersion, usualFailures: 0.14},
+		"usual failures, 103": {processes: 103, perSecond: 400, target: goodVersion, usualFailures: 0.14},
 		"slow workers":        {processes: 4, perSecond: 88, target: slowWorkers},
 		"slow workers, 28":    {processes: 28, perSecond: 400, target: slowWorkers},
 		"cut off":             {processes: 4, perSecond: 88, target: goodVersion, cutOff: true},
@@ -261,7 +266,7 @@
 		tallies := Tallies{}
 		for _, hash := range rapid.SliceOfN(rapid.Uint32Range(0, 1<<evidenceHashBits-1), 0, 20).Draw(t, "hashes") {
 			count := rapid.IntRange(0, 1000)
-			tallies[hash] = Tally{count.Draw(t, "a"), count.Draw(t, "b"), count.Draw(t, "c"), count.Draw(t, "d"), count.Draw(t, "e"), count.Draw(t, "f")}
+			tallies[hash] = Tally{count.Draw(t, "a"), count.Draw(t, "b"), count.Draw(t, "c"), count.Draw(t, "d"), count.Draw(t, "e"), count.Draw(t, "f"), count.Draw(t, "g"), count.Draw(t, "h")}
 		}
 		text := tallies.Encode()
 		got, err := DecodeTallies(text)
--- a/internal/rollout/latency.go
+++ b/internal/rollout/latency.go
@@ -32,12 +32,11 @@
 	meanTokensGain = 0.05
 )
 
-// kindBaseline holds the failure rate and the answer times of the other versions for one kind of
+// kindBaseline holds the answer times of the other versions for one kind of
 // answer.
 type kindBaseline struct {
-	failureRate rateBaseline
-	slowRate    rateBaseline
-	medianMs    medianEstimator
+	slowRate rateBaseline
+	medianMs medianEstimator
 	// meanTokens is the moving average of the uncached prompt tokens.
 	meanTokens float64
 	// times holds the latest answers, next is the index of the oldest of them.
--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -232,16 +232,35 @@
 func (r *TimedRollout) ObserveOther(a Answer) {
 	r.otherAnswers++
 	baseline := r.baselineFor(a.Kind)
-	baseline.failureRate.add(sampleCounts{1, boolToFloat(a.Failed)})
+	kind := evidenceHash(a.Kind)
+	tally := r.own.Kinds[kind]
+	tally.OtherAnswers++
+	tally.OtherFailed += int(boolToFloat(a.Failed))
+	r.own.Kinds[kind] = tally
 	if a.TimeToFirstByte > 0 && !a.Failed {
 		baseline.addTime(a)
 	}
 }
 
+// usualFailureRate returns the failure rate of the other versions for a kind of answer in all
+// processes, plus two standard errors, so that few answers do not cause false alarms.
+func (r *TimedRollout) usualFailureRate(kind string) float64 {
+	hash := evidenceHash(kind)
+	own, others := r.own.Kinds[hash], r.others.Kinds[hash]
+	known := newBaseline(priorErrorRate)
+	known.weight = timedPriorWeight
+	known.add(sampleCounts{float64(own.OtherAnswers + others.OtherAnswers), float64(own.OtherFailed + others.OtherFailed)})
+	return known.upperBound()
+}
+
+// timedPriorWeight is the number of answers that the prior failure rate counts for. A kind of
+// request may have failed often before the rollout, and have few answers in its time.
+const timedPriorWeight = 10
+
 func (r *TimedRollout) baselineFor(kind string) *kindBaseline {
 	baseline := r.baselines[kind]
 	if baseline == nil {
-		baseline = &kindBaseline{failureRate: newBaseline(priorErrorRate), slowRate: newBaseline(priorSlowRate), ratios: r.own.Baseline, otherRatios: r.others.Baseline}
+		baseline = &kindBaseline{slowRate: newBaseline(priorSlowRate), ratios: r.own.Baseline, otherRatios: r.others.Baseline}
 		r.baselines[kind] = baseline
 	}
 	return baseline
@@ -254,7 +273,7 @@
 		return
 	}
 	baseline := r.baselineFor(a.Kind)
-	p0 := baseline.failureRate.upperBound()
+	p0 := r.usualFailureRate(a.Kind)
 	failed := sampleCounts{1, boolToFloat(a.Failed)}
 	tally := Tally{Answers: 1, Failed: int(failed.bad)}
 	tally.ErrorsAgainst, tally.ErrorsFor = evidenceParts(logLikelihoodRatio(failed, p0, math.Min(p0+2*timedMaxErrorRise, 0.95)))
