Judge the times of a target at full share by their rank, too

Cause: at full share an answer counted as slow beyond five times the median only, with a usual share of slow ones of 10%, which a third of slow answers hardly crosses. Change: the rank test goes on at full share, with twice the tolerated slowdown, because the other versions shared the load when they were compared; in a burst only with answers of the same burst. The median and the moving mean of tokens, which only served the former test, are gone. Result: go test ./internal/rollout passes, all models of bad and good versions.

--- a/internal/rollout/latency.go
+++ b/internal/rollout/latency.go
@@ -17,6 +17,9 @@
 	// toleratedSlowdown is the factor by which the answers of a good target may be slower. Its
 	// workers start with empty caches and queue requests at first.
 	toleratedSlowdown = 1.3
+	// toleratedAlone is that factor while the target gets all requests, so that its answers are
+	// compared with those of a time in which the other versions shared the load.
+	toleratedAlone = 2.6
 	// slowRankExponent is the exponent of the density of the ranks of a slow version's answers
 	// among those of the other versions. Slow versions of the deployments answer 1.6 to 12
 	// times slower.
@@ -28,17 +31,11 @@
 	// the times of the other versions hardly differ, the rank alone would make a small slowdown
 	// strong evidence.
 	maxEvidencePerLog = 2.0
-	// meanTokensGain is the weight of one answer in kindBaseline.meanTokens.
-	meanTokensGain = 0.05
 )
 
 // kindBaseline holds the answer times of the other versions for one kind of
 // answer.
 type kindBaseline struct {
-	slowRate rateBaseline
-	medianMs medianEstimator
-	// meanTokens is the moving average of the uncached prompt tokens.
-	meanTokens float64
 	// times holds the latest answers, next is the index of the oldest of them.
 	times []answerTime
 	next  int
@@ -58,30 +55,8 @@
 	return answerTime{float64(a.TimeToFirstByte) / float64(time.Millisecond), float64(a.UncachedTokens), a.InBurst, a.At}
 }
 
-// normalizedMs returns the time to first byte in milliseconds, scaled to a prompt of mean
-// length. It assumes that half of the time does not depend on the length. Without the
-// scaling, a new version whose workers have empty caches would look slow: prompts without
-// cached tokens took 3.2 times as long.
-func (b *kindBaseline) normalizedMs(a Answer) float64 {
-	ms := float64(a.TimeToFirstByte) / float64(time.Millisecond)
-	if b.meanTokens <= 0 || a.UncachedTokens <= 0 {
-		return ms
-	}
-	return ms / (0.5 + 0.5*float64(a.UncachedTokens)/b.meanTokens)
-}
-
 // addTime adds the time of an answer of another version.
 func (b *kindBaseline) addTime(a Answer) {
-	if b.meanTokens == 0 {
-		b.meanTokens = float64(a.UncachedTokens)
-	}
-	b.meanTokens += meanTokensGain * (float64(a.UncachedTokens) - b.meanTokens)
-	ms := b.normalizedMs(a)
-	if b.medianMs.value == 0 {
-		b.medianMs.value = ms
-	}
-	b.slowRate.add(sampleCounts{1, boolToFloat(ms > slowLatencyFactor*b.medianMs.value)})
-	b.medianMs.add(ms)
 	if len(b.times) >= minBaselineAnswers && !a.InBurst {
 		b.ratios.count(fitTimes(b.times).ratio(timeOf(a)))
 	}
@@ -93,6 +68,11 @@
 	b.next = (b.next + 1) % baselineAnswers
 }
 
+// isUsual reports whether an answer is not slower than predicted.
+func (b *kindBaseline) isUsual(a Answer) bool {
+	return len(b.times) < minBaselineAnswers || fitTimes(b.times).ratio(timeOf(a)) <= 1
+}
+
 // slowEvidence returns the log-likelihood ratio of a slow version to a good one for an answer of
 // the target, and whether it can be compared: with the answers of the other versions in the same
 // burst, or outside of bursts. The ratio is that of the answer's rank among them: uniform for a
@@ -110,7 +90,11 @@
 		return 0, false
 	}
 	model := fitTimes(times)
-	ratio := model.ratio(timeOf(a)) / toleratedSlowdown
+	tolerated := toleratedSlowdown
+	if a.AtFullShare {
+		tolerated = toleratedAlone
+	}
+	ratio := model.ratio(timeOf(a)) / tolerated
 	slower, all := 0.5, 1.0
 	if n, total := tail(ratio, b.ratios, b.otherRatios); total > 0 && !a.InBurst {
 		slower, all = priorWeight*(n+0.5)/(total+1), priorWeight
@@ -165,20 +149,3 @@
 
 // minPredictedShare is the least predicted time relative to the mean.
 const minPredictedShare = 0.2
-
-// grossSlowEvidence returns the log-likelihood ratio of an answer that is compared with the median
-// of the other versions alone. It serves while these get no requests, whose times could be
-// compared.
-func (b *kindBaseline) grossSlowEvidence(a Answer) (float64, bool) {
-	if b.medianMs.value <= 0 || a.TimeToFirstByte <= 0 {
-		return 0, false
-	}
-	slow := sampleCounts{1, boolToFloat(b.normalizedMs(a) > slowLatencyFactor*b.medianMs.value)}
-	p0 := math.Max(b.slowRate.upperBound(), priorSlowRate)
-	return logLikelihoodRatio(slow, p0, math.Min(p0+2*timedMaxErrorRise, 0.95)), true
-}
-
-// slowLatencyFactor is the multiple of the baseline median above which an answer counts as
-// slow for itself. A good version took 3 times as long while its workers had empty caches and
-// requests queued up.
-const slowLatencyFactor = 5.0
--- a/internal/rollout/pending.go
+++ b/internal/rollout/pending.go
@@ -45,8 +45,8 @@
 }
 
 // Abandoned records that the request ended without an answer. Its time is only a lower bound, so
-// that it counts for a target if it speaks against it, and for the other versions if it is above
-// the median.
+// that it counts for a target if it speaks against it, and for the other versions if it is longer
+// than predicted.
 func (p *Pending) Abandoned(now time.Duration) {
 	if p == nil || p.done {
 		return
@@ -54,9 +54,9 @@
 	a := p.answer
 	a.TimeToFirstByte, a.At = now-p.startedAt, now
 	baseline := p.rollout.baselineFor(a.Kind)
-	counts := baseline.medianMs.value > 0 && baseline.normalizedMs(a) > baseline.medianMs.value
+	counts := !baseline.isUsual(a)
 	if p.toTarget {
-		evidence, ok := slowEvidence(baseline, a)
+		evidence, ok := baseline.slowEvidence(a)
 		counts = ok && evidence > 0
 	}
 	if !counts {
@@ -92,7 +92,7 @@
 		a := p.answer
 		a.TimeToFirstByte, a.At = now-p.startedAt, now
 		a.InBurst = a.InBurst || r.inBurst(now)
-		if evidence, ok := slowEvidence(r.baselineFor(a.Kind), a); ok && evidence >= overdueEvidence {
+		if evidence, ok := r.baselineFor(a.Kind).slowEvidence(a); ok && evidence >= overdueEvidence {
 			p.finish(now)
 		}
 	}
--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -51,8 +51,7 @@
 	// unknown.
 	UncachedTokens int
 	// AtFullShare is set if the target got all requests when this one was sent, and InBurst if
-	// far more requests arrived than usual. Its time cannot be compared with that of the other
-	// versions then.
+	// far more requests arrived than usual.
 	AtFullShare, InBurst bool
 	// At is the time at which the answer began.
 	At time.Duration
@@ -260,7 +259,7 @@
 func (r *TimedRollout) baselineFor(kind string) *kindBaseline {
 	baseline := r.baselines[kind]
 	if baseline == nil {
-		baseline = &kindBaseline{slowRate: newBaseline(priorSlowRate), ratios: r.own.Baseline, otherRatios: r.others.Baseline}
+		baseline = &kindBaseline{ratios: r.own.Baseline, otherRatios: r.others.Baseline}
 		r.baselines[kind] = baseline
 	}
 	return baseline
@@ -278,7 +277,7 @@
 	tally := Tally{Answers: 1, Failed: int(failed.bad)}
 	tally.ErrorsAgainst, tally.ErrorsFor = evidenceParts(logLikelihoodRatio(failed, p0, math.Min(p0+2*timedMaxErrorRise, 0.95)))
 	if !a.Failed {
-		if evidence, ok := slowEvidence(baseline, a); ok {
+		if evidence, ok := baseline.slowEvidence(a); ok {
 			tally.SlowAgainst, tally.SlowFor = evidenceParts(evidence)
 		}
 	}
@@ -287,17 +286,6 @@
 	r.judge(rise)
 }
 
-// slowEvidence returns the evidence of the time of an answer, and whether it can be judged.
-func slowEvidence(baseline *kindBaseline, a Answer) (float64, bool) {
-	switch {
-	case !a.AtFullShare:
-		return baseline.slowEvidence(a)
-	case a.InBurst:
-		return 0, false
-	}
-	return baseline.grossSlowEvidence(a)
-}
-
 // evidenceParts returns a log-likelihood ratio in units of evidenceUnit as its positive or
 // negative part.
 func evidenceParts(ratio float64) (against, inFavor int) {
