Send nothing to a worker that has said in an answer that it leaves

Cause: the header was not read; only the entry in the store told that a worker leaves. Change: an answer that says so ends the use of this incarnation of the worker for good, at once, whatever its entry says; another incarnation under the same ID starts anew. If all workers of a service leave, the caller is refused at once as not run. Result: TestLeavingWorkerGetsNothing and TestRequestIsRefusedWhileAllWorkersLeave fail without the record of the header and pass with it.

--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -6,7 +6,9 @@
 // the worker and outlives its entry in the store, which may disappear and come back.
 type notice struct {
 	startUnixMs int64
-	limit       *rateLimit
+	// leaving is set once the worker has said that it leaves; no incarnation takes that back.
+	leaving bool
+	limit   *rateLimit
 	// limitNamedAt is the start of the latest request whose answer named the limit.
 	limitNamedAt Elapsed
 	// recordedAt is the time of the last answer that asked for something.
@@ -80,11 +82,22 @@
 	return changed
 }
 
+// RecordLeaving records that the answer of a worker said that it leaves. It reports whether that is
+// new.
+func (p *Placer) RecordLeaving(now Elapsed, id string) bool {
+	n := p.noticeFor(now, id)
+	if n == nil || n.leaving {
+		return false
+	}
+	n.leaving, n.recordedAt = true, now
+	return true
+}
+
 // mayGet reports whether a worker may get a request now by what it asked for. share is this
 // gateway's share of the limits of the service's workers.
 func (s *workerState) mayGet(now Elapsed, share float64) bool {
 	n := s.notice
-	return n == nil || n.limit == nil || n.limit.allows(now, share)
+	return n == nil || !n.leaving && (n.limit == nil || n.limit.allows(now, share))
 }
 
 // recordSent records that a worker gets a request.
@@ -101,7 +114,7 @@
 	found := false
 	share := p.limitShare(now, q.Service)
 	for _, s := range p.services[q.Service] {
-		if !s.matches(&q) || s.mayGet(now, share) {
+		if !s.matches(&q) || s.mayGet(now, share) || s.notice.leaving {
 			continue
 		}
 		if wait, ok := s.notice.limit.nextPermit(now, share); ok && (!found || wait < shortest) {
@@ -111,13 +124,16 @@
 	return shortest, found
 }
 
-// LimitedWorkers returns the number of workers that limit their requests.
-func (p *Placer) LimitedWorkers() int {
-	limited := 0
+// NoticeCounts returns how many workers limit their requests and how many leave.
+func (p *Placer) NoticeCounts() (limited, leaving int) {
 	for _, s := range p.workers {
-		if s.notice != nil && s.notice.limit != nil {
+		switch {
+		case s.notice == nil:
+		case s.notice.leaving:
+			leaving++
+		case s.notice.limit != nil:
 			limited++
 		}
 	}
-	return limited
+	return limited, leaving
 }
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -208,4 +208,6 @@
 	// together, and is valid only if HasRateLimit is set.
 	RateLimit    float64
 	HasRateLimit bool
+	// Leaving is set when the worker states that it leaves.
+	Leaving bool
 }
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -266,12 +266,16 @@
 	d.placer.RecordLoad(now, id, load)
 }
 
-// recordRateLimit records the limit that an answer named, or its absence.
-func (d *dispatcher) recordRateLimit(startedAt time.Duration, id string, meta forward.AnswerMeta) {
+// recordNotices records what the header of an answer asks of the gateways.
+func (d *dispatcher) recordNotices(startedAt time.Duration, id string, meta forward.AnswerMeta) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := sinceBoot()
+	if meta.Leaving && d.placer.RecordLeaving(now, id) {
+		d.log.Info("worker says that it leaves and gets no new work", zap.String("worker", id))
+	}
 	switch {
-	case !d.placer.RecordRateLimit(sinceBoot(), startedAt, id, meta.RateLimit, meta.HasRateLimit, d.rng.Float64()):
+	case !d.placer.RecordRateLimit(now, startedAt, id, meta.RateLimit, meta.HasRateLimit, d.rng.Float64()):
 	case meta.HasRateLimit:
 		d.log.Info("worker limits its requests", zap.String("worker", id), zap.Float64("per_second", meta.RateLimit))
 	default:
@@ -287,11 +291,11 @@
 	return d.placer.NextTurn(now, q)
 }
 
-// limitedWorkers returns the number of workers that limit their requests.
-func (d *dispatcher) limitedWorkers() int {
+// noticeCounts returns how many workers limit their requests and how many leave.
+func (d *dispatcher) noticeCounts() (limited, leaving int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.placer.LimitedWorkers()
+	return d.placer.NoticeCounts()
 }
 
 // recordAttempt passes the outcome of an attempt to the health tracker, which may eject the
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -40,6 +40,8 @@
 	// RateLimit is the number of requests a second, a decimal number, that the worker takes from
 	// all gateways together.
 	RateLimit string
+	// Leaving is 1 in the responses of a worker that leaves.
+	Leaving string
 	// Confidence is the confidence of the model in its response, 0 to 100.
 	Confidence string
 	// WorkerID is the ID of the worker that responds.
@@ -56,7 +58,7 @@
 	Customer: "X-Borageflow-Customer", ExpectWorker: "X-Borageflow-Expect-Worker", Model: "X-Borageflow-Model",
 	Tokens: "X-Borageflow-Tokens", Prompt: "X-Borageflow-Prompt", Session: "X-Borageflow-Session", LastEventID: "Last-Event-Id",
 	Urgency: "X-Borageflow-Urgency", NotRun: "X-Borageflow-Not-Run", Load: "X-Borageflow-Load",
-	RateLimit:  "X-Borageflow-Rate-Limit",
+	RateLimit: "X-Borageflow-Rate-Limit", Leaving: "X-Borageflow-Leaving",
 	Confidence: "X-Borageflow-Confidence", WorkerID: "X-Borageflow-Worker", AnyModel: "auto",
 }
 
@@ -154,6 +156,7 @@
 	if n, err := strconv.Atoi(h.Get(n.Confidence)); err == nil {
 		a.Confidence = n
 	}
+	a.Leaving = h.Get(n.Leaving) == "1"
 	a.RateLimit, a.HasRateLimit = parseRateLimit(h.Get(n.RateLimit))
 	if fields := strings.Split(h.Get(n.Load), ","); len(fields) == 3 {
 		running, err1 := strconv.Atoi(strings.TrimSpace(fields[0]))
--- a/internal/gateway/ratelimit_test.go
+++ b/internal/gateway/ratelimit_test.go
@@ -125,3 +125,56 @@
 		return gw.call("GET", "/safe/x", "").status == http.StatusOK
 	})
 }
+
+// Guards against a worker that gets requests after it has said in an answer that it leaves, also when
+// its entry in the store disappears and comes back as ready, and against a worker that starts again
+// under the same ID and gets none.
+func TestLeavingWorkerGetsNothing(t *testing.T) {
+	leaving := startWorker(t, "w0", func(_ int, c net.Conn, r receivedRequest) bool {
+		writeResponse(c, r, http.StatusOK, "w0", DefaultHeaderNames.Leaving+": 1")
+		return true
+	})
+	other := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool {
+		writeResponse(c, r, http.StatusOK, "w1")
+		return true
+	})
+	gw := startGateway(t, leaving, other)
+	gw.waitFor("worker has said that it leaves", func() bool { return gw.call("GET", "/safe/x", "").body == "w0" })
+	expectNone := func() {
+		t.Helper()
+		before := len(leaving.requests())
+		for range 20 {
+			assert.Equal(t, gw.call("GET", "/safe/x", "").body, "w1")
+		}
+		assert.Equal(t, len(leaving.requests()), before)
+	}
+	usable := func(n int) func() bool {
+		return func() bool { return len(gw.gateway.dispatcher.usableAddresses()) == n }
+	}
+	expectNone()
+	gw.store.RemoveWorker("w0")
+	gw.waitFor("entry has disappeared", usable(1))
+	gw.store.PutWorker(leaving.worker())
+	gw.waitFor("entry is back", usable(2))
+	expectNone()
+	restarted := leaving.worker()
+	restarted.StartUnixMs = 7
+	gw.store.PutWorker(restarted)
+	gw.waitFor("worker that started again gets requests", func() bool { return gw.call("GET", "/safe/x", "").body == "w0" })
+}
+
+// Guards against callers that wait for workers of which all leave.
+func TestRequestIsRefusedWhileAllWorkersLeave(t *testing.T) {
+	w := startWorker(t, "w", func(_ int, c net.Conn, r receivedRequest) bool {
+		writeResponse(c, r, http.StatusOK, "done", DefaultHeaderNames.Leaving+": 1")
+		return true
+	})
+	gw := startGateway(t, w)
+	assert.Equal(t, gw.call("GET", "/safe/x", "").status, http.StatusOK)
+	started := time.Now()
+	got := gw.call("POST", "/unsafe/x", "q")
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Assert(t, time.Since(started) < 500*time.Millisecond)
+	assert.Equal(t, len(w.requests()), 1)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -366,7 +366,7 @@
 	if ex.meta.HasLoad {
 		r.gateway.dispatcher.recordLoadReport(now, a.worker.ID, ex.meta.Load)
 	}
-	r.gateway.dispatcher.recordRateLimit(a.startedSinceBoot, a.worker.ID, ex.meta)
+	r.gateway.dispatcher.recordNotices(a.startedSinceBoot, a.worker.ID, ex.meta)
 	status := ex.resp.StatusCode
 	switch {
 	case status == http.StatusMisdirectedRequest:
--- a/internal/standin/forwarding/store.go
+++ b/internal/standin/forwarding/store.go
@@ -79,6 +79,14 @@
 	s.appendChange(forward.WorkerTopic, forward.Update{Workers: []forward.WorkerChange{{Worker: w}}})
 }
 
+// RemoveWorker removes the entry of a worker.
+func (s *Store) RemoveWorker(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.workers, id)
+	s.appendChange(forward.WorkerTopic, forward.Update{Workers: []forward.WorkerChange{{Worker: forward.Worker{ID: id}, Removed: true}}})
+}
+
 // PutRollout writes a new rollout, which moves a service to another version.
 func (s *Store) PutRollout(r forward.Rollout) {
 	s.mu.Lock()
