Leave a worker alone for the time that it asks for when it turns a request away

Cause: the header was not read. Change: a 503 with Retry-After ends the use of the worker until that time has passed; the newest answer counts, also if it shortens the time; fractions and zero count, malformed values do not, and an hour is the most. If all workers of a service pause, leave or are at their limits, the caller is refused at once as not run, with the earliest time at which one takes requests, spread, also if its own attempt was the one that was turned away.

--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -8,7 +8,9 @@
 	startUnixMs int64
 	// leaving is set once the worker has said that it leaves; no incarnation takes that back.
 	leaving bool
-	limit   *rateLimit
+	// pauseUntil is the end of the time for which the worker wants no requests of this gateway.
+	pauseUntil Elapsed
+	limit      *rateLimit
 	// limitNamedAt is the start of the latest request whose answer named the limit.
 	limitNamedAt Elapsed
 	// recordedAt is the time of the last answer that asked for something.
@@ -93,11 +95,34 @@
 	return true
 }
 
+// RecordPause records that a worker turned a request away and wants no others for a time. It
+// replaces the time of an earlier answer. It reports whether the worker did not pause before.
+func (p *Placer) RecordPause(now Elapsed, id string, pause time.Duration) bool {
+	n := p.noticeFor(now, id)
+	if n == nil {
+		return false
+	}
+	paused := now < n.pauseUntil
+	n.pauseUntil, n.recordedAt = now+pause, now
+	return !paused && pause > 0
+}
+
+// wait returns the time until the worker may get a request that it may not get now, or false if it
+// gets none any more.
+func (n *notice) wait(now Elapsed, share float64) (time.Duration, bool) {
+	pause := max(n.pauseUntil-now, 0)
+	if n.leaving || n.limit == nil {
+		return pause, !n.leaving
+	}
+	permit, ok := n.limit.nextPermit(now, share)
+	return max(pause, permit), ok
+}
+
 // mayGet reports whether a worker may get a request now by what it asked for. share is this
 // gateway's share of the limits of the service's workers.
 func (s *workerState) mayGet(now Elapsed, share float64) bool {
 	n := s.notice
-	return n == nil || !n.leaving && (n.limit == nil || n.limit.allows(now, share))
+	return n == nil || !n.leaving && now >= n.pauseUntil && (n.limit == nil || n.limit.allows(now, share))
 }
 
 // recordSent records that a worker gets a request.
@@ -107,33 +132,42 @@
 	}
 }
 
-// NextTurn returns the time until a worker may get the request that may not get it now by what it
-// asked for, and whether there is one.
+// NextTurn returns the time until a worker may get a request that none may get now, and whether
+// this is so only because of what the workers asked for.
 func (p *Placer) NextTurn(now Elapsed, q WorkerQuery) (time.Duration, bool) {
 	var shortest time.Duration
 	found := false
 	share := p.limitShare(now, q.Service)
 	for _, s := range p.services[q.Service] {
-		if !s.matches(&q) || s.mayGet(now, share) || s.notice.leaving {
+		switch {
+		case !s.matches(&q):
 			continue
+		case s.mayGet(now, share):
+			return 0, false
 		}
-		if wait, ok := s.notice.limit.nextPermit(now, share); ok && (!found || wait < shortest) {
+		if wait, ok := s.notice.wait(now, share); ok && (!found || wait < shortest) {
 			shortest, found = wait, true
 		}
 	}
 	return shortest, found
 }
 
-// NoticeCounts returns how many workers limit their requests and how many leave.
-func (p *Placer) NoticeCounts() (limited, leaving int) {
+// NoticeCounts is the number of workers by what they asked for.
+type NoticeCounts struct{ Limited, Pausing, Leaving int }
+
+// NoticeCounts counts the workers that asked for something.
+func (p *Placer) NoticeCounts(now Elapsed) NoticeCounts {
+	var c NoticeCounts
 	for _, s := range p.workers {
 		switch {
 		case s.notice == nil:
 		case s.notice.leaving:
-			leaving++
+			c.Leaving++
+		case now < s.notice.pauseUntil:
+			c.Pausing++
 		case s.notice.limit != nil:
-			limited++
+			c.Limited++
 		}
 	}
-	return limited, leaving
+	return c
 }
--- a/internal/forward/ratelimit_test.go
+++ b/internal/forward/ratelimit_test.go
@@ -146,10 +146,7 @@
 	p := NewPlacer(PlacerOptions{})
 	worker := Worker{ID: "w", Service: "svc", StartUnixMs: 1}
 	p.SetWorkers([]Worker{worker})
-	limited := func() bool {
-		limited, _ := p.NoticeCounts()
-		return limited == 1
-	}
+	limited := func() bool { return p.NoticeCounts(5*time.Second).Limited == 1 }
 	assert.Assert(t, p.RecordRateLimit(2*time.Second, time.Second, "w", 1, true, 0))
 	assert.Assert(t, !p.RecordRateLimit(3*time.Second, time.Second, "w", 0, false, 0), "the answer is to an earlier request")
 	assert.Assert(t, limited())
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -210,4 +210,8 @@
 	HasRateLimit bool
 	// Leaving is set when the worker states that it leaves.
 	Leaving bool
+	// RetryAfter is the time for which the worker wants no requests of this gateway if it turned
+	// the request away. It is valid only if HasRetryAfter is set.
+	RetryAfter    time.Duration
+	HasRetryAfter bool
 }
--- a/internal/gateway/decode_test.go
+++ b/internal/gateway/decode_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -88,3 +89,15 @@
 		}
 	}
 }
+
+// Guards against a pause that is read wrongly: fractions and zero count, malformed, negative and
+// infinite values do not, and a huge one is bounded.
+func TestRetryAfterIsRead(t *testing.T) {
+	for value, want := range map[string]time.Duration{"2": 2 * time.Second, "0.25": 250 * time.Millisecond, "0": 0, "1e12": time.Hour, "": -1, "-1": -1, "soon": -1, "NaN": -1, "+Inf": -1} {
+		meta := DefaultHeaderNames.ResponseMeta(http.Header{"Retry-After": {value}})
+		assert.Equal(t, meta.HasRetryAfter, want >= 0, "%q", value)
+		if meta.HasRetryAfter {
+			assert.Equal(t, meta.RetryAfter, want, "%q", value)
+		}
+	}
+}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -267,13 +268,16 @@
 }
 
 // recordNotices records what the header of an answer asks of the gateways.
-func (d *dispatcher) recordNotices(startedAt time.Duration, id string, meta forward.AnswerMeta) {
+func (d *dispatcher) recordNotices(startedAt time.Duration, id string, status int, meta forward.AnswerMeta) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := sinceBoot()
 	if meta.Leaving && d.placer.RecordLeaving(now, id) {
 		d.log.Info("worker says that it leaves and gets no new work", zap.String("worker", id))
 	}
+	if status == http.StatusServiceUnavailable && meta.HasRetryAfter && d.placer.RecordPause(now, id, meta.RetryAfter) {
+		d.log.Info("worker turned a request away and wants no others for a time", zap.String("worker", id), zap.Int64("pause_ms", meta.RetryAfter.Milliseconds()))
+	}
 	switch {
 	case !d.placer.RecordRateLimit(now, startedAt, id, meta.RateLimit, meta.HasRateLimit, d.rng.Float64()):
 	case meta.HasRateLimit:
@@ -291,11 +295,11 @@
 	return d.placer.NextTurn(now, q)
 }
 
-// noticeCounts returns how many workers limit their requests and how many leave.
-func (d *dispatcher) noticeCounts() (limited, leaving int) {
+// noticeCounts counts the workers that asked for something.
+func (d *dispatcher) noticeCounts() forward.NoticeCounts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.placer.NoticeCounts()
+	return d.placer.NoticeCounts(sinceBoot())
 }
 
 // recordAttempt passes the outcome of an attempt to the health tracker, which may eject the
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -104,14 +104,9 @@
 	m.set.NewGauge("borageflow_gateway_config_age_seconds", func() float64 {
 		return (sinceBoot() - time.Duration(g.dispatcher.confirmedAt.Load())).Seconds()
 	})
-	m.set.NewGauge("borageflow_gateway_limited_workers", func() float64 {
-		limited, _ := g.dispatcher.noticeCounts()
-		return float64(limited)
-	})
-	m.set.NewGauge("borageflow_gateway_leaving_workers", func() float64 {
-		_, leaving := g.dispatcher.noticeCounts()
-		return float64(leaving)
-	})
+	m.set.NewGauge("borageflow_gateway_limited_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Limited) })
+	m.set.NewGauge("borageflow_gateway_pausing_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Pausing) })
+	m.set.NewGauge("borageflow_gateway_leaving_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Leaving) })
 	m.set.NewGauge("borageflow_gateway_log_lines_dropped", func() float64 { return float64(logWriter.dropped.Load()) })
 	return g
 }
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -156,8 +156,11 @@
 	if n, err := strconv.Atoi(h.Get(n.Confidence)); err == nil {
 		a.Confidence = n
 	}
+	if seconds, ok := parseNumber(h.Get("Retry-After")); ok {
+		a.RetryAfter, a.HasRetryAfter = time.Duration(math.Min(seconds, maxRetryAfter.Seconds())*float64(time.Second)), true
+	}
 	a.Leaving = h.Get(n.Leaving) == "1"
-	a.RateLimit, a.HasRateLimit = parseRateLimit(h.Get(n.RateLimit))
+	a.RateLimit, a.HasRateLimit = parseNumber(h.Get(n.RateLimit))
 	if fields := strings.Split(h.Get(n.Load), ","); len(fields) == 3 {
 		running, err1 := strconv.Atoi(strings.TrimSpace(fields[0]))
 		waiting, err2 := strconv.Atoi(strings.TrimSpace(fields[1]))
@@ -169,14 +172,17 @@
 	return a
 }
 
-// parseRateLimit parses a number of requests a second. A value that is no such number counts as
+// maxRetryAfter bounds the time for which a worker can ask for no requests.
+const maxRetryAfter = time.Hour
+
+// parseNumber parses a number that is neither negative nor infinite. Any other value counts as
 // absent.
-func parseRateLimit(value string) (float64, bool) {
-	limit, err := strconv.ParseFloat(value, 64)
-	if err != nil || math.IsNaN(limit) || math.IsInf(limit, 0) || limit < 0 {
+func parseNumber(value string) (float64, bool) {
+	number, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(number) || math.IsInf(number, 0) || number < 0 {
 		return 0, false
 	}
-	return limit, true
+	return number, true
 }
 
 // SetRequestID sets the ID of the request that a response of the router answers.
--- a/internal/gateway/ratelimit_test.go
+++ b/internal/gateway/ratelimit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -178,3 +179,49 @@
 	assert.Assert(t, time.Since(started) < 500*time.Millisecond)
 	assert.Equal(t, len(w.requests()), 1)
 }
+
+// Guards against a worker that turned a request away with a time to come back and gets others
+// before it has passed, and against one that gets none afterwards.
+func TestWorkerThatAskedForAPauseGetsNothingInIt(t *testing.T) {
+	const pause = 1500 * time.Millisecond
+	var turnedAway arrivals
+	busy := startWorker(t, "w0", func(_ int, c net.Conn, r receivedRequest) bool {
+		turnedAway.add()
+		writeResponse(c, r, http.StatusServiceUnavailable, "", DefaultHeaderNames.NotRun+": 1", "Retry-After: 1.5")
+		return true
+	})
+	other := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool {
+		writeResponse(c, r, http.StatusOK, "w1")
+		return true
+	})
+	gw := startGateway(t, busy, other)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		assert.Equal(t, gw.call("GET", "/safe/x", "").body, "w1")
+	}
+	assert.Equal(t, turnedAway.mostWithin(pause-100*time.Millisecond, time.Time{}), 1)
+	assert.Assert(t, len(busy.requests()) >= 2)
+}
+
+// Guards against callers that wait, or are told to come back at once, while all workers of a service
+// asked for a pause.
+func TestRequestIsRefusedWhileAllWorkersAskedForAPause(t *testing.T) {
+	w := startWorker(t, "w", func(n int, c net.Conn, r receivedRequest) bool {
+		if n == 1 {
+			writeResponse(c, r, http.StatusServiceUnavailable, "", DefaultHeaderNames.NotRun+": 1", "Retry-After: 2")
+			return true
+		}
+		writeResponse(c, r, http.StatusOK, "done")
+		return true
+	})
+	gw := startGateway(t, w)
+	started := time.Now()
+	for range 3 {
+		got := gw.call("POST", "/unsafe/x", "q")
+		assert.Equal(t, got.status, http.StatusServiceUnavailable)
+		wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		assert.NilError(t, err)
+		assert.Assert(t, wait >= 1.4 && wait <= 3.4, "%v", wait)
+	}
+	assert.Assert(t, time.Since(started) < 500*time.Millisecond)
+	assert.Equal(t, len(w.requests()), 1)
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -188,7 +188,11 @@
 // finalError returns the error for the caller after the last attempt.
 func (r *request) finalError(o forward.Outcome) *errkind.Error {
 	if !r.mayHaveRun {
-		return errkind.New(errkind.Overloaded, "no worker accepted the request").WithRetryAfter(defaultRetryAfter)
+		wait, ok := r.nextTurn()
+		if !ok {
+			wait = defaultRetryAfter
+		}
+		return errkind.New(errkind.Overloaded, "no worker accepted the request").WithRetryAfter(wait)
 	}
 	if o == forward.Broken && r.remaining() <= 0 {
 		return errkind.New(errkind.DeadlineExceeded, "no response within the time limit of the request")
@@ -204,14 +208,15 @@
 // if none is left.
 func (r *request) pickWorker() (attempt, *errkind.Error) {
 	model := r.routedModel()
-	query := forward.WorkerQuery{Service: r.service, Exclude: r.triedWorkers, Model: model, Heavy: r.modelIndex > 0, Prompt: r.inbound.meta.Prompt}
-	p, inFlight, ok := r.gateway.dispatcher.pickWorker(sinceBoot(), query, r.inbound.meta.Session, r.inbound.meta.RequestID, r.workerFailed)
+	p, inFlight, ok := r.gateway.dispatcher.pickWorker(sinceBoot(), forward.WorkerQuery{
+		Service: r.service, Exclude: r.triedWorkers, Model: model, Heavy: r.modelIndex > 0, Prompt: r.inbound.meta.Prompt,
+	}, r.inbound.meta.Session, r.inbound.meta.RequestID, r.workerFailed)
 	if !ok {
 		if r.mayHaveRun {
 			return attempt{}, errkind.New(errkind.UpstreamFailed, "no other worker of the service is left")
 		}
-		if wait, ok := r.gateway.dispatcher.nextTurn(sinceBoot(), query); ok {
-			return attempt{}, errkind.New(errkind.Overloaded, "all workers of the service asked for fewer requests").WithRetryAfter(r.gateway.spreadReturn(wait))
+		if wait, ok := r.nextTurn(); ok {
+			return attempt{}, errkind.New(errkind.Overloaded, "all workers of the service asked for fewer requests").WithRetryAfter(wait)
 		}
 		return attempt{}, errkind.New(errkind.NoCandidate, "no usable worker of the service is known").WithRetryAfter(defaultRetryAfter)
 	}
@@ -222,10 +227,12 @@
 	}, nil
 }
 
-// spreadReturn returns when a refused caller may come back: after a time, at random within half of
-// it and defaultRetryAfter, so that those refused together do not return together.
-func (g *Gateway) spreadReturn(wait time.Duration) time.Duration {
-	return wait + time.Duration(g.dispatcher.randomFloat()*float64(wait/2+defaultRetryAfter))
+// nextTurn returns when the caller may come back if all workers of the service asked for fewer
+// requests, and whether they did. The time is spread, so that callers that are refused together do
+// not return together.
+func (r *request) nextTurn() (time.Duration, bool) {
+	wait, ok := r.gateway.dispatcher.nextTurn(sinceBoot(), forward.WorkerQuery{Service: r.service})
+	return wait + time.Duration(r.gateway.dispatcher.randomFloat()*float64(wait/2+defaultRetryAfter)), ok
 }
 
 // routedModel returns the model that the router chooses, or "" to keep the caller's.
@@ -366,8 +373,8 @@
 	if ex.meta.HasLoad {
 		r.gateway.dispatcher.recordLoadReport(now, a.worker.ID, ex.meta.Load)
 	}
-	r.gateway.dispatcher.recordNotices(a.startedSinceBoot, a.worker.ID, ex.meta)
 	status := ex.resp.StatusCode
+	r.gateway.dispatcher.recordNotices(a.startedSinceBoot, a.worker.ID, status, ex.meta)
 	switch {
 	case status == http.StatusMisdirectedRequest:
 		r.gateway.dispatcher.removeWorker(now, a.worker.ID)
