Gather evidence at a quarter of the requests while a rollout is suspicious

With a few bad answers on each worker nothing was left against a bad version. The step to a quarter now follows also then, and a later step falls back to a quarter while the evidence is suspicious; sessions on the target stay there.

--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -194,8 +194,8 @@
 }
 
 // withoutSuspects returns the sum of the tallies of a target's workers without those that speak most
-// against it: one, and a fifth of those with more than a few answers, or half of them if they are few or
-// have some answers each. Faulty workers do not show that their version is bad; the ejection of workers handles them.
+// against it: one, and a fifth of those with more than a few answers. A few faulty workers do not
+// show that their version is bad; the ejection of workers handles them.
 func withoutSuspects(workers Tallies, against func(t *Tally) float64) Tally {
 	tallies := slices.Collect(maps.Values(workers))
 	answers := 0
@@ -204,9 +204,6 @@
 	}
 	slices.SortFunc(tallies, func(a, b Tally) int { return cmp.Compare(against(&b), against(&a)) })
 	suspects := 1 + min(len(tallies), answers/answersPerSuspect)/workersPerSuspect
-	if len(tallies) <= fewWorkers || answers >= answersToTellHalf*len(tallies) {
-		suspects = max(suspects, len(tallies)/2)
-	}
 	var sum Tally
 	for _, t := range tallies[min(suspects, len(tallies)):] {
 		sum.add(t)
@@ -218,11 +215,6 @@
 	// answersPerSuspect is the number of answers with which a worker can be told to be faulty
 	// itself.
 	answersPerSuspect = 4
-	// answersToTellHalf is the mean number of answers of a worker with which half of the workers
-	// can be told to be faulty: a bad version fails on all of them.
-	answersToTellHalf = 3
-	// fewWorkers is the number of workers of which half may be faulty at the same time.
-	fewWorkers = 5
 	// workersPerSuspect is the number of workers of which one more may be faulty.
 	workersPerSuspect = 5
 )
--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -70,6 +70,9 @@
 	// targetIsBad is set when the evidence shows that the target is bad, badReason is the reason.
 	targetIsBad bool
 	badReason   string
+	// suspicious is set while the evidence speaks against the target, but does not show yet that
+	// it is bad.
+	suspicious bool
 	// own is the evidence of this process, others that of the other processes, and workers the
 	// sum of both by worker.
 	own, others Evidence
@@ -147,14 +150,23 @@
 	}
 }
 
-// Share returns the share of sessions that the target gets, from 0 to 1.
+// Share returns the share of sessions that the target gets, from 0 to 1. While the evidence is
+// suspicious, it is at most that of the step with which evidence is gathered.
 func (r *TimedRollout) Share() float64 {
-	if r.targetIsBad {
+	share := timedSteps[r.step].share
+	switch {
+	case r.targetIsBad:
 		return 0
+	case r.suspicious:
+		return math.Min(share, timedSteps[gatheringStep].share)
 	}
-	return timedSteps[r.step].share
+	return share
 }
 
+// gatheringStep is the step that follows also on suspicious evidence, so that this is resolved in
+// time. From its start until the end of the duration the target gets 0.10 of all requests.
+const gatheringStep = 2
+
 // TargetIsBad reports whether the answers seen by this process show that the target is bad, and
 // the reason.
 func (r *TimedRollout) TargetIsBad() (bool, string) { return r.targetIsBad, r.badReason }
@@ -186,8 +198,8 @@
 // delay postpones steps and completion and should differ between processes, so that
 // usually only one process writes and the others read the change.
 //
-// A step needs time and evidence: no step follows while the evidence is suspicious, and the last
-// one waits until it speaks for the target, at most until latestLastStep. A rollout that is still
+// A step needs time and evidence: no step after gatheringStep follows while the evidence is
+// suspicious, and the last one waits until it speaks for the target, at most until latestLastStep. A rollout that is still
 // suspicious at latestCompletion is rolled back.
 func (r *TimedRollout) DueTransition(now, delay time.Duration) Transition {
 	if r.targetIsBad {
@@ -204,7 +216,7 @@
 		return TransitionNone
 	}
 	switch {
-	case r.isSuspicious():
+	case r.suspicious && r.step+1 != gatheringStep:
 		if now-r.start >= r.timeOf(latestCompletion)+delay {
 			r.targetIsBad, r.badReason = true, "suspicious until the end"
 			return TransitionRollBack
@@ -332,6 +344,7 @@
 	case worstKind >= timedAlarmThreshold && r.failuresAreSpread():
 		r.targetIsBad, r.badReason = true, "errors of one kind of request"
 	}
+	r.suspicious = r.isSuspicious()
 }
 
 // failuresAreSpread reports whether enough failed answers come from other workers than the worst
@@ -371,7 +384,7 @@
 // isClear reports whether the evidence speaks for the target.
 func (r *TimedRollout) isClear() bool {
 	rest := withoutSuspects(r.workers, (*Tally).slowness)
-	return rest.slowness() <= clearEvidence && !r.isSuspicious()
+	return rest.slowness() <= clearEvidence && !r.suspicious
 }
 
 // timedMaxErrorRise is the tolerated rise of the rate of bad answers. Bad versions in the
