Do not call a rollout suspicious by one worker alone

What callers saw: in TestOrderedRolloutCompletes a good version with one worker stayed incomplete. Cause: without its only worker a target has no evidence for or against it, which counted as suspicious. Change: some evidence against it must come from other workers.

--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -375,7 +375,7 @@
 // it is bad.
 func (r *TimedRollout) isSuspicious() bool {
 	rest := withoutSuspects(r.workers, (*Tally).slowness)
-	if r.slowness.statistic >= suspicion && float64(rest.SlowAgainst) >= suspiciousShare*float64(rest.SlowFor) {
+	if r.slowness.statistic >= suspicion && rest.SlowAgainst > 0 && float64(rest.SlowAgainst) >= suspiciousShare*float64(rest.SlowFor) {
 		return true
 	}
 	return r.Evidence().Errors >= suspicion && r.failuresAreSpread()
--- a/internal/rollout/timed_rollout_test.go
+++ b/internal/rollout/timed_rollout_test.go
@@ -147,3 +147,17 @@
 	bad, _ := rollout.TargetIsBad()
 	assert.Assert(t, !bad)
 }
+
+// Guards against a target with one worker that is never completed because its slow answers count as
+// those of the version, and as none of it.
+func TestOneSlowWorkerDoesNotMakeARolloutSuspicious(t *testing.T) {
+	rollout := NewTimedRollout("svc", "v2", rolloutDuration, 2, 0)
+	for i := range 50 {
+		rollout.ObserveOther(Answer{Kind: "r", TimeToFirstByte: time.Duration(90+i%20) * time.Millisecond})
+	}
+	for range 40 {
+		rollout.ObserveTarget(Answer{Kind: "r", Worker: "w", TimeToFirstByte: 300 * time.Millisecond})
+	}
+	assert.Assert(t, !rollout.suspicious)
+	assert.Equal(t, rollout.Share(), timedSteps[2].share)
+}
