Order revisions of the store by its eras

What callers saw: nothing yet; the users' pages now let the store come back from a copy some seconds old. Cause: its revisions go back then and are given out again, so that an older state looked newer, a watch could miss the changes of the copy, and a write under a condition could meet another state. Entries that the copy lacks keep their workers for the grace time, and a worker that drains goes on to do so.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -422,3 +422,17 @@
 	assert.Assert(t, e.Timeout(r, false, 100) > 2*time.Second, "%v", e.Timeout(r, false, 100))
 	assert.Equal(t, e.Timeout(r, true, 100), 4500*time.Millisecond)
 }
+
+// Guards against a worker that drains and gets requests again because an older copy of the store
+// lists it as ready, and against one that started again under its ID and gets none.
+func TestDrainingWorkerStaysSoInAnOlderCopy(t *testing.T) {
+	list := NewWorkerList(2 * time.Second)
+	w := Worker{ID: "w", Service: "svc", Address: "a:1", StartUnixMs: 1, Draining: true}
+	list.Put(w)
+	w.Draining = false
+	list.Put(w)
+	assert.Equal(t, len(list.Usable(0)), 0)
+	w.StartUnixMs = 2
+	list.Put(w)
+	assert.Equal(t, len(list.Usable(0)), 1)
+}
--- a/internal/forward/workers.go
+++ b/internal/forward/workers.go
@@ -42,10 +42,15 @@
 	}
 }
 
-// Put adds or replaces the entry of a worker.
+// Put adds or replaces the entry of a worker. A worker that drains goes on to do so until it starts
+// again: an entry that says otherwise comes from an older copy of the store.
 func (w *WorkerList) Put(worker Worker) {
 	delete(w.retained, worker.ID)
-	if old, ok := w.listed[worker.ID]; ok && old == worker {
+	old, ok := w.listed[worker.ID]
+	if ok && old.Draining && old.StartUnixMs == worker.StartUnixMs && old.Address == worker.Address {
+		worker.Draining = true
+	}
+	if ok && old == worker {
 		return
 	}
 	w.listed[worker.ID] = worker
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -37,11 +37,13 @@
 	workers        *forward.WorkerList
 	appliedVersion uint64
 	workersListed  bool
-	placer         *forward.Placer
-	health         *membership.HealthTracker
-	usableWorkers  map[string]forward.Worker
-	retryBudgets   map[string]*retry.Budget
-	rollouts       *rolloutTracker
+	// workersRevision is the revision of the last update of the workers.
+	workersRevision int64
+	placer          *forward.Placer
+	health          *membership.HealthTracker
+	usableWorkers   map[string]forward.Worker
+	retryBudgets    map[string]*retry.Budget
+	rollouts        *rolloutTracker
 	// exchangesLoads reports whether the loads of other gateways are used.
 	exchangesLoads bool
 	escalator      *forward.Escalator
@@ -111,6 +113,13 @@
 func (d *dispatcher) applyWorkers(now time.Duration, u *forward.Update) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if forward.IsNewerEra(u.Revision, d.workersRevision) && d.workersListed {
+		era, _ := forward.SplitRevision(u.Revision)
+		// Entries that the older copy lacks are written again soon.
+		d.workers.StoreLost()
+		d.log.Warn("store has come back from an older copy", zap.Int64("era", era))
+	}
+	d.workersRevision = u.Revision
 	d.workers.StoreReached(now)
 	if u.Full {
 		d.workers.Replace(now, u.Workers)
