Keep the final state of a rollout beyond an era of the store

Cause: a gateway knew only the record of the store. An older copy in which the rollout is running or missing, or an order that is written again, would have started it anew. Change: a final state that is known holds in later eras, and is written again once, as is a step that the copy lacks. For 30 s after the start of an era an order of the same target is the same order. Result: TestRolledBackVersionStaysSoInALaterEra fails without it (the target gets requests) and passes; TestSameTargetCanBeOrderedAgain.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -26,6 +26,11 @@
 	// sessionTimeout is the pause after which a session ends and is no longer bound to a version.
 	sessionTimeout time.Duration
 	hasListed      bool
+	// revision is that of the last update. eraBeganAt is when an update was the first of an era of
+	// the store, if hadEras is set.
+	revision   int64
+	eraBeganAt time.Duration
+	hadEras    bool
 	// byService holds the ordered rollout of each service.
 	byService map[string]*trackedRollout
 	// baselineVersions holds, by service, the versions that served before any rollout.
@@ -44,6 +49,12 @@
 type trackedRollout struct {
 	record   forward.Rollout
 	progress *rollout.TimedRollout
+	// settled is the final state that this process knows of. It holds in later eras of the store,
+	// in which the record may be an older one or gone.
+	settled forward.RolloutState
+	// outdatedSince is when the record was found to be behind what this process knows, 0 if it
+	// is not.
+	outdatedSince time.Duration
 	// nextWriteAt is the earliest time of the next write after a failed one.
 	nextWriteAt time.Duration
 	isWriting   bool
@@ -62,20 +73,36 @@
 	}
 }
 
-// state returns the recorded state of the ordered target. A state recorded for an earlier target
-// counts as none.
+// state returns the state of the rollout: the final one that is known, or else the recorded one.
 func (tracked *trackedRollout) state() forward.RolloutState {
+	if tracked.settled != "" {
+		return tracked.settled
+	}
+	return tracked.recorded()
+}
+
+// recorded returns the recorded state of the ordered target. A state recorded for an earlier target
+// counts as none.
+func (tracked *trackedRollout) recorded() forward.RolloutState {
 	if tracked.record.StatusTarget != "" && tracked.record.StatusTarget != tracked.record.TargetVersion {
 		return ""
 	}
 	return tracked.record.State
 }
 
-// apply applies a full list of rollouts or a list of changes.
+// apply applies a full list of rollouts or a list of changes. An order that is missing at the start
+// of an era of the store is not in the older copy yet, and is written again.
 func (t *rolloutTracker) apply(now time.Duration, u *forward.Update, log *zap.Logger) {
+	eraBegins := t.hasListed && forward.IsNewerEra(u.Revision, t.revision)
+	if eraBegins {
+		t.eraBeganAt, t.hadEras = now, true
+	}
+	t.revision = max(t.revision, u.Revision)
 	for _, change := range u.Rollouts {
 		if change.Removed {
-			t.remove(change.Service)
+			if !eraBegins {
+				t.remove(change.Service)
+			}
 			continue
 		}
 		t.upsert(now, change.Rollout, log)
@@ -94,13 +121,16 @@
 }
 
 // upsert adds a rollout or replaces its record, unless the known record is newer. A record with
-// another target or creation revision starts a new rollout.
+// another target or creation revision starts a new rollout. At the start of an era of the store the
+// operator writes the same orders again, so that only another target starts a new rollout then.
 func (t *rolloutTracker) upsert(now time.Duration, record forward.Rollout, log *zap.Logger) {
 	existing := t.byService[record.Service]
 	if existing != nil && (existing.record.Revision > record.Revision || existing.record == record) {
 		return // an older record, or a known one that is listed again
 	}
-	if existing == nil || existing.record.TargetVersion != record.TargetVersion || existing.record.CreatedRevision != record.CreatedRevision {
+	isNew := existing == nil || existing.record.TargetVersion != record.TargetVersion ||
+		existing.record.CreatedRevision != record.CreatedRevision && !t.eraIsNew(now)
+	if isNew {
 		existing = &trackedRollout{record: record}
 		step := 0
 		if existing.state() == forward.RolloutRunning {
@@ -110,13 +140,37 @@
 		t.byService[record.Service] = existing
 	}
 	existing.record = record
+	if recorded := existing.recorded(); recorded == forward.RolloutCompleted || recorded == forward.RolloutRolledBack {
+		existing.settled = recorded
+	}
 	if existing.state() == forward.RolloutRunning {
 		existing.progress.SetStep(record.Step, now)
 	}
+	existing.updateOutdated(now)
 	log.Info("rollout record is received", zap.String("service", record.Service), zap.String("target", record.TargetVersion),
 		zap.String("state", string(existing.state())), zap.Int("step", existing.progress.Step()), zap.Int64("revision", record.Revision))
 }
 
+// rewriteTime is the time after the start of an era of the store in which the operator writes again
+// what the older copy lacks.
+const rewriteTime = 30 * time.Second
+
+func (t *rolloutTracker) eraIsNew(now time.Duration) bool {
+	return t.hadEras && now-t.eraBeganAt < rewriteTime
+}
+
+// updateOutdated notes whether the record is behind what this process knows.
+func (tracked *trackedRollout) updateOutdated(now time.Duration) {
+	isBehind := tracked.settled != "" && tracked.recorded() != tracked.settled ||
+		tracked.recorded() == forward.RolloutRunning && tracked.record.Step < tracked.progress.Step()
+	switch {
+	case !isBehind:
+		tracked.outdatedSince = 0
+	case tracked.outdatedSince == 0:
+		tracked.outdatedSince = now
+	}
+}
+
 // recordBaseline records which versions serve before any rollout is ordered. A version that
 // appears later is not used before its rollout is known, unless no worker of another version
 // is left.
@@ -325,10 +379,12 @@
 // nextProgress returns the next state to record for a rollout and whether it is due.
 func (t *rolloutTracker) nextProgress(now time.Duration, tracked *trackedRollout) (forward.RolloutProgress, bool) {
 	p := forward.RolloutProgress{State: forward.RolloutRunning, Target: tracked.record.TargetVersion, Step: tracked.progress.Step()}
-	state := tracked.state()
-	if state == forward.RolloutCompleted || state == forward.RolloutRolledBack {
-		return p, false
+	rewrite := tracked.outdatedSince > 0 && now-tracked.outdatedSince > t.writeDelay(tracked)
+	if tracked.settled != "" {
+		p.State = tracked.settled
+		return p, rewrite
 	}
+	state := tracked.state()
 	switch tracked.progress.DueTransition(now, t.writeDelay(tracked)) {
 	case rollout.TransitionRollBack:
 		p.State = forward.RolloutRolledBack
@@ -337,7 +393,7 @@
 	case rollout.TransitionNextStep:
 		p.Step++
 	default:
-		return p, state == "" && tracked.progress.Elapsed(now) > t.writeDelay(tracked)
+		return p, rewrite || state == "" && tracked.progress.Elapsed(now) > t.writeDelay(tracked)
 	}
 	return p, true
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -155,3 +155,60 @@
 	})
 	assert.Assert(t, strings.Contains(gw.log.String(), `"evidence":{"answers":0,"failed":0,"own_answers":0,"other_answers":`), gw.log.String())
 }
+
+// Guards against a version that was rolled back, or is known to be bad, and gets requests again after
+// the store has come back from an older copy, in which its rollout is running, missing or ordered
+// again; and against a final state that is not written again.
+func TestRolledBackVersionStaysSoInALaterEra(t *testing.T) {
+	older := forward.Rollout{Service: "svc", TargetVersion: "v2", Duration: 20 * time.Second, State: forward.RolloutRunning, StatusTarget: "v2", Step: 1, Revision: forward.EraRevision(1, 50), CreatedRevision: 40}
+	for _, final := range []forward.RolloutState{forward.RolloutRolledBack, forward.RolloutCompleted} {
+		tracker := newRolloutTracker(testSettings(t))
+		apply := func(now time.Duration, full bool, changes ...forward.RolloutChange) {
+			revision := int64(0)
+			for _, c := range changes {
+				revision = max(revision, c.Revision)
+			}
+			tracker.apply(now, &forward.Update{Full: full, Revision: revision, Rollouts: changes}, newNopLogger())
+		}
+		ended := older
+		ended.State, ended.Step, ended.Revision = final, 3, forward.EraRevision(1, 60)
+		apply(0, true, forward.RolloutChange{Rollout: older})
+		apply(10*time.Second, false, forward.RolloutChange{Rollout: ended})
+		usesTarget := func() bool { return tracker.chooseVersion(20*time.Second, "svc", "", "r", false).allowed("v2") }
+		assert.Equal(t, usesTarget(), final == forward.RolloutCompleted)
+
+		copied := older
+		copied.Revision = forward.EraRevision(2, 50)
+		missing := forward.RolloutChange{Rollout: forward.Rollout{Service: "svc", Revision: forward.EraRevision(2, 45)}, Removed: true}
+		again := older
+		again.State, again.StatusTarget, again.Step, again.Revision, again.CreatedRevision = "", "", 0, forward.EraRevision(2, 55), 55
+		for _, change := range []forward.RolloutChange{missing, {Rollout: copied}, {Rollout: again}} {
+			apply(20*time.Second, false, change)
+			assert.Equal(t, usesTarget(), final == forward.RolloutCompleted)
+		}
+		writes := tracker.dueWrites(22 * time.Second)
+		assert.Equal(t, len(writes), 1)
+		assert.Equal(t, writes[0].progress.State, final)
+		assert.Equal(t, writes[0].record.Revision, again.Revision)
+		written := again
+		written.State, written.StatusTarget, written.Revision = final, "v2", forward.EraRevision(2, 56)
+		tracker.handleWriteResult(22*time.Second, writes[0], written, nil, newNopLogger())
+		assert.Equal(t, len(tracker.dueWrites(30*time.Second)), 0, "a final state is written once")
+
+		late := older
+		late.Revision = forward.EraRevision(1, 70)
+		apply(31*time.Second, false, forward.RolloutChange{Rollout: late})
+		assert.Equal(t, usesTarget(), final == forward.RolloutCompleted, "a late answer of the earlier era")
+	}
+}
+
+// Guards against an order of the same target that does not start anew within one era.
+func TestSameTargetCanBeOrderedAgain(t *testing.T) {
+	tracker := newRolloutTracker(testSettings(t))
+	order := forward.Rollout{Service: "svc", TargetVersion: "v2", Duration: 20 * time.Second, State: forward.RolloutRolledBack, StatusTarget: "v2", Revision: 5, CreatedRevision: 3}
+	tracker.upsert(0, order, newNopLogger())
+	tracker.remove("svc")
+	order.State, order.StatusTarget, order.Revision, order.CreatedRevision = "", "", 9, 9
+	tracker.upsert(0, order, newNopLogger())
+	assert.Equal(t, tracker.byService["svc"].state(), forward.RolloutState(""))
+}
