Split what workers ask for and the evidence of rollouts from the dispatcher

Cause: dispatcher.go, rollouts.go and request.go held several jobs, and loadshare.go exchanges more than loads. No behavior changes.

--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -6,7 +6,7 @@
 // the worker and outlives its entry in the store, which may disappear and come back.
 type notice struct {
 	startUnixMs int64
-	// leaving is set once the worker has said that it leaves; no incarnation takes that back.
+	// leaving is set once the worker has said that it leaves; an incarnation never takes it back.
 	leaving bool
 	// pauseUntil is the end of the time for which the worker wants no requests of this gateway.
 	pauseUntil Elapsed
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/membership"
 	"github.com/borageflow/borageflow/internal/retry"
-	"github.com/borageflow/borageflow/internal/rollout"
 )
 
 // configSnapshot is a configuration and its route index, which requests are matched against.
@@ -262,13 +260,6 @@
 	return p, d.placer.RecordStart(now, p.Worker.ID, q.Model, q.Prompt, p.CachedTokens), true
 }
 
-// mustWait reports whether a worker would get the request if it had not asked for fewer. The caller
-// holds the lock.
-func (d *dispatcher) mustWait(now time.Duration, q forward.WorkerQuery) bool {
-	_, ok := d.placer.NextTurn(now, q)
-	return ok
-}
-
 // recordLoadReport records the load that a worker stated in the header of a response.
 func (d *dispatcher) recordLoadReport(now time.Duration, id string, load forward.Load) {
 	d.mu.Lock()
@@ -276,41 +267,6 @@
 	d.placer.RecordLoad(now, id, load)
 }
 
-// recordNotices records what the header of an answer asks of the gateways.
-func (d *dispatcher) recordNotices(startedAt time.Duration, id string, status int, meta forward.AnswerMeta) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := sinceBoot()
-	if meta.Leaving && d.placer.RecordLeaving(now, id) {
-		d.log.Info("worker says that it leaves and gets no new work", zap.String("worker", id))
-	}
-	if status == http.StatusServiceUnavailable && meta.HasRetryAfter && d.placer.RecordPause(now, id, meta.RetryAfter) {
-		d.log.Info("worker turned a request away and wants no others for a time", zap.String("worker", id), zap.Int64("pause_ms", meta.RetryAfter.Milliseconds()))
-	}
-	switch {
-	case !d.placer.RecordRateLimit(now, startedAt, id, meta.RateLimit, meta.HasRateLimit, d.rng.Float64()):
-	case meta.HasRateLimit:
-		d.log.Info("worker limits its requests", zap.String("worker", id), zap.Float64("per_second", meta.RateLimit))
-	default:
-		d.log.Info("worker limits its requests no longer", zap.String("worker", id))
-	}
-}
-
-// nextTurn returns the time until a worker may get a request that none may get now by what the
-// workers asked for, and whether there is such a worker.
-func (d *dispatcher) nextTurn(now time.Duration, q forward.WorkerQuery) (time.Duration, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.placer.NextTurn(now, q)
-}
-
-// noticeCounts counts the workers that asked for something.
-func (d *dispatcher) noticeCounts() forward.NoticeCounts {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.placer.NoticeCounts(sinceBoot())
-}
-
 // recordAttempt passes the outcome of an attempt to the health tracker, which may eject the
 // worker.
 func (d *dispatcher) recordAttempt(w forward.Worker, outcome membership.Outcome, latency time.Duration) {
@@ -338,35 +294,6 @@
 	d.syncWorkers(now)
 }
 
-// startEvidence records that a request was sent to a worker whose service has a rollout in
-// progress. It returns nil for other services.
-func (d *dispatcher) startEvidence(w forward.Worker, kind string, uncachedTokens int) *rollout.Pending {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.rollouts.startEvidence(sinceBoot(), w, rollout.Answer{Kind: kind, Worker: w.ID, UncachedTokens: uncachedTokens})
-}
-
-// recordAnswer records that the answer of a request began, as evidence for or against a rollout.
-func (d *dispatcher) recordAnswer(p *rollout.Pending, failed bool) {
-	if p == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.rollouts.judging(d.log, func() { p.Answered(sinceBoot(), failed) })
-}
-
-// recordAbandoned records that a request ended without an answer. It does nothing after
-// recordAnswer.
-func (d *dispatcher) recordAbandoned(p *rollout.Pending) {
-	if p == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.rollouts.judging(d.log, func() { p.Abandoned(sinceBoot()) })
-}
-
 // retryBudget returns the retry budget of a service. Each process earns retries from the
 // requests that it receives itself, so that all processes together stay within the ratio
 // without coordination. The caller holds the lock.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -227,14 +227,6 @@
 	}, nil
 }
 
-// nextTurn returns when the caller may come back if all workers of the service asked for fewer
-// requests, and whether they did. The time is spread, so that callers that are refused together do
-// not return together.
-func (r *request) nextTurn() (time.Duration, bool) {
-	wait, ok := r.gateway.dispatcher.nextTurn(sinceBoot(), forward.WorkerQuery{Service: r.service})
-	return wait + time.Duration(r.gateway.dispatcher.randomFloat()*float64(wait/2+defaultRetryAfter)), ok
-}
-
 // routedModel returns the model that the router chooses, or "" to keep the caller's.
 func (r *request) routedModel() string {
 	if !r.routerPicksModel || len(r.route.Models) == 0 {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -2,15 +2,12 @@
 
 import (
 	"hash/fnv"
-	"math"
-	"strconv"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/internal/forward"
-	"github.com/borageflow/borageflow/internal/news"
 	"github.com/borageflow/borageflow/internal/rollout"
 )
 
@@ -267,72 +264,6 @@
 	return tracked
 }
 
-// startEvidence records that a request was sent to a worker. It returns nil without a rollout in
-// progress.
-func (t *rolloutTracker) startEvidence(now time.Duration, w forward.Worker, a rollout.Answer) *rollout.Pending {
-	tracked := t.inProgress(w.Service)
-	if tracked == nil {
-		return nil
-	}
-	return tracked.progress.Start(now, w.Version == tracked.record.TargetVersion, a)
-}
-
-// judging calls observe, which adds evidence, and logs each target that it shows to be bad.
-func (t *rolloutTracker) judging(log *zap.Logger, observe func()) {
-	observe()
-	for service, tracked := range t.byService {
-		bad, reason := tracked.progress.TargetIsBad()
-		if bad && !tracked.rejectionLogged {
-			tracked.rejectionLogged = true
-			log.Warn("target version of a rollout is rejected", zap.String("service", service), zap.String("target", tracked.record.TargetVersion), zap.String("reason", reason), evidenceField(tracked.progress.Evidence()))
-		}
-	}
-}
-
-// tick counts the requests whose answers are overdue.
-func (t *rolloutTracker) tick(now time.Duration, log *zap.Logger) {
-	t.judging(log, func() {
-		for service := range t.byService {
-			if tracked := t.inProgress(service); tracked != nil {
-				tracked.progress.Tick(now)
-			}
-		}
-	})
-}
-
-// evidenceKey identifies a rollout in the evidence that gateways exchange.
-func (tracked *trackedRollout) evidenceKey() string {
-	return tracked.record.Service + "/" + tracked.record.TargetVersion + "@" + strconv.FormatInt(tracked.record.CreatedRevision, 10)
-}
-
-// ownEvidence returns the evidence of this gateway on the rollouts in progress.
-func (t *rolloutTracker) ownEvidence(origin string) []news.EvidenceRecord {
-	var out []news.EvidenceRecord
-	for service := range t.byService {
-		if tracked := t.inProgress(service); tracked != nil {
-			out = append(out, news.EvidenceRecord{Rollout: tracked.evidenceKey(), Origin: origin, Evidence: tracked.progress.OwnEvidence()})
-		}
-	}
-	return out
-}
-
-// mergeEvidence adds the evidence of the other gateways.
-func (t *rolloutTracker) mergeEvidence(records []news.EvidenceRecord, log *zap.Logger) {
-	t.judging(log, func() {
-		for service := range t.byService {
-			tracked := t.inProgress(service)
-			if tracked == nil {
-				continue
-			}
-			for _, r := range records {
-				if r.Rollout == tracked.evidenceKey() {
-					tracked.progress.MergeOthers(r.Evidence)
-				}
-			}
-		}
-	})
-}
-
 // writeSpreadMs is the time over which the writes of all processes are spread, in milliseconds.
 // It is longer than a write takes to reach the others and shorter than the shortest step of a
 // rollout.
@@ -371,7 +302,7 @@
 			continue
 		}
 		tracked.isWriting = true
-		out = append(out, rolloutWrite{tracked.record, p, tracked.progress.Evidence()})
+		out = append(out, rolloutWrite{tracked.record, p, tracked.progress.Summary()})
 	}
 	return out
 }
@@ -417,11 +348,3 @@
 // rolloutWriteBackoff is the pause after a write that failed or met another revision. The watch
 // delivers the record of the other process in the meantime.
 const rolloutWriteBackoff = 300 * time.Millisecond
-
-// evidenceField returns the evidence of a rollout as a field of a log line.
-func evidenceField(e rollout.EvidenceSummary) zap.Field {
-	rounded := func(name string, v float64) zap.Field { return zap.Float64(name, math.Round(v*100)/100) }
-	return zap.Dict("evidence", zap.Int("answers", e.Answers), zap.Int("failed", e.Failed), zap.Int("own_answers", e.OwnAnswers),
-		zap.Int("other_answers", e.OtherAnswers), rounded("errors", e.Errors), rounded("slowness", e.Slowness),
-		rounded("spread_errors", e.SpreadErrors), rounded("spread_slowness", e.SpreadSlowness))
-}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -84,7 +84,7 @@
 	slices.SortFunc(s.Workers, func(a, b WorkerState) int { return strings.Compare(a.Service+a.ID, b.Service+b.ID) })
 	for _, tracked := range d.rollouts.byService {
 		_, reason := tracked.progress.TargetIsBad()
-		evidence := tracked.progress.Evidence()
+		evidence := tracked.progress.Summary()
 		s.Rollouts = append(s.Rollouts, RolloutState{
 			tracked.record.Service, tracked.record.TargetVersion, string(tracked.state()), tracked.progress.Step(), tracked.progress.Share(), reason,
 			evidence.Answers, evidence.Failed, evidence.Errors, evidence.Slowness,
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -260,9 +260,9 @@
 	for _, e := range []Evidence{source.OwnEvidence(), source.OwnEvidence(), old, source.OwnEvidence()} {
 		r.MergeOthers(e)
 	}
-	assert.Equal(t, r.Evidence().Answers, 3)
-	assert.Equal(t, r.Evidence().Failed, 3)
-	assert.Equal(t, r.Evidence().OwnAnswers, 0)
+	assert.Equal(t, r.Summary().Answers, 3)
+	assert.Equal(t, r.Summary().Failed, 3)
+	assert.Equal(t, r.Summary().OwnAnswers, 0)
 }
 
 // Guards against evidence that changes on its way, and against a broken one that is accepted.
@@ -310,7 +310,7 @@
 			exchangeEvidence(rollouts)
 		}
 		bad, _ := rollouts[0].TargetIsBad()
-		assert.Check(t, bad || rollouts[0].isSuspicious(), "seed %d: %+v", seed, rollouts[0].Evidence())
+		assert.Check(t, bad || rollouts[0].isSuspicious(), "seed %d: %+v", seed, rollouts[0].Summary())
 	}
 }
 
--- a/internal/rollout/latency.go
+++ b/internal/rollout/latency.go
@@ -33,8 +33,7 @@
 	maxEvidencePerLog = 2.0
 )
 
-// kindBaseline holds the answer times of the other versions for one kind of
-// answer.
+// kindBaseline holds the answer times of the other versions for one kind of answer.
 type kindBaseline struct {
 	// times holds the latest answers, next is the index of the oldest of them.
 	times []answerTime
--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -109,8 +109,8 @@
 	Errors, Slowness, SpreadErrors, SpreadSlowness float64
 }
 
-// Evidence returns the evidence of all processes that this one knows.
-func (r *TimedRollout) Evidence() EvidenceSummary {
+// Summary returns the evidence of all processes that this one knows.
+func (r *TimedRollout) Summary() EvidenceSummary {
 	out := EvidenceSummary{OtherAnswers: r.otherAnswers, Errors: r.errors.statistic, Slowness: r.slowness.statistic}
 	for _, c := range r.kindErrors {
 		out.Errors = max(out.Errors, c.statistic)
@@ -199,8 +199,8 @@
 // usually only one process writes and the others read the change.
 //
 // A step needs time and evidence: no step after gatheringStep follows while the evidence is
-// suspicious, and the last one waits until it speaks for the target, at most until latestLastStep. A rollout that is still
-// suspicious at latestCompletion is rolled back.
+// suspicious, and the last one waits until it speaks for the target, at most until latestLastStep.
+// A rollout that is still suspicious at latestCompletion is rolled back.
 func (r *TimedRollout) DueTransition(now, delay time.Duration) Transition {
 	if r.targetIsBad {
 		return TransitionRollBack
@@ -378,7 +378,7 @@
 	if r.slowness.statistic >= suspicion && rest.SlowAgainst > 0 && float64(rest.SlowAgainst) >= suspiciousShare*float64(rest.SlowFor) {
 		return true
 	}
-	return r.Evidence().Errors >= suspicion && r.failuresAreSpread()
+	return r.Summary().Errors >= suspicion && r.failuresAreSpread()
 }
 
 // isClear reports whether the evidence speaks for the target.
