Let the last step of a rollout wait while the test of slowness is up

Cause: the last step came at 15.5 s with a statistic of 6, because what had spoken for the version in the canary, where it is hardly slower, outweighed it in the sum over its workers. A sum since the test last stood at zero was tried and not kept: good versions in bursts were rolled back in the models.

--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -384,7 +384,7 @@
 // isClear reports whether the evidence speaks for the target.
 func (r *TimedRollout) isClear() bool {
 	rest := withoutSuspects(r.workers, (*Tally).slowness)
-	return rest.slowness() <= clearEvidence && !r.suspicious
+	return rest.slowness() <= clearEvidence && !r.suspicious && r.slowness.statistic < suspicion
 }
 
 // timedMaxErrorRise is the tolerated rise of the rate of bad answers. Bad versions in the
