--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -179,6 +179,17 @@
 	return nil, eris.New("worker sent only informational responses")
 }
 
+// framing names what marks the end of the response body, for the log.
+func (e *exchange) framing() string {
+	switch {
+	case e.resp.ContentLength >= 0:
+		return "length"
+	case len(e.resp.TransferEncoding) > 0:
+		return "chunks"
+	}
+	return "connection"
+}
+
 // maxStaleResponseBytes bounds the body of a response to another request.
 const maxStaleResponseBytes = 1 << 20
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -294,6 +294,7 @@
 		return forward.Broken, false
 	}
 	a.record.HeaderMs = time.Since(a.started).Milliseconds()
+	a.record.Framing = ex.framing()
 	r.gateway.dispatcher.recordFirstByte(a.inFlight)
 	return r.handleHeader(ctx, a)
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -29,6 +29,25 @@
 	// set aside; both are 0 where no larger model could be asked.
 	Confidence    int `json:"confidence,omitempty"`
 	MinConfidence int `json:"min_confidence,omitempty"`
+	// Framing is what marks the end of the body: "length", "chunks" or "connection"; "" without
+	// a header.
+	Framing string `json:"framing,omitempty"`
+	// Events, BodyBytes and TailBytes are the whole events of a stream, their bytes and the bytes
+	// after the last whole event.
+	Events    int `json:"events,omitempty"`
+	BodyBytes int `json:"body_bytes,omitempty"`
+	TailBytes int `json:"tail_bytes,omitempty"`
+}
+
+// countEvent counts what the reader of a stream returned: a whole event, or the bytes after the
+// last one together with the error that ended the stream.
+func (r *attemptRecord) countEvent(bytes int, err error) {
+	if err != nil {
+		r.TailBytes = bytes
+		return
+	}
+	r.Events++
+	r.BodyBytes += bytes
 }
 
 // maxLoggedAttempts bounds the attempts in the log line of a request.
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -125,6 +125,7 @@
 			return eris.Wrap(err, "connection is closed")
 		}
 		event, id, err := events.next()
+		a.record.countEvent(len(event), err)
 		if errors.Is(err, io.EOF) {
 			return r.writeEvent(a, event, id, true)
 		}
