--- /dev/null
+++ b/internal/gateway/brokenoff_test.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// writeBody writes a response with an event stream that is framed as stated: by a length, by
+// chunks with a last one, or by the end of the connection. It reports whether the connection
+// stays open.
+func writeBody(c net.Conn, r receivedRequest, framing, body string, headers ...string) bool {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Borageflow-Request: %s\r\nX-Signature: %s\r\nContent-Type: text/event-stream\r\n",
+		r.request.Header.Get(DefaultHeaderNames.RequestID), r.request.Header.Get(DefaultHeaderNames.ExpectWorker))
+	for _, h := range headers {
+		head += h + "\r\n"
+	}
+	switch framing {
+	case "length":
+		fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	case "chunks":
+		fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+	default:
+		fmt.Fprintf(c, "%s\r\n%s", head, body)
+	}
+	return framing != "connection"
+}
+
+// streamFramings are the ways to mark the end of a body.
+var streamFramings = []string{"length", "chunks", "connection"}
+
+// Guards against a stream that ends inside an event and reaches its caller as complete.
+func TestStreamThatEndsInsideEventIsNotComplete(t *testing.T) {
+	for _, framing := range streamFramings {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			w := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool {
+				return writeBody(c, r, framing, formatEvent(1)+"id: 2\ndata")
+			})
+			resp := startGateway(t, w).call("POST", "/once/x", "prompt")
+			assert.Equal(t, resp.status, http.StatusOK)
+			assert.Assert(t, resp.err != nil, "the broken stream looks complete: %q", resp.body)
+			assert.Equal(t, resp.body, formatEvent(1))
+		})
+	}
+}
+
+// Guards against a part of an event that is sent before another worker continues the stream.
+func TestStreamThatEndsInsideEventContinuesElsewhere(t *testing.T) {
+	for _, framing := range streamFramings {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			script := func(_ int, c net.Conn, r receivedRequest) bool {
+				if r.request.Header.Get("Last-Event-Id") == "1" {
+					return writeBody(c, r, framing, formatEvent(2)+formatEvent(3))
+				}
+				return writeBody(c, r, framing, formatEvent(1)+"id: 2\ndata")
+			}
+			gw := startGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+			resp := gw.call("POST", "/stream/x", "prompt")
+			assert.NilError(t, resp.err)
+			assert.Equal(t, resp.body, formatEvent(1)+formatEvent(2)+formatEvent(3))
+		})
+	}
+}
+
+// Guards against an answer that was set aside inside an event and is delivered as complete.
+func TestHeldAnswerThatEndsInsideEventIsNotDelivered(t *testing.T) {
+	for _, framing := range streamFramings {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			smallRuns := make(chan struct{}, 10)
+			script := func(_ int, c net.Conn, r receivedRequest) bool {
+				if r.request.Header.Get(DefaultHeaderNames.Model) != "small" {
+					time.Sleep(50 * time.Millisecond)
+					return false
+				}
+				smallRuns <- struct{}{}
+				if len(smallRuns) > 1 {
+					return writeBody(c, r, framing, smallAnswer)
+				}
+				return writeBody(c, r, framing, formatEvent(1)+"id: 2\ndata", DefaultHeaderNames.Confidence+": 10")
+			}
+			gw := startEscalationGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+			resp := gw.call("POST", "/stream/x", "hard", DefaultHeaderNames.Model, "auto")
+			assert.NilError(t, resp.err)
+			assert.Equal(t, resp.status, http.StatusOK)
+			assert.Equal(t, resp.body, smallAnswer)
+		})
+	}
+}
