--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -93,3 +93,17 @@
 		})
 	}
 }
+
+// Guards against whole events that were read before a break and never reach the caller.
+func TestEventsBeforeBreakAreDelivered(t *testing.T) {
+	w := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool {
+		events := formatEvent(1) + formatEvent(2)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Borageflow-Request: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%sid: 3",
+			r.request.Header.Get(DefaultHeaderNames.RequestID), len(events)+20, events)
+		return false
+	})
+	resp := startGateway(t, w).call("POST", "/once/x", "prompt")
+	assert.Equal(t, resp.status, http.StatusOK)
+	assert.Assert(t, resp.err != nil)
+	assert.Equal(t, resp.body, formatEvent(1)+formatEvent(2))
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -93,6 +93,11 @@
 	if !r.headerSent {
 		return forward.Broken, false
 	}
+	// Events that arrived together with the break are not flushed yet.
+	if err := http.NewResponseController(r.writer).Flush(); err != nil {
+		r.lastError = errCallerDisconnected
+		return r.abortResponse()
+	}
 	if !r.route.Resumable || r.lastEventID < 0 {
 		return r.abortResponse()
 	}
