--- /dev/null
+++ b/internal/framing/framing.go
@@ -0,0 +1,60 @@
+// Package framing decides whether the body of an answer is complete, from what marks its end and
+// from how reading it ended. Each decision is about one answer and holds for any load.
+package framing
+
+import (
+	"errors"
+	"io"
+	"net/http"
+)
+
+// Framing is what marks the end of the body of an HTTP/1.1 response.
+type Framing uint8
+
+const (
+	// CloseDelimited bodies end with their connection.
+	CloseDelimited Framing = iota
+	// ContentLength bodies end after the stated number of bytes.
+	ContentLength
+	// Chunked bodies end with a last chunk.
+	Chunked
+)
+
+// String returns the name for the log.
+func (f Framing) String() string { return [...]string{"connection", "length", "chunks"}[f] }
+
+// Of returns the framing of a response as net/http has read it.
+func Of(resp *http.Response) Framing {
+	switch {
+	case resp.ContentLength >= 0:
+		return ContentLength
+	case len(resp.TransferEncoding) > 0:
+		return Chunked
+	}
+	return CloseDelimited
+}
+
+// Ending states how reading a body ended.
+type Ending struct {
+	Framing Framing
+	// Err is the error that ended reading. It is nil or io.EOF at the end that the framing marks.
+	Err error
+	// IsStream reports whether the body is an event stream. Events and TailBytes are its whole
+	// events and the bytes after the last one.
+	IsStream  bool
+	Events    int
+	TailBytes int
+}
+
+// Complete reports whether the answer is whole. A stream that ends inside an event was broken off,
+// whatever its framing says. One that ends with its connection before the first event cannot be
+// told from a worker that crashed, and passing it on would give the caller nothing.
+func (e Ending) Complete() bool {
+	if e.Err != nil && !errors.Is(e.Err, io.EOF) {
+		return false
+	}
+	if !e.IsStream {
+		return true
+	}
+	return e.TailBytes == 0 && (e.Events > 0 || e.Framing != CloseDelimited)
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 // hopByHopHeaders apply to a single connection and are not forwarded.
@@ -179,17 +180,6 @@
 	return nil, eris.New("worker sent only informational responses")
 }
 
-// framing names what marks the end of the response body, for the log.
-func (e *exchange) framing() string {
-	switch {
-	case e.resp.ContentLength >= 0:
-		return "length"
-	case len(e.resp.TransferEncoding) > 0:
-		return "chunks"
-	}
-	return "connection"
-}
-
 // maxStaleResponseBytes bounds the body of a response to another request.
 const maxStaleResponseBytes = 1 << 20
 
@@ -208,7 +198,7 @@
 		e.closeConn()
 		return
 	}
-	if !e.stopAfterFunc() || !e.writeOK || e.resp == nil || e.resp.Close || e.resp.ContentLength < 0 && len(e.resp.TransferEncoding) == 0 {
+	if !e.stopAfterFunc() || !e.writeOK || e.resp == nil || e.resp.Close || framing.Of(e.resp) == framing.CloseDelimited {
 		_ = e.conn.Close()
 		return
 	}
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 const (
@@ -69,11 +70,18 @@
 
 // read reads the events of the answer until it ends.
 func (h *heldAnswer) read() error {
-	reader := newEventReader(h.attempt.exchange.resp.Body)
-	for {
+	resp := h.attempt.exchange.resp
+	reader := newEventReader(resp.Body)
+	for count := 0; ; count++ {
 		event, id, err := reader.next()
-		ended := errors.Is(err, io.EOF)
-		if err != nil && !ended {
+		if errors.Is(err, io.EOF) {
+			ending := framing.Ending{Framing: framing.Of(resp), IsStream: true, Events: count, TailBytes: len(event)}
+			if !ending.Complete() {
+				return errEndsInsideEvent
+			}
+			return nil
+		}
+		if err != nil {
 			return eris.Wrap(err, "answer ended early")
 		}
 		if len(h.events)+len(event) > maxHeldBytes {
@@ -83,9 +91,6 @@
 		if id >= 0 {
 			h.lastID = id
 		}
-		if ended {
-			return nil
-		}
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/framing"
 	"github.com/borageflow/borageflow/internal/membership"
 	"github.com/borageflow/borageflow/internal/rollout"
 )
@@ -294,7 +295,7 @@
 		return forward.Broken, false
 	}
 	a.record.HeaderMs = time.Since(a.started).Milliseconds()
-	a.record.Framing = ex.framing()
+	a.record.Framing = framing.Of(ex.resp).String()
 	r.gateway.dispatcher.recordFirstByte(a.inFlight)
 	return r.handleHeader(ctx, a)
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 // maxBufferedBytes is the largest response body that is read completely before it is sent to
@@ -68,6 +69,10 @@
 	return forward.Broken, true
 }
 
+// errEndsInsideEvent is the error of a stream that ended after a part of an event, or with its
+// connection before the first one.
+var errEndsInsideEvent = eris.New("stream ended inside an event")
+
 // errStreamStalled is returned when no event arrived before its deadline.
 var errStreamStalled = eris.New("no event of the stream arrived before its deadline")
 
@@ -77,13 +82,17 @@
 func (r *request) copyStream(ctx context.Context, a *attempt) (forward.Outcome, bool) {
 	resp := a.exchange.resp
 	err := r.copyEvents(a)
-	if err == nil {
+	ending := framing.Ending{Framing: framing.Of(resp), Err: err, IsStream: true, Events: a.record.Events, TailBytes: a.record.TailBytes}
+	if ending.Complete() {
 		if !r.headerSent {
 			r.sendStreamHeader(resp)
 		}
 		a.exchange.releaseConn(r.gateway.pool)
 		return forward.Answered, true
 	}
+	if err == nil {
+		err = errEndsInsideEvent
+	}
 	r.lastError = err
 	if errors.Is(err, errCallerDisconnected) || ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		r.aborted = true
@@ -120,7 +129,8 @@
 	r.writer.WriteHeader(resp.StatusCode)
 }
 
-// copyEvents copies whole events until the stream ends.
+// copyEvents copies whole events until the stream ends. Bytes after the last whole event are
+// counted in the record of the attempt and not sent.
 func (r *request) copyEvents(a *attempt) error {
 	events := newEventReader(a.exchange.resp.Body)
 	a.exchange.conn.onReadTimeout = r.extendEventDeadline
@@ -132,7 +142,7 @@
 		event, id, err := events.next()
 		a.record.countEvent(len(event), err)
 		if errors.Is(err, io.EOF) {
-			return r.writeEvent(a, event, id, true)
+			return nil
 		}
 		if err != nil {
 			if isTimeout(err) && r.remaining() > 0 {
@@ -152,18 +162,16 @@
 // writeEvent sends one event to the caller, after the header if that is not sent yet, and
 // remembers its ID for resuming the stream.
 func (r *request) writeEvent(a *attempt, event []byte, id int64, flush bool) error {
-	if len(event) > 0 {
-		if !r.headerSent {
-			r.sendStreamHeader(a.exchange.resp)
-		}
-		if _, err := r.writer.Write(event); err != nil {
-			return errCallerDisconnected
-		}
-		if id >= 0 {
-			r.lastEventID = id
-		}
+	if !r.headerSent {
+		r.sendStreamHeader(a.exchange.resp)
+	}
+	if _, err := r.writer.Write(event); err != nil {
+		return errCallerDisconnected
+	}
+	if id >= 0 {
+		r.lastEventID = id
 	}
-	if flush && r.headerSent {
+	if flush {
 		if err := http.NewResponseController(r.writer).Flush(); err != nil {
 			return errCallerDisconnected
 		}
