--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 )
 
@@ -34,6 +35,13 @@
 	return CloseDelimited
 }
 
+// IsNoAnswer reports whether an error of reading a response means that the peer sent something that
+// is no answer, in contrast to a connection that failed.
+func IsNoAnswer(err error) bool {
+	var network net.Error
+	return err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.As(err, &network)
+}
+
 // Ending states how reading a body ended.
 type Ending struct {
 	Framing Framing
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -1,10 +1,16 @@
 package framing
 
 import (
+	"bufio"
 	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 
+	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 )
 
@@ -23,3 +29,15 @@
 		})
 	}
 }
+
+// Guards against a broken connection that counts as a spoiled answer, and the reverse.
+func TestIsNoAnswer(t *testing.T) {
+	broken := []error{nil, io.EOF, io.ErrUnexpectedEOF, &net.OpError{Op: "read", Err: syscall.ECONNRESET}, &net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}}
+	for _, err := range broken {
+		assert.Equal(t, IsNoAnswer(err), false, "%v", err)
+	}
+	_, malformed := http.ReadResponse(bufio.NewReader(strings.NewReader("garbage\r\n\r\n")), nil) //nolint:bodyclose // there is no response
+	for _, err := range []error{ErrHeadTooLarge, ErrTooManyFields, malformed} {
+		assert.Equal(t, IsNoAnswer(eris.Wrap(err, "answer cannot be read")), true, "%v", err)
+	}
+}
--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -107,3 +108,48 @@
 	assert.Assert(t, resp.err != nil)
 	assert.Equal(t, resp.body, formatEvent(1)+formatEvent(2))
 }
+
+// endlessWorker sends a piece of text without end behind the given start and reports on sent how
+// many bytes went out before the gateway closed the connection.
+func endlessWorker(start, piece string, sent chan<- int) func(int, net.Conn, receivedRequest) bool {
+	return func(_ int, c net.Conn, r receivedRequest) bool {
+		total := 0
+		block := []byte(strings.Repeat(piece, 1+4096/len(piece)))
+		n, err := fmt.Fprintf(c, start, r.request.Header.Get(DefaultHeaderNames.RequestID))
+		for total = n; err == nil; total += n {
+			n, err = c.Write(block)
+		}
+		sent <- total
+		return false
+	}
+}
+
+// maxSentBeforeClose allows for what the sockets of both ends hold beyond the bound of the gateway.
+const maxSentBeforeClose = 12 << 20
+
+// Guards against a worker that takes the memory of the gateway, and the time of the request, by a
+// head without end.
+func TestHeadWithoutEndIsCutAtOnce(t *testing.T) {
+	for name, c := range map[string]struct{ start, piece string }{
+		"status line":   {"HTTP/1.1 200 OK%.0s", "a"},
+		"header line":   {"HTTP/1.1 200 OK\r\nX-Borageflow-Request: %s\r\nX: ", "a"},
+		"header fields": {"HTTP/1.1 200 OK\r\nX-Borageflow-Request: %s\r\n", "X-Field: value\r\n"},
+		"no answer":     {"%.0s", "garbage "},
+		"informational": {"HTTP/1.1 100 Continue\r\n%.0sX: ", "a"},
+	} {
+		for _, path := range []string{"/safe/x", "/unsafe/x", "/once/x", "/stream/x"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				sent := make(chan int, 10)
+				script := endlessWorker(c.start, c.piece, sent)
+				gw := startGateway(t, startWorker(t, "w1", script))
+				started := time.Now()
+				resp := gw.call("POST", path, "prompt")
+				assert.Equal(t, resp.status, http.StatusBadGateway)
+				assert.Assert(t, time.Since(started) < time.Second, "answered after %v", time.Since(started))
+				assert.Assert(t, <-sent < maxSentBeforeClose)
+				gw.waitFor("the bound is logged", func() bool { return strings.Contains(gw.log.String(), "head of the response") })
+			})
+		}
+	}
+}
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 const (
@@ -40,16 +42,21 @@
 	idleTimeout time.Duration
 	idleSince   time.Time
 	isReused    bool
+	// head bounds the head of the response that is being read.
+	head framing.HeadCounter
 	// onReadTimeout is called at each read timeout, if set. It returns the next read deadline,
 	// or the zero time to let the read fail.
 	onReadTimeout func() time.Time
 }
 
-// Read reads from the connection. If onReadTimeout extends the deadline, Read waits on instead
+// Read reads from the connection and fails if the head of the response is beyond its bounds. If onReadTimeout extends the deadline, Read waits on instead
 // of returning the timeout, because the readers of a response body keep an error for good.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		if bound := c.head.Add(p[:n]); bound != nil {
+			return 0, bound
+		}
 		if err == nil || c.onReadTimeout == nil || !isTimeout(err) {
 			return n, err
 		}
@@ -63,6 +70,16 @@
 	}
 }
 
+// beginHead starts the bounds of the next head, of which a part may have been read already.
+func (c *conn) beginHead() error {
+	c.head.Begin()
+	read, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return err
+	}
+	return c.head.Add(read)
+}
+
 // connPool keeps idle connections by worker address.
 type connPool struct {
 	dialer net.Dialer
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -169,6 +169,9 @@
 func (e *exchange) readFinalResponse(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
 	for range maxInformationalResponses + 1 {
+		if err := e.conn.beginHead(); err != nil {
+			return nil, eris.Wrap(err, "answer cannot be read")
+		}
 		resp, err := http.ReadResponse(e.conn.br, req)
 		if err != nil {
 			return nil, eris.Wrap(err, "answer cannot be read")
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -306,6 +306,9 @@
 	r.lastError = err
 	r.mayHaveRun = true
 	r.runCount++
+	if framing.IsNoAnswer(err) {
+		r.gateway.dispatcher.recordAnswer(a.evidence, true)
+	}
 	if !r.isOverdue() && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
 		r.recordFailure(a)
 	}
