--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -153,3 +154,25 @@
 		}
 	}
 }
+
+// Guards against a response that stalls inside its head and is awaited until the deadline, though
+// another worker could answer.
+func TestHeadThatStallsIsRepeated(t *testing.T) {
+	var first atomic.Bool
+	stall := make(chan struct{})
+	t.Cleanup(func() { close(stall) })
+	script := func(_ int, c net.Conn, r receivedRequest) bool {
+		if first.CompareAndSwap(false, true) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Borage")
+			<-stall
+			return false
+		}
+		writeResponse(c, r, 200, "ok")
+		return true
+	}
+	gw := startGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+	started := time.Now()
+	got := gw.call("GET", "/safe/a", "")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Assert(t, time.Since(started) < 2*time.Second, "answered after %v", time.Since(started))
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -123,15 +123,6 @@
 	return e, nil
 }
 
-// awaitFirstByte waits until the deadline for the first byte of the response.
-func (e *exchange) awaitFirstByte(deadline time.Time) error {
-	if err := e.conn.SetReadDeadline(deadline); err != nil {
-		return eris.Wrap(err, "connection is closed")
-	}
-	_, err := e.conn.br.Peek(1)
-	return eris.Wrap(err, "no response from the worker")
-}
-
 const (
 	// maxStaleResponses is how many responses to other requests are skipped, plus one, while
 	// looking for the one to this request.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -281,9 +281,6 @@
 	}
 	r.sentAttempts++
 	err = r.awaitHeader(ex)
-	if err == nil {
-		err = ex.readHeader(r.gateway.headers, r.inbound.method, r.inbound.meta.RequestID, r.deadline)
-	}
 	if r.modelIndex > 0 {
 		r.gateway.dispatcher.recordLargerModelEnd(r.route.Name, a.startedSinceBoot, err == nil)
 	}
@@ -314,23 +311,29 @@
 	}
 }
 
-// awaitHeader waits for the start of the response. An overdue response is given up only if a retry
-// is left in the budget, or if there is an answer to deliver instead. Otherwise the wait
-// continues until the deadline of the request.
+// awaitHeader reads the header of the response. An overdue one, also one that stalls inside its
+// header, is given up only if a retry is left in the budget, or if there is an answer to deliver
+// instead. Otherwise the wait continues until the deadline of the request.
 func (r *request) awaitHeader(ex *exchange) error {
-	for {
-		err := ex.awaitFirstByte(r.headerDeadline())
-		if err == nil || !isTimeout(err) || r.remaining() <= 0 || r.isOverdue() {
-			return err
-		}
-		if r.gateway.dispatcher.takeRetryBudget(r.service) {
-			r.retryReserved = true
-			return err
-		}
+	ex.conn.onReadTimeout = r.extendHeaderDeadline
+	defer func() { ex.conn.onReadTimeout = nil }()
+	return ex.readHeader(r.gateway.headers, r.inbound.method, r.inbound.meta.RequestID, r.headerDeadline())
+}
+
+// extendHeaderDeadline returns the next deadline of an overdue header, or the zero time to give it
+// up. It takes the retry that follows.
+func (r *request) extendHeaderDeadline() time.Time {
+	if r.remaining() <= 0 || r.isOverdue() {
+		return time.Time{}
+	}
+	if r.gateway.dispatcher.takeRetryBudget(r.service) {
+		r.retryReserved = true
+		return time.Time{}
 	}
+	return r.headerDeadline()
 }
 
-// takeRetryBudget takes a retry from the budget, unless awaitHeader has already taken it. It
+// takeRetryBudget takes a retry from the budget, unless extendHeaderDeadline has already taken it. It
 // reports whether a retry was left.
 func (r *request) takeRetryBudget() bool {
 	if r.retryReserved {
