--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -176,3 +179,71 @@
 	assert.Equal(t, got.status, http.StatusOK)
 	assert.Assert(t, time.Since(started) < 2*time.Second, "answered after %v", time.Since(started))
 }
+
+// maxAnswerMemory is what an instance may hold for endlessAnswers answers without end, in bytes.
+const (
+	endlessAnswers  = 400
+	maxAnswerMemory = 32 << 20
+)
+
+// liveHeap returns the bytes of the heap that are in use.
+func liveHeap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Guards against answers without end that together take the memory of the gateway, though each of
+// them is within its bound.
+func TestAnswersWithoutEndStayWithinMemory(t *testing.T) {
+	before := liveHeap()
+	for name, c := range map[string]struct{ path, start, piece string }{
+		"event":         {"/once/x", "HTTP/1.1 200 OK\r\nX-Borageflow-Request: %s\r\n\r\n", "data: a\n"},
+		"body":          {"/safe/x", "HTTP/1.1 200 OK\r\nX-Borageflow-Request: %s\r\n\r\n", "a"},
+		"header fields": {"/once/x", "HTTP/1.1 200 OK\r\nX-Borageflow-Request: %s\r\n", "X-Field: " + strings.Repeat("v", 120) + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			block := strings.Repeat(c.piece, 1024/len(c.piece))
+			w := startWorker(t, "w1", func(_ int, conn net.Conn, r receivedRequest) bool {
+				_, err := fmt.Fprintf(conn, c.start, r.request.Header.Get(DefaultHeaderNames.RequestID))
+				// Each answer stays in flight for as long as the others.
+				for sent := 0; err == nil; sent += len(block) {
+					_, err = conn.Write([]byte(block))
+					time.Sleep(10 * time.Millisecond)
+				}
+				return false
+			})
+			gw := startGateway(t, w)
+			var calls sync.WaitGroup
+			for range endlessAnswers {
+				calls.Go(func() { gw.callDiscarding(c.path, 4000) })
+			}
+			done := make(chan struct{})
+			go func() { calls.Wait(); close(done) }()
+			peak := uint64(0)
+			for running := true; running; {
+				select {
+				case <-done:
+					running = false
+				case <-time.After(20 * time.Millisecond):
+					peak = max(peak, liveHeap())
+				}
+			}
+			t.Logf("peak of the heap: %d kB above the start", (int64(peak)-int64(before))>>10)
+			assert.Assert(t, int64(peak)-int64(before) < maxAnswerMemory, "%d kB", (int64(peak)-int64(before))>>10)
+		})
+	}
+}
+
+// callDiscarding sends a request and reads the response without keeping it.
+func (gw *gatewayHarness) callDiscarding(path string, deadlineMs int) {
+	c, err := net.Dial("tcp", strings.TrimPrefix(gw.url, "http://"))
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-1\r\n%s: r%d\r\n%s: %d\r\nConnection: close\r\n\r\n",
+		path, DefaultHeaderNames.RequestID, time.Now().UnixNano(), DefaultHeaderNames.DeadlineMs, deadlineMs)
+	_, _ = io.Copy(io.Discard, c)
+}
--- a/internal/gateway/decode_test.go
+++ b/internal/gateway/decode_test.go
@@ -36,7 +36,7 @@
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nrest"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		events := newEventReader(bytes.NewReader(raw))
+		events := newEventReader(bytes.NewReader(raw), newBufferMemory())
 		var out []byte
 		for {
 			event, _, err := events.next()
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -19,38 +19,41 @@
 // eventReader splits a text/event-stream into whole events.
 type eventReader struct {
 	br  *bufio.Reader
-	buf []byte
+	buf answerBuffer
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{br: bufio.NewReaderSize(r, readBufferBytes)}
+// newEventReader returns a reader of the events of r. The caller must call close.
+func newEventReader(r io.Reader, memory bufferMemory) *eventReader {
+	return &eventReader{br: bufio.NewReaderSize(r, readBufferBytes), buf: answerBuffer{memory: memory}}
 }
 
+// close returns the memory of the reader.
+func (e *eventReader) close() { e.buf.reset() }
+
 // next returns the bytes of the next event, including its blank line, and the number in its
 // id field, or -1 without one. At the end of the stream it returns io.EOF together with the
 // bytes after the last blank line. It returns errEventTooLarge for an event larger than
-// maxEventBytes. The bytes are valid until the next call.
+// maxEventBytes, and errNoBufferMemory. The bytes are valid until the next call.
 func (e *eventReader) next() (event []byte, id int64, err error) {
-	e.buf = e.buf[:0]
+	e.buf.reset()
 	id = -1
 	for {
 		line, err := e.br.ReadSlice('\n')
-		e.buf = append(e.buf, line...)
+		if len(e.buf.bytes)+len(line) > maxEventBytes {
+			return nil, -1, errEventTooLarge
+		}
+		if !e.buf.append(line) {
+			return nil, -1, errNoBufferMemory
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(e.buf) > maxEventBytes {
-				return nil, -1, errEventTooLarge
-			}
 			continue
 		}
 		if err != nil {
-			return e.buf, id, err
-		}
-		if len(e.buf) > maxEventBytes {
-			return nil, -1, errEventTooLarge
+			return e.buf.bytes, id, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			return e.buf, id, nil
+			return e.buf.bytes, id, nil
 		}
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	loadFailure atomic.Bool
 	// heldSlots holds one value for each answer that is kept; see heldAnswer.
 	heldSlots chan struct{}
+	buffers   bufferMemory
 	draining  atomic.Bool
 	// drainStartedAt is when readiness was withdrawn; nil before.
 	drainStartedAt atomic.Pointer[time.Time]
@@ -94,8 +95,8 @@
 		settings: s, store: deps.Store, headers: deps.Headers, reload: deps.Reload,
 		pool: newConnPool(m.workerConnections.Inc), metrics: m,
 		log: observe.ComponentLogger(log, "gateway"), requestLog: observe.ComponentLogger(log, "request"), logWriter: logWriter,
-		heldSlots: make(chan struct{}, maxHeldAnswers),
-		ctx:       ctx, cancel: cancel,
+		heldSlots: make(chan struct{}, maxHeldAnswers), buffers: newBufferMemory(),
+		ctx: ctx, cancel: cancel,
 		origin: s.Instance + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
 	g.relayPeer, g.store = newRelayPeer(s, deps.Store, time.Now(), log)
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -53,7 +53,7 @@
 		defer close(h.done)
 		defer release()
 		if h.err == nil {
-			h.err = h.read()
+			h.err = h.read(g.buffers)
 		}
 		h.mu.Lock()
 		h.ended = true
@@ -69,9 +69,10 @@
 }
 
 // read reads the events of the answer until it ends.
-func (h *heldAnswer) read() error {
+func (h *heldAnswer) read(memory bufferMemory) error {
 	resp := h.attempt.exchange.resp
-	reader := newEventReader(resp.Body)
+	reader := newEventReader(resp.Body, memory)
+	defer reader.close()
 	for count := 0; ; count++ {
 		event, id, err := reader.next()
 		if errors.Is(err, io.EOF) {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -15,7 +15,8 @@
 )
 
 // maxBufferedBytes is the largest response body that is read completely before it is sent to
-// the caller, so that an incomplete one can be replaced or refused.
+// the caller, so that an incomplete one can be replaced or refused. Without free memory for it, a
+// body is sent as it arrives.
 const maxBufferedBytes = 256 << 10
 
 // copyResponse sends a response that is not a stream to the caller. It returns the outcome of
@@ -23,7 +24,9 @@
 func (r *request) copyResponse(a *attempt) (forward.Outcome, bool) {
 	resp := a.exchange.resp
 	_ = a.exchange.conn.SetReadDeadline(r.deadline) // if the connection is closed, the read fails
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
+	buffer := answerBuffer{memory: r.gateway.buffers}
+	defer buffer.reset()
+	ended, err := buffer.readUpTo(resp.Body, maxBufferedBytes)
 	if err != nil {
 		r.lastError = eris.Wrap(err, "response ended early")
 		r.recordFailure(a)
@@ -38,22 +41,24 @@
 	}
 	r.copyHeader(resp)
 	out := r.writer.Header()
-	if len(body) <= maxBufferedBytes {
-		out["Content-Length"] = []string{strconv.Itoa(len(body))}
+	if ended {
+		out["Content-Length"] = []string{strconv.Itoa(len(buffer.bytes))}
 	} else if resp.ContentLength >= 0 {
 		out["Content-Length"] = []string{strconv.FormatInt(resp.ContentLength, 10)}
 	}
 	r.firstByteLatency = time.Since(r.started)
 	r.writer.WriteHeader(resp.StatusCode)
-	if _, err := r.writer.Write(body); err != nil {
+	if _, err := r.writer.Write(buffer.bytes); err != nil {
 		r.aborted = true
 		return forward.Answered, true
 	}
-	if len(body) <= maxBufferedBytes {
+	if ended {
 		a.exchange.releaseConn(r.gateway.pool)
 		return forward.Answered, true
 	}
-	if _, err := io.Copy(r.writer, resp.Body); err != nil {
+	buffer.reset()
+	// Without the wrapper, the copy would use the larger buffer of net/http.
+	if _, err := io.CopyBuffer(struct{ io.Writer }{r.writer}, resp.Body, make([]byte, ownBufferBytes)); err != nil {
 		r.lastError = eris.Wrap(err, "response ended early")
 		return r.abortResponse()
 	}
@@ -132,7 +137,8 @@
 // copyEvents copies whole events until the stream ends. Bytes after the last whole event are
 // counted in the record of the attempt and not sent.
 func (r *request) copyEvents(a *attempt) error {
-	events := newEventReader(a.exchange.resp.Body)
+	events := newEventReader(a.exchange.resp.Body, r.gateway.buffers)
+	defer events.close()
 	a.exchange.conn.onReadTimeout = r.extendEventDeadline
 	defer func() { a.exchange.conn.onReadTimeout = nil }()
 	for {
