--- a/internal/adminclient/client.go
+++ b/internal/adminclient/client.go
@@ -16,6 +16,7 @@
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/admin"
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/framing"
 	"github.com/borageflow/borageflow/internal/tlsconf"
 )
 
@@ -48,6 +49,7 @@
 // cannot be used.
 func New(o Options) (*Client, error) {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = framing.MaxHeadBytes
 	if o.CAFile != "" {
 		config, err := tlsconf.ClientConfig(o.CAFile)
 		if err != nil {
--- a/internal/daemon/rater.go
+++ b/internal/daemon/rater.go
@@ -12,6 +12,7 @@
 
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/entry"
+	"github.com/borageflow/borageflow/internal/framing"
 	"github.com/borageflow/borageflow/internal/ring"
 )
 
@@ -42,7 +43,13 @@
 	if s.TimeoutMs > 0 {
 		timeout = ms(s.TimeoutMs)
 	}
-	return &rater{url: s.URL, timeout: timeout, client: &http.Client{}, queue: ring.New[entry.RateAnswer](ratingQueueSize), onRating: onRating}
+	return &rater{url: s.URL, timeout: timeout, client: &http.Client{Transport: ratingTransport()}, queue: ring.New[entry.RateAnswer](ratingQueueSize), onRating: onRating}
+}
+
+func ratingTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone() //nolint:forcetypeassert // net/http documents the type
+	t.MaxResponseHeaderBytes = framing.MaxHeadBytes
+	return t
 }
 
 // submit queues an answer for rating. It does nothing on a nil rater.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 const (
@@ -79,6 +80,8 @@
 		DialContext:         (&net.Dialer{Timeout: shortCallTimeout}).DialContext,
 		MaxIdleConnsPerHost: 256,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: framing.MaxHeadBytes,
 	}
 	return &Client{baseURL: url, http: &http.Client{Transport: transport}}
 }
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 // Options holds the settings of one run.
@@ -98,6 +99,7 @@
 func NewClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 4096, IdleConnTimeout: 30 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: framing.MaxHeadBytes,
 	}}
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 const (
@@ -66,6 +67,8 @@
 		TLSHandshakeTimeout: timeout,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: framing.MaxHeadBytes,
 	}
 	c := &Client{
 		baseURL:     base,
