--- a/cmd/borageflow/gateway.go
+++ b/cmd/borageflow/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"text/tabwriter"
 	"time"
@@ -13,8 +14,12 @@
 	"github.com/borageflow/borageflow/internal/gateway"
 )
 
-// gatewayTimeout limits the request to a gateway.
-const gatewayTimeout = 3 * time.Second
+const (
+	// gatewayTimeout limits the request to a gateway.
+	gatewayTimeout = 3 * time.Second
+	// maxStateBytes bounds the state of a gateway, about 300 bytes for each of 910 workers.
+	maxStateBytes = 16 << 20
+)
 
 // gatewayFlags holds the flags of the subcommand gateway.
 type gatewayFlags struct {
@@ -44,7 +49,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var state gateway.State
-	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&state); err != nil {
 		return eris.Wrapf(err, "answer of the gateway at %s cannot be read", f.address)
 	}
 	if f.json {
--- a/internal/daemon/rater.go
+++ b/internal/daemon/rater.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"time"
 
@@ -21,6 +22,8 @@
 	ratingWorkers   = 4
 	// defaultRatingTimeout bounds one rating when the settings give no timeout.
 	defaultRatingTimeout = 2 * time.Second
+	// maxRatingBytes bounds an answer of the rating service, which holds one number.
+	maxRatingBytes = 64 << 10
 )
 
 // rater sends answers to the rating service. When the queue is full, an answer is dropped
@@ -103,7 +106,7 @@
 	var answer struct {
 		Score float64 `json:"score"`
 	}
-	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxRatingBytes)).Decode(&answer); err != nil {
 		return 0, eris.Wrap(err, "answer of the rating service is not valid JSON")
 	}
 	if answer.Score < 0 || answer.Score > 1 {
--- a/internal/loadgen/ledger.go
+++ b/internal/loadgen/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strings"
 
@@ -11,6 +12,9 @@
 	"github.com/borageflow/borageflow/internal/standin/base"
 )
 
+// maxLedgerBytes bounds the ledger of one stand-in, about 100 bytes a request.
+const maxLedgerBytes = 256 << 20
+
 // ledgerRuns holds the number of runs by request digest, summed over the ledgers of all
 // stand-ins.
 type ledgerRuns struct {
@@ -47,7 +51,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	var snapshot base.LedgerSnapshot
-	if err := json.NewDecoder(response.Body).Decode(&snapshot); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLedgerBytes)).Decode(&snapshot); err != nil {
 		return base.LedgerSnapshot{}, eris.Wrapf(err, "ledger of %s is not valid JSON", url)
 	}
 	return snapshot, nil
