--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -4,8 +4,10 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -86,12 +88,15 @@
 	if size > maxMessageBytes {
 		return fmt.Errorf("incoming message of %d bytes exceeds the limit of %d bytes", size, maxMessageBytes)
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(s.reader, body); err != nil {
+	// The buffer grows with what arrives, because the length is only a statement of the peer.
+	body := bytes.NewBuffer(make([]byte, 0, min(size, readBufferBytes)))
+	if _, err := io.CopyN(body, s.reader, int64(size)); errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	} else if err != nil {
 		return err
 	}
 	s.receivedBytes.Add(uint64(size) + lengthPrefixBytes)
-	return s.decode(body, v)
+	return s.decode(body.Bytes(), v)
 }
 
 // decode stores the parameters of a request in s.params and passes the rest of the
