--- a/internal/engine/bounds_test.go
+++ b/internal/engine/bounds_test.go
@@ -51,3 +51,27 @@
 	// The sockets of both ends hold some megabytes beyond the bound.
 	assert.Assert(t, <-sent < 9<<20)
 }
+
+// Guards against a service's answer that was cut and counts as complete, because a part of a number
+// is a number.
+func TestCutNumberIsNotComplete(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+	for name, c := range map[string]struct {
+		answer   string
+		complete bool
+	}{
+		"number with its connection": {head + "\r\n12", false},
+		"object with its connection": {head + "\r\n{\"a\":12}", true},
+		"number with a length":       {head + "Content-Length: 2\r\n\r\n12", true},
+		"number with chunks":         {head + "Transfer-Encoding: chunked\r\n\r\n2\r\n12\r\n0\r\n\r\n", true},
+		"cut object":                 {head + "\r\n{\"a\":1", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			url, _ := rawServer(t, c.answer, "")
+			client := NewClient(url)
+			defer client.Close()
+			_, err := client.CallOperation(t.Context(), "book", "r1", 1, []byte("{}"))
+			assert.Equal(t, err == nil, c.complete, "%v", err)
+		})
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -197,8 +197,8 @@
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Truncated, "service response was interrupted").WithRunState(api.RunStateRan)
 	}
-	if len(result) > maxResponseBytes || !json.Valid(result) {
-		return nil, errkind.New(errkind.UpstreamFailed, "service response is not valid JSON or is larger than 4 MiB").WithRunState(api.RunStateRan)
+	if len(result) > maxResponseBytes || !framing.CompleteJSON(framing.Of(resp), result) {
+		return nil, errkind.New(errkind.UpstreamFailed, "service response is no whole JSON value or is larger than 4 MiB").WithRunState(api.RunStateRan)
 	}
 	return result, nil
 }
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -3,6 +3,8 @@
 package framing
 
 import (
+	"bytes"
+	"encoding/json"
 	"errors"
 	"io"
 	"net"
@@ -35,6 +37,17 @@
 	return CloseDelimited
 }
 
+// CompleteJSON reports whether a body that was read to its end is a whole JSON value. A part of a
+// number is a number, so that one that ends with its connection may have been cut.
+func CompleteJSON(f Framing, body []byte) bool {
+	text := bytes.TrimSpace(body)
+	if !json.Valid(text) {
+		return false
+	}
+	last := text[len(text)-1]
+	return f != CloseDelimited || last < '0' || last > '9'
+}
+
 // IsNoAnswer reports whether an error of reading a response means that the peer sent something that
 // is no answer, in contrast to a connection that failed.
 func IsNoAnswer(err error) bool {
