--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -247,3 +247,24 @@
 		path, DefaultHeaderNames.RequestID, time.Now().UnixNano(), DefaultHeaderNames.DeadlineMs, deadlineMs)
 	_, _ = io.Copy(io.Discard, c)
 }
+
+// Guards against a stream of a larger model that breaks off and is not continued, because its last
+// run is kept for the smallest model although the caller has events of the larger one.
+func TestLargerModelThatBreaksOffIsContinued(t *testing.T) {
+	script := func(_ int, c net.Conn, r receivedRequest) bool {
+		switch {
+		case r.request.Header.Get(DefaultHeaderNames.Model) == "small":
+			answerSmall(c, r, 0)
+			return true
+		case r.request.Header.Get("Last-Event-Id") == "1":
+			return writeBody(c, r, "chunks", formatEvent(2)+formatEvent(3))
+		}
+		writeStreamHeader(c, r)
+		writeChunk(c, formatEvent(1))
+		return false
+	}
+	gw := startEscalationGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script), startWorker(t, "w3", script))
+	resp := gw.call("POST", "/stream/x", "hard", DefaultHeaderNames.Model, "auto")
+	assert.NilError(t, resp.err)
+	assert.Equal(t, resp.body, formatEvent(1)+formatEvent(2)+formatEvent(3))
+}
--- a/internal/gateway/escalation.go
+++ b/internal/gateway/escalation.go
@@ -53,9 +53,10 @@
 }
 
 // maxRuns returns how often the request may run before it ends or falls back. The last run that
-// the route allows is kept for the smallest model if its answer was not kept.
+// the route allows is kept for the smallest model if its answer was not kept, until the caller has a
+// part of another answer.
 func (r *request) maxRuns() int {
-	if r.fallback != nil && r.modelIndex > 0 && r.heldState() == forward.HeldLost {
+	if r.fallback != nil && r.modelIndex > 0 && !r.headerSent && r.heldState() == forward.HeldLost {
 		return r.route.MaxAttempts - 1
 	}
 	return r.route.MaxAttempts
