--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,9 +49,16 @@
 	return b.buf.String()
 }
 
+// addresses counts the loopback addresses that freeAddress has returned.
+var addresses atomic.Uint32
+
+// freeAddress returns an unused port of a loopback address that no other test uses. On a shared
+// address a connection or listener of a parallel test could take the port.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := addresses.Add(1)
+	host := fmt.Sprintf("127.%d.%d.%d", 110+os.Getpid()%140, 1+n>>8, n&255)
+	l, err := net.Listen("tcp", host+":0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
--- a/test/soak/process.go
+++ b/test/soak/process.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,9 +32,14 @@
 	closing     bool
 }
 
-// freeAddress returns a loopback address with an unused port.
+// reservedAddresses counts the loopback addresses that freeAddress has returned.
+var reservedAddresses atomic.Uint32
+
+// freeAddress returns an unused port of a loopback address of its own. On a shared address a
+// connection could take the port before the process listens on it.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := reservedAddresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 110+os.Getpid()%140, 1+n>>8, n&255))
 	if err != nil {
 		return "", err
 	}
