--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -268,3 +268,43 @@
 	assert.NilError(t, resp.err)
 	assert.Equal(t, resp.body, formatEvent(1)+formatEvent(2)+formatEvent(3))
 }
+
+// Guards against a plain answer that stalls and is awaited until the deadline, though another worker
+// could answer, and against one that is given up while it arrives.
+func TestPlainAnswerThatStallsIsRepeated(t *testing.T) {
+	var attempts atomic.Int64
+	stall := make(chan struct{})
+	t.Cleanup(func() { close(stall) })
+	script := func(_ int, c net.Conn, r receivedRequest) bool {
+		if attempts.Add(1) == 1 {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 10\r\n\r\nabc", DefaultHeaderNames.RequestID, r.request.Header.Get(DefaultHeaderNames.RequestID))
+			<-stall
+			return false
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 10\r\n\r\n", DefaultHeaderNames.RequestID, r.request.Header.Get(DefaultHeaderNames.RequestID))
+		for range 10 {
+			fmt.Fprint(c, "b")
+			time.Sleep(250 * time.Millisecond)
+		}
+		return true
+	}
+	gw := startGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+	got := gw.callOn("safe", 10*time.Second)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "bbbbbbbbbb")
+	assert.Equal(t, attempts.Load(), int64(2))
+}
+
+// callOn sends a GET request on a route whose time limit is raised to limit.
+func (gw *gatewayHarness) callOn(route string, limit time.Duration) callResult {
+	gw.t.Helper()
+	config := testConfig(gw.gateway.dispatcher.snapshot.Load().config.Version + 1)
+	for i := range config.Routes {
+		if config.Routes[i].Name == route {
+			config.Routes[i].Timeout = limit
+		}
+	}
+	gw.store.PutConfig(config)
+	gw.waitFor("configuration is in force", func() bool { return gw.gateway.dispatcher.snapshot.Load().config.Version == config.Version })
+	return gw.call("GET", "/"+route+"/x", "", DefaultHeaderNames.DeadlineMs, fmt.Sprint(limit.Milliseconds()))
+}
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -44,6 +44,8 @@
 	isReused    bool
 	// head bounds the head of the response that is being read.
 	head framing.HeadCounter
+	// received is the number of bytes that were read from the connection.
+	received int64
 	// onReadTimeout is called at each read timeout, if set. It returns the next read deadline,
 	// or the zero time to let the read fail.
 	onReadTimeout func() time.Time
@@ -54,6 +56,7 @@
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		c.received += int64(n)
 		if bound := c.head.Add(p[:n]); bound != nil {
 			return 0, bound
 		}
--- a/internal/gateway/escalation_test.go
+++ b/internal/gateway/escalation_test.go
@@ -172,7 +172,7 @@
 // other worker can end it.
 func TestStalledStreamLeavesTimeForAnotherWorker(t *testing.T) {
 	r := &request{route: &forward.Route{Resumable: true, MaxAttempts: 3, GapTarget: 800 * time.Millisecond}, deadline: time.Now().Add(2500 * time.Millisecond), runCount: 2}
-	assert.Assert(t, time.Until(r.nextEventDeadline()) <= time.Second)
+	assert.Assert(t, time.Until(r.nextPieceDeadline()) <= time.Second)
 	r.deadline = time.Now().Add(time.Minute)
-	assert.Assert(t, time.Until(r.nextEventDeadline()) > 2300*time.Millisecond)
+	assert.Assert(t, time.Until(r.nextPieceDeadline()) > 2300*time.Millisecond)
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -23,10 +23,11 @@
 // the attempt and whether the caller has a response or its connection must be closed.
 func (r *request) copyResponse(a *attempt) (forward.Outcome, bool) {
 	resp := a.exchange.resp
-	_ = a.exchange.conn.SetReadDeadline(r.deadline) // if the connection is closed, the read fails
+	r.beginBody(a.exchange.conn)
 	buffer := answerBuffer{memory: r.gateway.buffers}
 	defer buffer.reset()
 	ended, err := buffer.readUpTo(resp.Body, maxBufferedBytes)
+	r.awaitUntilDeadline(a.exchange.conn)
 	if err != nil {
 		r.lastError = eris.Wrap(err, "response ended early")
 		r.recordFailure(a)
@@ -66,6 +67,26 @@
 	return forward.Answered, true
 }
 
+// beginBody sets the deadlines for a plain answer that is read before any of it is sent. One that
+// stalls is given up if the request may run again and a retry is left.
+func (r *request) beginBody(c *conn) {
+	received := c.received
+	c.onReadTimeout = func() time.Time {
+		if c.received > received {
+			received = c.received
+			return r.nextPieceDeadline()
+		}
+		return r.extendPieceDeadline()
+	}
+	_ = c.SetReadDeadline(r.nextPieceDeadline()) // if the connection is closed, the read fails
+}
+
+// awaitUntilDeadline makes further reads wait until the deadline of the request.
+func (r *request) awaitUntilDeadline(c *conn) {
+	c.onReadTimeout = nil
+	_ = c.SetReadDeadline(r.deadline) // if the connection is closed, the read fails
+}
+
 // abortResponse has the caller's connection closed before the end of the response, so that the
 // response does not look complete.
 func (r *request) abortResponse() (forward.Outcome, bool) {
@@ -139,10 +160,10 @@
 func (r *request) copyEvents(a *attempt) error {
 	events := newEventReader(a.exchange.resp.Body, r.gateway.buffers)
 	defer events.close()
-	a.exchange.conn.onReadTimeout = r.extendEventDeadline
+	a.exchange.conn.onReadTimeout = r.extendPieceDeadline
 	defer func() { a.exchange.conn.onReadTimeout = nil }()
 	for {
-		if err := a.exchange.conn.SetReadDeadline(r.nextEventDeadline()); err != nil {
+		if err := a.exchange.conn.SetReadDeadline(r.nextPieceDeadline()); err != nil {
 			return eris.Wrap(err, "connection is closed")
 		}
 		event, id, err := events.next()
@@ -185,40 +206,39 @@
 	return nil
 }
 
-// nextEventDeadline returns when the next event is overdue. This is the deadline of the request
-// unless the stream can be resumed at another worker.
-func (r *request) nextEventDeadline() time.Time {
-	if !r.route.Resumable || r.runCount >= r.route.MaxAttempts {
+// nextPieceDeadline returns when the next event of a stream or part of a plain answer is overdue.
+// This is the deadline of the request unless it can go on at another worker.
+func (r *request) nextPieceDeadline() time.Time {
+	if !r.route.Idempotent() || r.runCount >= r.route.MaxAttempts {
 		return r.deadline
 	}
-	timeout := max(time.Duration(eventTimeoutFactor*float64(r.route.GapTarget)), minEventTimeout)
-	timeout = min(timeout, max(time.Duration(eventTimeoutShare*float64(r.remaining())), r.route.GapTarget))
+	timeout := max(time.Duration(pieceTimeoutFactor*float64(r.route.GapTarget)), minPieceTimeout)
+	timeout = min(timeout, max(time.Duration(pieceTimeoutShare*float64(r.remaining())), r.route.GapTarget))
 	if deadline := time.Now().Add(timeout); deadline.Before(r.deadline) {
 		return deadline
 	}
 	return r.deadline
 }
 
-// extendEventDeadline returns the next deadline of an overdue stream, or the zero time to give
-// it up. The stream is given up when the request is out of time, or when a retry is left to
-// resume it at another worker.
-func (r *request) extendEventDeadline() time.Time {
+// extendPieceDeadline returns the next deadline of an overdue answer, or the zero time to give it
+// up. It is given up when the request is out of time, or when a retry is left for another worker.
+func (r *request) extendPieceDeadline() time.Time {
 	if r.remaining() <= 0 || r.gateway.dispatcher.hasRetryBudget(r.service) {
 		return time.Time{}
 	}
-	return r.nextEventDeadline()
+	return r.nextPieceDeadline()
 }
 
 const (
-	// eventTimeoutFactor is the ratio of the wait for an event, after which the stream is
+	// pieceTimeoutFactor is the ratio of the wait for an event, after which the stream is
 	// resumed at another worker, to the allowed pause between two events. A preempted request
 	// pauses for about one allowed pause.
-	eventTimeoutFactor = 3.0
-	// minEventTimeout is the shortest wait where the allowed pause is short or unknown.
-	minEventTimeout = 1500 * time.Millisecond
-	// eventTimeoutShare bounds the wait for an event to a part of the remaining time, so that
+	pieceTimeoutFactor = 3.0
+	// minPieceTimeout is the shortest wait where the allowed pause is short or unknown.
+	minPieceTimeout = 1500 * time.Millisecond
+	// pieceTimeoutShare bounds the wait for an event to a part of the remaining time, so that
 	// another worker can still end the stream in time.
-	eventTimeoutShare = 0.4
+	pieceTimeoutShare = 0.4
 )
 
 func isTimeout(err error) bool {
