--- /dev/null
+++ b/internal/framing/cause.go
@@ -0,0 +1,54 @@
+package framing
+
+import (
+	"errors"
+
+	"github.com/rotisserie/eris"
+)
+
+// MaxEventBytes is the largest accepted event of a stream.
+const MaxEventBytes = 1 << 20
+
+// Errors of streams.
+var (
+	// ErrEventTooLarge is returned for an event larger than MaxEventBytes.
+	ErrEventTooLarge = eris.Errorf("event of a stream is larger than %d bytes", MaxEventBytes)
+	// ErrInsideEvent is the error of a stream that ended after a part of an event, or with its
+	// connection before the first one.
+	ErrInsideEvent = eris.New("stream ended inside an event")
+	// ErrStalled is returned when nothing arrived before a deadline.
+	ErrStalled = eris.New("no event of the stream arrived before its deadline")
+)
+
+// Cause is why an answer is not whole. The list is closed.
+type Cause string
+
+const (
+	// BrokenOff answers ended with a closed or reset connection, InsideEvent ones within an event.
+	BrokenOff   Cause = "broken_off"
+	InsideEvent Cause = "inside_event"
+	// Silent workers sent nothing for too long.
+	Silent Cause = "silent"
+	// OverBound answers exceed a bound, and NoAnswer is bytes that are no answer.
+	OverBound Cause = "over_bound"
+	NoAnswer  Cause = "no_answer"
+)
+
+// Causes lists every Cause.
+var Causes = []Cause{BrokenOff, InsideEvent, Silent, OverBound, NoAnswer}
+
+// CauseOf returns the cause that an error of reading an answer stands for.
+func CauseOf(err error) Cause {
+	var timeout interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, ErrInsideEvent):
+		return InsideEvent
+	case errors.Is(err, ErrStalled), errors.As(err, &timeout) && timeout.Timeout():
+		return Silent
+	case errors.Is(err, ErrHeadTooLarge), errors.Is(err, ErrTooManyFields), errors.Is(err, ErrEventTooLarge):
+		return OverBound
+	case IsNoAnswer(err):
+		return NoAnswer
+	}
+	return BrokenOff
+}
--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 // writeBody writes a response with an event stream that is framed as stated: by a length, by
@@ -308,3 +311,25 @@
 	gw.waitFor("configuration is in force", func() bool { return gw.gateway.dispatcher.snapshot.Load().config.Version == config.Version })
 	return gw.call("GET", "/"+route+"/x", "", DefaultHeaderNames.DeadlineMs, fmt.Sprint(limit.Milliseconds()))
 }
+
+// Guards against an answer that breaks off and cannot be traced to its worker and the byte at which it
+// stopped, and against counters that grow with each new worker.
+func TestUnfinishedAnswersAreCounted(t *testing.T) {
+	w := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool {
+		return writeBody(c, r, "connection", formatEvent(1)+"id: 2\ndata")
+	})
+	gw := startGateway(t, w)
+	_ = gw.call("POST", "/once/x", "prompt")
+	var out bytes.Buffer
+	gw.gateway.metrics.set.WritePrometheus(&out)
+	assert.Assert(t, strings.Contains(out.String(), `borageflow_gateway_unfinished_answers_total{worker="w1",cause="inside_event"} 1`), out.String())
+	gw.waitFor("the place is logged", func() bool {
+		return strings.Contains(gw.log.String(), fmt.Sprintf(`"framing":"connection","events":1,"body_bytes":%d,"tail_bytes":10`, len(formatEvent(1))))
+	})
+	for n := range 2 * maxWorkersInMetrics {
+		gw.gateway.metrics.countUnfinished(fmt.Sprint("other-", n), framing.Silent)
+	}
+	out.Reset()
+	gw.gateway.metrics.set.WritePrometheus(&out)
+	assert.Equal(t, strings.Count(out.String(), "unfinished_answers_total"), maxWorkersInMetrics)
+}
--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -7,15 +7,9 @@
 	"io"
 	"strconv"
 
-	"github.com/rotisserie/eris"
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
-// maxEventBytes is the largest accepted event of a stream.
-const maxEventBytes = 1 << 20
-
-// errEventTooLarge is returned for an event larger than maxEventBytes.
-var errEventTooLarge = eris.New("event of a stream is larger than 1 MiB")
-
 // eventReader splits a text/event-stream into whole events.
 type eventReader struct {
 	br  *bufio.Reader
@@ -32,15 +26,15 @@
 
 // next returns the bytes of the next event, including its blank line, and the number in its
 // id field, or -1 without one. At the end of the stream it returns io.EOF together with the
-// bytes after the last blank line. It returns errEventTooLarge for an event larger than
-// maxEventBytes, and errNoBufferMemory. The bytes are valid until the next call.
+// bytes after the last blank line. It returns framing.ErrEventTooLarge for an event larger than
+// framing.MaxEventBytes, and errNoBufferMemory. The bytes are valid until the next call.
 func (e *eventReader) next() (event []byte, id int64, err error) {
 	e.buf.reset()
 	id = -1
 	for {
 		line, err := e.br.ReadSlice('\n')
-		if len(e.buf.bytes)+len(line) > maxEventBytes {
-			return nil, -1, errEventTooLarge
+		if len(e.buf.bytes)+len(line) > framing.MaxEventBytes {
+			return nil, -1, framing.ErrEventTooLarge
 		}
 		if !e.buf.append(line) {
 			return nil, -1, errNoBufferMemory
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -78,7 +78,7 @@
 		if errors.Is(err, io.EOF) {
 			ending := framing.Ending{Framing: framing.Of(resp), IsStream: true, Events: count, TailBytes: len(event)}
 			if !ending.Complete() {
-				return errEndsInsideEvent
+				return framing.ErrInsideEvent
 			}
 			return nil
 		}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -2,11 +2,14 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 // gatewayMetrics holds the counters and histograms of a gateway.
@@ -17,11 +20,27 @@
 	escalations       *metrics.Counter
 	abortedResponses  *metrics.Counter
 	workerConnections *metrics.Counter
+
+	mu sync.Mutex
+	// unfinished holds the workers that have counters of unfinished answers, by their ID.
+	unfinished *lru.LRU[string, struct{}]
 }
 
+// maxWorkersInMetrics bounds the workers that have counters of their own.
+const maxWorkersInMetrics = 1024
+
 func newGatewayMetrics() *gatewayMetrics {
 	set := metrics.NewSet()
+	unfinished, err := lru.NewLRU(maxWorkersInMetrics, func(worker string, _ struct{}) {
+		for _, cause := range framing.Causes {
+			set.UnregisterMetric(unfinishedMetric(worker, cause))
+		}
+	})
+	if err != nil {
+		panic(err) // NewLRU fails only for a size below 1
+	}
 	return &gatewayMetrics{
+		unfinished:        unfinished,
 		set:               set,
 		requests:          set.NewCounter("borageflow_gateway_requests_total"),
 		retries:           set.NewCounter("borageflow_gateway_repeats_total"),
@@ -41,6 +60,18 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_escalation_outcomes_total{route=%q,outcome=%q}", route, outcome)).Inc()
 }
 
+func unfinishedMetric(worker string, cause framing.Cause) string {
+	return fmt.Sprintf("borageflow_gateway_unfinished_answers_total{worker=%q,cause=%q}", worker, cause)
+}
+
+// countUnfinished counts an answer of a worker that was not whole.
+func (m *gatewayMetrics) countUnfinished(worker string, cause framing.Cause) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unfinished.Add(worker, struct{}{})
+	m.set.GetOrCreateCounter(unfinishedMetric(worker, cause)).Inc()
+}
+
 func (m *gatewayMetrics) observeRequest(outcome string, d time.Duration) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf("borageflow_gateway_request_seconds{outcome=%q}", outcome)).Update(d.Seconds())
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -307,7 +307,7 @@
 		r.gateway.dispatcher.recordAnswer(a.evidence, true)
 	}
 	if !r.isOverdue() && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
-		r.recordFailure(a)
+		r.recordFailure(a, err)
 	}
 }
 
@@ -425,8 +425,10 @@
 const minFailureRetryTime = 60 * time.Millisecond
 
 // recordFailure records an attempt without a whole answer for the ejection and the choice of
-// workers.
-func (r *request) recordFailure(a *attempt) {
+// workers, the metrics and the log.
+func (r *request) recordFailure(a *attempt, err error) {
+	r.lastError = err
+	r.gateway.metrics.countUnfinished(a.worker.ID, framing.CauseOf(err))
 	r.gateway.dispatcher.recordNoAnswer(a.worker, membership.Failed, time.Since(a.started))
 }
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -29,8 +29,8 @@
 	ended, err := buffer.readUpTo(resp.Body, maxBufferedBytes)
 	r.awaitUntilDeadline(a.exchange.conn)
 	if err != nil {
-		r.lastError = eris.Wrap(err, "response ended early")
-		r.recordFailure(a)
+		a.record.BodyBytes = len(buffer.bytes)
+		r.recordFailure(a, eris.Wrap(err, "response ended early"))
 		if r.headerSent {
 			return r.abortResponse()
 		}
@@ -60,7 +60,7 @@
 	buffer.reset()
 	// Without the wrapper, the copy would use the larger buffer of net/http.
 	if _, err := io.CopyBuffer(struct{ io.Writer }{r.writer}, resp.Body, make([]byte, ownBufferBytes)); err != nil {
-		r.lastError = eris.Wrap(err, "response ended early")
+		r.recordFailure(a, eris.Wrap(err, "response ended early"))
 		return r.abortResponse()
 	}
 	a.exchange.releaseConn(r.gateway.pool)
@@ -95,13 +95,6 @@
 	return forward.Broken, true
 }
 
-// errEndsInsideEvent is the error of a stream that ended after a part of an event, or with its
-// connection before the first one.
-var errEndsInsideEvent = eris.New("stream ended inside an event")
-
-// errStreamStalled is returned when no event arrived before its deadline.
-var errStreamStalled = eris.New("no event of the stream arrived before its deadline")
-
 // copyStream sends the events of a stream to the caller as they arrive. If the stream breaks
 // off, the request continues at another worker when it may. The results are those of
 // copyResponse.
@@ -117,14 +110,13 @@
 		return forward.Answered, true
 	}
 	if err == nil {
-		err = errEndsInsideEvent
+		err = framing.ErrInsideEvent
 	}
-	r.lastError = err
 	if errors.Is(err, errCallerDisconnected) || ctx.Err() != nil && !errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		r.aborted = true
+		r.lastError, r.aborted = err, true
 		return forward.Broken, true
 	}
-	r.recordFailure(a)
+	r.recordFailure(a, err)
 	if !r.headerSent {
 		return forward.Broken, false
 	}
@@ -173,7 +165,7 @@
 		}
 		if err != nil {
 			if isTimeout(err) && r.remaining() > 0 {
-				return errStreamStalled
+				return framing.ErrStalled
 			}
 			return eris.Wrap(err, "stream broke off")
 		}
