--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -98,6 +98,11 @@
 			assert.NilError(t, resp.err)
 			assert.Equal(t, resp.status, http.StatusOK)
 			assert.Equal(t, resp.body, smallAnswer)
+			gw.waitFor("the failure is counted", func() bool {
+				var out bytes.Buffer
+				gw.gateway.metrics.set.WritePrometheus(&out)
+				return strings.Contains(out.String(), `cause="inside_event"} 1`)
+			})
 		})
 	}
 }
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/framing"
+	"github.com/borageflow/borageflow/internal/membership"
 )
 
 const (
@@ -59,6 +61,7 @@
 		h.ended = true
 		h.mu.Unlock()
 		if h.err != nil {
+			g.recordHeldFailure(&a, h.err)
 			a.exchange.close()
 			h.events = nil
 			return
@@ -68,6 +71,17 @@
 	return h
 }
 
+// recordHeldFailure records that a worker broke off an answer that was set aside, unless the router
+// ended it.
+func (g *Gateway) recordHeldFailure(a *attempt, err error) {
+	cause := framing.CauseOf(err)
+	if cause == framing.Silent || errors.Is(err, errHeldTooLarge) || errors.Is(err, net.ErrClosed) {
+		return
+	}
+	g.metrics.countUnfinished(a.worker.ID, cause)
+	g.dispatcher.recordNoAnswer(a.worker, membership.Failed, time.Since(a.started))
+}
+
 // read reads the events of the answer until it ends.
 func (h *heldAnswer) read(memory bufferMemory) error {
 	resp := h.attempt.exchange.resp
