--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
@@ -176,5 +177,8 @@
 		if err == nil && end.OutputTokens != tokens {
 			t.Fatalf("%d tokens delivered, but the end event says %d", tokens, end.OutputTokens)
 		}
+		if err == nil && !bytes.Contains(raw, []byte("end")) {
+			t.Fatalf("%q has no end event and counts as complete", raw)
+		}
 	})
 }
--- a/internal/gateway/decode_test.go
+++ b/internal/gateway/decode_test.go
@@ -31,17 +31,32 @@
 	assert.ErrorContains(t, err, "$.peers.relays[1]")
 }
 
-// Guards against bytes of a stream that are lost or changed when it is split into events,
-// including those after the last blank line.
+// Guards against bytes of a stream that are lost or changed when it is split into events, and against
+// a part of an event that counts as a whole one, or the reverse.
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nrest"))
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n"))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		events := newEventReader(bytes.NewReader(raw), newBufferMemory())
+		defer events.close()
 		var out []byte
 		for {
 			event, _, err := events.next()
 			out = append(out, event...)
+			lines := bytes.SplitAfter(event, []byte("\n"))
+			blanks := 0
+			for _, line := range lines[:len(lines)-1] {
+				if len(bytes.TrimRight(line, "\r\n")) == 0 {
+					blanks++
+				}
+			}
+			if err == nil && (blanks != 1 || len(lines[len(lines)-1]) != 0 || len(bytes.TrimRight(lines[len(lines)-2], "\r\n")) != 0) {
+				t.Fatalf("%q counts as one event", event)
+			}
 			if errors.Is(err, io.EOF) {
+				if blanks != 0 {
+					t.Fatalf("%q counts as a part of an event", event)
+				}
 				break
 			}
 			if err != nil {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -49,16 +49,20 @@
 	return b.buf.String()
 }
 
-// addresses counts the loopback addresses that freeAddress has returned.
-var addresses atomic.Uint32
+// hosts counts the loopback addresses that ownHost has returned.
+var hosts atomic.Uint32
+
+// ownHost returns a loopback address that no other test uses. On a shared address a connection or
+// listener of a parallel test could take a port.
+func ownHost() string {
+	n := hosts.Add(1)
+	return fmt.Sprintf("127.%d.%d.%d", 110+os.Getpid()%140, 1+n>>8, n&255)
+}
 
-// freeAddress returns an unused port of a loopback address that no other test uses. On a shared
-// address a connection or listener of a parallel test could take the port.
+// freeAddress returns an unused port of a loopback address of its own.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	n := addresses.Add(1)
-	host := fmt.Sprintf("127.%d.%d.%d", 110+os.Getpid()%140, 1+n>>8, n&255)
-	l, err := net.Listen("tcp", host+":0")
+	l, err := net.Listen("tcp", ownHost()+":0")
 	assert.NilError(t, err)
 	defer func() { _ = l.Close() }()
 	return l.Addr().String()
