--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -51,6 +51,8 @@
 		sc.checkRuns(c, add)
 	}
 	sc.checkVersions(add)
+	sc.checkNotices(add)
+	sc.checkRollouts(add)
 	sc.checkRecovery(add)
 	return found
 }
@@ -117,6 +119,18 @@
 	}
 }
 
+// checkRollouts checks that the first final state of each rollout holds, also beyond an era of the
+// store.
+func (sc *scenario) checkRollouts(add reportFunc) {
+	sc.store.mu.Lock()
+	defer sc.store.mu.Unlock()
+	for name, state := range sc.store.finalStates {
+		if now := rolloutState(sc.store.objects["rollouts"][name]); now != state {
+			add("rollout of %s was %s and is now %q", name, state, now)
+		}
+	}
+}
+
 // checkVersions checks that no gateway process returns to an older configuration, and that a
 // process without faults applies a new configuration in time.
 func (sc *scenario) checkVersions(add reportFunc) {
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -13,6 +13,10 @@
 	mu          sync.Mutex
 	fault       string // "", "delay", "silent" (drops both directions), "oneway" (drops responses), "refuse"
 	connections map[net.Conn]bool
+	// cutAfter is the number of response bytes of a connection after which it is closed, or reset
+	// if cutByReset is set; negative for none.
+	cutAfter   int
+	cutByReset bool
 }
 
 func startProxy(target string) (*proxy, error) {
@@ -20,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, connections: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, target: target, connections: map[net.Conn]bool{}, cutAfter: -1}
 	go p.accept()
 	return p, nil
 }
@@ -73,6 +77,27 @@
 	p.fault = fault
 }
 
+// cutResponses makes each connection end after a number of response bytes, by a reset or in order.
+// A negative number ends the fault.
+func (p *proxy) cutResponses(after int, byReset bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutAfter, p.cutByReset = after, byReset
+}
+
+// cut returns how many of the next n response bytes pass, and whether the connection then ends.
+func (p *proxy) cut(to net.Conn, passed, n int) (int, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cutAfter < 0 || passed+n < p.cutAfter {
+		return n, false
+	}
+	if tcp, ok := to.(*net.TCPConn); ok && p.cutByReset {
+		_ = tcp.SetLinger(0) // the close that follows resets the connection
+	}
+	return max(p.cutAfter-passed, 0), true
+}
+
 // resetConnections closes every open connection with a TCP reset.
 func (p *proxy) resetConnections() {
 	p.mu.Lock()
@@ -97,7 +122,7 @@
 		_ = to.Close()
 	}()
 	buf := make([]byte, 16<<10)
-	for {
+	for passed := 0; ; {
 		n, err := from.Read(buf)
 		switch fault := p.currentFault(); {
 		case fault == "silent" || fault == "oneway" && isResponse:
@@ -105,12 +130,17 @@
 		case fault == "delay":
 			time.Sleep(proxyDelay)
 		}
+		ends := false
+		if isResponse && n > 0 {
+			n, ends = p.cut(to, passed, n)
+			passed += n
+		}
 		if n > 0 {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
 		}
-		if err != nil {
+		if err != nil || ends {
 			return
 		}
 	}
--- a/test/soak/scenario.go
+++ b/test/soak/scenario.go
@@ -36,6 +36,7 @@
 	bounds         timeBounds
 	store          *store
 	ledger         *ledger
+	notices        *noticeLog
 	gateways       []*gateway
 	workers        []*proxiedWorker
 	calls          callLog
@@ -73,7 +74,7 @@
 // run. If a guarantee is broken and logDir is set, the gateway logs are copied to logDir.
 func runSeed(dir, binary string, seed uint64, size scenarioSize, logDir string) ([]string, string, error) {
 	sc := &scenario{
-		seed: seed, size: size, bounds: boundsForSeed(seed), store: newStore(), ledger: &ledger{runs: map[string][]run{}},
+		seed: seed, size: size, bounds: boundsForSeed(seed), store: newStore(), ledger: &ledger{runs: map[string][]run{}}, notices: newNoticeLog(),
 		committedAt: map[int]time.Time{}, revokedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, errs: make(chan error, 100),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -153,7 +154,7 @@
 // addWorker starts a worker and registers it as ready.
 func (sc *scenario) addWorker(version string) error {
 	sc.workersStarted++
-	worker, err := startWorker(fmt.Sprintf("worker-%d", sc.workersStarted), version, sc.ledger)
+	worker, err := startWorker(fmt.Sprintf("worker-%d", sc.workersStarted), version, sc.ledger, sc.notices)
 	if err != nil {
 		return err
 	}
@@ -265,6 +266,16 @@
 		sc.replaceWorker(p)
 	case 13:
 		sc.startRollout()
+	case 14, 15:
+		p.script.Store(drawScript(rng))
+		sc.undoAfter(length, func() { p.script.Store(nil) })
+	case 16:
+		p.proxy.cutResponses(rng.IntN(600), rng.IntN(2) == 0)
+		sc.undoAfter(length, func() { p.proxy.cutResponses(-1, false) })
+	case 17:
+		sc.startNotice(rng, p)
+	case 18:
+		sc.restoreStore(length)
 	}
 }
 
@@ -284,7 +295,7 @@
 }
 
 // gatewayFaultKinds is the number of fault kinds other than relay faults.
-const gatewayFaultKinds = 14
+const gatewayFaultKinds = 19
 
 func (sc *scenario) faultKindCount() int {
 	if sc.bounds.useRelays {
@@ -331,6 +342,14 @@
 // gracePeriod is the time between SIGTERM and SIGKILL when a gateway is stopped.
 const gracePeriod = 8 * time.Second
 
+// restoreStore brings the store back from a copy that is some seconds old. What the operator and the
+// workers have written since is written again after a moment.
+func (sc *scenario) restoreStore(length time.Duration) {
+	sc.recordFault(allGateways, length)
+	sc.store.restore()
+	sc.undoAfter(200*time.Millisecond, func() { sc.store.writeAgain() })
+}
+
 // replaceWorker starts a new worker and marks p as draining. The entry of p is removed from the
 // store after the drain time.
 func (sc *scenario) replaceWorker(p *proxiedWorker) {
@@ -361,6 +380,9 @@
 	for _, p := range sc.workers {
 		p.proxy.setFault("")
 		p.fault.Store("")
+		p.script.Store(nil)
+		p.proxy.cutResponses(-1, false)
+		sc.notices.end(p.id)
 	}
 	// A gateway that received SIGTERM may use its whole grace period before it is restarted.
 	sc.healedAt = time.Now().Add(gracePeriod)
--- a/test/soak/store.go
+++ b/test/soak/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -28,6 +29,8 @@
 	kind    string
 	Object  object
 	Removed bool
+	// byOthers is set for what the operator and the workers wrote.
+	byOthers bool
 }
 
 // store is an in-process stand-in for the platform's store.
@@ -41,10 +44,27 @@
 	// fault is "", "down" (refuses requests), "slow" (delays responses) or "lost" (applies status
 	// writes but drops their responses).
 	fault string
+	// era rises by one each time the store is restored from an older copy.
+	era    int64
+	copies []storeCopy
+	// lost holds what the operator and the workers wrote after the copy, restoredRevision is that of
+	// the copy.
+	lost             []change
+	restoredRevision int64
+	// finalStates holds the first final state that was recorded for each rollout.
+	finalStates map[string]string
+}
+
+// storeCopy is the state of the store at a moment.
+type storeCopy struct {
+	at       time.Time
+	revision int64
+	objects  map[string]map[string]object
+	history  int
 }
 
 func newStore() *store {
-	return &store{revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{})}
+	return &store{era: 1, revision: 1, finalStates: map[string]string{}, objects: map[string]map[string]object{}, changed: make(chan struct{})}
 }
 
 // put writes the Spec of an object, as an operator or a worker does.
@@ -57,7 +77,7 @@
 		o.Metadata = metadata{Name: name, CreatedRev: s.revision}
 	}
 	o.Metadata.Revision, o.Spec = s.revision, spec
-	s.commit(change{kind: kind, Object: o})
+	s.commit(change{kind: kind, Object: o, byOthers: true})
 }
 
 func (s *store) remove(kind, name string) {
@@ -66,7 +86,7 @@
 	if o, ok := s.objects[kind][name]; ok {
 		s.revision++
 		o.Metadata.Revision = s.revision
-		s.commit(change{kind: kind, Object: o, Removed: true})
+		s.commit(change{kind: kind, Object: o, Removed: true, byOthers: true})
 	}
 }
 
@@ -80,10 +100,79 @@
 		delete(s.objects[c.kind], c.Object.Metadata.Name)
 	}
 	s.history = append(s.history, c)
+	s.keepCopy()
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+const (
+	// copyAge is the least age of the copy that the store comes back from.
+	copyAge   = 1500 * time.Millisecond
+	maxCopies = 64
+)
+
+// keepCopy keeps the present state. The caller holds s.mu.
+func (s *store) keepCopy() {
+	c := storeCopy{at: time.Now(), revision: s.revision, objects: map[string]map[string]object{}, history: len(s.history)}
+	for kind, byName := range s.objects {
+		c.objects[kind] = maps.Clone(byName)
+	}
+	s.copies = append(s.copies, c)
+	if len(s.copies) > maxCopies {
+		s.copies = s.copies[1:]
+	}
+}
+
+// restore brings the store back from the newest copy that is old enough. Revisions go back and are
+// given out again in a new era.
+func (s *store) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := len(s.copies) - 1; i >= 0; i-- {
+		c := s.copies[i]
+		if time.Since(c.at) < copyAge {
+			continue
+		}
+		for _, lost := range s.history[c.history:] {
+			if lost.byOthers {
+				s.lost = append(s.lost, lost)
+			}
+		}
+		s.era++
+		s.revision, s.objects, s.history, s.copies = c.revision, c.objects, s.history[:c.history:c.history], s.copies[:i]
+		s.restoredRevision = s.revision
+		s.compactedRevision = min(s.compactedRevision, s.revision)
+		s.keepCopy()
+		close(s.changed)
+		s.changed = make(chan struct{})
+		return
+	}
+}
+
+// writeAgain writes what the operator and the workers wrote before the store was restored.
+func (s *store) writeAgain() {
+	s.mu.Lock()
+	lost := s.lost
+	s.lost = nil
+	written := map[string]bool{}
+	for kind, byName := range s.objects {
+		for name, o := range byName {
+			written[kind+"/"+name] = o.Metadata.Revision > s.restoredRevision
+		}
+	}
+	s.mu.Unlock()
+	for _, c := range lost {
+		if written[c.kind+"/"+c.Object.Metadata.Name] {
+			continue // written anew since
+		}
+		if c.Removed {
+			s.remove(c.kind, c.Object.Metadata.Name)
+			continue
+		}
+		s.put(c.kind, c.Object.Metadata.Name, c.Object.Spec)
+	}
+}
+
 func (s *store) setFault(fault string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -106,6 +195,7 @@
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	fault := s.fault
+	s.stateEra(w)
 	s.mu.Unlock()
 	switch fault {
 	case "down":
@@ -128,9 +218,15 @@
 // slowStoreDelay is the delay of each response under the fault "slow".
 const slowStoreDelay = 250 * time.Millisecond
 
+// stateEra states the era in a response. The caller holds s.mu while it reads what the response holds.
+func (s *store) stateEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+}
+
 func (s *store) list(w http.ResponseWriter, kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	out := struct {
 		Items         []object
 		HasMore       bool
@@ -152,7 +248,8 @@
 	}{Events: []change{}}
 	for {
 		s.mu.Lock()
-		if since < s.compactedRevision || s.fault == "down" {
+		s.stateEra(w)
+		if since < s.compactedRevision || since > s.revision || s.fault == "down" {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -179,6 +276,19 @@
 	}
 }
 
+// recordFinalState keeps the final state of a rollout. The caller holds s.mu.
+func (s *store) recordFinalState(o object) {
+	if state := rolloutState(o); s.finalStates[o.Metadata.Name] == "" && (state == "completed" || state == "rolled_back") {
+		s.finalStates[o.Metadata.Name] = state
+	}
+}
+
+func rolloutState(o object) string {
+	status, _ := o.Status.(map[string]any)
+	state, _ := status["State"].(string)
+	return state
+}
+
 func (s *store) putStatus(w http.ResponseWriter, r *http.Request, kind, name string, loseResponse bool) {
 	var in object
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
@@ -187,6 +297,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stateEra(w)
 	o, ok := s.objects[kind][name]
 	if !ok || in.Metadata.Revision != o.Metadata.Revision {
 		w.WriteHeader(http.StatusConflict)
@@ -194,6 +305,7 @@
 	}
 	s.revision++
 	o.Metadata.Revision, o.Status = s.revision, in.Status
+	s.recordFinalState(o)
 	s.commit(change{kind: kind, Object: o})
 	if loseResponse {
 		panic(http.ErrAbortHandler)
--- a/test/soak/worker.go
+++ b/test/soak/worker.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/borageflow/borageflow/internal/standin/faulty"
 	"github.com/borageflow/borageflow/platform"
 )
 
@@ -43,17 +46,20 @@
 	server      *http.Server
 	address     string
 	ledger      *ledger
+	notices     *noticeLog
+	// script makes the worker play a faulty answer.
+	script atomic.Pointer[faulty.Script]
 	// fault holds a string: "", "full" (refuses requests), "fail" (runs them and answers 500),
 	// "hang" (runs them and never answers) or "cut" (aborts the response halfway).
 	fault atomic.Value
 }
 
-func startWorker(id, version string, l *ledger) (*worker, error) {
+func startWorker(id, version string, l *ledger, notices *noticeLog) (*worker, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, version: version, ledger: l, address: listener.Addr().String()}
+	w := &worker{id: id, version: version, ledger: l, notices: notices, address: listener.Addr().String()}
 	w.fault.Store("")
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.server.Serve(listener) }() // returns when the worker is closed
@@ -76,6 +82,10 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if w.notices.arrive(w.id, id, out.Header()) {
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	fault := w.fault.Load().(string) //nolint:forcetypeassert // only strings are stored
 	if fault == "full" {
 		out.Header().Set(names.NotRun, "1")
@@ -89,6 +99,10 @@
 	w.ledger.add(id, run{w.id, w.version, r.Header.Get(names.Customer), time.Now()})
 	out.Header().Set("X-Signature", signature(w.id, id))
 	out.Header().Set(names.Load, "1,0,16")
+	if script := w.script.Load(); script != nil {
+		w.playScript(out, r, *script, string(body))
+		return
+	}
 	switch fault {
 	case "fail":
 		out.WriteHeader(http.StatusInternalServerError)
@@ -131,4 +145,39 @@
 	}
 }
 
+// playScript writes a faulty answer to the connection.
+func (w *worker) playScript(out http.ResponseWriter, r *http.Request, script faulty.Script, body string) {
+	id := r.Header.Get(platform.Headers.RequestID)
+	c, _, err := http.NewResponseController(out).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = out.Header().Write(&head) // writing to a bytes.Buffer returns no error
+	answer := faulty.Answer{Head: head.String(), Pieces: []string{"answer to " + id + " " + body}, Other: "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", Taken: func() {}}
+	if r.URL.Path == streamPath {
+		from, _ := strconv.Atoi(r.Header.Get(platform.Headers.LastEventID)) // if absent, 0: the stream starts at the first event
+		answer.Pieces = nil
+		for n := from + 1; n <= eventsPerStream; n++ {
+			answer.Pieces = append(answer.Pieces, fmt.Sprintf("id: %d\ndata: %s\n\n", n, id))
+		}
+	}
+	script.Pieces = min(script.Pieces, len(answer.Pieces)-1)
+	script.Play(c, answer, func() { _, _ = c.Read(make([]byte, 1)) })
+}
+
+// drawScript draws a faulty answer that a strict client can tell from a whole one.
+func drawScript(rng *rand.Rand) *faulty.Script {
+	scripts := faulty.Scripts(eventsPerStream, 0, processingTime)
+	for {
+		s := scripts[rng.IntN(len(scripts))]
+		isFramed := s.Framing != faulty.ByConnection || s.End == faulty.RST
+		if isFramed && s.Place != faulty.FramedInsidePiece && s.Place != faulty.Whole && s.Place != faulty.ExtraBytes && s.Place != faulty.ExtraAnswer {
+			return &s
+		}
+	}
+}
+
 func (w *worker) close() { _ = w.server.Close() }
