--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -23,7 +23,7 @@
 
 // gatewayHarness is a running gateway with its store and its log.
 type gatewayHarness struct {
-	t       *testing.T
+	t       testing.TB
 	store   *forwarding.Store
 	gateway *Gateway
 	log     *lockedBuffer
@@ -60,7 +60,7 @@
 }
 
 // freeAddress returns an unused port of a loopback address of its own.
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", ownHost()+":0")
 	assert.NilError(t, err)
@@ -90,7 +90,7 @@
 
 // startGateway starts a gateway for the given workers and waits until it is ready and has listed
 // them.
-func startGateway(t *testing.T, workers ...*testWorker) *gatewayHarness {
+func startGateway(t testing.TB, workers ...*testWorker) *gatewayHarness {
 	t.Helper()
 	store := forwarding.NewStore()
 	store.PutConfig(testConfig(1))
@@ -106,7 +106,7 @@
 	return gw
 }
 
-func testSettings(t *testing.T) Settings {
+func testSettings(t testing.TB) Settings {
 	t.Helper()
 	return Settings{
 		Instance: "test", FailureDomain: "a", CallerAddress: freeAddress(t), HealthAddress: freeAddress(t), ReadyPath: "/ready",
@@ -118,7 +118,7 @@
 
 // startGatewayWith starts a gateway with the given settings and store and waits until it is
 // ready.
-func startGatewayWith(t *testing.T, s Settings, store *forwarding.Store) *gatewayHarness {
+func startGatewayWith(t testing.TB, s Settings, store *forwarding.Store) *gatewayHarness {
 	t.Helper()
 	out := &lockedBuffer{}
 	log, lines, err := newLogger(s, out)
--- a/internal/gateway/testworker_test.go
+++ b/internal/gateway/testworker_test.go
@@ -32,7 +32,7 @@
 	closed   chan struct{} // receives one value for each connection that the gateway closed
 }
 
-func startWorker(t *testing.T, id string, script func(n int, c net.Conn, r receivedRequest) bool) *testWorker {
+func startWorker(t testing.TB, id string, script func(n int, c net.Conn, r receivedRequest) bool) *testWorker {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -140,6 +142,11 @@
 				return
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			if tcp, ok := to.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // passes the reset on
+			}
+		}
 		if err != nil || ends {
 			return
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -10,8 +10,9 @@
 )
 
 // regressionSeeds are seeds that failed in the past. With seed 1 a third of the requests failed
-// after the last fault, because the soak had started two processes for one gateway.
-var regressionSeeds = []uint64{1}
+// after the last fault, because the soak had started two processes for one gateway. With seed 1041
+// cut answers looked complete, because the proxy of the soak passed a reset on as an end in order.
+var regressionSeeds = []uint64{1, 1041}
 
 // relaySeed is a seed whose deployment uses relays; CI runs it in addition to regressionSeeds.
 const relaySeed = 2
