--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -41,6 +41,56 @@
 	d.rollouts.judging(d.log, func() { p.Abandoned(sinceBoot()) })
 }
 
+// paceMeter measures the pace of one stream as evidence for or against a rollout. Only the goroutine
+// of the request uses it.
+type paceMeter struct {
+	dispatcher *dispatcher
+	evidence   *rollout.Pending
+	running    int
+	pace       *rollout.Pace
+	events     int
+}
+
+// maxBlockedWrite is the time that the write of an event may take to a caller who reads slowly. Beyond
+// it, the time to the next event says nothing about the worker.
+const maxBlockedWrite = 20 * time.Millisecond
+
+// event records that an event arrived.
+func (m *paceMeter) event() {
+	if m.events++; m.evidence == nil || m.events > 2 {
+		return
+	}
+	d := m.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m.events == 1 {
+		m.pace = m.evidence.StartPace(sinceBoot(), m.running)
+		return
+	}
+	d.rollouts.judging(d.log, func() { m.pace.NextEvent(sinceBoot()) })
+}
+
+// written records how long the write of an event to the caller took.
+func (m *paceMeter) written(took time.Duration) {
+	if m.events != 1 || m.evidence == nil || took <= maxBlockedWrite {
+		return
+	}
+	m.dispatcher.mu.Lock()
+	defer m.dispatcher.mu.Unlock()
+	m.pace.Discard()
+}
+
+// end records that the stream ended.
+func (m *paceMeter) end() {
+	if m.events != 1 || m.evidence == nil {
+		return
+	}
+	d := m.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.rollouts.judging(d.log, func() { m.pace.Abandoned(sinceBoot()) })
+}
+
 // startEvidence records that a request was sent to a worker. It returns nil without a rollout in
 // progress.
 func (t *rolloutTracker) startEvidence(now time.Duration, w forward.Worker, a rollout.Answer) *rollout.Pending {
@@ -79,12 +129,17 @@
 	return tracked.record.Service + "/" + tracked.record.TargetVersion + "@" + strconv.FormatInt(tracked.record.CreatedRevision, 10)
 }
 
+// paceKeySuffix marks the evidence on paces, which is exchanged in a record of its own.
+const paceKeySuffix = "/pace"
+
 // ownEvidence returns the evidence of this gateway on the rollouts in progress.
 func (t *rolloutTracker) ownEvidence(origin string) []news.EvidenceRecord {
 	var out []news.EvidenceRecord
 	for service := range t.byService {
 		if tracked := t.inProgress(service); tracked != nil {
-			out = append(out, news.EvidenceRecord{Rollout: tracked.evidenceKey(), Origin: origin, Evidence: tracked.progress.OwnEvidence()})
+			out = append(out,
+				news.EvidenceRecord{Rollout: tracked.evidenceKey(), Origin: origin, Evidence: tracked.progress.OwnEvidence()},
+				news.EvidenceRecord{Rollout: tracked.evidenceKey() + paceKeySuffix, Origin: origin, Evidence: tracked.progress.OwnPaces()})
 		}
 	}
 	return out
@@ -99,8 +154,11 @@
 				continue
 			}
 			for _, r := range records {
-				if r.Rollout == tracked.evidenceKey() {
+				switch r.Rollout {
+				case tracked.evidenceKey():
 					tracked.progress.MergeOthers(r.Evidence)
+				case tracked.evidenceKey() + paceKeySuffix:
+					tracked.progress.MergePacesOfOthers(r.Evidence)
 				}
 			}
 		}
@@ -112,5 +170,6 @@
 	rounded := func(name string, v float64) zap.Field { return zap.Float64(name, math.Round(v*100)/100) }
 	return zap.Dict("evidence", zap.Int("answers", e.Answers), zap.Int("failed", e.Failed), zap.Int("own_answers", e.OwnAnswers),
 		zap.Int("other_answers", e.OtherAnswers), rounded("errors", e.Errors), rounded("slowness", e.Slowness),
-		rounded("spread_errors", e.SpreadErrors), rounded("spread_slowness", e.SpreadSlowness))
+		rounded("spread_errors", e.SpreadErrors), rounded("spread_slowness", e.SpreadSlowness),
+		zap.Int("paces", e.Paces), rounded("pace", e.Pace), rounded("spread_pace", e.SpreadPace))
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -154,6 +154,8 @@
 	defer events.close()
 	a.exchange.conn.onReadTimeout = r.extendPieceDeadline
 	defer func() { a.exchange.conn.onReadTimeout = nil }()
+	meter := paceMeter{dispatcher: r.gateway.dispatcher, evidence: a.evidence, running: a.exchange.meta.Load.Running}
+	defer meter.end()
 	for {
 		if err := a.exchange.conn.SetReadDeadline(r.nextPieceDeadline()); err != nil {
 			return eris.Wrap(err, "connection is closed")
@@ -169,12 +171,15 @@
 			}
 			return eris.Wrap(err, "stream broke off")
 		}
+		meter.event()
 		if id >= 0 && r.headerSent && id <= r.lastEventID {
 			continue // the caller already received this event
 		}
+		started := time.Now()
 		if err := r.writeEvent(a, event, id, !events.hasBuffered()); err != nil {
 			return err
 		}
+		meter.written(time.Since(started))
 	}
 }
 
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -193,15 +193,21 @@
 	return out, nil
 }
 
+// answers returns the number of judged answers.
+func (t Tallies) answers() int {
+	sum := 0
+	for _, tally := range t {
+		sum += tally.Answers
+	}
+	return sum
+}
+
 // withoutSuspects returns the sum of the tallies of a target's workers without those that speak most
 // against it: one, and a fifth of those with more than a few answers. A few faulty workers do not
 // show that their version is bad; the ejection of workers handles them.
 func withoutSuspects(workers Tallies, against func(t *Tally) float64) Tally {
 	tallies := slices.Collect(maps.Values(workers))
-	answers := 0
-	for _, t := range tallies {
-		answers += t.Answers
-	}
+	answers := workers.answers()
 	slices.SortFunc(tallies, func(a, b Tally) int { return cmp.Compare(against(&b), against(&a)) })
 	suspects := 1 + min(len(tallies), answers/answersPerSuspect)/workersPerSuspect
 	var sum Tally
--- a/internal/rollout/exposure_test.go
+++ b/internal/rollout/exposure_test.go
@@ -23,6 +23,8 @@
 	// failures is the share of failed answers, of those of one kind if failsOneKind is set.
 	failures     float64
 	failsOneKind bool
+	// pace is the factor on the time between events; 0 for answers that are no streams.
+	pace float64
 }
 
 // goodVersion answers as fast as the other version.
@@ -56,6 +58,36 @@
 	failed    bool
 	pending   *Pending
 	arrivesAt time.Duration
+	// gap is the time from the first event to the second, running the number of requests that run on
+	// the worker. pace is set once the first event has arrived.
+	gap     time.Duration
+	running int
+	pace    *Pace
+}
+
+// arrive observes the first event, and later the second one. It reports whether more follows.
+func (s *sentRequest) arrive() bool {
+	if s.pace != nil {
+		s.pace.NextEvent(s.arrivesAt)
+		return false
+	}
+	s.pending.Answered(s.arrivesAt, s.failed)
+	if s.gap == 0 {
+		return false
+	}
+	s.pace = s.pending.StartPace(s.arrivesAt, s.running)
+	s.arrivesAt += s.gap
+	return true
+}
+
+// drawGap draws the time between two events: a step of the engine that takes longer the more requests
+// run, and that the prompt of another request interrupts for every fourth stream.
+func drawGap(rng *rand.Rand, running int) time.Duration {
+	ms := 14 + 0.8*float64(running) + math.Abs(rng.NormFloat64())
+	if rng.IntN(4) == 0 {
+		ms += 20 + 80*rng.Float64()
+	}
+	return time.Duration(ms * float64(time.Millisecond))
 }
 
 // simulateExposure plays a rollout of workers that answer after log-normal times. Each request
@@ -97,6 +129,16 @@
 			answer.Failed = answer.Failed || rng.Float64() < c.usualFailures
 			request := sentRequest{process: process, failed: answer.Failed, pending: r.Start(now, toTarget, answer)}
 			request.arrivesAt = now + time.Duration(ms*float64(time.Millisecond))
+			if c.target.pace > 0 {
+				request.running = 1 + rng.IntN(int(12*queueing))
+				request.gap = drawGap(rng, request.running)
+				if toTarget {
+					request.gap = time.Duration(float64(request.gap) * c.target.pace)
+					if worker < c.target.slowWorkers {
+						request.gap *= 4
+					}
+				}
+			}
 			sent = append(sent, request)
 		}
 		waiting := sent[:0]
@@ -105,7 +147,9 @@
 				waiting = append(waiting, s)
 				continue
 			}
-			s.pending.Answered(s.arrivesAt, s.failed)
+			if s.arrive() {
+				waiting = append(waiting, s)
+			}
 		}
 		sent = waiting
 		if now%(250*time.Millisecond) == 0 {
@@ -138,10 +182,17 @@
 	for _, r := range rollouts {
 		sum.Add(r.own)
 	}
+	paces := NewEvidence()
+	for _, r := range rollouts {
+		paces.Add(r.pace.own)
+	}
 	for _, r := range rollouts {
 		others := sum.Clone()
 		others.Subtract(r.own)
 		r.MergeOthers(others)
+		others = paces.Clone()
+		others.Subtract(r.pace.own)
+		r.MergePacesOfOthers(others)
 	}
 }
 
@@ -174,6 +225,26 @@
 	}
 }
 
+// Guards against a slow version whose times to the first byte hardly differ, at every size and
+// factor, also in a burst. A version that computes several times slower steps at least 1.7 times
+// slower.
+func TestSlowPaceStaysWithinExposure(t *testing.T) {
+	for _, factor := range []float64{1.7, 2.5, 4, 8} {
+		slow := goodVersion
+		slow.pace = factor
+		for _, c := range []exposureCase{
+			{processes: 4, perSecond: 66, duration: 18 * time.Second, target: slow},
+			{processes: 4, perSecond: 66, duration: 40 * time.Second, target: slow},
+			{processes: 4, perSecond: 66, duration: 30 * time.Second, target: slow, burst: 3},
+			{processes: 5, perSecond: 150, duration: 30 * time.Second, target: slow, burst: 3},
+			{processes: 28, perSecond: 400, duration: 18 * time.Second, target: slow},
+			{processes: 103, perSecond: 1400, duration: 18 * time.Second, target: slow},
+		} {
+			assertRolledBack(t, c)
+		}
+	}
+}
+
 // Guards against a version whose failures are too few in each process, or on one kind of request
 // only, to be seen in time.
 func TestFailingVersionStaysWithinExposure(t *testing.T) {
@@ -191,26 +262,34 @@
 }
 
 // Guards against a good version that is rolled back or completed late: at any size, with few
-// requests, in a burst, with two slow workers of nine, and without an exchange of evidence.
+// requests, in a burst, with two slow workers of nine, with streams, and without an exchange of evidence.
 func TestGoodVersionCompletesUnderTrouble(t *testing.T) {
 	slowWorkers := goodVersion
 	slowWorkers.slowWorkers = 2
 	slowThird := slowWorkers
 	slowThird.workers = 6
+	streams, slowStreams := goodVersion, slowWorkers
+	streams.pace, slowStreams.pace = 1, 1
 	for name, c := range map[string]exposureCase{
-		"4 processes":         {processes: 4, perSecond: 88, target: goodVersion},
-		"28 processes":        {processes: 28, perSecond: 400, target: goodVersion},
-		"103 processes":       {processes: 103, perSecond: 1400, target: goodVersion},
-		"few requests":        {processes: 4, perSecond: 2, target: goodVersion},
-		"burst":               {processes: 4, perSecond: 88, target: goodVersion, burst: 3},
-		"burst, 28":           {processes: 28, perSecond: 400, target: goodVersion, burst: 3},
-		"usual failures":      {processes: 4, perSecond: 23, target: goodVersion, usualFailures: 0.14},
-		"usual failures, 103": {processes: 103, perSecond: 400, target: goodVersion, usualFailures: 0.14},
-		"slow workers":        {processes: 4, perSecond: 88, target: slowWorkers},
-		"slow workers, 28":    {processes: 28, perSecond: 400, target: slowWorkers},
-		"a third slow":        {processes: 5, perSecond: 60, target: slowThird},
-		"cut off":             {processes: 4, perSecond: 88, target: goodVersion, cutOff: true},
-		"cut off, in a burst": {processes: 4, perSecond: 88, target: goodVersion, cutOff: true, burst: 3},
+		"4 processes":           {processes: 4, perSecond: 88, target: goodVersion},
+		"28 processes":          {processes: 28, perSecond: 400, target: goodVersion},
+		"103 processes":         {processes: 103, perSecond: 1400, target: goodVersion},
+		"few requests":          {processes: 4, perSecond: 2, target: goodVersion},
+		"burst":                 {processes: 4, perSecond: 88, target: goodVersion, burst: 3},
+		"burst, 28":             {processes: 28, perSecond: 400, target: goodVersion, burst: 3},
+		"usual failures":        {processes: 4, perSecond: 23, target: goodVersion, usualFailures: 0.14},
+		"usual failures, 103":   {processes: 103, perSecond: 400, target: goodVersion, usualFailures: 0.14},
+		"slow workers":          {processes: 4, perSecond: 88, target: slowWorkers},
+		"slow workers, 28":      {processes: 28, perSecond: 400, target: slowWorkers},
+		"a third slow":          {processes: 5, perSecond: 60, target: slowThird},
+		"streams":               {processes: 4, perSecond: 88, target: streams},
+		"streams, 28":           {processes: 28, perSecond: 400, target: streams},
+		"streams, 103":          {processes: 103, perSecond: 1400, target: streams},
+		"streams, burst":        {processes: 4, perSecond: 88, target: streams, burst: 3},
+		"streams, slow workers": {processes: 4, perSecond: 88, target: slowStreams},
+		"streams, cut off":      {processes: 4, perSecond: 88, target: streams, cutOff: true, burst: 3},
+		"cut off":               {processes: 4, perSecond: 88, target: goodVersion, cutOff: true},
+		"cut off, in a burst":   {processes: 4, perSecond: 88, target: goodVersion, cutOff: true, burst: 3},
 	} {
 		for _, c.duration = range []time.Duration{15 * time.Second, 60 * time.Second} {
 			for seed := range uint64(10) {
--- a/internal/rollout/latency.go
+++ b/internal/rollout/latency.go
@@ -41,13 +41,18 @@
 	// ratios and otherRatios count the relative times of all kinds in this process and in the
 	// others.
 	ratios, otherRatios *RatioHistogram
+	// paceModel predicts the paces, and paceRatios holds their sorted ratios to it; nil until they are
+	// needed.
+	paceModel  timeModel
+	paceRatios []float64
 }
 
-// answerTime is the time to first byte of an answer and the work that it depends on.
+// answerTime is the time to first byte of an answer, or its pace, and the work that it depends on:
+// the uncached tokens, or the requests that ran on the worker.
 type answerTime struct {
-	ms, uncachedTokens float64
-	inBurst            bool
-	at                 time.Duration
+	ms, work float64
+	inBurst  bool
+	at       time.Duration
 }
 
 func timeOf(a Answer) answerTime {
@@ -57,19 +62,24 @@
 // addTime adds the time of an answer of another version.
 func (b *kindBaseline) addTime(a Answer) {
 	if len(b.times) >= minBaselineAnswers && !a.InBurst {
-		b.ratios.count(fitTimes(b.times).ratio(timeOf(a)))
+		b.ratios.count(fitAnswerTimes(b.times).ratio(timeOf(a)))
 	}
+	b.keep(timeOf(a))
+}
+
+// keep keeps a time in place of the oldest one.
+func (b *kindBaseline) keep(t answerTime) {
 	if len(b.times) < baselineAnswers {
-		b.times = append(b.times, timeOf(a))
+		b.times = append(b.times, t)
 		return
 	}
-	b.times[b.next] = timeOf(a)
+	b.times[b.next] = t
 	b.next = (b.next + 1) % baselineAnswers
 }
 
 // isUsual reports whether an answer is not slower than predicted.
 func (b *kindBaseline) isUsual(a Answer) bool {
-	return len(b.times) < minBaselineAnswers || fitTimes(b.times).ratio(timeOf(a)) <= 1
+	return len(b.times) < minBaselineAnswers || fitAnswerTimes(b.times).ratio(timeOf(a)) <= 1
 }
 
 // slowEvidence returns the log-likelihood ratio of a slow version to a good one for an answer of
@@ -88,7 +98,7 @@
 	if len(times) < minBaselineAnswers || a.TimeToFirstByte <= 0 {
 		return 0, false
 	}
-	model := fitTimes(times)
+	model := fitAnswerTimes(times)
 	tolerated := toleratedSlowdown
 	if a.AtFullShare {
 		tolerated = toleratedAlone
@@ -109,30 +119,34 @@
 	return math.Min(evidence, math.Max(maxEvidencePerLog*math.Log(ratio), 0)), true
 }
 
-// timeModel predicts the time of an answer from the uncached tokens of its prompt, linearly.
-type timeModel struct{ meanMs, meanTokens, msPerToken float64 }
+// timeModel predicts the time of an answer from its work, linearly.
+type timeModel struct{ meanMs, meanWork, msPerWork float64 }
 
-// fitTimes fits a timeModel by least squares. Times far above the mean count as outlierFactor
-// times the mean, because requests that queued say nothing about the tokens.
-func fitTimes(times []answerTime) timeModel {
+// fitAnswerTimes fits a timeModel to times to the first byte. Those far above the mean count as
+// outlierFactor times the mean, because requests that queued say nothing about the work.
+func fitAnswerTimes(times []answerTime) timeModel {
 	var sum float64
 	for _, t := range times {
 		sum += t.ms
 	}
-	limit := outlierFactor * sum / float64(len(times))
+	return fitTimes(times, outlierFactor*sum/float64(len(times)))
+}
+
+// fitTimes fits a timeModel by least squares. Times above the limit count as the limit.
+func fitTimes(times []answerTime, limit float64) timeModel {
 	var m timeModel
 	for _, t := range times {
 		m.meanMs += math.Min(t.ms, limit) / float64(len(times))
-		m.meanTokens += t.uncachedTokens / float64(len(times))
+		m.meanWork += t.work / float64(len(times))
 	}
 	var covariance, variance float64
 	for _, t := range times {
-		d := t.uncachedTokens - m.meanTokens
+		d := t.work - m.meanWork
 		covariance += d * (math.Min(t.ms, limit) - m.meanMs)
 		variance += d * d
 	}
-	if variance > 0 && m.meanTokens > 0 {
-		m.msPerToken = math.Min(math.Max(covariance/variance, 0), m.meanMs/m.meanTokens)
+	if variance > 0 && m.meanWork > 0 {
+		m.msPerWork = math.Min(math.Max(covariance/variance, 0), m.meanMs/m.meanWork)
 	}
 	return m
 }
@@ -142,7 +156,7 @@
 
 // ratio returns the time of an answer relative to the predicted one.
 func (m timeModel) ratio(t answerTime) float64 {
-	predicted := m.meanMs + m.msPerToken*(t.uncachedTokens-m.meanTokens)
+	predicted := m.meanMs + m.msPerWork*(t.work-m.meanWork)
 	return t.ms / math.Max(predicted, minPredictedShare*m.meanMs)
 }
 
--- a/internal/rollout/pending.go
+++ b/internal/rollout/pending.go
@@ -96,6 +96,7 @@
 			p.finish(now)
 		}
 	}
+	r.tickPaces(now)
 }
 
 const (
--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -50,6 +50,8 @@
 	// UncachedTokens is the number of prompt tokens that the worker had not cached; 0 when
 	// unknown.
 	UncachedTokens int
+	// Running is the number of requests that ran on the worker when the answer began.
+	Running int
 	// AtFullShare is set if the target got all requests when this one was sent, and InBurst if
 	// far more requests arrived than usual.
 	AtFullShare, InBurst bool
@@ -86,6 +88,7 @@
 	otherAnswers int
 	// pending are the requests to the target that have no answer yet.
 	pending map[*Pending]struct{}
+	pace    paceTest
 	// rate is the present rate of requests to all versions. usualRate is its mean over requests
 	// requests, without those in the first rateTime after firstRequestAt.
 	rate                requestRate
@@ -107,14 +110,16 @@
 	// Errors and Slowness are the log-likelihood ratios of the tests. SpreadErrors and
 	// SpreadSlowness are the sums without the workers that speak most against the target.
 	Errors, Slowness, SpreadErrors, SpreadSlowness float64
+	// Paces is the number of judged paces of streams of the target in all processes, Pace their test
+	// and SpreadPace the evidence since it was last at zero, without the workers that speak most
+	// against the target.
+	Paces            int
+	Pace, SpreadPace float64
 }
 
 // Summary returns the evidence of all processes that this one knows.
 func (r *TimedRollout) Summary() EvidenceSummary {
-	out := EvidenceSummary{OtherAnswers: r.otherAnswers, Errors: r.errors.statistic, Slowness: r.slowness.statistic}
-	for _, c := range r.kindErrors {
-		out.Errors = max(out.Errors, c.statistic)
-	}
+	out := EvidenceSummary{OtherAnswers: r.otherAnswers, Errors: r.worstErrors(), Slowness: r.slowness.statistic}
 	for _, tally := range r.workers {
 		out.Answers += tally.Answers
 		out.Failed += tally.Failed
@@ -122,9 +127,10 @@
 	for _, tally := range r.own.Workers {
 		out.OwnAnswers += tally.Answers
 	}
-	withoutErrors, withoutSlowness := withoutSuspects(r.workers, (*Tally).errors), withoutSuspects(r.workers, (*Tally).slowness)
-	out.SpreadErrors = withoutErrors.errors()
-	out.SpreadSlowness = withoutSlowness.slowness()
+	withoutErrors := withoutSuspects(r.workers, (*Tally).errors)
+	out.SpreadErrors, out.SpreadSlowness = withoutErrors.errors(), r.spreadSlowness()
+	spreadPace := r.pace.spread()
+	out.Paces, out.Pace, out.SpreadPace = r.pace.workers.answers(), r.pace.test.statistic, spreadPace.slowness()
 	return out
 }
 
@@ -132,7 +138,7 @@
 func NewTimedRollout(service, target string, duration time.Duration, step int, now time.Duration) *TimedRollout {
 	r := &TimedRollout{
 		Service: service, Target: target, duration: duration, own: NewEvidence(), others: NewEvidence(), workers: Tallies{},
-		kindErrors: map[uint32]*cusum{}, baselines: map[string]*kindBaseline{}, pending: map[*Pending]struct{}{},
+		kindErrors: map[uint32]*cusum{}, baselines: map[string]*kindBaseline{}, pending: map[*Pending]struct{}{}, pace: newPaceTest(),
 	}
 	r.step = min(max(step, 0), len(timedSteps)-1)
 	r.stepStart = now
@@ -335,10 +341,11 @@
 		test.add(tally.errors())
 		worstKind = math.Max(worstKind, test.statistic)
 	}
-	rest := withoutSuspects(r.workers, (*Tally).slowness)
 	switch {
-	case r.slowness.statistic >= timedAlarmThreshold && rest.slowness() >= minSpreadEvidence:
+	case r.slowness.statistic >= timedAlarmThreshold && r.spreadSlowness() >= minSpreadEvidence:
 		r.targetIsBad, r.badReason = true, "latency"
+	case r.pace.isBad():
+		r.targetIsBad, r.badReason = true, "pace of streams"
 	case r.errors.statistic >= timedAlarmThreshold && r.failuresAreSpread():
 		r.targetIsBad, r.badReason = true, "errors"
 	case worstKind >= timedAlarmThreshold && r.failuresAreSpread():
@@ -347,6 +354,13 @@
 	r.suspicious = r.isSuspicious()
 }
 
+// spreadSlowness returns the evidence of slow answers without the workers that speak most against the
+// target.
+func (r *TimedRollout) spreadSlowness() float64 {
+	rest := withoutSuspects(r.workers, (*Tally).slowness)
+	return rest.slowness()
+}
+
 // failuresAreSpread reports whether enough failed answers come from other workers than the worst
 // ones.
 func (r *TimedRollout) failuresAreSpread() bool {
@@ -374,17 +388,32 @@
 // isSuspicious reports whether the evidence speaks against the target, but does not show yet that
 // it is bad.
 func (r *TimedRollout) isSuspicious() bool {
-	rest := withoutSuspects(r.workers, (*Tally).slowness)
-	if r.slowness.statistic >= suspicion && rest.SlowAgainst > 0 && float64(rest.SlowAgainst) >= suspiciousShare*float64(rest.SlowFor) {
+	if r.slowness.statistic >= suspicion && speaksAgainst(withoutSuspects(r.workers, (*Tally).slowness)) {
+		return true
+	}
+	if r.pace.isSuspicious() {
 		return true
 	}
-	return r.Summary().Errors >= suspicion && r.failuresAreSpread()
+	return r.worstErrors() >= suspicion && r.failuresAreSpread()
+}
+
+// worstErrors returns the highest statistic of the tests of failures.
+func (r *TimedRollout) worstErrors() float64 {
+	worst := r.errors.statistic
+	for _, c := range r.kindErrors {
+		worst = max(worst, c.statistic)
+	}
+	return worst
+}
+
+// speaksAgainst reports whether the evidence of slow answers is large relative to that for the target.
+func speaksAgainst(t Tally) bool {
+	return t.SlowAgainst > 0 && float64(t.SlowAgainst) >= suspiciousShare*float64(t.SlowFor)
 }
 
 // isClear reports whether the evidence speaks for the target.
 func (r *TimedRollout) isClear() bool {
-	rest := withoutSuspects(r.workers, (*Tally).slowness)
-	return rest.slowness() <= clearEvidence && !r.suspicious && r.slowness.statistic < suspicion
+	return r.spreadSlowness() <= clearEvidence && !r.suspicious && r.slowness.statistic < suspicion
 }
 
 // timedMaxErrorRise is the tolerated rise of the rate of bad answers. Bad versions in the
