--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -209,7 +209,7 @@
 	tallies := slices.Collect(maps.Values(workers))
 	answers := workers.answers()
 	slices.SortFunc(tallies, func(a, b Tally) int { return cmp.Compare(against(&b), against(&a)) })
-	suspects := 1 + min(len(tallies), answers/answersPerSuspect)/workersPerSuspect
+	suspects := maxSuspects(len(tallies), answers)
 	var sum Tally
 	for _, t := range tallies[min(suspects, len(tallies)):] {
 		sum.add(t)
@@ -217,6 +217,11 @@
 	return sum
 }
 
+// maxSuspects returns how many of the workers of a target may be faulty themselves.
+func maxSuspects(workers, answers int) int {
+	return 1 + min(workers, answers/answersPerSuspect)/workersPerSuspect
+}
+
 const (
 	// answersPerSuspect is the number of answers with which a worker can be told to be faulty
 	// itself.
--- a/internal/rollout/timed_rollout.go
+++ b/internal/rollout/timed_rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -362,10 +363,20 @@
 }
 
 // failuresAreSpread reports whether enough failed answers come from other workers than the worst
-// ones.
+// ones. Beyond the worst worker, one with a single failure does not count as faulty itself.
 func (r *TimedRollout) failuresAreSpread() bool {
-	rest := withoutSuspects(r.workers, func(t *Tally) float64 { return float64(t.Failed) })
-	return rest.Failed >= minSpreadFailures
+	failures := make([]int, 0, len(r.workers))
+	for _, tally := range r.workers {
+		failures = append(failures, tally.Failed)
+	}
+	slices.SortFunc(failures, func(a, b int) int { return b - a })
+	rest, suspects := 0, maxSuspects(len(failures), r.workers.answers())
+	for i, failed := range failures {
+		if i > 0 && (i >= suspects || failed < 2) {
+			rest += failed
+		}
+	}
+	return rest >= minSpreadFailures
 }
 
 const (
--- a/internal/rollout/timed_rollout_test.go
+++ b/internal/rollout/timed_rollout_test.go
@@ -161,3 +161,34 @@
 	assert.Assert(t, !rollout.suspicious)
 	assert.Equal(t, rollout.Share(), timedSteps[2].share)
 }
+
+// Guards against a version that fails on one kind of request and counts as good, because workers with
+// a single failure each count as faulty themselves, and against a good one that counts as bad for the
+// failures of some workers.
+func TestFewFailuresOnManyWorkersAreSpread(t *testing.T) {
+	for _, c := range []struct {
+		failures []int // by worker, of 15 workers with 53 answers
+		spread   bool
+	}{
+		{[]int{1, 1, 1, 1}, true},
+		{[]int{2, 1, 1}, true},
+		{[]int{2, 2, 2}, false},
+		{[]int{3, 2, 1}, false},
+		{[]int{4, 1}, false},
+		{[]int{9}, false},
+		{[]int{3, 3, 3, 3, 3, 3}, true},
+	} {
+		r := NewTimedRollout("svc", "v2", rolloutDuration, 2, 0)
+		for worker := range uint32(15) {
+			tally := Tally{Answers: 3}
+			if worker < 8 {
+				tally.Answers++
+			}
+			if int(worker) < len(c.failures) {
+				tally.Failed = c.failures[worker]
+			}
+			r.workers[worker] = tally
+		}
+		assert.Check(t, r.failuresAreSpread() == c.spread, "%v", c.failures)
+	}
+}
