--- a/internal/framing/cause.go
+++ b/internal/framing/cause.go
@@ -24,14 +24,16 @@
 type Cause string
 
 const (
-	// BrokenOff answers ended with a closed or reset connection, InsideEvent ones within an event.
-	BrokenOff   Cause = "broken_off"
+	// BrokenOff answers ended with a closed or reset connection.
+	BrokenOff Cause = "broken_off"
+	// InsideEvent answers are streams that ended within an event.
 	InsideEvent Cause = "inside_event"
 	// Silent workers sent nothing for too long.
 	Silent Cause = "silent"
-	// OverBound answers exceed a bound, and NoAnswer is bytes that are no answer.
+	// OverBound answers exceed a bound.
 	OverBound Cause = "over_bound"
-	NoAnswer  Cause = "no_answer"
+	// NoAnswer is bytes that are no answer.
+	NoAnswer Cause = "no_answer"
 )
 
 // Causes lists every Cause.
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -36,7 +36,7 @@
 	for _, err := range broken {
 		assert.Equal(t, IsNoAnswer(err), false, "%v", err)
 	}
-	_, malformed := http.ReadResponse(bufio.NewReader(strings.NewReader("garbage\r\n\r\n")), nil) //nolint:bodyclose // there is no response
+	_, malformed := http.ReadResponse(bufio.NewReader(strings.NewReader("garbage\r\n\r\n")), nil)
 	for _, err := range []error{ErrHeadTooLarge, ErrTooManyFields, malformed} {
 		assert.Equal(t, IsNoAnswer(eris.Wrap(err, "answer cannot be read")), true, "%v", err)
 	}
--- a/internal/framing/head.go
+++ b/internal/framing/head.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// MaxHeadBytes and MaxHeadLines bound the status line and the header of one response. Four
-	// hundred responses that reach both bounds at once take about 13 MB.
+	// MaxHeadBytes bounds the status line and the header of one response. Four hundred heads of this
+	// size take 6.6 MB.
 	MaxHeadBytes = 16 << 10
+	// MaxHeadLines bounds their lines, each of which takes an entry of a map.
 	MaxHeadLines = 128
 )
 
--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -73,7 +73,7 @@
 	for len(b.bytes) < limit && b.grow(min(minReadBytes, limit-len(b.bytes))) {
 		n, err := r.Read(b.bytes[len(b.bytes):min(cap(b.bytes), limit)])
 		b.bytes = b.bytes[:len(b.bytes)+n]
-		if err == io.EOF { //nolint:errorlint // a reader returns io.EOF itself
+		if err == io.EOF {
 			return true, nil
 		}
 		if err != nil {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -216,3 +216,19 @@
 	e.stopAfterFunc()
 	_ = e.conn.Close()
 }
+
+// drainAndRelease reads the rest of a short response so that its connection can be reused.
+func (e *exchange) drainAndRelease(p *connPool) {
+	if e.resp.ContentLength < 0 || e.resp.ContentLength > maxDrainBytes {
+		e.close()
+		return
+	}
+	if _, err := bytes.NewBuffer(nil).ReadFrom(e.resp.Body); err != nil {
+		e.close()
+		return
+	}
+	e.releaseConn(p)
+}
+
+// maxDrainBytes is the largest response that is read only to reuse its connection.
+const maxDrainBytes = 16 << 10
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -431,33 +431,3 @@
 	r.gateway.metrics.countUnfinished(a.worker.ID, framing.CauseOf(err))
 	r.gateway.dispatcher.recordNoAnswer(a.worker, membership.Failed, time.Since(a.started))
 }
-
-// drainAndRelease reads the rest of a short response so that its connection can be reused.
-func (e *exchange) drainAndRelease(p *connPool) {
-	if e.resp.ContentLength < 0 || e.resp.ContentLength > maxDrainBytes {
-		e.close()
-		return
-	}
-	if _, err := bytes.NewBuffer(nil).ReadFrom(e.resp.Body); err != nil {
-		e.close()
-		return
-	}
-	e.releaseConn(p)
-}
-
-// maxDrainBytes is the largest response that is read only to reuse its connection.
-const maxDrainBytes = 16 << 10
-
-// copyHeader copies the header of a worker's response to the response for the caller.
-func (r *request) copyHeader(resp *http.Response) {
-	out := r.writer.Header()
-	for name, values := range endToEndHeaders(resp.Header) {
-		out[name] = values
-	}
-	for _, name := range []string{"Date", "Content-Type"} {
-		if _, ok := out[name]; !ok {
-			out[name] = nil // keep net/http from adding its own value
-		}
-	}
-	r.gateway.closeConnWhenDraining(r.writer)
-}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -67,6 +67,20 @@
 	return forward.Answered, true
 }
 
+// copyHeader copies the header of a worker's response to the response for the caller.
+func (r *request) copyHeader(resp *http.Response) {
+	out := r.writer.Header()
+	for name, values := range endToEndHeaders(resp.Header) {
+		out[name] = values
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := out[name]; !ok {
+			out[name] = nil // keep net/http from adding its own value
+		}
+	}
+	r.gateway.closeConnWhenDraining(r.writer)
+}
+
 // beginBody sets the deadlines for a plain answer that is read before any of it is sent. One that
 // stalls is given up if the request may run again and a retry is left.
 func (r *request) beginBody(c *conn) {
--- a/test/soak/scenario.go
+++ b/test/soak/scenario.go
@@ -266,16 +266,8 @@
 		sc.replaceWorker(p)
 	case 13:
 		sc.startRollout()
-	case 14, 15:
-		p.script.Store(drawScript(rng))
-		sc.undoAfter(length, func() { p.script.Store(nil) })
-	case 16:
-		p.proxy.cutResponses(rng.IntN(600), rng.IntN(2) == 0)
-		sc.undoAfter(length, func() { p.proxy.cutResponses(-1, false) })
-	case 17:
-		sc.startNotice(rng, p)
-	case 18:
-		sc.restoreStore(length)
+	default:
+		sc.injectLaterFault(rng, kind, p, length)
 	}
 }
 
@@ -294,6 +286,27 @@
 	}
 }
 
+// injectLaterFault injects fault kind 14 to 18, which affect the answers of a worker or the history of
+// the store.
+func (sc *scenario) injectLaterFault(rng *rand.Rand, kind int, p *proxiedWorker, length time.Duration) {
+	switch kind {
+	case 14, 15:
+		p.script.Store(drawScript(rng))
+		sc.undoAfter(length, func() { p.script.Store(nil) })
+	case 16:
+		p.proxy.cutResponses(rng.IntN(maxCutBytes), rng.IntN(2) == 0)
+		sc.undoAfter(length, func() { p.proxy.cutResponses(-1, false) })
+	case 17:
+		sc.startNotice(rng, p)
+	case 18:
+		sc.restoreStore(length)
+	}
+}
+
+// maxCutBytes is the largest number of response bytes after which a connection is cut. It covers the
+// head and the first events.
+const maxCutBytes = 600
+
 // gatewayFaultKinds is the number of fault kinds other than relay faults.
 const gatewayFaultKinds = 19
 
--- a/test/soak/store.go
+++ b/test/soak/store.go
@@ -220,7 +220,7 @@
 
 // stateEra states the era in a response. The caller holds s.mu while it reads what the response holds.
 func (s *store) stateEra(w http.ResponseWriter) {
-	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	w.Header().Set(platform.EraHeader, strconv.FormatInt(s.era, 10))
 }
 
 func (s *store) list(w http.ResponseWriter, kind string) {
