--- a/internal/gateway/brokenoff_test.go
+++ b/internal/gateway/brokenoff_test.go
@@ -338,3 +338,33 @@
 	gw.gateway.metrics.set.WritePrometheus(&out)
 	assert.Equal(t, strings.Count(out.String(), "unfinished_answers_total"), maxWorkersInMetrics)
 }
+
+// Guards against a worker that counts as failed because a caller left in the middle of its answer.
+func TestCallerWhoLeavesIsNoFailureOfTheWorker(t *testing.T) {
+	for name, size := range map[string]int{"while it is read": 100, "while it is sent": 2 * maxBufferedBytes} {
+		t.Run(name, func(t *testing.T) {
+			left := make(chan struct{})
+			w := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", DefaultHeaderNames.RequestID, r.request.Header.Get(DefaultHeaderNames.RequestID), 64<<20, strings.Repeat("a", size))
+				<-left
+				for err := error(nil); err == nil; {
+					_, err = c.Write([]byte(strings.Repeat("a", 64<<10)))
+				}
+				return false
+			})
+			gw := startGateway(t, w)
+			c, err := net.Dial("tcp", strings.TrimPrefix(gw.url, "http://"))
+			assert.NilError(t, err)
+			fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-1\r\n%s: r1\r\n\r\n", DefaultHeaderNames.RequestID)
+			gw.waitFor("the worker answers", func() bool { return len(w.requests()) == 1 })
+			time.Sleep(50 * time.Millisecond)
+			assert.NilError(t, c.Close())
+			time.Sleep(50 * time.Millisecond)
+			close(left)
+			gw.waitFor("the request has ended", func() bool { return strings.Contains(gw.log.String(), "request has ended") })
+			var out bytes.Buffer
+			gw.gateway.metrics.set.WritePrometheus(&out)
+			assert.Assert(t, !strings.Contains(out.String(), "unfinished_answers_total"), out.String())
+		})
+	}
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -30,7 +31,7 @@
 	r.awaitUntilDeadline(a.exchange.conn)
 	if err != nil {
 		a.record.BodyBytes = len(buffer.bytes)
-		r.recordFailure(a, eris.Wrap(err, "response ended early"))
+		r.recordBodyFailure(a, err)
 		if r.headerSent {
 			return r.abortResponse()
 		}
@@ -59,14 +60,44 @@
 	}
 	buffer.reset()
 	// Without the wrapper, the copy would use the larger buffer of net/http.
-	if _, err := io.CopyBuffer(struct{ io.Writer }{r.writer}, resp.Body, make([]byte, ownBufferBytes)); err != nil {
-		r.recordFailure(a, eris.Wrap(err, "response ended early"))
+	rest := &errorReader{Reader: resp.Body}
+	if _, err := io.CopyBuffer(struct{ io.Writer }{r.writer}, rest, make([]byte, ownBufferBytes)); err != nil {
+		if rest.err == nil {
+			r.lastError, r.aborted = errCallerDisconnected, true
+			return forward.Answered, true
+		}
+		r.recordBodyFailure(a, rest.err)
 		return r.abortResponse()
 	}
 	a.exchange.releaseConn(r.gateway.pool)
 	return forward.Answered, true
 }
 
+// errorReader keeps the error that its reader returned, apart from io.EOF.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+func (e *errorReader) Read(p []byte) (int, error) {
+	n, err := e.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		e.err = err
+	}
+	return n, err
+}
+
+// recordBodyFailure records a plain answer that could not be read to its end. The connection of the
+// worker is also closed when the caller leaves, which is no failure of the worker.
+func (r *request) recordBodyFailure(a *attempt, err error) {
+	err = eris.Wrap(err, "response ended early")
+	if errors.Is(err, net.ErrClosed) && r.remaining() > 0 {
+		r.lastError = err
+		return
+	}
+	r.recordFailure(a, err)
+}
+
 // copyHeader copies the header of a worker's response to the response for the caller.
 func (r *request) copyHeader(resp *http.Response) {
 	out := r.writer.Header()
