--- a/internal/standin/faulty/script.go
+++ b/internal/standin/faulty/script.go
@@ -129,6 +129,10 @@
 // connection hold.
 const maxEndlessBytes = 16 << 20
 
+// endlessPause separates the blocks of an answer without end, so that many of them leave processor
+// time for those who read them.
+const endlessPause = time.Millisecond
+
 // Play writes an answer as the script says and reports whether the connection stays open for another
 // request. wait is called for Silence and returns when the caller has closed the connection.
 func (s Script) Play(c net.Conn, a Answer, wait func()) bool {
@@ -145,6 +149,7 @@
 			if _, err := c.Write([]byte(block)); err != nil {
 				return false
 			}
+			time.Sleep(endlessPause)
 		}
 		a.Taken()
 		return false
