--- a/internal/gateway/matrix_test.go
+++ b/internal/gateway/matrix_test.go
@@ -109,6 +109,9 @@
 	}
 	other := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other\r\nX-Signature: other\r\nContent-Length: 5\r\n\r\nother", names.RequestID)
 	answer := faulty.Answer{Head: matrixHead(w, id, 90), Pieces: m.pieces(w.ID, model, from), Other: other, Taken: func() { m.taken.Store(true) }}
+	if !m.isStream() && m.script.Place == faulty.EndlessPiece {
+		answer.EndlessPause = time.Millisecond // such a body is passed on, at the cost of its reader
+	}
 	script, refuse := m.next(model)
 	if refuse {
 		fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n", names.RequestID, id, names.NotRun)
--- a/internal/standin/faulty/script.go
+++ b/internal/standin/faulty/script.go
@@ -123,16 +123,14 @@
 	Other string
 	// Taken is called when the caller has taken maxEndlessBytes of an answer without end.
 	Taken func()
+	// EndlessPause separates the blocks of 4 kB of an answer without end.
+	EndlessPause time.Duration
 }
 
 // maxEndlessBytes ends an answer without end that nobody closes. It is more than the sockets of a
 // connection hold.
 const maxEndlessBytes = 16 << 20
 
-// endlessPause separates the blocks of an answer without end, so that many of them leave processor
-// time for those who read them.
-const endlessPause = time.Millisecond
-
 // Play writes an answer as the script says and reports whether the connection stays open for another
 // request. wait is called for Silence and returns when the caller has closed the connection.
 func (s Script) Play(c net.Conn, a Answer, wait func()) bool {
@@ -149,7 +147,7 @@
 			if _, err := c.Write([]byte(block)); err != nil {
 				return false
 			}
-			time.Sleep(endlessPause)
+			time.Sleep(a.EndlessPause)
 		}
 		a.Taken()
 		return false
