Log the end of attempts and the prompts of requests that failed

Cause: the log could not relate the ends of workers to what their requests had in common. Change: attempts have end_ms; a line with a last_error names the first 8 parts of the prompt.

--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/forward"
 )
 
 // attemptRecord is one attempt in the log line of a request.
@@ -25,6 +27,9 @@
 	// HeaderMs is the time from the start of the attempt to the header of the response, -1 if
 	// none arrived.
 	HeaderMs int64 `json:"header_ms"`
+	// EndMs is the time from the start of the attempt to its end. An answer that is set aside ends
+	// for the request when it is.
+	EndMs int64 `json:"end_ms"`
 	// Confidence is the stated confidence, and MinConfidence the one below which the answer is
 	// set aside; both are 0 where no larger model could be asked.
 	Confidence    int `json:"confidence,omitempty"`
@@ -59,6 +64,7 @@
 		return
 	}
 	a.record.Worker, a.record.Version, a.record.Model, a.record.Outcome = a.worker.ID, a.worker.Version, a.model, outcome
+	a.record.EndMs = time.Since(a.started).Milliseconds()
 	r.attempts = append(r.attempts, a.record)
 }
 
@@ -82,6 +88,22 @@
 	}
 	if r.lastError != nil {
 		fields = append(fields, zap.String("last_error", r.lastError.Error()))
+		if parts := promptIDs(r.inbound.meta.Prompt); len(parts) > 0 {
+			fields = append(fields, zap.Strings("prompt", parts))
+		}
 	}
 	r.gateway.requestLog.Info("request has ended", fields...)
 }
+
+// maxLoggedParts bounds the parts of a prompt in the log line of a request.
+const maxLoggedParts = 8
+
+// promptIDs returns the IDs of the first parts of a prompt in hexadecimal, as the caller wrote them
+// but for leading zeros.
+func promptIDs(prompt []forward.PromptPart) []string {
+	out := make([]string, 0, min(len(prompt), maxLoggedParts))
+	for _, part := range prompt[:min(len(prompt), maxLoggedParts)] {
+		out = append(out, strconv.FormatUint(part.ID, 16))
+	}
+	return out
+}
