Reproduce requests that end one worker after the other

What callers see: sound requests on the same workers break off, and the service shrinks to what has just been started again.

The stand-in of workers can end on a part of a prompt.

--- /dev/null
+++ b/internal/gateway/crash_test.go
@@ -0,0 +1,193 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/standin/forwarding"
+)
+
+// fatalPart is the part of a prompt that ends the workers of a crashFleet.
+const fatalPart = "dead"
+
+// crashFleet is a service whose workers end on fatalPart and are started again under new IDs.
+type crashFleet struct {
+	t     *testing.T
+	store *forwarding.Store
+	// restartDelay is the time from the end of a worker to its next start.
+	restartDelay time.Duration
+
+	mu      sync.Mutex
+	started int
+	ends    []time.Time
+	open    []*forwarding.Worker
+	closed  bool
+}
+
+func startCrashFleet(t *testing.T, workers int, restartDelay time.Duration) *crashFleet {
+	t.Helper()
+	f := &crashFleet{t: t, store: forwarding.NewStore(), restartDelay: restartDelay}
+	f.store.PutConfig(testConfig(1))
+	t.Cleanup(f.close)
+	for range workers {
+		f.start()
+	}
+	return f
+}
+
+func (f *crashFleet) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+	for _, w := range f.open {
+		w.Close()
+	}
+}
+
+// start starts a worker and writes its entry to the store.
+func (f *crashFleet) start() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		return
+	}
+	f.started++
+	id := fmt.Sprintf("w%d", f.started)
+	names := DefaultHeaderNames
+	w, err := forwarding.StartWorker(forwarding.WorkerConfig{
+		ID: id, Address: ownHost() + ":0", Slots: 64, EventInterval: 5 * time.Millisecond,
+		HeaderNames: forwarding.HeaderNames{RequestID: names.RequestID, ExpectWorker: names.ExpectWorker, NotRun: names.NotRun, Load: names.Load, WorkerID: names.WorkerID, Model: names.Model, Prompt: names.Prompt},
+		FatalPart:   fatalPart, FatalDelay: 20 * time.Millisecond, OnEnd: func() { f.workerEnded(id) },
+	})
+	if err != nil {
+		f.t.Errorf("worker cannot be started: %v", err)
+		return
+	}
+	f.open = append(f.open, w)
+	f.store.PutWorker(forward.Worker{ID: id, Service: "svc", Address: w.Address(), FailureDomain: "a", Version: "v1", Slots: 64})
+}
+
+func (f *crashFleet) workerEnded(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ends = append(f.ends, time.Now())
+	time.AfterFunc(f.restartDelay, func() {
+		f.store.RemoveWorker(id)
+		f.start()
+	})
+}
+
+func (f *crashFleet) endCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.ends)
+}
+
+// endsAfterBound returns the number of workers that ended later than bound after the fifth end.
+func (f *crashFleet) endsAfterBound(bound time.Duration) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for i, at := range f.ends {
+		if i >= 5 && at.Sub(f.ends[4]) > bound {
+			n++
+		}
+	}
+	return n
+}
+
+// promptWith returns a prompt whose last part is that of request n alone, and that shares the parts
+// with other requests.
+func promptWith(n int64, parts ...string) string {
+	out := ""
+	for _, p := range parts {
+		out += p + ":100,"
+	}
+	return out + fmt.Sprintf("%x:50", 0x1000000+n)
+}
+
+// load sends requests with and without fatalPart until it is stopped, and counts the sound ones.
+type load struct {
+	fleet        *crashFleet
+	asked, whole atomic.Int64
+	group        sync.WaitGroup
+	stop         chan struct{}
+}
+
+// startLoad sends one request with fatalPart and four sound ones each interval, to the gateways in
+// turn. Sound requests share the first part, and some the second one, with the others.
+func startLoad(f *crashFleet, interval time.Duration, gateways ...*gatewayHarness) *load {
+	l := &load{fleet: f, stop: make(chan struct{})}
+	l.group.Go(func() {
+		ticker := time.NewTicker(interval)
+		defer ticker.Stop()
+		for n := int64(0); ; n += 5 {
+			select {
+			case <-l.stop:
+				return
+			case <-ticker.C:
+			}
+			for i := range int64(5) {
+				gw := gateways[(n+i)%int64(len(gateways))]
+				l.group.Go(func() { l.send(gw, n+i, i == 0) })
+			}
+		}
+	})
+	return l
+}
+
+func (l *load) send(gw *gatewayHarness, n int64, isFatal bool) {
+	if isFatal {
+		gw.call("POST", "/stream/x", "prompt", DefaultHeaderNames.Prompt, promptWith(n, "a", "b", fatalPart))
+		return
+	}
+	l.asked.Add(1)
+	second := fmt.Sprintf("%x", 0xb+n%4)
+	resp := gw.call("POST", "/stream/x", "prompt", DefaultHeaderNames.Prompt, promptWith(n, "a", second))
+	if resp.status == http.StatusOK && resp.err == nil {
+		l.whole.Add(1)
+	}
+}
+
+func (l *load) end() {
+	close(l.stop)
+	l.group.Wait()
+}
+
+// Guards against a request that is sent on from one worker that it ends to the next.
+func TestRequestEndsAtMostTwoWorkers(t *testing.T) {
+	for _, route := range []string{"/stream/x", "/once/x"} {
+		t.Run(route, func(t *testing.T) {
+			t.Parallel()
+			f := startCrashFleet(t, 6, time.Minute)
+			gw := startGatewayWith(t, testSettings(t), f.store)
+			resp := gw.call("POST", route, "prompt", DefaultHeaderNames.Prompt, promptWith(1, "a", fatalPart))
+			assert.Equal(t, resp.status, http.StatusBadGateway)
+			assert.Assert(t, f.endCount() >= 1 && f.endCount() <= 2, "%d workers ended", f.endCount())
+		})
+	}
+}
+
+// Guards against requests of one kind that end one worker after the other.
+func TestRequestsThatEndWorkersStopBeingSent(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 8, 300*time.Millisecond)
+	s := testSettings(t)
+	gw := startGatewayWith(t, s, f.store)
+	l := startLoad(f, 50*time.Millisecond, gw)
+	time.Sleep(4 * time.Second)
+	asked, whole := l.asked.Load(), l.whole.Load()
+	time.Sleep(2 * time.Second)
+	l.end()
+	asked, whole = l.asked.Load()-asked, l.whole.Load()-whole
+	assert.Assert(t, f.endCount() >= 2, "only %d workers ended: the fatal requests did not reach them", f.endCount())
+	assert.Assert(t, f.endsAfterBound(s.StablePeriod) <= 3, "%d workers ended later than %v after the fifth, %d in all", f.endsAfterBound(s.StablePeriod), s.StablePeriod, f.endCount())
+	assert.Assert(t, whole*10 >= asked*9, "%d of %d sound requests were served", whole, asked)
+}
--- a/internal/standin/forwarding/worker.go
+++ b/internal/standin/forwarding/worker.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,7 +15,7 @@
 
 // HeaderNames holds the names of the HTTP headers that a worker reads and sets.
 type HeaderNames struct {
-	RequestID, ExpectWorker, NotRun, Load, Confidence, WorkerID, Model string
+	RequestID, ExpectWorker, NotRun, Load, Confidence, WorkerID, Model, Prompt string
 }
 
 // WorkerConfig sets the identity, capacity and speed of a worker.
@@ -29,6 +30,12 @@
 	// Confidence is the confidence that is stated for the answers of each model, 0 to
 	// 100. Paths that contain /hard/ get half of it.
 	Confidence map[string]int
+	// FatalPart is a part of a prompt, as the header writes it without its tokens. The worker
+	// ends FatalDelay after it began to answer a request that has it; empty for none. OnEnd is
+	// called then.
+	FatalPart  string
+	FatalDelay time.Duration
+	OnEnd      func()
 }
 
 // Worker answers forwarded requests: POST with a stream of three events, other methods with
@@ -38,6 +45,7 @@
 	server  *http.Server
 	address string
 	running atomic.Int64
+	ended   sync.Once
 }
 
 const eventsPerStream = 3
@@ -98,6 +106,12 @@
 	}
 	out.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(out)
+	if w.config.FatalPart != "" && hasPart(r.Header.Get(names.Prompt), w.config.FatalPart) {
+		_ = flusher.Flush() // fails if the caller has disconnected
+		time.Sleep(w.config.FatalDelay)
+		w.end()
+		return
+	}
 	for i := 1; i <= eventsPerStream; i++ {
 		time.Sleep(w.config.EventInterval)
 		fmt.Fprintf(out, "id: %d\ndata: %s %s, event %d\n\n", i, w.config.ID, model, i)
@@ -106,3 +120,23 @@
 		}
 	}
 }
+
+// hasPart reports whether a prompt, a list of ID:TOKENS, has a part.
+func hasPart(prompt, id string) bool {
+	for part := range strings.SplitSeq(prompt, ",") {
+		if name, _, _ := strings.Cut(strings.TrimSpace(part), ":"); name == id {
+			return true
+		}
+	}
+	return false
+}
+
+// end closes the worker as if its process had ended.
+func (w *Worker) end() {
+	w.ended.Do(func() {
+		w.Close()
+		if w.config.OnEnd != nil {
+			w.config.OnEnd()
+		}
+	})
+}
