Decide from ended workers which parts of requests are refused

Cause: nothing relates the ends of workers to what their requests had in common. Change: a pure state machine that holds records of gateways (part and worker run, requests that finished, verdicts), merges them in any order, and condemns a part once three workers have ended under it and the log-likelihood ratio against other reasons reaches 12.

Nothing uses it yet.

--- /dev/null
+++ b/internal/quarantine/ledger.go
@@ -0,0 +1,237 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// maxParts bounds the parts with evidence in a Ledger. The one whose last evidence is oldest
+	// yields to a new one.
+	maxParts = 1024
+	// maxVerdicts bounds the verdicts in a Ledger. The one that ends first yields to a new one, and
+	// those of operators yield last.
+	maxVerdicts = 256
+	// maxCrashesPerPart bounds the ended workers that are kept for one part.
+	maxCrashesPerPart = 16
+	// maxOriginsPerPart bounds the gateways whose finished requests are kept for one part.
+	maxOriginsPerPart = 64
+	// verdictTTL is how long a verdict is kept after its end, as the memory of earlier ones.
+	verdictTTL = time.Hour
+)
+
+// Crash states that a request with a part had just begun on a worker when that worker ended.
+type Crash struct {
+	// Worker is the hash of the worker's ID and start.
+	Worker uint64
+	Weight float64
+	// Position is the index of the part in the prompt.
+	Position int
+	At       Elapsed
+}
+
+// Finished states how many requests with a part a gateway has seen to end in order.
+type Finished struct {
+	// Origin is the hash of the gateway's run.
+	Origin uint64
+	// Before is the number before the part was accused of the end of a worker, and After that since.
+	Before, After int
+	At            Elapsed
+}
+
+// Verdict is a decision on a part. Of two verdicts on one part, that with the higher sequence holds.
+type Verdict struct {
+	Part      Part
+	Sequence  int64
+	Condemned bool
+	// Version is the version of the workers' software on which the part was condemned.
+	Version string
+	// Crashes is the number of workers that had ended under the part, and Tries that of earlier
+	// condemnations.
+	Crashes, Tries int
+	// ByOperator is set if an operator decided.
+	ByOperator bool
+	// Until is the end of a condemnation.
+	Until Elapsed
+}
+
+// Record is a Crash, a Finished or a Verdict on a part. One of the three is set.
+type Record struct {
+	Part     Part
+	Crash    *Crash
+	Finished *Finished
+	Verdict  *Verdict
+}
+
+// Ledger holds what gateways know of parts. Records merge to the same state in any order and
+// however often they arrive.
+type Ledger struct {
+	parts    map[Part]*partRecords
+	verdicts map[Part]*versioned[Verdict]
+	// version increases with each change. A reader names the version up to which it has read.
+	version int64
+}
+
+type versioned[T any] struct {
+	value   T
+	version int64
+}
+
+type partRecords struct {
+	crashes  map[uint64]*versioned[Crash]
+	finished map[uint64]*versioned[Finished]
+	lastAt   Elapsed
+}
+
+// NewLedger returns an empty Ledger. The first version must be above all versions of earlier
+// ledgers of this process.
+func NewLedger(firstVersion int64) *Ledger {
+	return &Ledger{parts: map[Part]*partRecords{}, verdicts: map[Part]*versioned[Verdict]{}, version: firstVersion}
+}
+
+// Version returns the version of the last change.
+func (l *Ledger) Version() int64 { return l.version }
+
+// Merge adds a record and reports whether it changed anything.
+func (l *Ledger) Merge(r Record) bool {
+	switch {
+	case r.Verdict != nil:
+		return l.mergeVerdict(*r.Verdict)
+	case r.Crash != nil:
+		return l.mergeCrash(r.Part, *r.Crash)
+	case r.Finished != nil:
+		return l.mergeFinished(r.Part, *r.Finished)
+	}
+	return false
+}
+
+func (l *Ledger) mergeVerdict(v Verdict) bool {
+	known := l.verdicts[v.Part]
+	if known != nil && known.value.Sequence >= v.Sequence {
+		return false
+	}
+	if known == nil && len(l.verdicts) >= maxVerdicts {
+		l.dropVerdict()
+	}
+	l.version++
+	l.verdicts[v.Part] = &versioned[Verdict]{v, l.version}
+	return true
+}
+
+// dropVerdict removes the verdict that ends first; those of operators yield last.
+func (l *Ledger) dropVerdict() {
+	var least *Verdict
+	for _, v := range l.verdicts {
+		if least == nil || !v.value.ByOperator && least.ByOperator || v.value.ByOperator == least.ByOperator && v.value.Until < least.Until {
+			least = &v.value
+		}
+	}
+	delete(l.verdicts, least.Part)
+}
+
+func (l *Ledger) mergeCrash(part Part, c Crash) bool {
+	p := l.recordsOf(part, c.At)
+	if known := p.crashes[c.Worker]; known != nil && known.value.Weight >= c.Weight || known == nil && len(p.crashes) >= maxCrashesPerPart {
+		return false
+	}
+	l.version++
+	p.crashes[c.Worker] = &versioned[Crash]{c, l.version}
+	p.lastAt = max(p.lastAt, c.At)
+	return true
+}
+
+func (l *Ledger) mergeFinished(part Part, f Finished) bool {
+	p := l.recordsOf(part, f.At)
+	if known := p.finished[f.Origin]; known != nil && known.value.Before+known.value.After >= f.Before+f.After || known == nil && len(p.finished) >= maxOriginsPerPart {
+		return false
+	}
+	l.version++
+	p.finished[f.Origin] = &versioned[Finished]{f, l.version}
+	p.lastAt = max(p.lastAt, f.At)
+	return true
+}
+
+// recordsOf returns the records of a part, created if missing.
+func (l *Ledger) recordsOf(part Part, at Elapsed) *partRecords {
+	p := l.parts[part]
+	if p != nil {
+		return p
+	}
+	if len(l.parts) >= maxParts {
+		l.dropPart()
+	}
+	p = &partRecords{crashes: map[uint64]*versioned[Crash]{}, finished: map[uint64]*versioned[Finished]{}, lastAt: at}
+	l.parts[part] = p
+	return p
+}
+
+// dropPart removes the part whose last evidence is oldest.
+func (l *Ledger) dropPart() {
+	var oldest Part
+	found := false
+	for part, p := range l.parts {
+		if !found || p.lastAt < l.parts[oldest].lastAt {
+			oldest, found = part, true
+		}
+	}
+	delete(l.parts, oldest)
+}
+
+// Expire removes evidence that is older than its window and verdicts that ended long ago.
+func (l *Ledger) Expire(now Elapsed) {
+	for part, p := range l.parts {
+		for worker, c := range p.crashes {
+			if now-c.value.At > evidenceWindow {
+				delete(p.crashes, worker)
+			}
+		}
+		if len(p.crashes) == 0 && now-p.lastAt > evidenceWindow {
+			delete(l.parts, part)
+		}
+	}
+	for part, v := range l.verdicts {
+		if now-v.value.Until > verdictTTL {
+			delete(l.verdicts, part)
+		}
+	}
+}
+
+// ChangedSince returns at most limit records that changed after a version, the oldest changes first,
+// and the version up to which they reach.
+func (l *Ledger) ChangedSince(version int64, limit int) ([]Record, int64) {
+	if version >= l.version {
+		return nil, l.version
+	}
+	var changed []versioned[Record]
+	add := func(at int64, r Record) {
+		if at > version {
+			changed = append(changed, versioned[Record]{r, at})
+		}
+	}
+	for part, p := range l.parts {
+		for _, c := range p.crashes {
+			crash := c.value
+			add(c.version, Record{Part: part, Crash: &crash})
+		}
+		for _, f := range p.finished {
+			finished := f.value
+			add(f.version, Record{Part: part, Finished: &finished})
+		}
+	}
+	for part, v := range l.verdicts {
+		verdict := v.value
+		add(v.version, Record{Part: part, Verdict: &verdict})
+	}
+	slices.SortFunc(changed, func(a, b versioned[Record]) int { return cmp.Compare(a.version, b.version) })
+	upTo := l.version
+	if len(changed) > limit {
+		changed = changed[:limit]
+		upTo = changed[limit-1].version
+	}
+	out := make([]Record, 0, len(changed))
+	for _, c := range changed {
+		out = append(out, c.value)
+	}
+	return out, upTo
+}
--- /dev/null
+++ b/internal/quarantine/tracker.go
@@ -0,0 +1,354 @@
+package quarantine
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// maxKnownParts bounds the parts whose finished requests a Tracker counts, at about 120 bytes
+	// each. The one that was seen last the longest time ago yields.
+	maxKnownParts = 16384
+	// maxFinished bounds the finished requests that are counted for a part, and maxBefore those
+	// before it was accused. A part may begin to end workers, so that the latter count less.
+	maxFinished = 8
+	maxBefore   = 2
+	// probationDelay is how long a part stays condemned after its condemnation has ended by a new
+	// version, which is not on all workers at once.
+	probationDelay = 5 * time.Second
+	// ratioMargin is by how much the ratio of a part must exceed that of a part further back in the
+	// prompts for the former to be condemned: one or two ends of workers.
+	ratioMargin = 8
+	// finishedHalfLife is the time in which the count of the finished requests of a service halves.
+	finishedHalfLife = 20 * time.Second
+	// minEndedWorkers is the least number of workers that must have ended under a part before it is
+	// condemned, and minSuspectEnds that before it is suspected.
+	minEndedWorkers = 3
+	minSuspectEnds  = 2
+	// condemnThreshold is the log-likelihood ratio from which a part is condemned: odds of 160,000
+	// to 1, for the thousands of parts that an hour brings into contact with ended workers.
+	condemnThreshold = 12
+	// suspectThreshold is the ratio from which requests with the part are sent one at a time.
+	suspectThreshold = 7
+	// fatalShare is the share of the requests with a fatal part that end their workers, if they
+	// begin.
+	fatalShare = 0.95
+	// finishedPenalty is the log-likelihood ratio of a request that ended in order: 0.02 of those
+	// with a fatal part.
+	finishedPenalty = 3.9
+	// minChance and maxChance bound the estimated chance that a worker ends under a request that
+	// has nothing to do with it.
+	minChance = 0.002
+	maxChance = 0.5
+	// condemnedFor is how long a part stays condemned the first time. The time doubles with each
+	// further one, up to maxCondemnedFor.
+	condemnedFor    = 10 * time.Minute
+	maxCondemnedFor = 4 * time.Hour
+)
+
+// Tracker is what one gateway knows of the parts of requests.
+type Tracker struct {
+	origin   uint64
+	ledger   *Ledger
+	services map[string]*service
+	// known counts the finished requests of this gateway by part.
+	known *lru.LRU[Part, *knownPart]
+	// probation holds the parts whose condemnation has ended, and since when.
+	probation map[Part]Elapsed
+	// firstSequence is the sequence that stands for the start of the clock.
+	firstSequence int64
+}
+
+// knownPart counts the finished requests of this gateway that had a part.
+type knownPart struct {
+	before, after int
+}
+
+// service is what a Tracker knows of one service.
+type service struct {
+	workers  int
+	versions []string
+	// finished is the decayed number of finished requests of this gateway, as of finishedAt.
+	finished   float64
+	finishedAt Elapsed
+	// ends holds the workers that ended, by hash, with the requests of this gateway that had just
+	// begun there.
+	ends map[uint64]*workerEnd
+}
+
+type workerEnd struct {
+	at    Elapsed
+	begun float64
+}
+
+// NewTracker returns an empty Tracker of the gateway run that origin names. started is the time at
+// which the clock of all further calls was zero. It orders the verdicts of different gateways, and
+// keeps the versions of this run above those of earlier ones.
+func NewTracker(origin string, started time.Time) *Tracker {
+	known, err := lru.NewLRU[Part, *knownPart](maxKnownParts, nil)
+	if err != nil {
+		panic(err) // only a size below 1 fails
+	}
+	return &Tracker{
+		origin: xxhash.Sum64String(origin), ledger: NewLedger(time.Now().UnixNano()), services: map[string]*service{}, known: known,
+		probation: map[Part]Elapsed{}, firstSequence: started.UnixMilli(),
+	}
+}
+
+func (t *Tracker) serviceOf(name string) *service {
+	s := t.services[name]
+	if s == nil {
+		s = &service{ends: map[uint64]*workerEnd{}}
+		t.services[name] = s
+	}
+	return s
+}
+
+// SetWorkers sets the number of workers of a service and the versions of their software.
+func (t *Tracker) SetWorkers(name string, workers int, versions []string) {
+	s := t.serviceOf(name)
+	s.workers, s.versions = workers, versions
+}
+
+// RecordFinished records that a request with some parts ended in order. It returns the condemnations
+// that end by it.
+func (t *Tracker) RecordFinished(now Elapsed, name string, ids []uint64) []Verdict {
+	s := t.serviceOf(name)
+	s.finished, s.finishedAt = s.finishedNow(now)+1, now
+	var cleared []Verdict
+	for _, id := range ids {
+		part := Part{name, id}
+		if v, ok := t.clear(now, part); ok {
+			cleared = append(cleared, v)
+		}
+		k, ok := t.known.Get(part)
+		if !ok {
+			k = &knownPart{}
+			t.known.Add(part, k)
+		}
+		switch {
+		case t.ledger.parts[part] == nil:
+			k.before, k.after = min(k.before+1, maxBefore), 0
+		case k.after < maxFinished:
+			k.after++
+			t.publishFinished(now, part, k)
+		}
+	}
+	return cleared
+}
+
+// publishFinished states the finished requests of a part that was accused.
+func (t *Tracker) publishFinished(now Elapsed, part Part, k *knownPart) {
+	if k.before+k.after > 0 {
+		t.ledger.mergeFinished(part, Finished{t.origin, k.before, k.after, now})
+	}
+}
+
+func (s *service) finishedNow(now Elapsed) float64 {
+	if s.finished == 0 {
+		return 0
+	}
+	return s.finished * exp2(-float64(now-s.finishedAt)/float64(finishedHalfLife))
+}
+
+// WorkerEnd is the end of a worker while a request with some parts was on it.
+type WorkerEnd struct {
+	Service, Version string
+	// Worker is the ID of the worker and of its start.
+	Worker string
+	IDs    []uint64
+	// Weight is how much the request is accused; see Weight.
+	Weight float64
+}
+
+// RecordEnd records the end of a worker under a request of this gateway. It returns the parts that are
+// condemned by it.
+func (t *Tracker) RecordEnd(now Elapsed, e WorkerEnd) []Verdict {
+	worker := xxhash.Sum64String(e.Worker)
+	end := t.endOf(now, e.Service, worker)
+	end.begun += e.Weight
+	for i, id := range e.IDs {
+		part := Part{e.Service, id}
+		t.ledger.mergeCrash(part, Crash{Worker: worker, Weight: e.Weight, Position: i, At: now})
+		if k, ok := t.known.Peek(part); ok {
+			t.publishFinished(now, part, k)
+		}
+	}
+	return t.judge(now, e.Service, e.Version)
+}
+
+func (t *Tracker) endOf(now Elapsed, name string, worker uint64) *workerEnd {
+	s := t.serviceOf(name)
+	end := s.ends[worker]
+	if end == nil {
+		end = &workerEnd{at: now}
+		s.ends[worker] = end
+	}
+	return end
+}
+
+// Merge adds what other gateways know. It returns the verdicts that were not known, and those that
+// follow.
+func (t *Tracker) Merge(now Elapsed, records []Record) []Verdict {
+	affected := map[string]bool{}
+	var out []Verdict
+	for _, r := range records {
+		if !t.ledger.Merge(r) {
+			continue
+		}
+		switch {
+		case r.Verdict != nil:
+			delete(t.probation, r.Part)
+			out = append(out, *r.Verdict)
+		case r.Crash != nil:
+			t.endOf(r.Crash.At, r.Part.Service, r.Crash.Worker)
+			affected[r.Part.Service] = true
+			if k, ok := t.known.Peek(r.Part); ok {
+				t.publishFinished(now, r.Part, k)
+			}
+		}
+	}
+	for name := range affected {
+		version := ""
+		if versions := t.serviceOf(name).versions; len(versions) == 1 {
+			version = versions[0]
+		}
+		out = append(out, t.judge(now, name, version)...)
+	}
+	return out
+}
+
+// Changes returns what changed after a version of this Tracker's knowledge, also what it learned
+// from others; see Ledger.ChangedSince.
+func (t *Tracker) Changes(version int64, limit int) ([]Record, int64) {
+	return t.ledger.ChangedSince(version, limit)
+}
+
+// Tick removes what is out of date.
+func (t *Tracker) Tick(now Elapsed) {
+	t.ledger.Expire(now)
+	t.updateProbation(now)
+	for _, s := range t.services {
+		for worker, end := range s.ends {
+			if now-end.at > evidenceWindow {
+				delete(s.ends, worker)
+			}
+		}
+	}
+}
+
+// explained returns the ends of workers of a service that condemned parts explain.
+func (t *Tracker) explained(name string) map[uint64]bool {
+	out := map[uint64]bool{}
+	for part, v := range t.ledger.verdicts {
+		if part.Service != name || !v.value.Condemned {
+			continue
+		}
+		if p := t.ledger.parts[part]; p != nil {
+			for worker := range p.crashes {
+				out[worker] = true
+			}
+		}
+	}
+	return out
+}
+
+// candidate is a part with the evidence against it.
+type candidate struct {
+	part     Part
+	ratio    float64
+	ends     int
+	position int
+}
+
+// judge condemns the parts of a service that the evidence speaks against: the one that explains most
+// first. What it explains does not accuse another part any more.
+func (t *Tracker) judge(now Elapsed, name, version string) []Verdict {
+	var out []Verdict
+	for {
+		best, ok := t.mostAccused(now, name)
+		if !ok {
+			return out
+		}
+		v := t.condemn(now, best, version)
+		out = append(out, v)
+	}
+}
+
+// mostAccused returns the part of a service that is to be condemned next. Of parts that much the same
+// requests had, the last one is taken: requests share the first parts of a prompt more often than
+// those behind them.
+func (t *Tracker) mostAccused(now Elapsed, name string) (candidate, bool) {
+	explained := t.explained(name)
+	var found []candidate
+	for part, p := range t.ledger.parts {
+		if part.Service != name || t.isCondemned(now, part) {
+			continue
+		}
+		if t.hasFailedProbation(part) {
+			return t.evidence(now, part, nil), true
+		}
+		if len(p.crashes) < minEndedWorkers {
+			continue
+		}
+		c := t.evidence(now, part, explained)
+		if c.ends >= minEndedWorkers && c.ratio >= condemnThreshold {
+			found = append(found, c)
+		}
+	}
+	if len(found) == 0 {
+		return candidate{}, false
+	}
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.ratio, a.ratio), cmp.Compare(a.part.ID, b.part.ID))
+	})
+	best := found[0]
+	for _, c := range found[1:] {
+		if c.position > best.position && found[0].ratio-c.ratio <= ratioMargin {
+			best = c
+		}
+	}
+	return best, true
+}
+
+// evidence returns the log-likelihood ratio between "requests with the part end their workers" and
+// "they were there when workers ended for another reason". The chance of the latter follows from
+// the ends of workers that the part has nothing to do with: those of all gateways by worker and time,
+// and those of this gateway by its requests, so that a version whose workers end on their own
+// accuses nothing.
+func (t *Tracker) evidence(now Elapsed, part Part, explained map[uint64]bool) candidate {
+	p := t.ledger.parts[part]
+	s := t.serviceOf(part.Service)
+	unrelated, unrelatedBegun := 0.0, 0.0
+	for worker, end := range s.ends {
+		if p.crashes[worker] == nil && !explained[worker] && now-end.at <= evidenceWindow {
+			unrelated++
+			unrelatedBegun += end.begun
+		}
+	}
+	byTime := (unrelated + 0.5) * fullWeightTime.Seconds() / (float64(max(s.workers, 1)) * evidenceWindow.Seconds())
+	byRequest := (unrelatedBegun + 0.5) / (s.finishedNow(now) + unrelatedBegun + 1)
+	chance := min(max(byTime, byRequest, minChance), maxChance)
+	out := candidate{part: part}
+	for worker, c := range p.crashes {
+		if explained[worker] || now-c.value.At > evidenceWindow {
+			continue
+		}
+		out.ends++
+		out.position = max(out.position, c.value.Position)
+		out.ratio += c.value.Weight * math.Log(fatalShare/chance)
+	}
+	before, after := 0, 0
+	for _, f := range p.finished {
+		before, after = max(before, f.value.Before), after+f.value.After
+	}
+	out.ratio -= finishedPenalty * float64(min(before, maxBefore)+min(after, maxFinished))
+	return out
+}
+
+func exp2(x float64) float64 { return math.Exp2(x) }
--- /dev/null
+++ b/internal/quarantine/verdicts.go
@@ -0,0 +1,166 @@
+package quarantine
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// condemn puts a verdict on a part in force.
+func (t *Tracker) condemn(now Elapsed, c candidate, version string) Verdict {
+	v := Verdict{Part: c.part, Sequence: t.nextSequence(now, c.part), Condemned: true, Version: version, Crashes: c.ends}
+	if known := t.ledger.verdicts[c.part]; known != nil && !known.value.ByOperator {
+		v.Tries = known.value.Tries + 1
+		v.Crashes += known.value.Crashes
+	}
+	v.Until = now + min(condemnedFor<<min(v.Tries, 8), maxCondemnedFor)
+	t.ledger.mergeVerdict(v)
+	delete(t.probation, c.part)
+	return v
+}
+
+// nextSequence returns a sequence above that of the present verdict on a part. Sequences follow the
+// time, so that a later decision of another gateway holds even if it did not know this one.
+func (t *Tracker) nextSequence(now Elapsed, part Part) int64 {
+	sequence := t.firstSequence + now.Milliseconds()
+	if known := t.ledger.verdicts[part]; known != nil {
+		sequence = max(sequence, known.value.Sequence+1)
+	}
+	return sequence
+}
+
+// isCondemned reports whether requests with a part are refused now.
+func (t *Tracker) isCondemned(now Elapsed, part Part) bool {
+	v := t.ledger.verdicts[part]
+	return v != nil && v.value.Condemned && !t.isOnProbation(now, part)
+}
+
+// isOnProbation reports whether a condemnation has ended, so that single requests show whether the
+// part still ends workers.
+func (t *Tracker) isOnProbation(now Elapsed, part Part) bool {
+	since, ok := t.probation[part]
+	return ok && now-since > probationDelay
+}
+
+// updateProbation finds the parts whose condemnation has ended: its time is over, or no worker has the
+// version on which they were condemned.
+func (t *Tracker) updateProbation(now Elapsed) {
+	for part, v := range t.ledger.verdicts {
+		if !v.value.Condemned || now < v.value.Until && !t.isOtherVersion(&v.value) {
+			delete(t.probation, part)
+			continue
+		}
+		if _, ok := t.probation[part]; !ok {
+			t.probation[part] = now
+		}
+	}
+}
+
+// clear ends the condemnation of a part on probation under which a request has ended in order.
+func (t *Tracker) clear(now Elapsed, part Part) (Verdict, bool) {
+	known := t.ledger.verdicts[part]
+	if known == nil || !known.value.Condemned || !t.isOnProbation(now, part) {
+		return Verdict{}, false
+	}
+	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), Tries: known.value.Tries, Until: now}
+	t.ledger.mergeVerdict(v)
+	delete(t.ledger.parts, part)
+	delete(t.probation, part)
+	return v, true
+}
+
+// hasFailedProbation reports whether a worker has ended under a part on probation.
+func (t *Tracker) hasFailedProbation(part Part) bool {
+	since, ok := t.probation[part]
+	if !ok || t.ledger.parts[part] == nil {
+		return false
+	}
+	for _, c := range t.ledger.parts[part].crashes {
+		if c.value.At > since+probationDelay && c.value.Weight >= fullWeight {
+			return true
+		}
+	}
+	return false
+}
+
+// fullWeight is the weight from which a single end of a worker condemns a part on probation.
+const fullWeight = 0.9
+
+// isOtherVersion reports whether no worker of the service has the version on which a part was
+// condemned. A verdict of an operator holds for all versions.
+func (t *Tracker) isOtherVersion(v *Verdict) bool {
+	s := t.services[v.Part.Service]
+	return v.Version != "" && !v.ByOperator && s != nil && len(s.versions) > 0 && !slices.Contains(s.versions, v.Version)
+}
+
+// Decide returns what to do with a request for a service with some parts.
+func (t *Tracker) Decide(now Elapsed, name string, ids []uint64) Decision {
+	if len(t.ledger.verdicts) == 0 && len(t.ledger.parts) == 0 {
+		return Decision{}
+	}
+	out := Decision{}
+	for _, id := range ids {
+		part := Part{name, id}
+		if t.isCondemned(now, part) {
+			return Decision{Refuse, part, t.ledger.verdicts[part].value.Tries}
+		}
+		if out.Action == Send && t.isSuspected(now, part) {
+			out = Decision{Action: SendAlone, Part: part}
+		}
+	}
+	return out
+}
+
+// isSuspected reports whether requests with a part are sent one at a time.
+func (t *Tracker) isSuspected(now Elapsed, part Part) bool {
+	if t.isOnProbation(now, part) {
+		return true
+	}
+	p := t.ledger.parts[part]
+	if p == nil || len(p.crashes) < minSuspectEnds {
+		return false
+	}
+	c := t.evidence(now, part, t.explained(part.Service))
+	return c.ends >= minSuspectEnds && c.ratio >= suspectThreshold
+}
+
+// Verdicts returns the verdicts that are not over, and those whose parts are on probation, by service
+// and part.
+func (t *Tracker) Verdicts() []Verdict {
+	var out []Verdict
+	for _, v := range t.ledger.verdicts {
+		if v.value.Condemned {
+			out = append(out, v.value)
+		}
+	}
+	slices.SortFunc(out, func(a, b Verdict) int {
+		if c := strings.Compare(a.Part.Service, b.Part.Service); c != 0 {
+			return c
+		}
+		if a.Part.ID < b.Part.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// Set condemns a part for a time on behalf of an operator.
+func (t *Tracker) Set(now Elapsed, part Part, lifetime time.Duration) Verdict {
+	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), Condemned: true, ByOperator: true, Until: now + lifetime}
+	t.ledger.mergeVerdict(v)
+	return v
+}
+
+// Lift ends the condemnation of a part and forgets the evidence against it. It reports whether the
+// part was condemned.
+func (t *Tracker) Lift(now Elapsed, part Part) (Verdict, bool) {
+	known := t.ledger.verdicts[part]
+	if known == nil || !known.value.Condemned {
+		return Verdict{}, false
+	}
+	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), ByOperator: true, Until: now}
+	t.ledger.mergeVerdict(v)
+	delete(t.ledger.parts, part)
+	return v, true
+}
