Refuse requests under whose parts workers end

What callers saw: sound requests broke off with the workers that others ended, and the service shrank to the workers that had just come back.

Cause: a request that broke off was sent on whatever had become of its worker, and the next one like it was sent as well. Change: gateways record under which requests workers ended, exchange the records through the relays, and refuse requests with a condemned part (kind quarantined, 503, not run). At most two workers end under one request. Requests with a suspected part go one at a time.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1110,6 +1110,13 @@
 	// varints. The key is the highest 20 bits of the xxHash of the ID.
 	Loads string `json:"loads"`
 
+	// Quarantine holds records that the relay may not know yet.
+	Quarantine []QuarantineRecord `json:"quarantine,omitempty,omitzero"`
+
+	// QuarantineSince is the quarantineVersion of the last answer of this relay, 0
+	// before the first.
+	QuarantineSince int `json:"quarantineSince,omitempty,omitzero"`
+
 	// Relay is set by relays, which state no loads and ask for those of the gateways
 	// that report to the answering relay.
 	Relay bool `json:"relay,omitempty,omitzero"`
@@ -1142,6 +1149,17 @@
 	// NextMs is the time until the gateway is to state its loads again, in
 	// milliseconds.
 	NextMs int `json:"nextMs"`
+
+	// Quarantine holds the records that changed since quarantineSince, at most a
+	// bounded number.
+	Quarantine []QuarantineRecord `json:"quarantine,omitempty,omitzero"`
+
+	// QuarantineRun identifies the run of the relay. A new one has none of the
+	// records that were stated to earlier ones.
+	QuarantineRun int `json:"quarantineRun,omitempty,omitzero"`
+
+	// QuarantineVersion is the version up to which these records reach.
+	QuarantineVersion int `json:"quarantineVersion,omitempty,omitzero"`
 }
 
 // LogSettings configure the log.
@@ -1660,6 +1678,71 @@
 	Revision Revision `json:"revision"`
 }
 
+// QuarantineRecord is what gateways know of a part of requests under which workers
+// may end. Of a crash it has subject, weight, position and ageMs; of finished
+// requests subject, before, after and ageMs; of a verdict the other fields.
+type QuarantineRecord struct {
+	// After is the number of requests that finished since, up to a bound.
+	After int `json:"after,omitempty,omitzero"`
+
+	// AgeMs is the time since the crash, or since the last of the finished requests,
+	// in milliseconds.
+	AgeMs int `json:"ageMs,omitempty,omitzero"`
+
+	// Before is the number of requests that finished before the part was accused, up
+	// to a bound.
+	Before int `json:"before,omitempty,omitzero"`
+
+	// ByOperator is set if an operator decided.
+	ByOperator bool `json:"byOperator,omitempty,omitzero"`
+
+	// Condemned is set if requests with the part are refused.
+	Condemned bool `json:"condemned,omitempty,omitzero"`
+
+	// Crashes is the number of workers that had ended under the part.
+	Crashes int `json:"crashes,omitempty,omitzero"`
+
+	// Kind is crash (a worker ended just after a request with the part had begun
+	// there), finished (requests with it ended in order) or verdict.
+	Kind QuarantineRecordKind `json:"kind"`
+
+	// Part is the ID of the part of a prompt, or the hash of a request without one,
+	// in hexadecimal.
+	Part string `json:"part"`
+
+	// Position is the index of the part in the prompt.
+	Position int `json:"position,omitempty,omitzero"`
+
+	// RemainingMs is the time until the condemnation ends, negative after its end.
+	RemainingMs int `json:"remainingMs,omitempty,omitzero"`
+
+	// Sequence orders the verdicts on a part; the highest one holds.
+	Sequence int `json:"sequence,omitempty,omitzero"`
+
+	// Service is the name of the service.
+	Service string `json:"service"`
+
+	// Subject is the hash of the run of the worker that ended, or of the gateway that
+	// saw the requests finish, in hexadecimal.
+	Subject string `json:"subject,omitempty,omitzero"`
+
+	// Tries is the number of earlier condemnations.
+	Tries int `json:"tries,omitempty,omitzero"`
+
+	// Version is the version of the workers' software on which the part was
+	// condemned; empty for all.
+	Version string `json:"version,omitempty,omitzero"`
+
+	// Weight is how much the requests are accused of the end of the worker, 0 to 1.
+	Weight float64 `json:"weight,omitempty,omitzero"`
+}
+
+type QuarantineRecordKind string
+
+const QuarantineRecordKindCrash QuarantineRecordKind = "crash"
+const QuarantineRecordKindFinished QuarantineRecordKind = "finished"
+const QuarantineRecordKindVerdict QuarantineRecordKind = "verdict"
+
 // RatingSettings reach the service that rates answers.
 type RatingSettings struct {
 	// Sample is the share of final answers sent for rating; 0 means 0.1.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -74,6 +74,8 @@
 	Truncated Kind = "truncated"
 	// PayloadTooLarge is a request or result that exceeds a size limit.
 	PayloadTooLarge Kind = "payload_too_large"
+	// Quarantined is a request like others under which backend servers have ended.
+	Quarantined Kind = "quarantined"
 	// UnknownRoute is a request path without a route.
 	UnknownRoute Kind = "unknown_route"
 	// Internal is any other error, including one of an unlisted kind.
@@ -117,6 +119,7 @@
 	Truncated:           {http.StatusBadGateway, -32021, true, api.RunStateRan},
 	PayloadTooLarge:     {http.StatusRequestEntityTooLarge, -32022, false, api.RunStateNotRun},
 	UnknownRoute:        {http.StatusNotFound, -32024, false, api.RunStateNotRun},
+	Quarantined:         {http.StatusServiceUnavailable, -32025, false, api.RunStateNotRun},
 	Internal:            {http.StatusInternalServerError, -32023, false, api.RunStateUnknown},
 }
 
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -95,6 +95,12 @@
 	return true
 }
 
+// IsLeaving reports whether a worker has said that it leaves.
+func (p *Placer) IsLeaving(id string) bool {
+	n := p.notices[id]
+	return n != nil && n.leaving
+}
+
 // RecordPause records that a worker turned a request away and wants no others for a time. It
 // replaces the time of an earlier answer. It reports whether the worker did not pause before.
 func (p *Placer) RecordPause(now Elapsed, id string, pause time.Duration) bool {
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -191,3 +191,31 @@
 	assert.Assert(t, f.endsAfterBound(s.StablePeriod) <= 3, "%d workers ended later than %v after the fifth, %d in all", f.endsAfterBound(s.StablePeriod), s.StablePeriod, f.endCount())
 	assert.Assert(t, whole*10 >= asked*9, "%d of %d sound requests were served", whole, asked)
 }
+
+// Guards against gateways that each learn for themselves which requests end workers.
+func TestGatewaysShareWhatEndsWorkers(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 9, 300*time.Millisecond)
+	address := freeAddress(t)
+	var gateways []*gatewayHarness
+	for i := range 4 {
+		s := testSettings(t)
+		s.Instance, s.Relays = fmt.Sprintf("g%d", i), []string{address}
+		if i == 0 {
+			s.PeerAddress = address
+		}
+		gateways = append(gateways, startGatewayWith(t, s, forwarding.NewForwardingStore(f.store)))
+	}
+	l := startLoad(f, 100*time.Millisecond, gateways...)
+	time.Sleep(5 * time.Second)
+	l.end()
+	assert.Assert(t, f.endCount() >= 2, "only %d workers ended: the fatal requests did not reach them", f.endCount())
+	assert.Assert(t, f.endsAfterBound(time.Second) <= 3, "%d workers ended later than 1 s after the fifth, %d in all", f.endsAfterBound(time.Second), f.endCount())
+	for _, gw := range gateways {
+		resp := gw.call("POST", "/stream/x", "prompt", DefaultHeaderNames.Prompt, promptWith(1, "a", "b", fatalPart))
+		assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+		assert.Equal(t, resp.header.Get("Retry-After"), "")
+		resp = gw.call("POST", "/stream/x", "prompt", DefaultHeaderNames.Prompt, promptWith(2, "a", "b"))
+		assert.Equal(t, resp.status, http.StatusOK)
+	}
+}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -46,7 +46,9 @@
 	exchangesLoads bool
 	escalator      *forward.Escalator
 	headerTimeouts *forward.HeaderTimeoutEstimator
-	log            *zap.Logger
+	// onWorkers is called with the usable workers when they have changed; it may be nil.
+	onWorkers func([]forward.Worker)
+	log       *zap.Logger
 }
 
 // ejectionConfig holds the thresholds for ejecting failing workers. Callers wait only
@@ -175,6 +177,18 @@
 		d.placer.SetShare(id, d.health.Share(id))
 	}
 	d.rollouts.recordBaseline(usable)
+	if d.onWorkers != nil {
+		d.onWorkers(usable)
+	}
+}
+
+// isInUse reports whether a worker is listed and does not leave. The end of one that leaves is
+// expected.
+func (d *dispatcher) isInUse(w forward.Worker) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.usableWorkers[w.ID]
+	return ok && !d.placer.IsLeaving(w.ID)
 }
 
 // handleHealthEvent passes an event to the health tracker and applies the changes in traffic
--- a/internal/gateway/escalation.go
+++ b/internal/gateway/escalation.go
@@ -15,7 +15,7 @@
 // shouldEscalate returns the index of the model to ask next and whether the response is set
 // aside for that of this larger model. If so, it has taken a retry.
 func (r *request) shouldEscalate(a *attempt) (int, bool) {
-	if !r.routerPicksModel || r.headerSent || r.runCount >= r.route.MaxAttempts || r.fallback != nil {
+	if !r.routerPicksModel || r.headerSent || r.runCount >= r.route.MaxAttempts || r.fallback != nil || r.isSuspected() {
 		return r.modelIndex, false
 	}
 	a.record.Confidence = a.exchange.meta.Confidence
@@ -33,7 +33,7 @@
 	r.fallback = forward.NewFallback(now-time.Since(r.started), now, r.route.LatencyTarget, r.deadline.Sub(r.started))
 	r.fallbackAt = r.started.Add(r.fallback.Latest() - (now - time.Since(r.started)))
 	inFlight := a.inFlight
-	r.held = r.gateway.holdAnswer(*a, time.Now().Add(r.fallback.ReadUntil()-now), func() {
+	r.held = r.holdAnswer(*a, time.Now().Add(r.fallback.ReadUntil()-now), func() {
 		r.gateway.dispatcher.releaseWorker(inFlight)
 	})
 	a.isHeld = r.held != nil
@@ -64,7 +64,7 @@
 
 // mayRunAgain reports whether the request may run once more, regardless of the retry budget.
 func (r *request) mayRunAgain() bool {
-	return r.route.Idempotent() && r.runCount < r.route.MaxAttempts && r.remaining() > minFailureRetryTime
+	return r.route.Idempotent() && r.runCount < r.route.MaxAttempts && r.remaining() > minFailureRetryTime && !r.hasEndedTooMany()
 }
 
 // isOverdue reports whether the larger model that is being asked is given up for the answer
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,7 @@
 	settings   Settings
 	dispatcher *dispatcher
 	relayPeer  *relayPeer
+	quarantine *quarantineGuard
 	store      forward.Store
 	headers    HeaderCodec
 	reload     func() (Settings, error)
@@ -100,7 +101,9 @@
 		origin: s.Instance + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
 	g.relayPeer, g.store = newRelayPeer(s, deps.Store, time.Now(), log)
+	g.quarantine = newQuarantineGuard(g.origin, m, observe.ComponentLogger(log, "quarantine"))
 	g.dispatcher = newDispatcher(s, observe.ComponentLogger(log, "state"))
+	g.dispatcher.onWorkers = g.quarantine.setWorkers
 	m.set.NewGauge("borageflow_gateway_active_requests", func() float64 { return float64(g.activeRequests.Load()) })
 	m.set.NewGauge("borageflow_gateway_config_age_seconds", func() float64 {
 		return (sinceBoot() - time.Duration(g.dispatcher.confirmedAt.Load())).Seconds()
@@ -181,6 +184,7 @@
 		}
 		now := sinceBoot()
 		g.dispatcher.tick(now)
+		g.quarantine.tick(now)
 		if n%idleCleanupTicks == 0 {
 			g.pool.closeUnused(g.dispatcher.usableAddresses())
 		}
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -41,7 +41,8 @@
 // holdAnswer sets the answer of an attempt aside and reads the rest of it until the given time.
 // release is called when reading has ended. It returns nil if too many answers are kept already;
 // the caller then closes the exchange and calls release.
-func (g *Gateway) holdAnswer(a attempt, until time.Time, release func()) *heldAnswer {
+func (r *request) holdAnswer(a attempt, until time.Time, release func()) *heldAnswer {
+	g := r.gateway
 	select {
 	case g.heldSlots <- struct{}{}:
 	default:
@@ -61,25 +62,27 @@
 		h.ended = true
 		h.mu.Unlock()
 		if h.err != nil {
-			g.recordHeldFailure(&a, h.err)
+			r.recordHeldFailure(&a, h.err)
 			a.exchange.close()
 			h.events = nil
 			return
 		}
 		a.exchange.releaseConn(g.pool)
+		g.quarantine.recordSurvival(r.service, r.parts)
 	}()
 	return h
 }
 
 // recordHeldFailure records that a worker broke off an answer that was set aside, unless the router
 // ended it.
-func (g *Gateway) recordHeldFailure(a *attempt, err error) {
+func (r *request) recordHeldFailure(a *attempt, err error) {
 	cause := framing.CauseOf(err)
 	if cause == framing.Silent || errors.Is(err, errHeldTooLarge) || errors.Is(err, net.ErrClosed) {
 		return
 	}
-	g.metrics.countUnfinished(a.worker.ID, cause)
-	g.dispatcher.recordNoAnswer(a.worker, membership.Failed, time.Since(a.started))
+	r.gateway.metrics.countUnfinished(a.worker.ID, cause)
+	r.gateway.dispatcher.recordNoAnswer(a.worker, membership.Failed, time.Since(a.started))
+	r.recordBreak(a, err)
 }
 
 // read reads the events of the answer until it ends.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_refused_total{kind=%q}", kind)).Inc()
 }
 
+// countWorkerEnd counts a worker that ended under a request.
+func (m *gatewayMetrics) countWorkerEnd(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_worker_ends_total{service=%q}", service)).Inc()
+}
+
 // countEscalation counts a request for which a larger model was asked, by what came of it. The
 // routes of the configuration are few, and requests on unknown routes are refused before.
 func (m *gatewayMetrics) countEscalation(route, outcome string) {
--- a/internal/gateway/peerexchange.go
+++ b/internal/gateway/peerexchange.go
@@ -65,7 +65,7 @@
 	if address == "" {
 		return loadRetryInterval
 	}
-	own := g.dispatcher.ownReport(g.origin)
+	own := g.ownReport(address)
 	got, err := news.ExchangeWithRelay(ctx, g.relayPeer.node, address, own)
 	g.metrics.countLoadExchange(err == nil)
 	if err != nil {
@@ -74,7 +74,7 @@
 		return loadRetryInterval
 	}
 	g.loadFailure.Store(false)
-	g.dispatcher.applyPeerReport(sinceBoot(), got)
+	g.applyPeerReport(address, own.QuarantineSent, got)
 	if len(own.Demand) == 0 && len(own.Evidence) == 0 {
 		return max(got.Next, idleLoadInterval)
 	}
@@ -95,11 +95,27 @@
 
 // recordOwnReport records what this relay knows itself and applies what the others know.
 func (g *Gateway) recordOwnReport(context.Context) time.Duration {
-	got := g.relayPeer.relay.Exchange(g.settings.Instance, g.dispatcher.ownReport(g.origin))
-	g.dispatcher.applyPeerReport(sinceBoot(), got)
+	own := g.ownReport(g.settings.PeerAddress)
+	got := g.relayPeer.relay.Exchange(g.settings.Instance, own)
+	g.applyPeerReport(g.settings.PeerAddress, own.QuarantineSent, got)
 	return got.Next
 }
 
+// ownReport returns what this gateway states to the relay at an address.
+func (g *Gateway) ownReport(address string) news.OwnReport {
+	own := g.dispatcher.ownReport(g.origin)
+	own.Now = sinceBoot()
+	own.Quarantine, own.QuarantineSent, own.QuarantineRead = g.quarantine.changesFor(address)
+	return own
+}
+
+// applyPeerReport applies the answer of the relay at an address. sent is the version up to which its
+// request held the records of the quarantine.
+func (g *Gateway) applyPeerReport(address string, sent int64, got news.PeerReport) {
+	g.dispatcher.applyPeerReport(sinceBoot(), got)
+	g.quarantine.applyPeerReport(address, sent, got)
+}
+
 // fetchFromRelay fetches what the gateways know that report to another relay.
 func (g *Gateway) fetchFromRelay(ctx context.Context, address string) time.Duration {
 	next, err := g.relayPeer.relay.FetchFromRelay(ctx, g.relayPeer.node, address)
--- /dev/null
+++ b/internal/gateway/quarantine.go
@@ -0,0 +1,413 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+	"go.uber.org/zap"
+
+	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/framing"
+	"github.com/borageflow/borageflow/internal/news"
+	"github.com/borageflow/borageflow/internal/quarantine"
+)
+
+const (
+	// maxEndedWorkers is how many workers may end under one request.
+	maxEndedWorkers = 2
+	// endProbeTimeout bounds the connection attempt that shows whether a worker has ended. One whose
+	// machine does not answer at all is not taken for ended.
+	endProbeTimeout = 100 * time.Millisecond
+	// maxKnownEnds bounds the ended workers that are remembered.
+	maxKnownEnds = 1024
+	// unbegunWeight is the accusation of a request without a prompt whose answer had not begun: its
+	// header comes only when the work is done.
+	unbegunWeight = 0.5
+	// aloneSlot is the time that one request with a suspected part takes until all gateways know
+	// how it ended: to the beginning of its answer, and an exchange with a relay.
+	aloneSlot = 300 * time.Millisecond
+	// maxAloneWait bounds the wait of a request with a suspected part, and maxAloneShare the share of
+	// its remaining time.
+	maxAloneWait  = 1500 * time.Millisecond
+	maxAloneShare = 0.25
+	// survivalTime is the time after the beginning of an answer from which its request counts as
+	// one that does not end its worker.
+	survivalTime = time.Second
+	// alonePoll is how often a waiting request looks for a verdict.
+	alonePoll = 20 * time.Millisecond
+)
+
+// quarantineGuard keeps the requests of a gateway from workers that would end under them. It owns the
+// lock around a quarantine.Tracker.
+type quarantineGuard struct {
+	log     *zap.Logger
+	metrics *gatewayMetrics
+
+	mu      sync.Mutex
+	tracker *quarantine.Tracker
+	// turns holds the suspected parts of which requests wait or are on their way.
+	turns map[quarantine.Part]*aloneTurn
+	// pending holds the attempts whose answers have not begun.
+	pending map[*attempt]*request
+	// ends holds the workers that are known to have ended.
+	ends *lru.LRU[string, struct{}]
+	// gateways is the number of gateways that exchange what they know.
+	gateways int
+	// cursors holds how far the records are exchanged with each relay.
+	cursors map[string]*news.QuarantineCursor
+}
+
+// aloneTurn is when the next request with a suspected part may go, and whether one is on its way.
+type aloneTurn struct {
+	at    time.Time
+	taken bool
+}
+
+func newQuarantineGuard(origin string, m *gatewayMetrics, log *zap.Logger) *quarantineGuard {
+	ends, err := lru.NewLRU[string, struct{}](maxKnownEnds, nil)
+	if err != nil {
+		panic(err) // only a size below 1 fails
+	}
+	q := &quarantineGuard{
+		log: log, metrics: m, tracker: quarantine.NewTracker(origin, time.Now().Add(-sinceBoot())),
+		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, ends: ends, gateways: 1, cursors: map[string]*news.QuarantineCursor{},
+	}
+	m.set.NewGauge("borageflow_gateway_condemned_parts", func() float64 {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return float64(len(q.tracker.Verdicts()))
+	})
+	return q
+}
+
+// partIDs returns what a request may have in common with others that end workers: the parts of its
+// prompt without the last one, which is its own, or without a prompt the whole request.
+func (r *request) partIDs() []uint64 {
+	prompt := r.inbound.meta.Prompt
+	if len(prompt) == 0 {
+		return []uint64{r.inbound.fingerprint(r.customer.Name)}
+	}
+	out := make([]uint64, 0, len(prompt)-1)
+	for _, part := range prompt[:len(prompt)-1] {
+		out = append(out, part.ID)
+	}
+	return out
+}
+
+// fingerprint returns a hash of the method, target and body of a request of a customer.
+func (r *inboundRequest) fingerprint(customer string) uint64 {
+	h := xxhash.New()
+	for _, field := range []string{customer, r.method, r.host, r.target} {
+		_, _ = h.WriteString(field) // writing to a hash returns no error
+		_, _ = h.Write([]byte{0})
+	}
+	_, _ = h.Write(r.body)
+	return h.Sum64()
+}
+
+// hasPrompt reports whether the request states the parts of a prompt.
+func (r *request) hasPrompt() bool { return len(r.inbound.meta.Prompt) > 0 }
+
+// awaitClearance returns why the request must not be sent, or nil. A request with a suspected part
+// waits until no other one with it is on its way. A nil result with such a part makes it the one.
+func (r *request) awaitClearance(ctx context.Context) *errkind.Error {
+	if r.hasEndedTooMany() {
+		return errkind.New(errkind.UpstreamFailed, "workers ended while they answered the request")
+	}
+	q := r.gateway.quarantine
+	d := q.decide(r.service, r.parts)
+	if d.Action == quarantine.Send {
+		return nil
+	}
+	started := time.Now()
+	until := started.Add(min(maxAloneWait, time.Duration(maxAloneShare*float64(r.remaining()))))
+	for ; d.Action == quarantine.SendAlone; d = q.decide(r.service, r.parts) {
+		now := time.Now()
+		switch {
+		case r.endedWorkers.Load() > 0:
+			return errkind.New(errkind.UpstreamFailed, "a worker ended while it answered the request")
+		case q.takeAlone(now, d.Part):
+			r.alonePart = &d.Part
+			return nil
+		case now.After(until):
+			return r.quarantineRefusal(errkind.New(errkind.Overloaded, "requests like this are sent one at a time: workers have ended under them").WithRetryAfter(maxAloneWait))
+		}
+		timer := time.NewTimer(alonePoll)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return r.quarantineRefusal(errkind.New(errkind.DeadlineExceeded, "request ended while it waited for others like it"))
+		case <-timer.C:
+		}
+	}
+	if d.Action == quarantine.Refuse {
+		return r.quarantineRefusal(errkind.New(errkind.Quarantined, "part "+formatPart(d.Part.ID)+" of the request is condemned: workers ended while they answered requests with it"))
+	}
+	return nil
+}
+
+// quarantineRefusal returns a refusal, or upstream_failed if the request may have run.
+func (r *request) quarantineRefusal(refusal *errkind.Error) *errkind.Error {
+	if r.mayHaveRun {
+		return errkind.New(errkind.UpstreamFailed, "request is not sent again: "+refusal.Message)
+	}
+	return refusal
+}
+
+// hasEndedTooMany reports whether the request must not be sent to another worker.
+func (r *request) hasEndedTooMany() bool { return r.endedWorkers.Load() >= maxEndedWorkers }
+
+// isSuspected reports whether the request has a suspected or condemned part.
+func (r *request) isSuspected() bool {
+	return r.gateway.quarantine.decide(r.service, r.parts).Action != quarantine.Send
+}
+
+// releaseAlone lets another request with the suspected part go.
+func (r *request) releaseAlone() {
+	if r.alonePart != nil {
+		r.gateway.quarantine.releaseAlone(*r.alonePart)
+		r.alonePart = nil
+	}
+}
+
+func formatPart(id uint64) string { return strconv.FormatUint(id, 16) }
+
+func (q *quarantineGuard) decide(service string, parts []uint64) quarantine.Decision {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.tracker.Decide(sinceBoot(), service, parts)
+}
+
+// takeAlone reports whether a request with a suspected part may go now, and if so makes it the one on
+// its way. Each gateway draws when its next one may go, so that over all gateways about one goes in
+// each aloneSlot.
+func (q *quarantineGuard) takeAlone(now time.Time, part quarantine.Part) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	turn := q.turns[part]
+	if turn == nil {
+		turn = &aloneTurn{at: now}
+		if q.gateways > 1 {
+			turn.at = now.Add(time.Duration(rand.Float64() * float64(q.gateways) * float64(aloneSlot))) //nolint:gosec // spreads requests
+		}
+		q.turns[part] = turn
+	}
+	if turn.taken || now.Before(turn.at) {
+		return false
+	}
+	turn.taken = true
+	return true
+}
+
+func (q *quarantineGuard) releaseAlone(part quarantine.Part) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.turns, part)
+}
+
+// recordPending records that an attempt was sent. Its connection is closed if a part of its request is
+// condemned before its answer begins: it waits at the worker and would end it.
+func (q *quarantineGuard) recordPending(r *request, a *attempt) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pending[a] = r
+}
+
+// recordBegun records that the answer of an attempt has begun, or that the attempt has ended.
+func (q *quarantineGuard) recordBegun(a *attempt) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.pending, a)
+}
+
+// changesFor returns the records that the relay at an address may lack, the version up to which they
+// reach, and that up to which the records of the relay were read.
+func (q *quarantineGuard) changesFor(address string) (records []quarantine.Record, sent, read int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c := q.cursors[address]
+	if c == nil {
+		c = &news.QuarantineCursor{}
+		q.cursors[address] = c
+	}
+	records, sent = q.tracker.Changes(c.Sent, news.MaxQuarantineRecords)
+	return records, sent, c.Read
+}
+
+// applyPeerReport applies the records in an answer of the relay at an address.
+func (q *quarantineGuard) applyPeerReport(address string, sent int64, got news.PeerReport) {
+	q.mu.Lock()
+	q.gateways = got.Gateways
+	q.cursors[address].Advance(got.QuarantineRun, got.QuarantineRead, sent)
+	verdicts := q.tracker.Merge(sinceBoot(), got.Quarantine)
+	q.mu.Unlock()
+	q.apply(verdicts, "known from another gateway, or from what others know")
+}
+
+// recordSurvival records that a worker has answered the request, or writes on long after it began.
+// Another request with the same suspected part may go then.
+func (r *request) recordSurvival(a *attempt) {
+	r.releaseAlone()
+	if !a.survived {
+		a.survived = true
+		r.gateway.quarantine.recordSurvival(r.service, r.parts)
+	}
+}
+
+func (q *quarantineGuard) recordSurvival(service string, parts []uint64) {
+	q.mu.Lock()
+	cleared := q.tracker.RecordFinished(sinceBoot(), service, parts)
+	q.mu.Unlock()
+	q.logVerdicts(cleared, "a worker answered a request with it")
+}
+
+// setWorkers sets the usable workers.
+func (q *quarantineGuard) setWorkers(workers []forward.Worker) {
+	counts, versions := map[string]int{}, map[string][]string{}
+	for _, w := range workers {
+		counts[w.Service]++
+		versions[w.Service] = appendMissing(versions[w.Service], w.Version)
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for service, n := range counts {
+		q.tracker.SetWorkers(service, n, versions[service])
+	}
+}
+
+func appendMissing(list []string, value string) []string {
+	for _, v := range list {
+		if v == value {
+			return list
+		}
+	}
+	return append(list, value)
+}
+
+// tick removes what is out of date.
+func (q *quarantineGuard) tick(now time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.tracker.Tick(now)
+	for part, turn := range q.turns {
+		if !turn.taken && time.Since(turn.at) > maxAloneWait {
+			delete(q.turns, part)
+		}
+	}
+}
+
+// recordBreak records that the answer of an attempt broke off. If the worker has ended, the request is
+// accused of that by how recently its answer had begun.
+func (r *request) recordBreak(a *attempt, err error) {
+	if cause := framing.CauseOf(err); cause != framing.BrokenOff && cause != framing.InsideEvent || errors.Is(err, net.ErrClosed) || isTimeout(err) {
+		return
+	}
+	weight := 0.0
+	switch {
+	case !a.begunAt.IsZero():
+		weight = quarantine.Weight(time.Since(a.begunAt))
+	case !r.hasPrompt():
+		weight = unbegunWeight
+	}
+	if weight == 0 || len(r.parts) == 0 || !r.gateway.dispatcher.isInUse(a.worker) || !r.gateway.hasEnded(a.worker) {
+		return
+	}
+	if weight >= unbegunWeight {
+		r.endedWorkers.Add(1)
+	}
+	r.gateway.quarantine.recordEnd(r, a, weight)
+}
+
+// recordEnd records that a worker ended under a request, and logs it.
+func (q *quarantineGuard) recordEnd(r *request, a *attempt, weight float64) {
+	q.mu.Lock()
+	verdicts := q.tracker.RecordEnd(sinceBoot(), quarantine.WorkerEnd{
+		Service: r.service, Version: a.worker.Version, Worker: workerKey(a.worker), IDs: r.parts, Weight: weight,
+	})
+	q.mu.Unlock()
+	sinceBegin := int64(-1)
+	if !a.begunAt.IsZero() {
+		sinceBegin = time.Since(a.begunAt).Milliseconds()
+	}
+	q.log.Info("worker has ended under a request", zap.String("worker", a.worker.ID), zap.String("service", r.service), zap.String("version", a.worker.Version),
+		zap.String("request", r.inbound.meta.RequestID), zap.String("customer", r.customer.Name), zap.Strings("parts", formatParts(r.parts)),
+		zap.Float64("weight", weight), zap.Int64("since_begin_ms", sinceBegin))
+	q.metrics.countWorkerEnd(r.service)
+	q.apply(verdicts, "workers ended under requests with it")
+}
+
+// apply logs verdicts and closes the connections of attempts that wait at workers and that a verdict
+// condemns.
+func (q *quarantineGuard) apply(verdicts []quarantine.Verdict, reason string) {
+	if len(verdicts) == 0 {
+		return
+	}
+	q.logVerdicts(verdicts, reason)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for a, r := range q.pending {
+		if d := q.tracker.Decide(sinceBoot(), r.service, r.parts); d.Action == quarantine.Refuse {
+			_ = a.exchange.conn.Close() // fails only on a closed connection
+		}
+	}
+}
+
+// logVerdicts writes one line for each verdict.
+func (q *quarantineGuard) logVerdicts(verdicts []quarantine.Verdict, reason string) {
+	for i := range verdicts {
+		v := &verdicts[i]
+		fields := []zap.Field{
+			zap.String("service", v.Part.Service), zap.String("part", formatPart(v.Part.ID)), zap.String("version", v.Version),
+			zap.Int("ended_workers", v.Crashes), zap.Int("tries", v.Tries), zap.Bool("by_operator", v.ByOperator), zap.String("reason", reason),
+		}
+		if v.Condemned {
+			q.log.Warn("requests with a part are refused", append(fields, zap.Int64("for_ms", (v.Until-sinceBoot()).Milliseconds()))...)
+			continue
+		}
+		q.log.Info("requests with a part are not refused any more", fields...)
+	}
+}
+
+func formatParts(parts []uint64) []string {
+	out := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, id := range parts[:min(len(parts), maxLoggedParts)] {
+		out = append(out, formatPart(id))
+	}
+	return out
+}
+
+// workerKey identifies one run of a worker.
+func workerKey(w forward.Worker) string { return w.ID + "@" + strconv.FormatInt(w.StartUnixMs, 36) }
+
+// hasEnded reports whether the process of a worker has ended: its machine refuses connections.
+func (g *Gateway) hasEnded(w forward.Worker) bool {
+	key := workerKey(w)
+	g.quarantine.mu.Lock()
+	known := g.quarantine.ends.Contains(key)
+	g.quarantine.mu.Unlock()
+	if known {
+		return true
+	}
+	dialer := net.Dialer{Timeout: endProbeTimeout}
+	c, err := dialer.DialContext(g.ctx, "tcp", w.Address)
+	if err == nil {
+		_ = c.Close() // nothing was written
+		return false
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return false
+	}
+	g.quarantine.mu.Lock()
+	defer g.quarantine.mu.Unlock()
+	g.quarantine.ends.Add(key, struct{}{})
+	return true
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -4,14 +4,17 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/framing"
 	"github.com/borageflow/borageflow/internal/membership"
+	"github.com/borageflow/borageflow/internal/quarantine"
 	"github.com/borageflow/borageflow/internal/rollout"
 )
 
@@ -47,6 +50,14 @@
 	// runCount is the number of workers that ran the request or may have.
 	runCount int
 
+	// parts is what the request may have in common with others under which workers end.
+	parts []uint64
+	// endedWorkers is the number of workers that ended shortly after they had begun to answer the
+	// request. The reader of an answer that was set aside counts too.
+	endedWorkers atomic.Int32
+	// alonePart is the suspected part of which this request is the one on its way.
+	alonePart *quarantine.Part
+
 	headerSent bool
 	// aborted reports whether the caller's connection must be closed.
 	aborted bool
@@ -77,6 +88,10 @@
 	// startedSinceBoot is the time of the start since boot, the clock that package forward uses.
 	startedSinceBoot time.Duration
 	model            string
+	// begunAt is when the header of the response arrived: the worker has begun to answer.
+	begunAt time.Time
+	// survived reports whether the request was recorded as one that does not end its worker.
+	survived bool
 	// evidence is the request as evidence of a rollout, nil without one.
 	evidence *rollout.Pending
 	// isHeld reports whether the response was set aside. Its reader then ends the attempt.
@@ -93,6 +108,8 @@
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	r.gateway.dispatcher.recordFirstAttempt(r.service)
+	r.parts = r.partIDs()
+	defer r.releaseAlone()
 	for {
 		refusal, outcome := r.runAttempts(ctx)
 		if refusal != nil {
@@ -125,6 +142,9 @@
 		if refusal := r.authorize(); refusal != nil {
 			return refusal, "refused"
 		}
+		if refusal := r.awaitClearance(ctx); refusal != nil {
+			return refusal, outcomeOfRefusal(refusal)
+		}
 		a, refusal := r.pickWorker()
 		if refusal != nil {
 			return refusal, "refused"
@@ -147,6 +167,10 @@
 		if r.isOverdue() {
 			return errkind.New(errkind.DeadlineExceeded, "larger model did not begin in time"), "failed"
 		}
+		if r.endedWorkers.Load() > 0 && (r.hasEndedTooMany() || r.isSuspected()) {
+			r.noRetryReason = "workers have ended under the request"
+			return r.finalError(outcome), "failed"
+		}
 		if ok, reason := retry.ShouldRetry(r.unsentAttempts); !ok {
 			r.noRetryReason = reason
 			return r.finalError(outcome), "failed"
@@ -173,6 +197,14 @@
 // receives its error.
 const outcomeCallerLeft = "caller left"
 
+// outcomeOfRefusal returns the outcome of a request that is not sent: it failed if it may have run.
+func outcomeOfRefusal(refusal *errkind.Error) string {
+	if refusal.Kind == errkind.UpstreamFailed {
+		return "failed"
+	}
+	return "refused"
+}
+
 // contextError returns why the request must end, because its time is over or the caller
 // disconnected, and the outcome; or nil.
 func (r *request) contextError(ctx context.Context) (*errkind.Error, string) {
@@ -280,7 +312,9 @@
 		r.gateway.dispatcher.recordLargerModelStart(r.route.Name, a.startedSinceBoot)
 	}
 	r.sentAttempts++
+	r.gateway.quarantine.recordPending(r, a)
 	err = r.awaitHeader(ex)
+	r.gateway.quarantine.recordBegun(a)
 	if r.modelIndex > 0 {
 		r.gateway.dispatcher.recordLargerModelEnd(r.route.Name, a.startedSinceBoot, err == nil)
 	}
@@ -298,7 +332,8 @@
 }
 
 // handleNoHeader records an attempt whose response has no header. It is no failure of the worker if
-// the caller left, or if the larger model was given up for an answer that was set aside.
+// the caller left, if the larger model was given up for an answer that was set aside, or if the
+// quarantine closed the connection.
 func (r *request) handleNoHeader(ctx context.Context, a *attempt, err error) {
 	r.lastError = err
 	r.mayHaveRun = true
@@ -306,6 +341,10 @@
 	if framing.IsNoAnswer(err) {
 		r.gateway.dispatcher.recordAnswer(a.evidence, true)
 	}
+	if errors.Is(err, net.ErrClosed) && ctx.Err() == nil {
+		r.noRetryReason = "a part of the request was condemned while it waited at a worker"
+		return
+	}
 	if !r.isOverdue() && (ctx.Err() == nil || errors.Is(ctx.Err(), context.DeadlineExceeded)) {
 		r.recordFailure(a, err)
 	}
@@ -386,6 +425,7 @@
 		return forward.NotRun, false
 	}
 	r.mayHaveRun = true
+	a.begunAt = time.Now()
 	latency := time.Since(a.started)
 	failed := status >= http.StatusInternalServerError
 	r.gateway.dispatcher.recordAnswer(a.evidence, failed)
@@ -430,4 +470,5 @@
 	r.lastError = err
 	r.gateway.metrics.countUnfinished(a.worker.ID, framing.CauseOf(err))
 	r.gateway.dispatcher.recordNoAnswer(a.worker, membership.Failed, time.Since(a.started))
+	r.recordBreak(a, err)
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -56,6 +56,7 @@
 	}
 	if ended {
 		a.exchange.releaseConn(r.gateway.pool)
+		r.recordSurvival(a)
 		return forward.Answered, true
 	}
 	buffer.reset()
@@ -70,6 +71,7 @@
 		return r.abortResponse()
 	}
 	a.exchange.releaseConn(r.gateway.pool)
+	r.recordSurvival(a)
 	return forward.Answered, true
 }
 
@@ -152,6 +154,7 @@
 			r.sendStreamHeader(resp)
 		}
 		a.exchange.releaseConn(r.gateway.pool)
+		r.recordSurvival(a)
 		return forward.Answered, true
 	}
 	if err == nil {
@@ -217,6 +220,9 @@
 			return eris.Wrap(err, "stream broke off")
 		}
 		meter.event()
+		if !a.survived && time.Since(a.begunAt) > survivalTime {
+			r.recordSurvival(a)
+		}
 		if id >= 0 && r.headerSent && id <= r.lastEventID {
 			continue // the caller already received this event
 		}
--- a/internal/news/exchange.go
+++ b/internal/news/exchange.go
@@ -9,6 +9,7 @@
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/peer"
+	"github.com/borageflow/borageflow/internal/quarantine"
 )
 
 // OwnReport is what a gateway states in an exchange: the loads that it causes and what it observed
@@ -16,6 +17,12 @@
 type OwnReport struct {
 	WorkerStats
 	Evidence []EvidenceRecord
+	// Now is the time of the report on the clock of its records.
+	Now Elapsed
+	// Quarantine holds the records up to version QuarantineSent that the relay may lack, and
+	// QuarantineRead is the version of the relay's records up to which the gateway has read.
+	Quarantine                     []quarantine.Record
+	QuarantineSent, QuarantineRead int64
 }
 
 // PeerReport is what an exchange returns.
@@ -26,6 +33,10 @@
 	Gateways int
 	// Evidence is the sum of the evidence of the other gateways by rollout.
 	Evidence []EvidenceRecord
+	// Quarantine holds the records of the relay that the gateway has not read, up to the version
+	// QuarantineRead. QuarantineRun identifies the run of the relay.
+	Quarantine                    []quarantine.Record
+	QuarantineRead, QuarantineRun int64
 	// Next is the time until the next exchange.
 	Next time.Duration
 }
@@ -39,16 +50,23 @@
 		return
 	}
 	own, err := decodeReport(p.Loads, p.Failures, p.Demand, p.Evidence)
+	if err == nil {
+		own.Quarantine, err = decodeQuarantine(r.clock(), p.Quarantine)
+	}
 	if err != nil {
 		call.Fail(errkind.New(errkind.InvalidRequest, err.Error()))
 		return
 	}
 	if p.Relay {
-		call.Respond(r.answerRelay(int64(p.EvidenceSince)))
+		call.Respond(r.answerRelay(int64(p.EvidenceSince), int64(p.QuarantineSince)))
 		return
 	}
+	own.QuarantineRead = int64(p.QuarantineSince)
 	answer := r.Exchange(link.Remote.Instance, own)
-	result := api.LoadsResult{Loads: answer.Loads.Encode(), Failures: answer.Failures.Encode(), Demand: answer.Demand.Encode(), Gateways: answer.Gateways, Evidence: encodeEvidence(answer.Evidence)}
+	result := api.LoadsResult{
+		Loads: answer.Loads.Encode(), Failures: answer.Failures.Encode(), Demand: answer.Demand.Encode(), Gateways: answer.Gateways, Evidence: encodeEvidence(answer.Evidence),
+		Quarantine: encodeQuarantine(r.clock(), answer.Quarantine), QuarantineVersion: int(answer.QuarantineRead), QuarantineRun: int(answer.QuarantineRun),
+	}
 	result.NextMs = int(r.interval(&result).Milliseconds())
 	call.Respond(result)
 }
@@ -80,14 +98,16 @@
 	return r.loads.Interval(size)
 }
 
-// answerRelay returns the loads of the gateways that report here, and the evidence that changed
-// after a version.
-func (r *Relay) answerRelay(evidenceSince int64) api.LoadsResult {
+// answerRelay returns the loads of the gateways that report here, and the evidence and the records of
+// the quarantine that changed after two versions.
+func (r *Relay) answerRelay(evidenceSince, quarantineSince int64) api.LoadsResult {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	stats, gateways := r.loads.OfGateways(r.clock())
 	records, version := r.evidence.ChangedSince(evidenceSince)
 	out := api.LoadsResult{Loads: stats.Loads.Encode(), Failures: stats.Failures.Encode(), Demand: stats.Demand.Encode(), Gateways: gateways, Evidence: encodeEvidence(records), EvidenceVersion: int(version)}
+	quarantined, quarantineVersion := r.quarantine.ChangedSince(quarantineSince, MaxQuarantineRecords)
+	out.Quarantine, out.QuarantineVersion, out.QuarantineRun = encodeQuarantine(r.clock(), quarantined), int(quarantineVersion), int(r.quarantineRun)
 	out.NextMs = int(r.loads.Interval(len(out.Loads) + len(out.Failures)).Milliseconds())
 	return out
 }
@@ -104,6 +124,9 @@
 		r.evidence.Merge(now, e)
 		out.Evidence = append(out.Evidence, EvidenceRecord{Rollout: e.Rollout, Evidence: r.evidence.OthersOf(e.Rollout, e.Origin)})
 	}
+	r.mergeQuarantine(now, own.Quarantine)
+	out.Quarantine, out.QuarantineRead = r.quarantine.ChangedSince(own.QuarantineRead, MaxQuarantineRecords)
+	out.QuarantineRun = r.quarantineRun
 	out.Next = r.loads.Interval(0)
 	return out
 }
@@ -112,9 +135,9 @@
 // until it is to be fetched again.
 func (r *Relay) FetchFromRelay(ctx context.Context, dialer LinkDialer, address string) (time.Duration, error) {
 	r.mu.Lock()
-	since := r.fetchedEvidence[address]
+	since, quarantineSince := r.fetchedEvidence[address], r.fetchedQuarantine[address]
 	r.mu.Unlock()
-	got, version, err := callLoads(ctx, dialer, address, api.LoadsParams{Relay: true, EvidenceSince: int(since)})
+	got, version, err := callLoads(ctx, dialer, address, r.clock(), api.LoadsParams{Relay: true, EvidenceSince: int(since), QuarantineSince: int(quarantineSince)})
 	if err != nil {
 		return 0, err
 	}
@@ -126,19 +149,22 @@
 		r.evidence.Merge(now, e)
 	}
 	r.fetchedEvidence[address] = version
+	r.mergeQuarantine(now, got.Quarantine)
+	r.fetchedQuarantine[address] = got.QuarantineRead
 	return got.Next, nil
 }
 
 // ExchangeWithRelay states what a gateway knows to a relay and returns what the others do.
 func ExchangeWithRelay(ctx context.Context, dialer LinkDialer, address string, own OwnReport) (PeerReport, error) {
-	got, _, err := callLoads(ctx, dialer, address, api.LoadsParams{
+	got, _, err := callLoads(ctx, dialer, address, own.Now, api.LoadsParams{
 		Loads: own.Loads.Encode(), Failures: own.Failures.Encode(), Demand: own.Demand.Encode(), Evidence: encodeEvidence(own.Evidence),
+		Quarantine: encodeQuarantine(own.Now, own.Quarantine), QuarantineSince: int(own.QuarantineRead),
 	})
 	return got, err
 }
 
-// callLoads returns the answer of a relay and the version of its evidence.
-func callLoads(ctx context.Context, dialer LinkDialer, address string, params api.LoadsParams) (PeerReport, int64, error) {
+// callLoads calls a relay at time now. It returns the answer of a relay and the version of its evidence.
+func callLoads(ctx context.Context, dialer LinkDialer, address string, now Elapsed, params api.LoadsParams) (PeerReport, int64, error) {
 	link, err := dialer.Link(ctx, address)
 	if err != nil {
 		return PeerReport{}, 0, err
@@ -148,6 +174,12 @@
 		return PeerReport{}, 0, eris.Wrapf(err, "relay %s does not answer with loads", address)
 	}
 	got, err := decodeReport(result.Loads, result.Failures, result.Demand, result.Evidence)
-	next := time.Duration(result.NextMs) * time.Millisecond
-	return PeerReport{got.WorkerStats, max(result.Gateways, 1), got.Evidence, next}, int64(result.EvidenceVersion), err
+	if err != nil {
+		return PeerReport{}, 0, err
+	}
+	quarantined, err := decodeQuarantine(now, result.Quarantine)
+	return PeerReport{
+		WorkerStats: got.WorkerStats, Gateways: max(result.Gateways, 1), Evidence: got.Evidence, Next: time.Duration(result.NextMs) * time.Millisecond,
+		Quarantine: quarantined, QuarantineRead: int64(result.QuarantineVersion), QuarantineRun: int64(result.QuarantineRun),
+	}, int64(result.EvidenceVersion), err
 }
--- /dev/null
+++ b/internal/news/quarantine.go
@@ -0,0 +1,107 @@
+package news
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/quarantine"
+)
+
+// MaxQuarantineRecords bounds the records in one message, of about 150 bytes each. The rest follows in
+// the next exchange.
+const MaxQuarantineRecords = 64
+
+// QuarantineCursor is how far a gateway and a relay have read each other's records.
+type QuarantineCursor struct {
+	// Run identifies the run of the relay.
+	Run int64
+	// Read is the version of the relay's records up to which the gateway has read, Sent that of the
+	// gateway's records up to which the relay has them.
+	Read, Sent int64
+}
+
+// Advance moves the cursor by an answer to a message that held the gateway's records up to sent. A new
+// run of the relay has none of the records that earlier ones got.
+func (c *QuarantineCursor) Advance(run, read, sent int64) {
+	if c.Run != 0 && run != c.Run {
+		sent = 0
+	}
+	*c = QuarantineCursor{run, read, sent}
+}
+
+// encodeQuarantine encodes records as of now, the clock of their times.
+func encodeQuarantine(now Elapsed, records []quarantine.Record) []api.QuarantineRecord {
+	out := make([]api.QuarantineRecord, 0, len(records))
+	for _, r := range records {
+		e := api.QuarantineRecord{Service: r.Part.Service, Part: formatHash(r.Part.ID)}
+		switch {
+		case r.Crash != nil:
+			e.Kind, e.Subject, e.Weight, e.Position = api.QuarantineRecordKindCrash, formatHash(r.Crash.Worker), r.Crash.Weight, r.Crash.Position
+			e.AgeMs = int((now - r.Crash.At).Milliseconds())
+		case r.Finished != nil:
+			e.Kind, e.Subject, e.Before, e.After = api.QuarantineRecordKindFinished, formatHash(r.Finished.Origin), r.Finished.Before, r.Finished.After
+			e.AgeMs = int((now - r.Finished.At).Milliseconds())
+		case r.Verdict != nil:
+			v := r.Verdict
+			e.Kind, e.Sequence, e.Condemned, e.Version = api.QuarantineRecordKindVerdict, int(v.Sequence), v.Condemned, v.Version
+			e.Crashes, e.Tries, e.ByOperator, e.RemainingMs = v.Crashes, v.Tries, v.ByOperator, int((v.Until - now).Milliseconds())
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func formatHash(h uint64) string { return strconv.FormatUint(h, 16) }
+
+// decodeQuarantine decodes what encodeQuarantine returns. It returns an error for anything else.
+func decodeQuarantine(now Elapsed, records []api.QuarantineRecord) ([]quarantine.Record, error) {
+	out := make([]quarantine.Record, 0, len(records))
+	for i := range records {
+		e := &records[i]
+		id, err := strconv.ParseUint(e.Part, 16, 64)
+		if err != nil {
+			return nil, eris.Wrapf(err, "record of part %q", e.Part)
+		}
+		r := quarantine.Record{Part: quarantine.Part{Service: e.Service, ID: id}}
+		if e.Kind == api.QuarantineRecordKindVerdict {
+			r.Verdict = &quarantine.Verdict{
+				Part: r.Part, Sequence: int64(e.Sequence), Condemned: e.Condemned, Version: e.Version, Crashes: e.Crashes, Tries: e.Tries,
+				ByOperator: e.ByOperator, Until: now + time.Duration(e.RemainingMs)*time.Millisecond,
+			}
+			out = append(out, r)
+			continue
+		}
+		subject, err := strconv.ParseUint(e.Subject, 16, 64)
+		if err != nil {
+			return nil, eris.Wrapf(err, "record of part %q has subject %q", e.Part, e.Subject)
+		}
+		at := now - time.Duration(e.AgeMs)*time.Millisecond
+		switch e.Kind {
+		case api.QuarantineRecordKindCrash:
+			if e.Weight < 0 || e.Weight > 1 {
+				return nil, eris.Errorf("record of part %q has weight %v, must be 0 to 1", e.Part, e.Weight)
+			}
+			r.Crash = &quarantine.Crash{Worker: subject, Weight: e.Weight, Position: e.Position, At: at}
+		case api.QuarantineRecordKindFinished:
+			if e.Before < 0 || e.After < 0 {
+				return nil, eris.Errorf("record of part %q has negative counts", e.Part)
+			}
+			r.Finished = &quarantine.Finished{Origin: subject, Before: e.Before, After: e.After, At: at}
+		default:
+			return nil, eris.Errorf("record of part %q has kind %q", e.Part, e.Kind)
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// mergeQuarantine adds records to those of the relay. The caller holds the lock.
+func (r *Relay) mergeQuarantine(now Elapsed, records []quarantine.Record) {
+	r.quarantine.Expire(now)
+	for _, record := range records {
+		r.quarantine.Merge(record)
+	}
+}
--- a/internal/news/relay.go
+++ b/internal/news/relay.go
@@ -12,6 +12,7 @@
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/peer"
+	"github.com/borageflow/borageflow/internal/quarantine"
 )
 
 // Relay passes the updates of the store on to other gateways. It answers each of their
@@ -27,6 +28,12 @@
 	// version of the evidence that was fetched last from each other relay.
 	evidence        *EvidenceTable
 	fetchedEvidence map[string]int64
+	// quarantine is what gateways know of requests under which workers end. quarantineRun identifies
+	// this run of the relay, and fetchedQuarantine holds the version that was fetched last from each
+	// other relay.
+	quarantine        *quarantine.Ledger
+	quarantineRun     int64
+	fetchedQuarantine map[string]int64
 	// changed is closed and replaced when waiting requests must check for updates again.
 	changed chan struct{}
 }
@@ -34,9 +41,11 @@
 // NewRelay returns a Relay without data. It refuses requests while its configuration was
 // not confirmed for longer than maxAge.
 func NewRelay(maxAge time.Duration, clock func() Elapsed, log *zap.Logger) *Relay {
+	run := time.Now().UnixNano()
 	return &Relay{
 		clock: clock, log: log, updates: NewUpdateLog(maxAge), loads: NewLoadTable(), changed: make(chan struct{}),
-		evidence: NewEvidenceTable(time.Now().UnixNano()), fetchedEvidence: map[string]int64{},
+		evidence: NewEvidenceTable(run), fetchedEvidence: map[string]int64{},
+		quarantine: quarantine.NewLedger(run), quarantineRun: run, fetchedQuarantine: map[string]int64{},
 	}
 }
 
