Keep condemnations in the store

What callers saw: after a power loss of all gateways each of them learned again which requests end workers.

Cause: verdicts were in memory alone. Change: one object of a kind of its own for each part, listed at the start and watched; whoever finds a verdict missing writes it, so that it also comes back after the store has lost it.

--- a/internal/forward/store.go
+++ b/internal/forward/store.go
@@ -14,10 +14,16 @@
 	ConfigTopic Topic = iota
 	WorkerTopic
 	RolloutTopic
+	CondemnationTopic
 )
 
+// Topics lists every Topic.
+var Topics = []Topic{ConfigTopic, WorkerTopic, RolloutTopic, CondemnationTopic}
+
 // String returns the name used in logs and metrics.
-func (t Topic) String() string { return [...]string{"config", "workers", "rollouts"}[t] }
+func (t Topic) String() string {
+	return [...]string{"config", "workers", "rollouts", "condemnations"}[t]
+}
 
 // Update is the content of one answer of the store, or of a relay, about one topic.
 type Update struct {
@@ -27,10 +33,12 @@
 	Full bool
 
 	Configs []*Config
-	// Workers and Rollouts are in the order of the changes. An object may change several
+	// Workers, Rollouts and Condemnations are in the order of the changes. An object may change several
 	// times in one update.
 	Workers  []WorkerChange
 	Rollouts []RolloutChange
+	// Condemnations may be empty in updates of gateways of earlier versions.
+	Condemnations []CondemnationChange `json:",omitempty"`
 	// Relayed is set when another process passed the update on. Age is then the time since
 	// that process last knew that no newer update existed.
 	Relayed bool
@@ -42,7 +50,7 @@
 
 // ChangeCount returns the number of changed objects, including those that could not be decoded.
 func (u *Update) ChangeCount() int {
-	return len(u.Configs) + len(u.Workers) + len(u.Rollouts) + len(u.Faults)
+	return len(u.Configs) + len(u.Workers) + len(u.Rollouts) + len(u.Condemnations) + len(u.Faults)
 }
 
 // WorkerChange is a new or changed worker or, if Removed is set, the removal of the worker
@@ -59,6 +67,32 @@
 	Removed bool
 }
 
+// Condemnation is a decision on a part of requests under which workers end, as the store keeps it.
+type Condemnation struct {
+	Service string
+	// Part is the ID of the part of a prompt, or the hash of a request without one.
+	Part uint64
+	// Sequence orders the decisions on a part.
+	Sequence int64
+	// Condemned is set if requests with the part are refused.
+	Condemned bool
+	// Version is the version of the workers' software on which the part was condemned; empty for
+	// all.
+	Version string
+	// EndedWorkers is the number of workers that had ended, and Tries that of earlier condemnations.
+	EndedWorkers, Tries int
+	ByOperator          bool
+	// UntilUnixMs is the end of the condemnation in Unix milliseconds.
+	UntilUnixMs int64
+}
+
+// CondemnationChange is a new or changed condemnation or, if Removed is set, the removal of its
+// object.
+type CondemnationChange struct {
+	Condemnation
+	Removed bool
+}
+
 // Fault is an object that could not be decoded; Name is empty if that could not be decoded
 // either.
 type Fault struct {
@@ -95,4 +129,8 @@
 	// RecordRollout replaces the recorded state of a rollout and returns the updated order.
 	// It returns ErrConflict if the order is no longer at its revision.
 	RecordRollout(ctx context.Context, order Rollout, p RolloutProgress) (Rollout, error)
+	// RecordCondemnation creates or replaces the object of a condemnation.
+	RecordCondemnation(ctx context.Context, c Condemnation) error
+	// RemoveCondemnation removes the object of a condemnation. It returns nil if there is none.
+	RemoveCondemnation(ctx context.Context, c Condemnation) error
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,7 +101,7 @@
 		origin: s.Instance + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
 	g.relayPeer, g.store = newRelayPeer(s, deps.Store, time.Now(), log)
-	g.quarantine = newQuarantineGuard(g.origin, m, observe.ComponentLogger(log, "quarantine"))
+	g.quarantine = newQuarantineGuard(g.origin, s.isRelay(), m, observe.ComponentLogger(log, "quarantine"))
 	g.dispatcher = newDispatcher(s, observe.ComponentLogger(log, "state"))
 	g.dispatcher.onWorkers = g.quarantine.setWorkers
 	m.set.NewGauge("borageflow_gateway_active_requests", func() float64 { return float64(g.activeRequests.Load()) })
@@ -153,6 +153,9 @@
 		{topic: forward.RolloutTopic, store: g.store, watchTimeout: g.settings.LongWatchTimeout, maxBackoff: maxLongWatchBackoff, batchDelay: rolloutBatchDelay, apply: func(u *forward.Update, _ time.Duration) {
 			g.dispatcher.applyRollouts(sinceBoot(), u)
 		}, onStoreLost: ignoreLoss, onCall: g.metrics.countStoreCall, relists: relists, log: log},
+		{topic: forward.CondemnationTopic, store: g.store, watchTimeout: condemnationWatchTimeout, maxBackoff: maxLongWatchBackoff, batchDelay: rolloutBatchDelay, apply: func(u *forward.Update, _ time.Duration) {
+			g.quarantine.applyStore(u)
+		}, onStoreLost: ignoreLoss, onCall: g.metrics.countStoreCall, relists: relists, log: log},
 	}
 	for _, w := range watchers {
 		w.relayPeer = g.relayPeer
@@ -191,6 +194,9 @@
 		for _, w := range g.dispatcher.dueRolloutWrites(now) {
 			g.goroutines.Go(func() { g.recordRollout(w) })
 		}
+		for _, w := range g.quarantine.dueWrites() {
+			g.goroutines.Go(func() { g.recordCondemnation(w) })
+		}
 	}
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -64,6 +64,7 @@
 	gateways int
 	// cursors holds how far the records are exchanged with each relay.
 	cursors map[string]*news.QuarantineCursor
+	writer  *condemnationWriter
 }
 
 // aloneTurn is when the next request with a suspected part may go, and whether one is on its way.
@@ -72,20 +73,16 @@
 	taken bool
 }
 
-func newQuarantineGuard(origin string, m *gatewayMetrics, log *zap.Logger) *quarantineGuard {
+func newQuarantineGuard(origin string, isRelay bool, m *gatewayMetrics, log *zap.Logger) *quarantineGuard {
 	ends, err := lru.NewLRU[string, struct{}](maxKnownEnds, nil)
 	if err != nil {
 		panic(err) // only a size below 1 fails
 	}
 	q := &quarantineGuard{
 		log: log, metrics: m, tracker: quarantine.NewTracker(origin, time.Now().Add(-sinceBoot())),
-		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, ends: ends, gateways: 1, cursors: map[string]*news.QuarantineCursor{},
+		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, ends: ends, gateways: 1, cursors: map[string]*news.QuarantineCursor{}, writer: newCondemnationWriter(isRelay),
 	}
-	m.set.NewGauge("borageflow_gateway_condemned_parts", func() float64 {
-		q.mu.Lock()
-		defer q.mu.Unlock()
-		return float64(len(q.tracker.Verdicts()))
-	})
+	m.set.NewGauge("borageflow_gateway_condemned_parts", func() float64 { return float64(len(q.condemnations())) })
 	return q
 }
 
@@ -179,6 +176,13 @@
 	}
 }
 
+// condemnations returns the condemnations in force and those whose parts are on probation.
+func (q *quarantineGuard) condemnations() []quarantine.Verdict {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.tracker.Verdicts()
+}
+
 func formatPart(id uint64) string { return strconv.FormatUint(id, 16) }
 
 func (q *quarantineGuard) decide(service string, parts []uint64) quarantine.Decision {
--- a/internal/news/relay.go
+++ b/internal/news/relay.go
@@ -152,7 +152,7 @@
 }
 
 func parseTopic(name string) (forward.Topic, bool) {
-	for _, t := range []forward.Topic{forward.ConfigTopic, forward.WorkerTopic, forward.RolloutTopic} {
+	for _, t := range forward.Topics {
 		if t.String() == name {
 			return t, true
 		}
--- a/internal/news/store_test.go
+++ b/internal/news/store_test.go
@@ -85,7 +85,7 @@
 	f.relayNode = startNode(t, f.relay)
 	address, err := f.relayNode.Listen("127.0.0.1:0")
 	assert.NilError(t, err)
-	for _, topic := range []forward.Topic{forward.ConfigTopic, forward.WorkerTopic, forward.RolloutTopic} {
+	for _, topic := range forward.Topics {
 		f.relay.Publish(topic, listUpdate(10), f.clock.elapsed())
 	}
 	gatewayNode := startNode(t, NewRelay(0, f.clock.elapsed, zap.NewNop()))
@@ -189,7 +189,7 @@
 	relays := map[string]*Relay{}
 	for _, domain := range []string{"domain-1", "domain-2", "domain-3"} {
 		relay := NewRelay(2*time.Second, c.elapsed, zap.NewNop())
-		for _, topic := range []forward.Topic{forward.ConfigTopic, forward.WorkerTopic, forward.RolloutTopic} {
+		for _, topic := range forward.Topics {
 			relay.Publish(topic, listUpdate(10), c.elapsed())
 		}
 		node := peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello {
--- a/internal/news/update_log.go
+++ b/internal/news/update_log.go
@@ -45,6 +45,8 @@
 	config       *forward.Config
 	workers      map[string]forward.Worker
 	rollouts     map[string]forward.Rollout
+	// condemnations are keyed by service and part.
+	condemnations map[condemnationKey]forward.Condemnation
 	// snapshot is the encoded topic as of the last entry; nil if it must be encoded again.
 	snapshot json.RawMessage
 }
@@ -79,8 +81,8 @@
 // connections carry every topic and the configuration is requested most often.
 func NewUpdateLog(maxAge time.Duration) *UpdateLog {
 	l := &UpdateLog{maxAge: maxAge, topics: map[forward.Topic]*topicLog{}}
-	for _, t := range []forward.Topic{forward.ConfigTopic, forward.WorkerTopic, forward.RolloutTopic} {
-		l.topics[t] = &topicLog{workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}}
+	for _, t := range forward.Topics {
+		l.topics[t] = &topicLog{workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, condemnations: map[condemnationKey]forward.Condemnation{}}
 	}
 	return l
 }
@@ -99,6 +101,7 @@
 		t.entries = nil
 		clear(t.workers)
 		clear(t.rollouts)
+		clear(t.condemnations)
 	}
 	changes := t.apply(u)
 	changed := reset || changes.ChangeCount() > 0
@@ -161,9 +164,38 @@
 			delete(t.rollouts, r.Service)
 		}
 	}
+	t.applyCondemnations(u, out)
 	return out
 }
 
+type condemnationKey struct {
+	service string
+	part    uint64
+}
+
+// applyCondemnations applies the condemnations of an update and adds those that altered the state to
+// changes.
+func (t *topicLog) applyCondemnations(u, changes *forward.Update) {
+	listed := map[condemnationKey]bool{}
+	for _, c := range u.Condemnations {
+		key := condemnationKey{c.Service, c.Part}
+		listed[key] = true
+		if known, ok := t.condemnations[key]; c.Removed || !ok || known != c.Condemnation {
+			changes.Condemnations = append(changes.Condemnations, c)
+		}
+		t.condemnations[key] = c.Condemnation
+		if c.Removed {
+			delete(t.condemnations, key)
+		}
+	}
+	for key, c := range t.condemnations {
+		if u.Full && !listed[key] {
+			changes.Condemnations = append(changes.Condemnations, forward.CondemnationChange{Condemnation: c, Removed: true})
+			delete(t.condemnations, key)
+		}
+	}
+}
+
 // removeUnlisted removes the objects that a full list lacks and returns the removals.
 func (t *topicLog) removeUnlisted(u *forward.Update) (workers []forward.WorkerChange, rollouts []forward.RolloutChange) {
 	listedWorkers, listedRollouts := map[string]bool{}, map[string]bool{}
@@ -271,6 +303,9 @@
 	for _, r := range t.rollouts {
 		u.Rollouts = append(u.Rollouts, forward.RolloutChange{Rollout: r})
 	}
+	for _, c := range t.condemnations {
+		u.Condemnations = append(u.Condemnations, forward.CondemnationChange{Condemnation: c})
+	}
 	return u
 }
 
@@ -305,6 +340,7 @@
 		out.Configs = append(out.Configs, u.Configs...)
 		out.Workers = append(out.Workers, u.Workers...)
 		out.Rollouts = append(out.Rollouts, u.Rollouts...)
+		out.Condemnations = append(out.Condemnations, u.Condemnations...)
 	}
 	return out, nil
 }
--- a/internal/news/update_log_test.go
+++ b/internal/news/update_log_test.go
@@ -42,7 +42,7 @@
 func newTestLog(t *testing.T, at Elapsed) *UpdateLog {
 	t.Helper()
 	l := NewUpdateLog(2 * time.Second)
-	for _, topic := range []forward.Topic{forward.ConfigTopic, forward.WorkerTopic, forward.RolloutTopic} {
+	for _, topic := range forward.Topics {
 		_, err := l.Record(topic, listUpdate(10), at)
 		assert.NilError(t, err)
 	}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -17,10 +17,11 @@
 	maxCrashesPerPart = 16
 	// maxOriginsPerPart bounds the gateways whose finished requests are kept for one part.
 	maxOriginsPerPart = 64
-	// verdictTTL is how long a verdict is kept after its end, as the memory of earlier ones.
-	verdictTTL = time.Hour
 )
 
+// VerdictTTL is how long a verdict is kept after its end, as the memory of earlier ones.
+const VerdictTTL = time.Hour
+
 // Crash states that a request with a part had just begun on a worker when that worker ended.
 type Crash struct {
 	// Worker is the hash of the worker's ID and start.
@@ -191,7 +192,7 @@
 		}
 	}
 	for part, v := range l.verdicts {
-		if now-v.value.Until > verdictTTL {
+		if now-v.value.Until > VerdictTTL {
 			delete(l.verdicts, part)
 		}
 	}
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -124,8 +124,17 @@
 	return c.ends >= minSuspectEnds && c.ratio >= suspectThreshold
 }
 
-// Verdicts returns the verdicts that are not over, and those whose parts are on probation, by service
-// and part.
+// Latest returns the latest verdict on each part, also on those that are not condemned any more.
+func (t *Tracker) Latest() []Verdict {
+	out := make([]Verdict, 0, len(t.ledger.verdicts))
+	for _, v := range t.ledger.verdicts {
+		out = append(out, v.value)
+	}
+	return out
+}
+
+// Verdicts returns the condemnations in force and those whose parts are on probation, by service and
+// part.
 func (t *Tracker) Verdicts() []Verdict {
 	var out []Verdict
 	for _, v := range t.ledger.verdicts {
--- a/internal/standin/forwarding/store.go
+++ b/internal/standin/forwarding/store.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -24,9 +26,11 @@
 	config   *forward.Config
 	workers  map[string]forward.Worker
 	rollouts map[string]forward.Rollout
-	changes  []storeChange
-	down     bool
-	recorded []forward.RolloutProgress
+	// condemnations are keyed by service and part.
+	condemnations map[string]forward.Condemnation
+	changes       []storeChange
+	down          bool
+	recorded      []forward.RolloutProgress
 	// oldestRevision is the first revision of the remaining history. Watches that
 	// started from an earlier revision receive no further changes.
 	oldestRevision int64
@@ -42,7 +46,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, changed: make(chan struct{}), workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, activeWatches: map[forward.Topic]int{}}
+	return &Store{revision: 1, changed: make(chan struct{}), workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, condemnations: map[string]forward.Condemnation{}, activeWatches: map[forward.Topic]int{}}
 }
 
 // NewForwardingStore returns a store that forwards lists and watches to backing. SetDown on it
@@ -141,6 +145,10 @@
 		for _, r := range s.rollouts {
 			u.Rollouts = append(u.Rollouts, forward.RolloutChange{Rollout: r})
 		}
+	case forward.CondemnationTopic:
+		for _, c := range s.condemnations {
+			u.Condemnations = append(u.Condemnations, forward.CondemnationChange{Condemnation: c})
+		}
 	}
 	return u, nil
 }
@@ -269,3 +277,50 @@
 	s.appendChange(forward.RolloutTopic, forward.Update{Rollouts: []forward.RolloutChange{{Rollout: current}}})
 	return current, nil
 }
+
+func condemnationKey(c *forward.Condemnation) string { return fmt.Sprintf("%s/%x", c.Service, c.Part) }
+
+// RecordCondemnation implements forward.Store.
+func (s *Store) RecordCondemnation(ctx context.Context, c forward.Condemnation) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return errStoreDown
+	case s.backing != nil:
+		return s.backing.RecordCondemnation(ctx, c)
+	}
+	s.condemnations[condemnationKey(&c)] = c
+	s.appendChange(forward.CondemnationTopic, forward.Update{Condemnations: []forward.CondemnationChange{{Condemnation: c}}})
+	return nil
+}
+
+// RemoveCondemnation implements forward.Store.
+func (s *Store) RemoveCondemnation(ctx context.Context, c forward.Condemnation) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.down:
+		return errStoreDown
+	case s.backing != nil:
+		return s.backing.RemoveCondemnation(ctx, c)
+	}
+	delete(s.condemnations, condemnationKey(&c))
+	s.appendChange(forward.CondemnationTopic, forward.Update{Condemnations: []forward.CondemnationChange{{Condemnation: c, Removed: true}}})
+	return nil
+}
+
+// Condemnations returns the condemnations in the store.
+func (s *Store) Condemnations() []forward.Condemnation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Values(s.condemnations))
+}
+
+// ForgetCondemnations drops all condemnations without a change that watches see, as a store does
+// that comes back from an older copy.
+func (s *Store) ForgetCondemnations() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.condemnations)
+}
