--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -35,6 +35,9 @@
 	// aloneSlot is the time that one request with a suspected part takes until all gateways know
 	// how it ended: to the beginning of its answer, and an exchange with a relay.
 	aloneSlot = 300 * time.Millisecond
+	// probationSlot is that time for a part on probation. It leaves a gateway whose relay has just
+	// restarted the time to learn of an end.
+	probationSlot = 3 * time.Second
 	// maxAloneWait bounds the wait of a request with a suspected part, and maxAloneShare the share of
 	// its remaining time.
 	maxAloneWait  = 1500 * time.Millisecond
@@ -132,10 +135,10 @@
 		switch {
 		case r.endedWorkers.Load() > 0:
 			return errkind.New(errkind.UpstreamFailed, "a worker ended while it answered the request")
-		case q.takeAlone(now, d.Part):
+		case q.takeAlone(now, d):
 			r.alonePart = &d.Part
 			return nil
-		case now.After(until):
+		case d.OnProbation || now.After(until):
 			return r.quarantineRefusal(errkind.New(errkind.Overloaded, "requests like this are sent one at a time: workers have ended under them").WithRetryAfter(maxAloneWait))
 		}
 		timer := time.NewTimer(alonePoll)
@@ -193,17 +196,21 @@
 
 // takeAlone reports whether a request with a suspected part may go now, and if so makes it the one on
 // its way. Each gateway draws when its next one may go, so that over all gateways about one goes in
-// each aloneSlot.
-func (q *quarantineGuard) takeAlone(now time.Time, part quarantine.Part) bool {
+// each aloneSlot, or probationSlot.
+func (q *quarantineGuard) takeAlone(now time.Time, d quarantine.Decision) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	turn := q.turns[part]
+	turn := q.turns[d.Part]
 	if turn == nil {
+		slot := aloneSlot
+		if d.OnProbation {
+			slot = probationSlot
+		}
 		turn = &aloneTurn{at: now}
 		if q.gateways > 1 {
-			turn.at = now.Add(time.Duration(rand.Float64() * float64(q.gateways) * float64(aloneSlot))) //nolint:gosec // spreads requests
+			turn.at = now.Add(time.Duration(rand.Float64() * float64(q.gateways) * float64(slot))) //nolint:gosec // spreads requests
 		}
-		q.turns[part] = turn
+		q.turns[d.Part] = turn
 	}
 	if turn.taken || now.Before(turn.at) {
 		return false
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -39,8 +39,9 @@
 type Decision struct {
 	Action Action
 	Part   Part
-	// Tries is the number of earlier condemnations of the part.
-	Tries int
+	// OnProbation is set with SendAlone if the part was condemned before. Nothing presses then to
+	// find out whether it still ends workers.
+	OnProbation bool
 }
 
 const (
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -102,10 +102,10 @@
 	for _, id := range ids {
 		part := Part{name, id}
 		if t.isCondemned(now, part) {
-			return Decision{Refuse, part, t.ledger.verdicts[part].value.Tries}
+			return Decision{Action: Refuse, Part: part}
 		}
 		if out.Action == Send && t.isSuspected(now, part) {
-			out = Decision{Action: SendAlone, Part: part}
+			out = Decision{Action: SendAlone, Part: part, OnProbation: t.isOnProbation(now, part)}
 		}
 	}
 	return out
