Let operators list, set and lift condemned parts

Cause: a condemnation could be seen in the log only and ended by its time alone. Change: GET /quarantine on the health and the metrics listener, PUT and DELETE /quarantine/{part} on the metrics listener, and the subcommand quarantine with list, set and lift. What happened before a part was lifted does not accuse it any more: records of it that arrive late condemned it again.

--- a/cmd/borageflow/subcommands.go
+++ b/cmd/borageflow/subcommands.go
@@ -18,6 +18,7 @@
 	newManifest,
 	newStatus,
 	newGateway,
+	newQuarantine,
 	newUsage,
 	newClaims,
 	newLoad,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -255,11 +255,11 @@
 		return eris.Wrapf(err, "cannot listen for callers on %s", g.settings.CallerAddress)
 	}
 	g.callerServer = &http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(observe.ComponentLogger(g.log, "http"))}
-	if g.healthServer, err = g.listenHealth(g.settings.HealthAddress); err != nil {
+	if g.healthServer, err = g.listenHealth(g.settings.HealthAddress, false); err != nil {
 		return err
 	}
 	if g.settings.MetricsAddress != "" {
-		if g.metricsServer, err = g.listenHealth(g.settings.MetricsAddress); err != nil {
+		if g.metricsServer, err = g.listenHealth(g.settings.MetricsAddress, true); err != nil {
 			return err
 		}
 	}
@@ -267,8 +267,9 @@
 	return nil
 }
 
-// listenHealth serves readiness, liveness, status and metrics on an address.
-func (g *Gateway) listenHealth(address string) (*http.Server, error) {
+// listenHealth serves readiness, liveness, status and metrics on an address, and with isForOperators
+// also changes by operators.
+func (g *Gateway) listenHealth(address string, isForOperators bool) (*http.Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "cannot listen for health checks or metrics on %s", address)
@@ -279,6 +280,7 @@
 		router.HandleFunc(g.settings.ReadyPath, g.serveReadyz)
 	}
 	router.HandleFunc("/state", g.serveState)
+	g.addQuarantineRoutes(router, isForOperators)
 	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.metrics.set.WritePrometheus(w)
--- a/internal/gateway/quarantinestore_test.go
+++ b/internal/gateway/quarantinestore_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,3 +75,42 @@
 	assert.Assert(t, gateways[2].refusesFatal(1))
 	assert.Equal(t, f.endCount(), ends)
 }
+
+// Guards against a condemnation that an operator cannot set, see or lift, and against changes through
+// the listener of the balancer.
+func TestOperatorSetsAndLiftsCondemnations(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 2, time.Minute)
+	s := testSettings(t)
+	s.MetricsAddress = freeAddress(t)
+	gw := startGatewayWith(t, s, f.store)
+	ask := func(address, method, path string) (int, string) {
+		req, err := http.NewRequest(method, "http://"+address+path, nil)
+		assert.NilError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		raw, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		return resp.StatusCode, strings.TrimSpace(string(raw))
+	}
+	check := func(address, method, path string, want int) {
+		t.Helper()
+		status, body := ask(address, method, path)
+		assert.Equal(t, status, want, body)
+	}
+	check(s.HealthAddress, "PUT", "/quarantine/b?service=svc", http.StatusMethodNotAllowed)
+	check(s.MetricsAddress, "PUT", "/quarantine/b?service=svc&for=-1s", http.StatusBadRequest)
+	check(s.MetricsAddress, "PUT", "/quarantine/x?service=svc", http.StatusBadRequest)
+	check(s.MetricsAddress, "DELETE", "/quarantine/b?service=svc", http.StatusNotFound)
+	check(s.MetricsAddress, "PUT", "/quarantine/b?service=svc&for=1h", http.StatusNoContent)
+	_, list := ask(s.HealthAddress, "GET", "/quarantine")
+	assert.Assert(t, strings.Contains(list, `"part":"b"`) && strings.Contains(list, `"byOperator":true`), list)
+	resp := gw.call("POST", "/stream/x", "prompt", DefaultHeaderNames.Prompt, promptWith(1, "a", "b"))
+	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
+	gw.waitFor("condemnation is in the store", func() bool { return len(f.store.Condemnations()) == 1 })
+	check(s.MetricsAddress, "DELETE", "/quarantine/b?service=svc", http.StatusNoContent)
+	resp = gw.call("POST", "/stream/x", "prompt", DefaultHeaderNames.Prompt, promptWith(2, "a", "b"))
+	assert.Equal(t, resp.status, http.StatusOK)
+	gw.waitFor("the end of the condemnation is in the store", func() bool { return !f.store.Condemnations()[0].Condemned })
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -45,12 +45,14 @@
 	// has nothing to do with it.
 	minChance = 0.002
 	maxChance = 0.5
-	// condemnedFor is how long a part stays condemned the first time. The time doubles with each
-	// further one, up to maxCondemnedFor.
-	condemnedFor    = 10 * time.Minute
+	// maxCondemnedFor is the longest condemnation by evidence.
 	maxCondemnedFor = 4 * time.Hour
 )
 
+// CondemnedFor is how long a part stays condemned the first time. The time doubles with each further
+// one.
+const CondemnedFor = 10 * time.Minute
+
 // Tracker is what one gateway knows of the parts of requests.
 type Tracker struct {
 	origin   uint64
@@ -335,8 +337,12 @@
 	byRequest := (unrelatedBegun + 0.5) / (s.finishedNow(now) + unrelatedBegun + 1)
 	chance := min(max(byTime, byRequest, minChance), maxChance)
 	out := candidate{part: part}
+	acquittedAt := Elapsed(math.MinInt64)
+	if v := t.ledger.verdicts[part]; v != nil && !v.value.Condemned {
+		acquittedAt = v.value.Until
+	}
 	for worker, c := range p.crashes {
-		if explained[worker] || now-c.value.At > evidenceWindow {
+		if explained[worker] || now-c.value.At > evidenceWindow || c.value.At <= acquittedAt {
 			continue
 		}
 		out.ends++
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -128,7 +128,7 @@
 		for i := range 3 {
 			tracker.RecordEnd(2*time.Second, endOf(i, 1, fatal))
 		}
-		now := 2*time.Second + condemnedFor
+		now := 2*time.Second + CondemnedFor
 		tracker.Tick(now)
 		return tracker, now + 2*probationDelay
 	}
@@ -137,7 +137,7 @@
 	verdicts := tracker.RecordEnd(now, endOf(9, 1, fatal))
 	assert.Equal(t, len(verdicts), 1)
 	assert.Equal(t, verdicts[0].Tries, 1)
-	assert.Equal(t, verdicts[0].Until-now, 2*condemnedFor)
+	assert.Equal(t, verdicts[0].Until-now, 2*CondemnedFor)
 	assert.Equal(t, tracker.Decide(now, testService, []uint64{1, fatal}).Action, Refuse)
 
 	tracker, now = condemned()
@@ -173,6 +173,12 @@
 	assert.Assert(t, ok)
 	tracker.Merge(4*time.Second, records)
 	assert.Equal(t, tracker.Decide(4*time.Second, testService, []uint64{100}).Action, Send)
+	for i := range 3 {
+		tracker.RecordEnd(4*time.Second, endOf(i, fatal))
+	}
+	_, ok = tracker.Lift(5*time.Second, Part{testService, fatal})
+	assert.Assert(t, ok)
+	assert.Equal(t, len(tracker.RecordEnd(6*time.Second, endOf(3, fatal))), 0, "ends before the lift count")
 	_, ok = tracker.Lift(4*time.Second, part)
 	assert.Assert(t, !ok)
 }
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -13,7 +13,7 @@
 		v.Tries = known.value.Tries + 1
 		v.Crashes += known.value.Crashes
 	}
-	v.Until = now + min(condemnedFor<<min(v.Tries, 8), maxCondemnedFor)
+	v.Until = now + min(CondemnedFor<<min(v.Tries, 8), maxCondemnedFor)
 	t.ledger.mergeVerdict(v)
 	delete(t.probation, c.part)
 	return v
@@ -64,7 +64,6 @@
 	}
 	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), Tries: known.value.Tries, Until: now}
 	t.ledger.mergeVerdict(v)
-	delete(t.ledger.parts, part)
 	delete(t.probation, part)
 	return v, true
 }
@@ -161,8 +160,8 @@
 	return v
 }
 
-// Lift ends the condemnation of a part and forgets the evidence against it. It reports whether the
-// part was condemned.
+// Lift ends the condemnation of a part. What happened before does not accuse it any more. It reports
+// whether the part was condemned.
 func (t *Tracker) Lift(now Elapsed, part Part) (Verdict, bool) {
 	known := t.ledger.verdicts[part]
 	if known == nil || !known.value.Condemned {
@@ -170,6 +169,5 @@
 	}
 	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), ByOperator: true, Until: now}
 	t.ledger.mergeVerdict(v)
-	delete(t.ledger.parts, part)
 	return v, true
 }
