Accuse no part that many requests share, and count ends at one moment once

What callers would have seen: sound requests refused after ordinary crashes.

Cause: finished requests counted for a part up to a small number, so that enough ends outweighed them, and five workers that end at one moment counted as five. Change: a gateway accuses no part with which 8 requests have finished in the last 30 s; finished requests count as long as they are recent; ends within 50 ms count once; up to 128 ends of one part are kept, so that those of a condemned part explain all its ends; where all workers end on their own, ends accuse nothing (before, each still did a little, and TestVersionThatEndsOnItsOwnCondemnsNothing failed with more of them kept).

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1680,25 +1680,21 @@
 
 // QuarantineRecord is what gateways know of a part of requests under which workers
 // may end. Of a crash it has subject, weight, position and ageMs; of finished
-// requests subject, before, after and ageMs; of a verdict the other fields.
+// requests subject, count and ageMs; of a verdict the other fields.
 type QuarantineRecord struct {
-	// After is the number of requests that finished since, up to a bound.
-	After int `json:"after,omitempty,omitzero"`
-
 	// AgeMs is the time since the crash, or since the last of the finished requests,
 	// in milliseconds.
 	AgeMs int `json:"ageMs,omitempty,omitzero"`
 
-	// Before is the number of requests that finished before the part was accused, up
-	// to a bound.
-	Before int `json:"before,omitempty,omitzero"`
-
 	// ByOperator is set if an operator decided.
 	ByOperator bool `json:"byOperator,omitempty,omitzero"`
 
 	// Condemned is set if requests with the part are refused.
 	Condemned bool `json:"condemned,omitempty,omitzero"`
 
+	// Count is the number of requests that finished lately, up to a bound.
+	Count int `json:"count,omitempty,omitzero"`
+
 	// Crashes is the number of workers that had ended under the part.
 	Crashes int `json:"crashes,omitempty,omitzero"`
 
--- a/internal/news/quarantine.go
+++ b/internal/news/quarantine.go
@@ -42,7 +42,7 @@
 			e.Kind, e.Subject, e.Weight, e.Position = api.QuarantineRecordKindCrash, formatHash(r.Crash.Worker), r.Crash.Weight, r.Crash.Position
 			e.AgeMs = int((now - r.Crash.At).Milliseconds())
 		case r.Finished != nil:
-			e.Kind, e.Subject, e.Before, e.After = api.QuarantineRecordKindFinished, formatHash(r.Finished.Origin), r.Finished.Before, r.Finished.After
+			e.Kind, e.Subject, e.Count = api.QuarantineRecordKindFinished, formatHash(r.Finished.Origin), r.Finished.Count
 			e.AgeMs = int((now - r.Finished.At).Milliseconds())
 		case r.Verdict != nil:
 			v := r.Verdict
@@ -86,10 +86,10 @@
 			}
 			r.Crash = &quarantine.Crash{Worker: subject, Weight: e.Weight, Position: e.Position, At: at}
 		case api.QuarantineRecordKindFinished:
-			if e.Before < 0 || e.After < 0 {
-				return nil, eris.Errorf("record of part %q has negative counts", e.Part)
+			if e.Count < 0 {
+				return nil, eris.Errorf("record of part %q has count %d, must not be negative", e.Part, e.Count)
 			}
-			r.Finished = &quarantine.Finished{Origin: subject, Before: e.Before, After: e.After, At: at}
+			r.Finished = &quarantine.Finished{Origin: subject, Count: e.Count, At: at}
 		default:
 			return nil, eris.Errorf("record of part %q has kind %q", e.Part, e.Kind)
 		}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -14,7 +14,7 @@
 	// those of operators yield last.
 	maxVerdicts = 256
 	// maxCrashesPerPart bounds the ended workers that are kept for one part.
-	maxCrashesPerPart = 16
+	maxCrashesPerPart = 128
 	// maxOriginsPerPart bounds the gateways whose finished requests are kept for one part.
 	maxOriginsPerPart = 64
 )
@@ -36,9 +36,8 @@
 type Finished struct {
 	// Origin is the hash of the gateway's run.
 	Origin uint64
-	// Before is the number before the part was accused of the end of a worker, and After that since.
-	Before, After int
-	At            Elapsed
+	Count  int
+	At     Elapsed
 }
 
 // Verdict is a decision on a part. Of two verdicts on one part, that with the higher sequence holds.
@@ -144,15 +143,28 @@
 
 func (l *Ledger) mergeFinished(part Part, f Finished) bool {
 	p := l.recordsOf(part, f.At)
-	if known := p.finished[f.Origin]; known != nil && known.value.Before+known.value.After >= f.Before+f.After || known == nil && len(p.finished) >= maxOriginsPerPart {
-		return false
-	}
-	l.version++
-	p.finished[f.Origin] = &versioned[Finished]{f, l.version}
 	p.lastAt = max(p.lastAt, f.At)
-	return true
+	known := p.finished[f.Origin]
+	if known == nil {
+		if len(p.finished) >= maxOriginsPerPart {
+			return false
+		}
+		known = &versioned[Finished]{value: Finished{Origin: f.Origin, At: f.At - 2*finishedTTL}}
+		p.finished[f.Origin] = known
+	}
+	changed := f.Count > known.value.Count || f.At-known.value.At > minFinishedInterval
+	known.value.Count, known.value.At = max(known.value.Count, f.Count), max(known.value.At, f.At)
+	if changed {
+		l.version++
+		known.version = l.version
+	}
+	return changed
 }
 
+// minFinishedInterval is the least time between two versions of a Finished that differ in their time
+// alone.
+const minFinishedInterval = 5 * time.Second
+
 // recordsOf returns the records of a part, created if missing.
 func (l *Ledger) recordsOf(part Part, at Elapsed) *partRecords {
 	p := l.parts[part]
--- /dev/null
+++ b/internal/quarantine/policy_test.go
@@ -0,0 +1,286 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// model plays requests of several gateways at workers in virtual time. Its workers end on fatal parts,
+// and on their own.
+type model struct {
+	gateways, workers int
+	// perSecond is the rate of all requests, fatalShare that of those with one of fatalParts parts.
+	perSecond, fatalShare float64
+	fatalParts            int
+	// crashesPerMinute is the share of the workers that end on their own in a minute, massCrash that
+	// of those that end at one moment every ten seconds.
+	crashesPerMinute, massCrash float64
+	length                      time.Duration
+	seed                        uint64
+
+	rng      *rand.Rand
+	trackers []*Tracker
+	nodes    []*modelWorker
+	runs     []*modelRun
+	turns    []map[Part]time.Duration
+	started  int
+	out      modelResult
+}
+
+type modelWorker struct {
+	name string
+	upAt time.Duration
+}
+
+// modelRun is a request on a worker.
+type modelRun struct {
+	gateway           int
+	worker            *modelWorker
+	name              string
+	ids               []uint64
+	begunAt, finishAt time.Duration
+	fatalAt           time.Duration
+	recorded          bool
+}
+
+type modelResult struct {
+	// ends is the number of workers that ended on a fatal part, late that of those later than 3 s
+	// after the fifth one of a part.
+	ends, late int
+	// condemnedSound is the number of sound parts that were condemned, and sound and refused those of
+	// sound requests.
+	condemnedSound, sound, refused int
+	lastEnd                        time.Duration
+}
+
+const (
+	modelStep     = 10 * time.Millisecond
+	modelExchange = 300 * time.Millisecond
+	modelRestart  = 3300 * time.Millisecond
+	// firstFatalID is above the IDs of sound parts.
+	firstFatalID = uint64(1) << 40
+)
+
+func (m *model) run() modelResult {
+	m.rng = rand.New(rand.NewPCG(m.seed, 7))
+	for i := range m.gateways {
+		tracker := NewTracker(fmt.Sprint("g", i), time.UnixMilli(0))
+		tracker.SetWorkers(testService, m.workers, []string{"v1"})
+		m.trackers = append(m.trackers, tracker)
+		m.turns = append(m.turns, map[Part]time.Duration{})
+	}
+	for range m.workers {
+		m.nodes = append(m.nodes, m.newWorker(0))
+	}
+	sound := map[Part]bool{}
+	endsOf := map[uint64][]time.Duration{}
+	for now := time.Duration(0); now < m.length; now += modelStep {
+		for range m.poisson(m.perSecond * modelStep.Seconds()) {
+			m.arrive(now)
+		}
+		m.crash(now)
+		m.finish(now, endsOf)
+		if now%modelExchange == 0 {
+			m.exchange(now, sound)
+		}
+	}
+	for part := range sound {
+		if part.ID < firstFatalID {
+			m.out.condemnedSound++
+		}
+	}
+	for _, times := range endsOf {
+		m.out.ends += len(times)
+		m.out.lastEnd = max(m.out.lastEnd, times[len(times)-1])
+		for i, at := range times {
+			if i >= 5 && at-times[4] > 3*time.Second {
+				m.out.late++
+			}
+		}
+	}
+	return m.out
+}
+
+func (m *model) newWorker(upAt time.Duration) *modelWorker {
+	m.started++
+	return &modelWorker{fmt.Sprint("w", m.started), upAt}
+}
+
+func (m *model) poisson(mean float64) int {
+	n := 0
+	for mean -= m.rng.ExpFloat64(); mean > 0; mean -= m.rng.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// arrive sends a request. Its first part is one of 12, the second one of 200, and the next one fatal or
+// missing.
+func (m *model) arrive(now time.Duration) {
+	g := m.rng.IntN(m.gateways)
+	first := m.rng.Uint64N(12)
+	ids := []uint64{first, 1000 + first*100 + m.rng.Uint64N(17)}
+	isFatal := now > 4*time.Second && m.rng.Float64() < m.fatalShare
+	if isFatal {
+		ids = append(ids, firstFatalID+m.rng.Uint64N(uint64(m.fatalParts)))
+	} else {
+		m.out.sound++
+	}
+	d := m.trackers[g].Decide(now, testService, ids)
+	if d.Action == Refuse || d.Action == SendAlone && !m.hasTurn(now, g, d.Part) {
+		if !isFatal {
+			m.out.refused++
+		}
+		return
+	}
+	worker := m.nodes[m.rng.IntN(len(m.nodes))]
+	if worker.upAt > now {
+		return // the connection is refused; the caller comes back
+	}
+	begunAt := now + 80*time.Millisecond + time.Duration(m.rng.ExpFloat64()*float64(60*time.Millisecond))
+	r := &modelRun{gateway: g, worker: worker, name: worker.name, ids: ids, begunAt: begunAt, finishAt: begunAt + time.Duration(m.rng.ExpFloat64()*float64(700*time.Millisecond))}
+	if isFatal {
+		r.fatalAt = begunAt + 20*time.Millisecond + time.Duration(m.rng.Float64()*float64(100*time.Millisecond))
+		r.finishAt = r.fatalAt + time.Hour
+	}
+	m.runs = append(m.runs, r)
+}
+
+// hasTurn reports whether a request with a suspected part may go. It is drawn as in package gateway.
+func (m *model) hasTurn(now time.Duration, g int, part Part) bool {
+	at, ok := m.turns[g][part]
+	if !ok {
+		at = now + time.Duration(m.rng.Float64()*float64(m.gateways)*float64(300*time.Millisecond))
+		m.turns[g][part] = at
+	}
+	if now < at {
+		return false
+	}
+	delete(m.turns[g], part)
+	return true
+}
+
+// crash ends workers that end on their own.
+func (m *model) crash(now time.Duration) {
+	chance := m.crashesPerMinute * modelStep.Seconds() / 60
+	if m.massCrash > 0 && now%(10*time.Second) == 5*time.Second {
+		chance = m.massCrash
+	}
+	for i, w := range m.nodes {
+		if chance > 0 && w.upAt <= now && m.rng.Float64() < chance {
+			m.end(now, i)
+		}
+	}
+}
+
+// end ends a worker, under which its requests break off.
+func (m *model) end(now time.Duration, i int) {
+	w := m.nodes[i]
+	m.nodes[i] = m.newWorker(now + modelRestart)
+	m.runs = slices.DeleteFunc(m.runs, func(r *modelRun) bool {
+		if r.worker != w {
+			return false
+		}
+		if weight := Weight(now - r.begunAt); now >= r.begunAt && weight > 0 {
+			m.trackers[r.gateway].RecordEnd(now, WorkerEnd{Service: testService, Version: "v1", Worker: r.name, IDs: r.ids, Weight: weight})
+		}
+		return true
+	})
+}
+
+// finish ends the runs that are over, and the workers under fatal ones.
+func (m *model) finish(now time.Duration, endsOf map[uint64][]time.Duration) {
+	for i := 0; i < len(m.runs); i++ {
+		r := m.runs[i]
+		if r.fatalAt > 0 && now >= r.fatalAt {
+			endsOf[r.ids[2]] = append(endsOf[r.ids[2]], now)
+			m.end(now, slices.Index(m.nodes, r.worker))
+			i = -1
+		}
+	}
+	m.runs = slices.DeleteFunc(m.runs, func(r *modelRun) bool {
+		if now < r.finishAt {
+			return false
+		}
+		m.trackers[r.gateway].RecordFinished(now, testService, r.ids)
+		return true
+	})
+}
+
+// exchange merges the records of all gateways.
+func (m *model) exchange(now time.Duration, condemned map[Part]bool) {
+	common := NewLedger(0)
+	for _, t := range m.trackers {
+		records, _ := t.Changes(0, 1<<20)
+		for _, r := range records {
+			common.Merge(r)
+		}
+	}
+	records, _ := common.ChangedSince(0, 1<<20)
+	for _, t := range m.trackers {
+		t.Merge(now, records)
+		t.Tick(now)
+		for _, v := range t.Verdicts() {
+			condemned[v.Part] = true
+		}
+	}
+}
+
+// Guards against sound parts that are condemned because workers end for other reasons: 100 days of
+// half a minute, with up to 30% of the workers ending in a minute, alone and many at a time.
+func TestCrashesCondemnNoSoundPart(t *testing.T) {
+	for seed := range uint64(100) {
+		m := model{gateways: 4, workers: 9, perSecond: 70, crashesPerMinute: []float64{0.05, 0.3}[seed%2], massCrash: []float64{0, 0.3, 0.5}[seed%3], length: 30 * time.Second, seed: seed}
+		if out := m.run(); out.condemnedSound > 0 {
+			t.Errorf("seed %d: %d sound parts were condemned", seed, out.condemnedSound)
+		}
+	}
+}
+
+// Guards against requests that end workers for as long as they come, at any share.
+func TestFatalPartsStopEndingWorkers(t *testing.T) {
+	for i, share := range []float64{0.005, 0.05, 0.3, 0.5} {
+		m := model{gateways: 4, workers: 9, perSecond: 70, fatalShare: share, fatalParts: 1, crashesPerMinute: 0.1, length: 40 * time.Second, seed: uint64(i)}
+		out := m.run()
+		assert.Assert(t, out.late <= 3, "share %v: %d workers ended late, %d in all", share, out.late, out.ends)
+		assert.Equal(t, out.condemnedSound, 0)
+	}
+}
+
+// TestPolicyQuarantine prints the ended workers and the sound requests refused over the share of fatal
+// requests, the number of fatal parts, ordinary ends and the size of the fleet. Run it with -v.
+func TestPolicyQuarantine(t *testing.T) {
+	type size struct {
+		gateways, workers int
+		perSecond         float64
+	}
+	sizes := []size{{3, 9, 70}, {28, 250, 700}, {103, 910, 2400}}
+	if !testing.Verbose() {
+		sizes = sizes[:1]
+	}
+	t.Logf("gateways workers  share parts ends/min |  ended per part, mean (most)  late  sound condemned  sound refused")
+	for _, s := range sizes {
+		for _, share := range []float64{0.005, 0.05, 0.5} {
+			for _, parts := range []int{1, 5} {
+				for _, crashes := range []float64{0, 0.3} {
+					var sum modelResult
+					most, seeds := 0, 5
+					for seed := range uint64(seeds) {
+						m := model{gateways: s.gateways, workers: s.workers, perSecond: s.perSecond, fatalShare: share, fatalParts: parts, crashesPerMinute: crashes, length: 20 * time.Second, seed: seed + 100}
+						out := m.run()
+						sum.ends, sum.late, sum.condemnedSound = sum.ends+out.ends, sum.late+out.late, sum.condemnedSound+out.condemnedSound
+						sum.sound, sum.refused = sum.sound+out.sound, sum.refused+out.refused
+						most = max(most, out.ends)
+					}
+					t.Logf("%8d %7d %6.3f %5d %8.1f | %6.1f (%.1f) %17d %10d %18.5f", s.gateways, s.workers, share, parts, crashes,
+						float64(sum.ends)/float64(seeds*parts), float64(most)/float64(parts), sum.late, sum.condemnedSound, float64(sum.refused)/float64(sum.sound))
+				}
+			}
+		}
+	}
+}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -14,10 +14,16 @@
 	// maxKnownParts bounds the parts whose finished requests a Tracker counts, at about 120 bytes
 	// each. The one that was seen last the longest time ago yields.
 	maxKnownParts = 16384
-	// maxFinished bounds the finished requests that are counted for a part, and maxBefore those
-	// before it was accused. A part may begin to end workers, so that the latter count less.
-	maxFinished = 8
-	maxBefore   = 2
+	// commonFinishes is the number of requests with a part that must have finished lately at a gateway
+	// for the gateway to accuse the part of nothing. The first parts of prompts are in nearly every
+	// request, and so under nearly every worker that ends.
+	commonFinishes = 8
+	// finishedTTL is how long finished requests speak for a part, from the last one on. A part may
+	// begin to end workers.
+	finishedTTL = 30 * time.Second
+	// sameMoment is the time within which the ends of several workers count as one: machines of a
+	// rack lose power at once, and each of their requests is under several ends.
+	sameMoment = 50 * time.Millisecond
 	// probationDelay is how long a part stays condemned after its condemnation has ended by a new
 	// version, which is not on all workers at once.
 	probationDelay = 5 * time.Second
@@ -44,7 +50,7 @@
 	// minChance and maxChance bound the estimated chance that a worker ends under a request that
 	// has nothing to do with it.
 	minChance = 0.002
-	maxChance = 0.5
+	maxChance = fatalShare
 	// maxCondemnedFor is the longest condemnation by evidence.
 	maxCondemnedFor = 4 * time.Hour
 )
@@ -66,9 +72,18 @@
 	firstSequence int64
 }
 
-// knownPart counts the finished requests of this gateway that had a part.
+// knownPart counts the finished requests of this gateway that had a part, up to commonFinishes.
 type knownPart struct {
-	before, after int
+	finished int
+	lastAt   Elapsed
+}
+
+// finishedLately returns the count if it still speaks for the part.
+func (k *knownPart) finishedLately(now Elapsed) int {
+	if now-k.lastAt > finishedTTL {
+		return 0
+	}
+	return k.finished
 }
 
 // service is what a Tracker knows of one service.
@@ -133,21 +148,17 @@
 			k = &knownPart{}
 			t.known.Add(part, k)
 		}
-		switch {
-		case t.ledger.parts[part] == nil:
-			k.before, k.after = min(k.before+1, maxBefore), 0
-		case k.after < maxFinished:
-			k.after++
-			t.publishFinished(now, part, k)
-		}
+		k.finished, k.lastAt = min(k.finishedLately(now)+1, commonFinishes), now
+		t.publishFinished(now, part, k)
 	}
 	return cleared
 }
 
-// publishFinished states the finished requests of a part that was accused.
+// publishFinished states the finished requests of a part that was accused of more than one end, which
+// few are.
 func (t *Tracker) publishFinished(now Elapsed, part Part, k *knownPart) {
-	if k.before+k.after > 0 {
-		t.ledger.mergeFinished(part, Finished{t.origin, k.before, k.after, now})
+	if p := t.ledger.parts[part]; p != nil && len(p.crashes) >= minSuspectEnds && k.finishedLately(now) > 0 {
+		t.ledger.mergeFinished(part, Finished{t.origin, k.finished, k.lastAt})
 	}
 }
 
@@ -176,8 +187,12 @@
 	end.begun += e.Weight
 	for i, id := range e.IDs {
 		part := Part{e.Service, id}
+		k, known := t.known.Peek(part)
+		if known && k.finishedLately(now) >= commonFinishes {
+			continue
+		}
 		t.ledger.mergeCrash(part, Crash{Worker: worker, Weight: e.Weight, Position: i, At: now})
-		if k, ok := t.known.Peek(part); ok {
+		if known {
 			t.publishFinished(now, part, k)
 		}
 	}
@@ -337,6 +352,7 @@
 	byRequest := (unrelatedBegun + 0.5) / (s.finishedNow(now) + unrelatedBegun + 1)
 	chance := min(max(byTime, byRequest, minChance), maxChance)
 	out := candidate{part: part}
+	var counted []Crash
 	acquittedAt := Elapsed(math.MinInt64)
 	if v := t.ledger.verdicts[part]; v != nil && !v.value.Condemned {
 		acquittedAt = v.value.Until
@@ -345,16 +361,33 @@
 		if explained[worker] || now-c.value.At > evidenceWindow || c.value.At <= acquittedAt {
 			continue
 		}
-		out.ends++
+		counted = append(counted, c.value)
 		out.position = max(out.position, c.value.Position)
-		out.ratio += c.value.Weight * math.Log(fatalShare/chance)
 	}
-	before, after := 0, 0
+	out.ratio, out.ends = endsAtDifferentMoments(counted, math.Log(fatalShare/chance))
 	for _, f := range p.finished {
-		before, after = max(before, f.value.Before), after+f.value.After
+		if now-f.value.At <= evidenceWindow {
+			out.ratio -= finishedPenalty * float64(f.value.Count)
+		}
 	}
-	out.ratio -= finishedPenalty * float64(min(before, maxBefore)+min(after, maxFinished))
 	return out
 }
 
+// endsAtDifferentMoments returns the sum of the weights of ends, each times ratioPerEnd, and their
+// number. Of ends at the same moment the one with the most weight counts.
+func endsAtDifferentMoments(ends []Crash, ratioPerEnd float64) (ratio float64, n int) {
+	slices.SortFunc(ends, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
+	var start Elapsed
+	weight := 0.0
+	for i, c := range ends {
+		if i == 0 || c.At-start > sameMoment {
+			ratio += weight * ratioPerEnd
+			start, weight = c.At, 0
+			n++
+		}
+		weight = max(weight, c.Weight)
+	}
+	return ratio + weight*ratioPerEnd, n
+}
+
 func exp2(x float64) float64 { return math.Exp2(x) }
