--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -15,6 +15,7 @@
 // call is one request and the response that its caller received.
 type call struct {
 	id, path, key, body string
+	prompt              string
 	gateway             int
 	incarnation         int
 	sentAt, endedAt     time.Time
@@ -40,12 +41,16 @@
 // scenario is stopped. The caller number n selects the random sequence.
 func (sc *scenario) runCaller(n int) {
 	rng := rand.New(rand.NewPCG(sc.seed, uint64(n)))                                 //nolint:gosec // a seed is not negative
+	prompts := rand.New(rand.NewPCG(sc.seed, 1<<32+uint64(n)))                       //nolint:gosec // a seed is not negative
 	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Hour} // longer than a scenario, so that connections stay open
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	for i := 0; !sc.isStopped(); i++ {
 		c := call{id: fmt.Sprintf("%d-%d-%d", sc.seed, n, i), gateway: rng.IntN(len(sc.gateways)), body: "body"}
 		c.path = []string{safePath, unsafePath, streamPath}[rng.IntN(3)]
+		if c.path == streamPath {
+			c.prompt = sc.fatal.prompt(prompts, fmt.Sprintf("%x", 1<<32+n<<20+i))
+		}
 		c.key = "key-permanent"
 		if rng.IntN(4) == 0 {
 			c.key = keyForVersion(int(sc.configVersion.Load()))
@@ -75,6 +80,9 @@
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	req.Header.Set(platform.Headers.RequestID, c.id)
 	req.Header.Set(platform.Headers.DeadlineMs, "4000")
+	if c.prompt != "" {
+		req.Header.Set(platform.Headers.Prompt, c.prompt)
+	}
 	c.sentAt = time.Now()
 	defer func() { c.endedAt = time.Now() }()
 	resp, err := client.Do(req)
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -53,6 +53,7 @@
 	sc.checkVersions(add)
 	sc.checkNotices(add)
 	sc.checkRollouts(add)
+	sc.checkFatalParts(add)
 	sc.checkRecovery(add)
 	return found
 }
@@ -175,13 +176,14 @@
 	})
 }
 
-// checkRecovery checks that at least 90% of the requests succeed after the last fault.
+// checkRecovery checks that at least 90% of the requests without a fatal part succeed after the last
+// fault.
 func (sc *scenario) checkRecovery(add reportFunc) {
 	total, good := 0, 0
 	failures := map[string]int{}
 	for i := range sc.calls.list {
 		c := &sc.calls.list[i]
-		if c.sentAt.After(sc.healedAt.Add(recoveryBound)) && c.key == "key-permanent" {
+		if c.sentAt.After(sc.healedAt.Add(recoveryBound)) && c.key == "key-permanent" && sc.fatal.fatalPart(c.prompt) == "" {
 			total++
 			if c.status == http.StatusOK && c.complete {
 				good++
--- a/test/soak/proxy.go
+++ b/test/soak/proxy.go
@@ -157,3 +157,13 @@
 	_ = p.listener.Close()
 	p.resetConnections()
 }
+
+// end closes the listener and all connections, as the end of the process behind it does.
+func (p *proxy) end() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.connections {
+		_ = c.Close()
+	}
+}
--- a/test/soak/scenario.go
+++ b/test/soak/scenario.go
@@ -37,6 +37,7 @@
 	store          *store
 	ledger         *ledger
 	notices        *noticeLog
+	fatal          *fatalParts
 	gateways       []*gateway
 	workers        []*proxiedWorker
 	calls          callLog
@@ -74,7 +75,7 @@
 // run. If a guarantee is broken and logDir is set, the gateway logs are copied to logDir.
 func runSeed(dir, binary string, seed uint64, size scenarioSize, logDir string) ([]string, string, error) {
 	sc := &scenario{
-		seed: seed, size: size, bounds: boundsForSeed(seed), store: newStore(), ledger: &ledger{runs: map[string][]run{}}, notices: newNoticeLog(),
+		seed: seed, size: size, bounds: boundsForSeed(seed), store: newStore(), ledger: &ledger{runs: map[string][]run{}}, notices: newNoticeLog(), fatal: drawFatalParts(seed),
 		committedAt: map[int]time.Time{}, revokedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, errs: make(chan error, 100),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -117,7 +118,7 @@
 			served++
 		}
 	}
-	return broken, fmt.Sprintf("%d of %d requests served, %d faults, %d configurations", served, len(sc.calls.list), len(sc.faults), len(sc.committedAt)), nil
+	return broken, fmt.Sprintf("%d of %d requests served, %d faults, %d configurations, %d workers ended under fatal parts", served, len(sc.calls.list), len(sc.faults), len(sc.committedAt), sc.fatal.endCount()), nil
 }
 
 func (sc *scenario) startGateways(dir, binary, store string) error {
@@ -154,7 +155,7 @@
 // addWorker starts a worker and registers it as ready.
 func (sc *scenario) addWorker(version string) error {
 	sc.workersStarted++
-	worker, err := startWorker(fmt.Sprintf("worker-%d", sc.workersStarted), version, sc.ledger, sc.notices)
+	worker, err := startWorker(fmt.Sprintf("worker-%d", sc.workersStarted), version, sc.ledger, sc.notices, sc.fatal)
 	if err != nil {
 		return err
 	}
@@ -162,6 +163,7 @@
 	if err != nil {
 		return err
 	}
+	worker.onEnd = proxy.end
 	p := &proxiedWorker{worker, proxy}
 	sc.workers = append(sc.workers, p)
 	sc.register(p, "ready")
@@ -190,10 +192,11 @@
 	rng := rand.New(rand.NewPCG(sc.seed, sc.seed))
 	for end := time.Now().Add(sc.size.faultTime); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+rng.IntN(700)) * time.Millisecond)
+		sc.replaceEnded()
 		sc.injectFault(rng)
 	}
 	sc.clearFaults()
-	time.Sleep(time.Until(sc.healedAt) + recoveryBound + 2*time.Second)
+	sc.wait(sc.healedAt.Add(recoveryBound + 2*time.Second))
 	sc.stopped.Store(true)
 	group.Wait()
 	sc.pendingUndos.Wait()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -17,6 +17,9 @@
 // relaySeed is a seed whose deployment uses relays; CI runs it in addition to regressionSeeds.
 const relaySeed = 2
 
+// fatalSeed is a seed whose fatal parts reach workers too often if gateways do not refuse them.
+const fatalSeed = 542064155
+
 // Guards against gateway processes that break a documented guarantee while the processes, their
 // connections or their store have faults.
 func TestShortSoak(t *testing.T) {
@@ -24,7 +27,7 @@
 	binary := filepath.Join(dir, "borageflowd")
 	out, err := exec.Command("go", "build", "-o", binary, "github.com/borageflow/borageflow/cmd/borageflowd").CombinedOutput()
 	assert.NilError(t, err, "%s", out)
-	for _, seed := range append(regressionSeeds, relaySeed) {
+	for _, seed := range append(regressionSeeds, relaySeed, fatalSeed) {
 		broken, summary, err := runSeed(dir, binary, seed, scenarioSize{gateways: 3, workers: 5, faultTime: 10 * time.Second}, "")
 		assert.NilError(t, err)
 		t.Logf("seed %d: %s", seed, summary)
--- a/test/soak/store.go
+++ b/test/soak/store.go
@@ -206,6 +206,13 @@
 	}
 	kind, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, platform.ObjectsPath), "/")
 	switch {
+	case r.Method == http.MethodPost:
+		s.create(w, r, kind, fault == "lost")
+	case r.Method == http.MethodPut && !strings.HasSuffix(rest, "/status"):
+		s.replaceSpec(w, r, kind, rest, fault == "lost")
+	case r.Method == http.MethodDelete:
+		s.remove(kind, rest)
+		_, _ = w.Write([]byte("{}")) // on an error the gateway receives a truncated response
 	case r.Method == http.MethodPut:
 		s.putStatus(w, r, kind, strings.TrimSuffix(rest, "/status"), fault == "lost")
 	case r.URL.Query().Has("Watch"):
@@ -289,7 +296,8 @@
 	return state
 }
 
-func (s *store) putStatus(w http.ResponseWriter, r *http.Request, kind, name string, loseResponse bool) {
+// create creates an object that a gateway writes, or answers 409.
+func (s *store) create(w http.ResponseWriter, r *http.Request, kind string, loseResponse bool) {
 	var in object
 	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -298,17 +306,60 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.stateEra(w)
-	o, ok := s.objects[kind][name]
-	if !ok || in.Metadata.Revision != o.Metadata.Revision {
+	if _, ok := s.objects[kind][in.Metadata.Name]; ok {
 		w.WriteHeader(http.StatusConflict)
 		return
 	}
 	s.revision++
-	o.Metadata.Revision, o.Status = s.revision, in.Status
-	s.recordFinalState(o)
+	in.Metadata.Revision, in.Metadata.CreatedRev = s.revision, s.revision
+	s.answerWrite(w, kind, in, loseResponse)
+}
+
+// replaceSpec replaces the Spec of an object that a gateway writes, or answers 404.
+func (s *store) replaceSpec(w http.ResponseWriter, r *http.Request, kind, name string, loseResponse bool) {
+	var in object
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stateEra(w)
+	o, ok := s.objects[kind][name]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.revision++
+	o.Metadata.Revision, o.Spec = s.revision, in.Spec
+	s.answerWrite(w, kind, o, loseResponse)
+}
+
+// answerWrite commits what a gateway wrote and answers with it. The caller holds s.mu.
+func (s *store) answerWrite(w http.ResponseWriter, kind string, o object, loseResponse bool) {
 	s.commit(change{kind: kind, Object: o})
 	if loseResponse {
 		panic(http.ErrAbortHandler)
 	}
 	_ = json.NewEncoder(w).Encode(o) // on an error the gateway receives a truncated response
 }
+
+func (s *store) putStatus(w http.ResponseWriter, r *http.Request, kind, name string, loseResponse bool) {
+	var in object
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stateEra(w)
+	o, ok := s.objects[kind][name]
+	if !ok || in.Metadata.Revision != o.Metadata.Revision {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	s.revision++
+	o.Metadata.Revision, o.Status = s.revision, in.Status
+	s.recordFinalState(o)
+	s.answerWrite(w, kind, o, loseResponse)
+}
--- a/test/soak/worker.go
+++ b/test/soak/worker.go
@@ -47,6 +47,9 @@
 	address     string
 	ledger      *ledger
 	notices     *noticeLog
+	fatal       *fatalParts
+	// onEnd closes the listener through which gateways reach the worker.
+	onEnd func()
 	// script makes the worker play a faulty answer.
 	script atomic.Pointer[faulty.Script]
 	// fault holds a string: "", "full" (refuses requests), "fail" (runs them and answers 500),
@@ -54,12 +57,12 @@
 	fault atomic.Value
 }
 
-func startWorker(id, version string, l *ledger, notices *noticeLog) (*worker, error) {
+func startWorker(id, version string, l *ledger, notices *noticeLog, fatal *fatalParts) (*worker, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, version: version, ledger: l, notices: notices, address: listener.Addr().String()}
+	w := &worker{id: id, version: version, ledger: l, notices: notices, fatal: fatal, address: listener.Addr().String()}
 	w.fault.Store("")
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
 	go func() { _ = w.server.Serve(listener) }() // returns when the worker is closed
@@ -131,6 +134,12 @@
 func (w *worker) serveStream(out http.ResponseWriter, r *http.Request, fault string) {
 	from, _ := strconv.Atoi(r.Header.Get(platform.Headers.LastEventID)) // if absent, 0: the stream starts at the first event
 	out.Header().Set("Content-Type", "text/event-stream")
+	_ = http.NewResponseController(out).Flush() // on an error the caller receives a truncated response
+	if w.fatal.begin(w.id, r) {
+		w.onEnd()
+		w.close()
+		return
+	}
 	for n := from + 1; n <= eventsPerStream; n++ {
 		select {
 		case <-r.Context().Done():
