Accuse plain requests that were alone on their server fully

What callers saw: a plain request that ends its server ended 11 of them before it was refused, if its caller repeated it.

Cause: each request on a plain server is accused half, also one that was the only one there. Change: one that was alone among the requests of its gateway is accused fully.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -64,7 +64,7 @@
 	w, err := forwarding.StartWorker(forwarding.WorkerConfig{
 		ID: id, Address: ownHost() + ":0", Slots: 64, EventInterval: 5 * time.Millisecond,
 		HeaderNames: forwarding.HeaderNames{RequestID: names.RequestID, ExpectWorker: names.ExpectWorker, NotRun: names.NotRun, Load: names.Load, WorkerID: names.WorkerID, Model: names.Model, Prompt: names.Prompt},
-		FatalPart:   fatalPart, FatalDelay: 20 * time.Millisecond, OnEnd: func() { f.workerEnded(id) },
+		FatalPart:   fatalPart, FatalPath: "/safe/fatal", FatalDelay: 60 * time.Millisecond, OnEnd: func() { f.workerEnded(id) },
 	})
 	if err != nil {
 		f.t.Errorf("worker cannot be started: %v", err)
@@ -175,6 +175,32 @@
 	}
 }
 
+// Guards against plain requests that end one server after the other, also when their caller repeats
+// them.
+func TestRepeatedPlainRequestIsRefused(t *testing.T) {
+	t.Parallel()
+	f := startCrashFleet(t, 8, 50*time.Millisecond)
+	gw := startGatewayWith(t, testSettings(t), f.store)
+	get := func(path string) callResult { return gw.call("GET", path, "") }
+	for i := range 60 {
+		get(fmt.Sprintf("/safe/sound-%d", i))
+	}
+	assert.Equal(t, get("/safe/fatal").status, http.StatusBadGateway)
+	assert.Equal(t, f.endCount(), 2)
+	gw.waitFor("request is refused", func() bool {
+		get("/safe/sound")
+		resp := get("/safe/fatal")
+		return resp.status == http.StatusServiceUnavailable && resp.header.Get("Retry-After") == ""
+	})
+	ends := f.endCount()
+	assert.Assert(t, ends <= 6, "%d servers ended", ends)
+	for range 10 {
+		get("/safe/fatal")
+	}
+	assert.Equal(t, f.endCount(), ends)
+	assert.Equal(t, get("/safe/sound").status, http.StatusOK)
+}
+
 // Guards against requests of one kind that end one worker after the other.
 func TestRequestsThatEndWorkersStopBeingSent(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -29,9 +29,9 @@
 	endProbeTimeout = 100 * time.Millisecond
 	// maxKnownEnds bounds the ended workers that are remembered.
 	maxKnownEnds = 1024
-	// unbegunWeight is the accusation of a request without a prompt whose answer had not begun: its
-	// header comes only when the work is done.
-	unbegunWeight = 0.5
+	// sharedWeight is the accusation of a request without a prompt whose answer had not begun, and that
+	// was not alone on its server: its header comes only when the work is done.
+	sharedWeight = 0.5
 	// aloneSlot is the time that one request with a suspected part takes until all gateways know
 	// how it ended: to the beginning of its answer, and an exchange with a relay.
 	aloneSlot = 300 * time.Millisecond
@@ -61,6 +61,8 @@
 	turns map[quarantine.Part]*aloneTurn
 	// pending holds the attempts whose answers have not begun.
 	pending map[*attempt]*request
+	// pendingWorkers counts them by worker.
+	pendingWorkers map[string]*pendingWorker
 	// ends holds the workers that are known to have ended.
 	ends *lru.LRU[string, struct{}]
 	// gateways is the number of gateways that exchange what they know.
@@ -70,6 +72,13 @@
 	writer  *condemnationWriter
 }
 
+// pendingWorker counts the attempts of this gateway at a worker whose answers have not begun. sharedAt
+// is when there was last more than one.
+type pendingWorker struct {
+	attempts int
+	sharedAt time.Time
+}
+
 // aloneTurn is when the next request with a suspected part may go, and whether one is on its way.
 type aloneTurn struct {
 	at    time.Time
@@ -83,7 +92,7 @@
 	}
 	q := &quarantineGuard{
 		log: log, metrics: m, tracker: quarantine.NewTracker(origin, time.Now().Add(-sinceBoot())),
-		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, ends: ends, gateways: 1, cursors: map[string]*news.QuarantineCursor{}, writer: newCondemnationWriter(isRelay),
+		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, pendingWorkers: map[string]*pendingWorker{}, ends: ends, gateways: 1, cursors: map[string]*news.QuarantineCursor{}, writer: newCondemnationWriter(isRelay),
 	}
 	m.set.NewGauge("borageflow_gateway_condemned_parts", func() float64 { return float64(len(q.condemnations())) })
 	return q
@@ -231,13 +240,29 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.pending[a] = r
+	w := q.pendingWorkers[a.worker.ID]
+	if w == nil {
+		w = &pendingWorker{}
+		q.pendingWorkers[a.worker.ID] = w
+	}
+	if w.attempts++; w.attempts > 1 {
+		w.sharedAt = time.Now()
+	}
 }
 
-// recordBegun records that the answer of an attempt has begun, or that the attempt has ended.
+// recordBegun records that the answer of an attempt has begun, or that the attempt has ended before.
 func (q *quarantineGuard) recordBegun(a *attempt) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.pending, a)
+	w := q.pendingWorkers[a.worker.ID]
+	if w.attempts > 1 {
+		w.sharedAt = time.Now()
+	}
+	a.wasAlone = w.sharedAt.Before(a.started)
+	if w.attempts--; w.attempts == 0 {
+		delete(q.pendingWorkers, a.worker.ID)
+	}
 }
 
 // changesFor returns the records that the relay at an address may lack, the version up to which they
@@ -326,13 +351,17 @@
 	switch {
 	case !a.begunAt.IsZero():
 		weight = quarantine.Weight(time.Since(a.begunAt))
-	case !r.hasPrompt():
-		weight = unbegunWeight
+	case r.hasPrompt():
+		return // it waited
+	case a.wasAlone:
+		weight = 1
+	default:
+		weight = sharedWeight
 	}
 	if weight == 0 || len(r.parts) == 0 || !r.gateway.dispatcher.isInUse(a.worker) || !r.gateway.hasEnded(a.worker) {
 		return
 	}
-	if weight >= unbegunWeight {
+	if weight >= sharedWeight {
 		r.endedWorkers.Add(1)
 	}
 	r.gateway.quarantine.recordEnd(r, a, weight)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -90,6 +90,9 @@
 	model            string
 	// begunAt is when the header of the response arrived: the worker has begun to answer.
 	begunAt time.Time
+	// wasAlone reports whether no other request of this gateway waited at the worker for the beginning
+	// of its answer.
+	wasAlone bool
 	// survived reports whether the request was recorded as one that does not end its worker.
 	survived bool
 	// evidence is the request as evidence of a rollout, nil without one.
--- a/internal/standin/forwarding/worker.go
+++ b/internal/standin/forwarding/worker.go
@@ -35,7 +35,10 @@
 	// called then.
 	FatalPart  string
 	FatalDelay time.Duration
-	OnEnd      func()
+	// FatalPath is a path of plain requests that end the worker after FatalDelay, without an answer;
+	// empty for none.
+	FatalPath string
+	OnEnd     func()
 }
 
 // Worker answers forwarded requests: POST with a stream of three events, other methods with
@@ -91,6 +94,11 @@
 		w.stream(out, r)
 		return
 	}
+	if w.config.FatalPath != "" && r.URL.Path == w.config.FatalPath {
+		time.Sleep(w.config.FatalDelay)
+		w.end()
+		return
+	}
 	time.Sleep(w.config.EventInterval)
 	fmt.Fprintf(out, "%s answers %s\n", w.config.ID, r.URL.Path)
 }
