Keep a gateway alive after an update that it cannot apply

Cause: a panic while an update of the store is applied would end the process, which would read the same update when it starts again. No such update is known; this is the query of death of the store's path. Change: the panic is logged with its stack, the former state stays in force and the update is not passed on.

Result: TestUpdateThatCannotBeAppliedEndsNoProcess passes; it panics without the change.

--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -96,8 +96,22 @@
 	for _, fault := range u.Faults {
 		w.log.Warn("object of the store cannot be used and is ignored", zap.Stringer("topic", w.topic), zap.String("name", fault.Name), zap.String("problem", fault.Problem), zap.Int64("revision", u.Revision))
 	}
+	if w.applySafely(u, confirmed) {
+		w.relayPeer.recordUpdate(w.topic, u, confirmed)
+	}
+}
+
+// applySafely applies an update and reports whether it could. After a panic the process keeps its former
+// state and passes the update on to no other gateway: a process that ended by it would read it again
+// when it starts.
+func (w *topicWatcher) applySafely(u *forward.Update, confirmed time.Duration) (ok bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			w.log.Error("update of the store cannot be applied and is ignored", zap.Stringer("topic", w.topic), zap.Int64("revision", u.Revision), zap.Any("panic", p), zap.Stack("stack"))
+		}
+	}()
 	w.apply(u, confirmed)
-	w.relayPeer.recordUpdate(w.topic, u, confirmed)
+	return true
 }
 
 // handleError handles a call that returned no update. canceled reports whether another watcher
--- a/internal/gateway/watcher_test.go
+++ b/internal/gateway/watcher_test.go
@@ -79,3 +79,15 @@
 	})
 	assert.Assert(t, time.Since(orderedAt) < 600*time.Millisecond, "known after %v", time.Since(orderedAt))
 }
+
+// Guards against a process that ends by an update of the store, starts again and reads it again.
+func TestUpdateThatCannotBeAppliedEndsNoProcess(t *testing.T) {
+	passedOn := false
+	w := &topicWatcher{
+		topic: forward.WorkerTopic, log: newNopLogger(), relists: newRelistCoordinator(),
+		apply: func(u *forward.Update, _ time.Duration) { passedOn = u.Workers[3].Draining },
+	}
+	w.handleUpdate(&forward.Update{Revision: 7, Full: true}, 0)
+	assert.Assert(t, !passedOn)
+	assert.Equal(t, w.revision, int64(7))
+}
