Let a suspected request go on after a full worker, and count all ended workers

What callers saw: a request with a suspected part whose first worker was full waited 1.5 s for the turn that it had itself, and was refused; a request whose prompt has a single part could end three workers.

Cause: the turn was taken again for each attempt, and ended workers were counted only for requests with parts to accuse. Change: a request keeps its turn, and every ended worker counts. The decisions of one request move to a file of their own. The stand-in of workers reports its end before it closes its connections: TestRepeatedPlainRequestIsRefused failed when it counted too early (1 instead of 2).

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/quarantine"
 	"github.com/borageflow/borageflow/internal/standin/forwarding"
 )
 
@@ -168,13 +170,47 @@
 			t.Parallel()
 			f := startCrashFleet(t, 6, time.Minute)
 			gw := startGatewayWith(t, testSettings(t), f.store)
-			resp := gw.call("POST", route, "prompt", DefaultHeaderNames.Prompt, promptWith(1, "a", fatalPart))
-			assert.Equal(t, resp.status, http.StatusBadGateway)
-			assert.Assert(t, f.endCount() >= 1 && f.endCount() <= 2, "%d workers ended", f.endCount())
+			for _, prompt := range []string{promptWith(1, "a", fatalPart), fatalPart + ":50"} {
+				before := f.endCount()
+				resp := gw.call("POST", route, "prompt", DefaultHeaderNames.Prompt, prompt)
+				assert.Equal(t, resp.status, http.StatusBadGateway)
+				ends := f.endCount() - before
+				assert.Assert(t, ends >= 1 && ends <= 2, "%d workers ended under %s\n%s", ends, prompt, gw.log.String())
+			}
 		})
 	}
 }
 
+// Guards against a request with a suspected part that waits for its own turn when its first worker was
+// full.
+func TestRequestSentAloneMayBeRepeated(t *testing.T) {
+	t.Parallel()
+	var arrivals atomic.Int64
+	script := func(_ int, c net.Conn, r receivedRequest) bool {
+		if arrivals.Add(1) == 1 {
+			writeResponse(c, r, http.StatusServiceUnavailable, "", DefaultHeaderNames.NotRun+": 1")
+			return true
+		}
+		return writeBody(c, r, "length", formatEvent(1))
+	}
+	gw := startGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+	q := gw.gateway.quarantine
+	q.mu.Lock()
+	for range 60 {
+		q.tracker.RecordFinished(sinceBoot(), "svc", []uint64{1})
+	}
+	for i := range 2 {
+		q.tracker.RecordEnd(sinceBoot()-time.Duration(2-i)*time.Second, quarantine.WorkerEnd{Service: "svc", Worker: fmt.Sprint(i), IDs: []uint64{0xb}, Weight: 1})
+	}
+	q.mu.Unlock()
+	assert.Equal(t, q.decide("svc", []uint64{0xb}).Action, quarantine.SendAlone)
+	started := time.Now()
+	resp := gw.call("POST", "/stream/x", "prompt", DefaultHeaderNames.Prompt, promptWith(1, "b"))
+	assert.Equal(t, resp.status, http.StatusOK)
+	assert.Equal(t, arrivals.Load(), int64(2))
+	assert.Assert(t, time.Since(started) < maxAloneWait, "took %v", time.Since(started))
+}
+
 // Guards against plain requests that end one server after the other, also when their caller repeats
 // them.
 func TestRepeatedPlainRequestIsRefused(t *testing.T) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,52 +1,35 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 	"go.uber.org/zap"
 
-	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
-	"github.com/borageflow/borageflow/internal/framing"
 	"github.com/borageflow/borageflow/internal/news"
 	"github.com/borageflow/borageflow/internal/quarantine"
 )
 
 const (
-	// maxEndedWorkers is how many workers may end under one request.
-	maxEndedWorkers = 2
 	// endProbeTimeout bounds the connection attempt that shows whether a worker has ended. One whose
 	// machine does not answer at all is not taken for ended.
 	endProbeTimeout = 100 * time.Millisecond
 	// maxKnownEnds bounds the ended workers that are remembered.
 	maxKnownEnds = 1024
-	// sharedWeight is the accusation of a request without a prompt whose answer had not begun, and that
-	// was not alone on its server: its header comes only when the work is done.
-	sharedWeight = 0.5
 	// aloneSlot is the time that one request with a suspected part takes until all gateways know
 	// how it ended: to the beginning of its answer, and an exchange with a relay.
 	aloneSlot = 300 * time.Millisecond
 	// probationSlot is that time for a part on probation. It leaves a gateway whose relay has just
 	// restarted the time to learn of an end.
 	probationSlot = 3 * time.Second
-	// maxAloneWait bounds the wait of a request with a suspected part, and maxAloneShare the share of
-	// its remaining time.
-	maxAloneWait  = 1500 * time.Millisecond
-	maxAloneShare = 0.25
-	// survivalTime is the time after the beginning of an answer from which its request counts as
-	// one that does not end its worker.
-	survivalTime = time.Second
-	// alonePoll is how often a waiting request looks for a verdict.
-	alonePoll = 20 * time.Millisecond
 )
 
 // quarantineGuard keeps the requests of a gateway from workers that would end under them. It owns the
@@ -98,96 +81,6 @@
 	return q
 }
 
-// partIDs returns what a request may have in common with others that end workers: the parts of its
-// prompt without the last one, which is its own, or without a prompt the whole request.
-func (r *request) partIDs() []uint64 {
-	prompt := r.inbound.meta.Prompt
-	if len(prompt) == 0 {
-		return []uint64{r.inbound.fingerprint(r.customer.Name)}
-	}
-	out := make([]uint64, 0, len(prompt)-1)
-	for _, part := range prompt[:len(prompt)-1] {
-		out = append(out, part.ID)
-	}
-	return out
-}
-
-// fingerprint returns a hash of the method, target and body of a request of a customer.
-func (r *inboundRequest) fingerprint(customer string) uint64 {
-	h := xxhash.New()
-	for _, field := range []string{customer, r.method, r.host, r.target} {
-		_, _ = h.WriteString(field) // writing to a hash returns no error
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(r.body)
-	return h.Sum64()
-}
-
-// hasPrompt reports whether the request states the parts of a prompt.
-func (r *request) hasPrompt() bool { return len(r.inbound.meta.Prompt) > 0 }
-
-// awaitClearance returns why the request must not be sent, or nil. A request with a suspected part
-// waits until no other one with it is on its way. A nil result with such a part makes it the one.
-func (r *request) awaitClearance(ctx context.Context) *errkind.Error {
-	if r.hasEndedTooMany() {
-		return errkind.New(errkind.UpstreamFailed, "workers ended while they answered the request")
-	}
-	q := r.gateway.quarantine
-	d := q.decide(r.service, r.parts)
-	if d.Action == quarantine.Send {
-		return nil
-	}
-	started := time.Now()
-	until := started.Add(min(maxAloneWait, time.Duration(maxAloneShare*float64(r.remaining()))))
-	for ; d.Action == quarantine.SendAlone; d = q.decide(r.service, r.parts) {
-		now := time.Now()
-		switch {
-		case r.endedWorkers.Load() > 0:
-			return errkind.New(errkind.UpstreamFailed, "a worker ended while it answered the request")
-		case q.takeAlone(now, d):
-			r.alonePart = &d.Part
-			return nil
-		case d.OnProbation || now.After(until):
-			return r.quarantineRefusal(errkind.New(errkind.Overloaded, "requests like this are sent one at a time: workers have ended under them").WithRetryAfter(maxAloneWait))
-		}
-		timer := time.NewTimer(alonePoll)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return r.quarantineRefusal(errkind.New(errkind.DeadlineExceeded, "request ended while it waited for others like it"))
-		case <-timer.C:
-		}
-	}
-	if d.Action == quarantine.Refuse {
-		return r.quarantineRefusal(errkind.New(errkind.Quarantined, "part "+formatPart(d.Part.ID)+" of the request is condemned: workers ended while they answered requests with it"))
-	}
-	return nil
-}
-
-// quarantineRefusal returns a refusal, or upstream_failed if the request may have run.
-func (r *request) quarantineRefusal(refusal *errkind.Error) *errkind.Error {
-	if r.mayHaveRun {
-		return errkind.New(errkind.UpstreamFailed, "request is not sent again: "+refusal.Message)
-	}
-	return refusal
-}
-
-// hasEndedTooMany reports whether the request must not be sent to another worker.
-func (r *request) hasEndedTooMany() bool { return r.endedWorkers.Load() >= maxEndedWorkers }
-
-// isSuspected reports whether the request has a suspected or condemned part.
-func (r *request) isSuspected() bool {
-	return r.gateway.quarantine.decide(r.service, r.parts).Action != quarantine.Send
-}
-
-// releaseAlone lets another request with the suspected part go.
-func (r *request) releaseAlone() {
-	if r.alonePart != nil {
-		r.gateway.quarantine.releaseAlone(*r.alonePart)
-		r.alonePart = nil
-	}
-}
-
 // condemnations returns the condemnations in force and those whose parts are on probation.
 func (q *quarantineGuard) condemnations() []quarantine.Verdict {
 	q.mu.Lock()
@@ -289,16 +182,7 @@
 	q.apply(verdicts, "known from another gateway, or from what others know")
 }
 
-// recordSurvival records that a worker has answered the request, or writes on long after it began.
-// Another request with the same suspected part may go then.
-func (r *request) recordSurvival(a *attempt) {
-	r.releaseAlone()
-	if !a.survived {
-		a.survived = true
-		r.gateway.quarantine.recordSurvival(r.service, r.parts)
-	}
-}
-
+// recordSurvival records a request that did not end its worker.
 func (q *quarantineGuard) recordSurvival(service string, parts []uint64) {
 	q.mu.Lock()
 	cleared := q.tracker.RecordFinished(sinceBoot(), service, parts)
@@ -311,7 +195,9 @@
 	counts, versions := map[string]int{}, map[string][]string{}
 	for _, w := range workers {
 		counts[w.Service]++
-		versions[w.Service] = appendMissing(versions[w.Service], w.Version)
+		if !slices.Contains(versions[w.Service], w.Version) {
+			versions[w.Service] = append(versions[w.Service], w.Version)
+		}
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -320,15 +206,6 @@
 	}
 }
 
-func appendMissing(list []string, value string) []string {
-	for _, v := range list {
-		if v == value {
-			return list
-		}
-	}
-	return append(list, value)
-}
-
 // tick removes what is out of date.
 func (q *quarantineGuard) tick(now time.Duration) {
 	q.mu.Lock()
@@ -341,32 +218,6 @@
 	}
 }
 
-// recordBreak records that the answer of an attempt broke off. If the worker has ended, the request is
-// accused of that by how recently its answer had begun.
-func (r *request) recordBreak(a *attempt, err error) {
-	if cause := framing.CauseOf(err); cause != framing.BrokenOff && cause != framing.InsideEvent || errors.Is(err, net.ErrClosed) || isTimeout(err) {
-		return
-	}
-	weight := 0.0
-	switch {
-	case !a.begunAt.IsZero():
-		weight = quarantine.Weight(time.Since(a.begunAt))
-	case r.hasPrompt():
-		return // it waited
-	case a.wasAlone:
-		weight = 1
-	default:
-		weight = sharedWeight
-	}
-	if weight == 0 || len(r.parts) == 0 || !r.gateway.dispatcher.isInUse(a.worker) || !r.gateway.hasEnded(a.worker) {
-		return
-	}
-	if weight >= sharedWeight {
-		r.endedWorkers.Add(1)
-	}
-	r.gateway.quarantine.recordEnd(r, a, weight)
-}
-
 // recordEnd records that a worker ended under a request, and logs it.
 func (q *quarantineGuard) recordEnd(r *request, a *attempt, weight float64) {
 	q.mu.Lock()
--- a/internal/standin/forwarding/worker.go
+++ b/internal/standin/forwarding/worker.go
@@ -31,14 +31,14 @@
 	// 100. Paths that contain /hard/ get half of it.
 	Confidence map[string]int
 	// FatalPart is a part of a prompt, as the header writes it without its tokens. The worker
-	// ends FatalDelay after it began to answer a request that has it; empty for none. OnEnd is
-	// called then.
+	// ends FatalDelay after it began to answer a request that has it; empty for none.
 	FatalPart  string
 	FatalDelay time.Duration
 	// FatalPath is a path of plain requests that end the worker after FatalDelay, without an answer;
 	// empty for none.
 	FatalPath string
-	OnEnd     func()
+	// OnEnd is called just before the connections are closed.
+	OnEnd func()
 }
 
 // Worker answers forwarded requests: POST with a stream of three events, other methods with
@@ -142,9 +142,9 @@
 // end closes the worker as if its process had ended.
 func (w *Worker) end() {
 	w.ended.Do(func() {
-		w.Close()
 		if w.config.OnEnd != nil {
 			w.config.OnEnd()
 		}
+		w.Close()
 	})
 }
