Record a longer condemnation by an operator in the store

Cause: a verdict counted as stored if the store held one that differs in its sequence and its end alone, so that a part set again for longer ended at the first time for gateways that start later. Change: ends that differ by more than 30 s are written.

Result: TestOperatorSetsAndLiftsCondemnations sets a part twice and waits for the later end in the store, which did not come before; it passes twice.

--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -23,6 +23,8 @@
 	otherWriteDelay = 1500 * time.Millisecond
 	// writeRetryInterval is the pause after a failed write.
 	writeRetryInterval = 2 * time.Second
+	// sameVerdictTime is by how much the ends of two equal verdicts may differ.
+	sameVerdictTime = 30 * time.Second
 	// maxConcurrentWrites bounds the writes of condemnations at a time.
 	maxConcurrentWrites = 4
 )
@@ -59,12 +61,13 @@
 
 // needsWrite reports whether the store lacks a verdict. Gateways that come to the same verdict at the
 // same time give it different sequences, one of which is enough.
-func (w *condemnationWriter) needsWrite(v *quarantine.Verdict) bool {
+func (w *condemnationWriter) needsWrite(v *quarantine.Verdict, until time.Time) bool {
 	known, ok := w.stored[v.Part]
 	if !ok {
 		return v.Condemned
 	}
-	return v.Sequence > known.Sequence && (v.Condemned != known.Condemned || v.ByOperator != known.ByOperator || v.Tries > known.Tries)
+	isSame := v.Condemned == known.Condemned && v.ByOperator == known.ByOperator && v.Tries <= known.Tries
+	return v.Sequence > known.Sequence && (!isSame || until.Sub(time.UnixMilli(known.UntilUnixMs)).Abs() > sameVerdictTime)
 }
 
 // applyStore applies an update of the condemnations in the store.
@@ -118,13 +121,14 @@
 		out = append(out, write)
 	}
 	for _, v := range q.tracker.Latest() {
-		if !w.needsWrite(&v) {
+		until := now.Add(v.Until - since)
+		if !w.needsWrite(&v, until) {
 			delete(w.dueAt, v.Part)
 			continue
 		}
 		add(v.Part, condemnationWrite{condemnation: forward.Condemnation{
 			Service: v.Part.Service, Part: v.Part.ID, Sequence: v.Sequence, Condemned: v.Condemned, Version: v.Version, EndedWorkers: v.Crashes, Tries: v.Tries,
-			ByOperator: v.ByOperator, UntilUnixMs: now.Add(v.Until - since).UnixMilli(),
+			ByOperator: v.ByOperator, UntilUnixMs: until.UnixMilli(),
 		}})
 	}
 	for part, c := range w.stored {
--- a/internal/gateway/quarantinestore_test.go
+++ b/internal/gateway/quarantinestore_test.go
@@ -109,6 +109,11 @@
 	resp := gw.call("POST", "/stream/x", "prompt", DefaultHeaderNames.Prompt, promptWith(1, "a", "b"))
 	assert.Equal(t, resp.status, http.StatusServiceUnavailable)
 	gw.waitFor("condemnation is in the store", func() bool { return len(f.store.Condemnations()) == 1 })
+	firstEnd := f.store.Condemnations()[0].UntilUnixMs
+	check(s.MetricsAddress, "PUT", "/quarantine/b?service=svc&for=5h", http.StatusNoContent)
+	gw.waitFor("the later end is in the store", func() bool {
+		return f.store.Condemnations()[0].UntilUnixMs > firstEnd+(3*time.Hour).Milliseconds()
+	})
 	check(s.MetricsAddress, "DELETE", "/quarantine/b?service=svc", http.StatusNoContent)
 	resp = gw.call("POST", "/stream/x", "prompt", DefaultHeaderNames.Prompt, promptWith(2, "a", "b"))
 	assert.Equal(t, resp.status, http.StatusOK)
--- a/internal/quarantine/policy_test.go
+++ b/internal/quarantine/policy_test.go
@@ -45,7 +45,6 @@
 	ids               []uint64
 	begunAt, finishAt time.Duration
 	fatalAt           time.Duration
-	recorded          bool
 }
 
 type modelResult struct {
