Acquit parts that other gateways have seen finish, and let ends settle in large fleets

Change: an end condemns only once it has been known for 10 ms a gateway, 1 s at most; a message holds 256 records; a gateway that has seen requests with a condemned part finish lately says so, and a part that more speaks for than against is acquitted.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -176,6 +176,7 @@
 func (q *quarantineGuard) applyPeerReport(address string, sent int64, got news.PeerReport) {
 	q.mu.Lock()
 	q.gateways = got.Gateways
+	q.tracker.SetGateways(got.Gateways)
 	q.cursors[address].Advance(got.QuarantineRun, got.QuarantineRead, sent)
 	verdicts := q.tracker.Merge(sinceBoot(), got.Quarantine)
 	q.mu.Unlock()
@@ -209,13 +210,14 @@
 // tick removes what is out of date.
 func (q *quarantineGuard) tick(now time.Duration) {
 	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.tracker.Tick(now)
+	verdicts := q.tracker.Tick(now)
 	for part, turn := range q.turns {
 		if !turn.taken && time.Since(turn.at) > maxAloneWait {
 			delete(q.turns, part)
 		}
 	}
+	q.mu.Unlock()
+	q.apply(verdicts, "workers ended under requests with it")
 }
 
 // recordEnd records that a worker ended under a request, and logs it.
--- a/internal/news/quarantine.go
+++ b/internal/news/quarantine.go
@@ -11,8 +11,8 @@
 )
 
 // MaxQuarantineRecords bounds the records in one message, of about 150 bytes each. The rest follows in
-// the next exchange.
-const MaxQuarantineRecords = 64
+// the next exchange. With 64, those of 38 ended workers of a large fleet took five exchanges.
+const MaxQuarantineRecords = 256
 
 // QuarantineCursor is how far a gateway and a relay have read each other's records.
 type QuarantineCursor struct {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -27,6 +27,11 @@
 	// probationDelay is how long a part stays condemned after its condemnation has ended by a new
 	// version, which is not on all workers at once.
 	probationDelay = 5 * time.Second
+	// settlePerGateway and maxSettleTime bound how long the end of a worker is known before it can
+	// condemn a part. The records of one end come from all gateways that had requests there, and those
+	// of sound requests may arrive before that of the fatal one, which explains them.
+	settlePerGateway = 10 * time.Millisecond
+	maxSettleTime    = time.Second
 	// ratioMargin is by how much the ratio of a part must exceed that of a part further back in the
 	// prompts for the former to be condemned: one or two ends of workers.
 	ratioMargin = 8
@@ -70,6 +75,8 @@
 	probation map[Part]Elapsed
 	// firstSequence is the sequence that stands for the start of the clock.
 	firstSequence int64
+	// settleTime is how long the end of a worker is known before it can condemn a part.
+	settleTime time.Duration
 }
 
 // knownPart counts the finished requests of this gateway that had a part, up to commonFinishes.
@@ -132,6 +139,14 @@
 	s.workers, s.versions = workers, versions
 }
 
+// SetGateways sets the number of gateways that exchange what they know, this one included.
+func (t *Tracker) SetGateways(n int) {
+	t.settleTime = 0
+	if n > 1 {
+		t.settleTime = min(time.Duration(n)*settlePerGateway, maxSettleTime)
+	}
+}
+
 // RecordFinished records that a request with some parts ended in order. It returns the condemnations
 // that end by it.
 func (t *Tracker) RecordFinished(now Elapsed, name string, ids []uint64) []Verdict {
@@ -155,9 +170,11 @@
 }
 
 // publishFinished states the finished requests of a part that was accused of more than one end, which
-// few are.
+// few are, or condemned.
 func (t *Tracker) publishFinished(now Elapsed, part Part, k *knownPart) {
-	if p := t.ledger.parts[part]; p != nil && len(p.crashes) >= minSuspectEnds && k.finishedLately(now) > 0 {
+	p, v := t.ledger.parts[part], t.ledger.verdicts[part]
+	isNear := p != nil && len(p.crashes) >= minSuspectEnds || v != nil && v.value.Condemned
+	if isNear && k.finishedLately(now) > 0 {
 		t.ledger.mergeFinished(part, Finished{t.origin, k.finished, k.lastAt})
 	}
 }
@@ -222,6 +239,13 @@
 		case r.Verdict != nil:
 			delete(t.probation, r.Part)
 			out = append(out, *r.Verdict)
+			if k, ok := t.known.Peek(r.Part); ok {
+				t.publishFinished(now, r.Part, k)
+			}
+		case r.Finished != nil:
+			if v, ok := t.acquit(now, r.Part); ok {
+				out = append(out, v)
+			}
 		case r.Crash != nil:
 			t.endOf(r.Crash.At, r.Part.Service, r.Crash.Worker)
 			affected[r.Part.Service] = true
@@ -231,11 +255,7 @@
 		}
 	}
 	for name := range affected {
-		version := ""
-		if versions := t.serviceOf(name).versions; len(versions) == 1 {
-			version = versions[0]
-		}
-		out = append(out, t.judge(now, name, version)...)
+		out = append(out, t.judge(now, name, t.serviceOf(name).onlyVersion())...)
 	}
 	return out
 }
@@ -246,8 +266,9 @@
 	return t.ledger.ChangedSince(version, limit)
 }
 
-// Tick removes what is out of date.
-func (t *Tracker) Tick(now Elapsed) {
+// Tick removes what is out of date. It returns the parts that are condemned by ends that have been known
+// for long enough now.
+func (t *Tracker) Tick(now Elapsed) []Verdict {
 	t.ledger.Expire(now)
 	t.updateProbation(now)
 	for _, s := range t.services {
@@ -257,6 +278,36 @@
 			}
 		}
 	}
+	var out []Verdict
+	if t.settleTime > 0 {
+		for name, s := range t.services {
+			if s.hasEndSince(now - t.settleTime - maxTickInterval) {
+				out = append(out, t.judge(now, name, s.onlyVersion())...)
+			}
+		}
+	}
+	return out
+}
+
+// maxTickInterval is the longest time between two calls of Tick.
+const maxTickInterval = time.Second
+
+// hasEndSince reports whether a worker has ended since a time.
+func (s *service) hasEndSince(since Elapsed) bool {
+	for _, end := range s.ends {
+		if end.at >= since {
+			return true
+		}
+	}
+	return false
+}
+
+// onlyVersion returns the version of the workers' software, or "" if there are several.
+func (s *service) onlyVersion() string {
+	if len(s.versions) == 1 {
+		return s.versions[0]
+	}
+	return ""
 }
 
 // explained returns the ends of workers of a service that condemned parts explain.
@@ -308,12 +359,12 @@
 			continue
 		}
 		if t.hasFailedProbation(part) {
-			return t.evidence(now, part, nil), true
+			return t.evidence(now, now, part, nil), true
 		}
 		if len(p.crashes) < minEndedWorkers {
 			continue
 		}
-		c := t.evidence(now, part, explained)
+		c := t.evidence(now, now-t.settleTime, part, explained)
 		if c.ends >= minEndedWorkers && c.ratio >= condemnThreshold {
 			found = append(found, c)
 		}
@@ -337,8 +388,8 @@
 // "they were there when workers ended for another reason". The chance of the latter follows from
 // the ends of workers that the part has nothing to do with: those of all gateways by worker and time,
 // and those of this gateway by its requests, so that a version whose workers end on their own
-// accuses nothing.
-func (t *Tracker) evidence(now Elapsed, part Part, explained map[uint64]bool) candidate {
+// accuses nothing. Ends up to upTo count.
+func (t *Tracker) evidence(now, upTo Elapsed, part Part, explained map[uint64]bool) candidate {
 	p := t.ledger.parts[part]
 	s := t.serviceOf(part.Service)
 	unrelated, unrelatedBegun := 0.0, 0.0
@@ -358,7 +409,7 @@
 		acquittedAt = v.value.Until
 	}
 	for worker, c := range p.crashes {
-		if explained[worker] || now-c.value.At > evidenceWindow || c.value.At <= acquittedAt {
+		if explained[worker] || now-c.value.At > evidenceWindow || c.value.At <= acquittedAt || c.value.At > upTo {
 			continue
 		}
 		counted = append(counted, c.value)
