--- a/internal/news/quarantine.go
+++ b/internal/news/quarantine.go
@@ -11,7 +11,7 @@
 )
 
 // MaxQuarantineRecords bounds the records in one message, of about 150 bytes each. The rest follows in
-// the next exchange. With 64, those of 38 ended workers of a large fleet took five exchanges.
+// the next exchange, so that verdicts of a large fleet would wait behind evidence with a small bound.
 const MaxQuarantineRecords = 256
 
 // QuarantineCursor is how far a gateway and a relay have read each other's records.
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -316,6 +316,18 @@
 	}
 }
 
+// Guards against a gateway that never ends judging because more parts are fatal than verdicts are kept.
+func TestManyFatalPartsAreJudgedInTime(t *testing.T) {
+	tracker := newTestTracker("a")
+	for part := range uint64(maxVerdicts + 50) {
+		for i := range 3 {
+			tracker.ledger.mergeCrash(Part{testService, 1000 + part}, Crash{Worker: 10*part + uint64(i), Weight: 1, At: moment(i)})
+		}
+	}
+	verdicts := tracker.RecordEnd(moment(4), endOf(1, 1))
+	assert.Equal(t, len(verdicts), maxCondemnedAtOnce)
+}
+
 // Guards against evidence that takes the memory of a gateway: all tables are full, each part with as many
 // ended workers as are kept.
 func TestMemoryIsBounded(t *testing.T) {
