Log the evidence on the parts of requests under which workers end

The lines about ended workers did not tell a verdict that comes late from one that never comes because requests like it had finished before. They have the ends, the ratio and the finished requests of each part now, and whether the request was alone or on trial. go test ./internal/quarantine and the tests of fatal requests in ./internal/gateway pass.

--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -226,14 +226,18 @@
 	verdicts := q.tracker.RecordEnd(sinceBoot(), quarantine.WorkerEnd{
 		Service: r.service, Version: a.worker.Version, Worker: workerKey(a.worker), IDs: r.parts, Weight: weight,
 	})
+	evidence := make([]quarantine.Summary, 0, maxLoggedParts)
+	for _, id := range r.parts[:min(len(r.parts), maxLoggedParts)] {
+		evidence = append(evidence, q.tracker.Summarize(sinceBoot(), quarantine.Part{Service: r.service, ID: id}))
+	}
 	q.mu.Unlock()
 	sinceBegin := int64(-1)
 	if !a.begunAt.IsZero() {
 		sinceBegin = time.Since(a.begunAt).Milliseconds()
 	}
 	q.log.Info("worker has ended under a request", zap.String("worker", a.worker.ID), zap.String("service", r.service), zap.String("version", a.worker.Version),
-		zap.String("request", r.inbound.meta.RequestID), zap.String("customer", r.customer.Name), zap.Strings("parts", formatParts(r.parts)),
-		zap.Float64("weight", weight), zap.Int64("since_begin_ms", sinceBegin))
+		zap.String("request", r.inbound.meta.RequestID), zap.String("customer", r.customer.Name), zap.Any("evidence", evidence),
+		zap.Float64("weight", weight), zap.Bool("was_alone", a.wasAlone), zap.Bool("on_trial", r.alonePart != nil), zap.Int64("since_begin_ms", sinceBegin))
 	q.metrics.countWorkerEnd(r.service)
 	q.apply(verdicts, "workers ended under requests with it")
 }
@@ -270,14 +274,6 @@
 	}
 }
 
-func formatParts(parts []uint64) []string {
-	out := make([]string, 0, min(len(parts), maxLoggedParts))
-	for _, id := range parts[:min(len(parts), maxLoggedParts)] {
-		out = append(out, formatPart(id))
-	}
-	return out
-}
-
 // workerKey identifies one run of a worker.
 func workerKey(w forward.Worker) string { return w.ID + "@" + strconv.FormatInt(w.StartUnixMs, 36) }
 
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"strconv"
 )
 
 // explained returns the ends of workers of a service that condemned parts explain.
@@ -143,3 +144,32 @@
 	}
 	return ratio + weight*ratioPerEnd, n
 }
+
+// Summary is the evidence on one part, for logs.
+type Summary struct {
+	Part string `json:"part"`
+	// Ends is the number of ended workers at different moments that count against the part.
+	Ends int `json:"ends"`
+	// Ratio is the log-likelihood ratio; see suspectThreshold and condemnThreshold.
+	Ratio float64 `json:"ratio"`
+	// Finished is the number of requests with the part that finished lately, as far as it is counted:
+	// those of this gateway, and those that others have stated.
+	Finished int `json:"finished"`
+}
+
+// Summarize returns the evidence on a part.
+func (t *Tracker) Summarize(now Elapsed, part Part) Summary {
+	c := t.evidence(now, now, part, t.explained(part.Service))
+	out := Summary{Part: strconv.FormatUint(part.ID, 16), Ends: c.ends, Ratio: math.Round(10*c.ratio) / 10}
+	if k, ok := t.known.Peek(part); ok {
+		out.Finished = k.finishedLately(now)
+	}
+	if p := t.ledger.parts[part]; p != nil {
+		for origin, f := range p.finished {
+			if origin != t.origin && now-f.value.At <= finishedTTL {
+				out.Finished += f.value.Count
+			}
+		}
+	}
+	return out
+}
