Reproduce requests that turn fatal after they were answered

A request that servers answered before they began to end under it is never condemned: each gateway counts finished requests of the last 30 s for it, also those from before the first end. The same for a part of prompts, in virtual time.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -25,30 +25,44 @@
 	store *forwarding.Store
 	// restartDelay is the time from the end of a worker to its next start.
 	restartDelay time.Duration
+	slots        int
+	answerTime   time.Duration
+	// isFatal reports whether requests that are fatal end workers now; nil if they always do.
+	isFatal func() bool
 
 	mu      sync.Mutex
 	started int
+	// ends holds when workers ended under fatal requests.
 	ends    []time.Time
-	open    []*forwarding.Worker
+	running map[string]*forwarding.Worker
+	// ownEnds holds the workers that end for a reason of their own.
+	ownEnds map[string]bool
 	closed  bool
 }
 
 func startCrashFleet(t *testing.T, workers int, restartDelay time.Duration) *crashFleet {
 	t.Helper()
-	f := &crashFleet{t: t, store: forwarding.NewStore(), restartDelay: restartDelay}
-	f.store.PutConfig(testConfig(1))
-	t.Cleanup(f.close)
+	f := newCrashFleet(t, restartDelay)
 	for range workers {
 		f.start()
 	}
 	return f
 }
 
+// newCrashFleet returns a crashFleet without workers.
+func newCrashFleet(t *testing.T, restartDelay time.Duration) *crashFleet {
+	t.Helper()
+	f := &crashFleet{t: t, store: forwarding.NewStore(), restartDelay: restartDelay, slots: 64, answerTime: 5 * time.Millisecond, running: map[string]*forwarding.Worker{}, ownEnds: map[string]bool{}}
+	f.store.PutConfig(testConfig(1))
+	t.Cleanup(f.close)
+	return f
+}
+
 func (f *crashFleet) close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = true
-	for _, w := range f.open {
+	for _, w := range f.running {
 		w.Close()
 	}
 }
@@ -64,22 +78,25 @@
 	id := fmt.Sprintf("w%d", f.started)
 	names := DefaultHeaderNames
 	w, err := forwarding.StartWorker(forwarding.WorkerConfig{
-		ID: id, Address: ownHost() + ":0", Slots: 64, EventInterval: 5 * time.Millisecond,
+		ID: id, Address: ownHost() + ":0", Slots: f.slots, EventInterval: f.answerTime,
 		HeaderNames: forwarding.HeaderNames{RequestID: names.RequestID, ExpectWorker: names.ExpectWorker, NotRun: names.NotRun, Load: names.Load, WorkerID: names.WorkerID, Model: names.Model, Prompt: names.Prompt},
-		FatalPart:   fatalPart, FatalPath: "/safe/fatal", FatalDelay: 60 * time.Millisecond, OnEnd: func() { f.workerEnded(id) },
+		FatalPart:   fatalPart, FatalPath: "/safe/fatal", FatalDelay: 60 * time.Millisecond, IsFatal: f.isFatal, OnEnd: func() { f.workerEnded(id) },
 	})
 	if err != nil {
 		f.t.Errorf("worker cannot be started: %v", err)
 		return
 	}
-	f.open = append(f.open, w)
-	f.store.PutWorker(forward.Worker{ID: id, Service: "svc", Address: w.Address(), FailureDomain: "a", Version: "v1", Slots: 64})
+	f.running[id] = w
+	f.store.PutWorker(forward.Worker{ID: id, Service: "svc", Address: w.Address(), FailureDomain: "a", Version: "v1", Slots: f.slots})
 }
 
 func (f *crashFleet) workerEnded(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ends = append(f.ends, time.Now())
+	delete(f.running, id)
+	if !f.ownEnds[id] {
+		f.ends = append(f.ends, time.Now())
+	}
 	time.AfterFunc(f.restartDelay, func() {
 		f.store.RemoveWorker(id)
 		f.start()
@@ -281,3 +298,31 @@
 		assert.Equal(t, resp.status, http.StatusOK)
 	}
 }
+
+// endOne ends one of the running workers for a reason of its own.
+func (f *crashFleet) endOne() {
+	f.mu.Lock()
+	var worker *forwarding.Worker
+	for id, w := range f.running {
+		worker = w
+		f.ownEnds[id] = true
+		break
+	}
+	f.mu.Unlock()
+	if worker != nil {
+		worker.End()
+	}
+}
+
+// endsAfterThird returns the number of workers that ended under fatal requests, and that of those later
+// than bound after the third.
+func (f *crashFleet) endsAfterThird(bound time.Duration) (ends, late int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, at := range f.ends {
+		if i >= 3 && at.Sub(f.ends[2]) > bound {
+			late++
+		}
+	}
+	return len(f.ends), late
+}
--- /dev/null
+++ b/internal/gateway/turnedfatal_test.go
@@ -0,0 +1,168 @@
+package gateway
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/standin/forwarding"
+)
+
+// fullFatalTable makes TestRepeatedFatalRequests play all cases, which takes some minutes.
+var fullFatalTable = flag.Bool("fatal-table", false, "play all cases of repeated fatal requests")
+
+// fatalCase is a plain request that ends servers and is repeated before four gateways, beside sound
+// requests of 300 other paths.
+type fatalCase struct {
+	servers  int
+	interval time.Duration
+	// answeredBefore reports whether servers answer the request 60 times before they end under it.
+	answeredBefore bool
+	// crashInterval is the time between two ends of servers for other reasons, 0 for none.
+	crashInterval time.Duration
+	// atOneGateway reports whether the fatal request comes at one gateway only.
+	atOneGateway bool
+}
+
+func (c fatalCase) String() string {
+	return fmt.Sprintf("servers=%d,every=%v,before=%v,crashes=%v,one=%v", c.servers, c.interval, c.answeredBefore, c.crashInterval, c.atOneGateway)
+}
+
+const (
+	fatalStart       = 4 * time.Second
+	fatalBound       = 3 * time.Second
+	fatalRestart     = 3 * time.Second
+	fatalSoundPerSec = 67
+	fatalPaths       = 300
+)
+
+// fatalResult is what the servers and the callers saw.
+type fatalResult struct {
+	// ends is the number of servers that ended under the fatal request, late that of those later than
+	// fatalBound after the third.
+	ends, late int
+	// asked and served count the sound requests of the last part of the play, and quarantined those of
+	// the whole play that were refused as condemned.
+	asked, served, quarantined int
+}
+
+// play runs a case for a time after the request turns fatal, and counts sound requests in the last part.
+func (c fatalCase) play(t *testing.T, length, counted time.Duration) fatalResult {
+	t.Helper()
+	f := newCrashFleet(t, fatalRestart)
+	f.slots, f.answerTime = 6, 15*time.Millisecond
+	started := time.Now()
+	f.isFatal = func() bool { return time.Since(started) >= fatalStart }
+	for range c.servers {
+		f.start()
+	}
+	address := freeAddress(t)
+	var gateways []*gatewayHarness
+	for i := range 4 {
+		s := testSettings(t)
+		s.Instance, s.Relays, s.StablePeriod = fmt.Sprintf("g%d", i), []string{address}, fatalBound
+		if i == 0 {
+			s.PeerAddress = address
+		}
+		gateways = append(gateways, startGatewayWith(t, s, forwarding.NewForwardingStore(f.store)))
+	}
+	var calls sync.WaitGroup
+	var asked, served, quarantined atomic.Int64
+	until := started.Add(fatalStart + length)
+	every := func(interval, from time.Duration, to time.Time, send func(n int)) {
+		calls.Go(func() {
+			time.Sleep(time.Until(started.Add(from)))
+			ticker := time.NewTicker(interval)
+			defer ticker.Stop()
+			for n := 0; time.Now().Before(to); n++ {
+				calls.Go(func() { send(n) })
+				<-ticker.C
+			}
+		})
+	}
+	every(time.Second/fatalSoundPerSec, 500*time.Millisecond, until, func(n int) {
+		isCounted := time.Until(until) < counted
+		resp := gateways[n%4].call("GET", fmt.Sprintf("/safe/sound-%d", rand.N(fatalPaths)), "")
+		if isCounted {
+			asked.Add(1)
+		}
+		switch {
+		case resp.status == http.StatusOK && isCounted:
+			served.Add(1)
+		case resp.status == http.StatusServiceUnavailable && resp.header.Get("Retry-After") == "":
+			quarantined.Add(1)
+		}
+	})
+	fatal := func(n int) {
+		if c.atOneGateway {
+			n = 1
+		}
+		gateways[n%4].call("GET", "/safe/fatal", "")
+	}
+	if c.answeredBefore {
+		every(50*time.Millisecond, fatalStart-3*time.Second, started.Add(fatalStart), fatal)
+	}
+	every(c.interval, fatalStart, until, fatal)
+	if c.crashInterval > 0 {
+		every(c.crashInterval, time.Second, until, func(int) { f.endOne() })
+	}
+	calls.Wait()
+	out := fatalResult{asked: int(asked.Load()), served: int(served.Load()), quarantined: int(quarantined.Load())}
+	out.ends, out.late = f.endsAfterThird(fatalBound)
+	return out
+}
+
+// Guards against a plain request that ends one server after the other for as long as it is repeated, also
+// when servers answered it before, and against sound requests that are refused for it.
+func TestRepeatedFatalRequests(t *testing.T) {
+	cases := []fatalCase{
+		{servers: 3, interval: 200 * time.Millisecond},
+		{servers: 3, interval: 200 * time.Millisecond, answeredBefore: true},
+		{servers: 6, interval: 400 * time.Millisecond, answeredBefore: true},
+		{servers: 1, interval: 400 * time.Millisecond},
+		{servers: 1, interval: 400 * time.Millisecond, answeredBefore: true, atOneGateway: true},
+		{servers: 12, interval: 50 * time.Millisecond, answeredBefore: true, crashInterval: 2 * time.Second},
+	}
+	length, counted := 14*time.Second, 5*time.Second
+	if *fullFatalTable {
+		cases, length, counted = allFatalCases(), 18*time.Second, 8*time.Second
+	}
+	running := make(chan struct{}, 8)
+	for _, c := range cases {
+		t.Run(c.String(), func(t *testing.T) {
+			t.Parallel()
+			running <- struct{}{}
+			defer func() { <-running }()
+			out := c.play(t, length, counted)
+			t.Logf("%+v", out)
+			assert.Assert(t, out.ends > 0)
+			assert.Assert(t, out.late <= 3, "%d servers ended later than %v after the third, %d in all", out.late, fatalBound, out.ends)
+			assert.Equal(t, out.quarantined, 0, "sound requests were refused as condemned")
+			if c.crashInterval == 0 || c.servers > 3 {
+				assert.Assert(t, out.served*10 >= out.asked*9, "%d of %d sound requests were served", out.served, out.asked)
+			}
+		})
+	}
+}
+
+// allFatalCases returns each combination of servers, intervals and circumstances.
+func allFatalCases() []fatalCase {
+	var out []fatalCase
+	for _, servers := range []int{1, 2, 3, 6, 12} {
+		for _, interval := range []time.Duration{50 * time.Millisecond, 200 * time.Millisecond, 600 * time.Millisecond, 3 * time.Second} {
+			for _, crashes := range []time.Duration{0, 2 * time.Second} {
+				for i := range 4 {
+					out = append(out, fatalCase{servers: servers, interval: interval, crashInterval: crashes, answeredBefore: i%2 == 1, atOneGateway: i/2 == 1})
+				}
+			}
+		}
+	}
+	return out
+}
--- a/internal/quarantine/policy_test.go
+++ b/internal/quarantine/policy_test.go
@@ -17,6 +17,9 @@
 	// perSecond is the rate of all requests, fatalShare that of those with one of fatalParts parts.
 	perSecond, fatalShare float64
 	fatalParts            int
+	// turnsFatalAt is when the fatal parts begin to end workers. Before that they are answered; 0 if
+	// they come from second 4 on only.
+	turnsFatalAt time.Duration
 	// crashesPerMinute is the share of the workers that end on their own in a minute, massCrash that
 	// of those that end at one moment every ten seconds.
 	crashesPerMinute, massCrash float64
@@ -129,10 +132,12 @@
 	g := m.rng.IntN(m.gateways)
 	first := m.rng.Uint64N(12)
 	ids := []uint64{first, 1000 + first*100 + m.rng.Uint64N(17)}
-	isFatal := now > 4*time.Second && m.rng.Float64() < m.fatalShare
-	if isFatal {
+	hasFatal := (now > 4*time.Second || m.turnsFatalAt > 0) && m.rng.Float64() < m.fatalShare
+	isFatal := hasFatal && now >= m.turnsFatalAt
+	if hasFatal {
 		ids = append(ids, firstFatalID+m.rng.Uint64N(uint64(m.fatalParts)))
-	} else {
+	}
+	if !isFatal {
 		m.out.sound++
 	}
 	d := m.trackers[g].Decide(now, testService, ids)
@@ -280,6 +285,19 @@
 	}
 }
 
+// Guards against parts that end workers for as long as they come because requests with them finished
+// before they turned fatal, and against sound parts that are condemned instead.
+func TestPartsThatTurnFatalStopEndingWorkers(t *testing.T) {
+	for seed := range uint64(24) {
+		m := model{gateways: 4, workers: 9, perSecond: 70, fatalShare: []float64{0.02, 0.05, 0.1, 0.3}[seed%4], fatalParts: 1 + int(seed%2), crashesPerMinute: []float64{0, 0, 0.3}[seed%3], turnsFatalAt: 15 * time.Second, length: 40 * time.Second, seed: 200 + seed}
+		out := m.run()
+		t.Logf("seed %d: %+v", m.seed, out)
+		assert.Assert(t, out.late <= 3, "seed %d: %d workers ended late, %d in all", m.seed, out.late, out.ends)
+		assert.Equal(t, out.condemnedSound, 0, "seed %d", m.seed)
+		assert.Assert(t, out.refused*50 <= out.sound, "seed %d: %d of %d sound requests were refused", m.seed, out.refused, out.sound)
+	}
+}
+
 // Guards against sound parts that are condemned in a large fleet because the records of their requests
 // arrive before those of the fatal ones on the same workers.
 func TestFatalPartOfLargeFleetCondemnsNoSoundPart(t *testing.T) {
--- a/internal/standin/forwarding/worker.go
+++ b/internal/standin/forwarding/worker.go
@@ -37,6 +37,8 @@
 	// FatalPath is a path of plain requests that end the worker after FatalDelay, without an answer;
 	// empty for none.
 	FatalPath string
+	// IsFatal reports whether FatalPart and FatalPath end the worker now; nil if they always do.
+	IsFatal func() bool
 	// OnEnd is called just before the connections are closed.
 	OnEnd func()
 }
@@ -94,9 +96,9 @@
 		w.stream(out, r)
 		return
 	}
-	if w.config.FatalPath != "" && r.URL.Path == w.config.FatalPath {
+	if w.config.FatalPath != "" && r.URL.Path == w.config.FatalPath && w.isFatal() {
 		time.Sleep(w.config.FatalDelay)
-		w.end()
+		w.End()
 		return
 	}
 	time.Sleep(w.config.EventInterval)
@@ -114,10 +116,10 @@
 	}
 	out.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(out)
-	if w.config.FatalPart != "" && hasPart(r.Header.Get(names.Prompt), w.config.FatalPart) {
+	if w.config.FatalPart != "" && hasPart(r.Header.Get(names.Prompt), w.config.FatalPart) && w.isFatal() {
 		_ = flusher.Flush() // fails if the caller has disconnected
 		time.Sleep(w.config.FatalDelay)
-		w.end()
+		w.End()
 		return
 	}
 	for i := 1; i <= eventsPerStream; i++ {
@@ -129,6 +131,8 @@
 	}
 }
 
+func (w *Worker) isFatal() bool { return w.config.IsFatal == nil || w.config.IsFatal() }
+
 // hasPart reports whether a prompt, a list of ID:TOKENS, has a part.
 func hasPart(prompt, id string) bool {
 	for part := range strings.SplitSeq(prompt, ",") {
@@ -139,8 +143,8 @@
 	return false
 }
 
-// end closes the worker as if its process had ended.
-func (w *Worker) end() {
+// End closes the worker as if its process had ended.
+func (w *Worker) End() {
 	w.ended.Do(func() {
 		if w.config.OnEnd != nil {
 			w.config.OnEnd()
