Judge requests that turn fatal by what happened since their first end

The cause: gateways counted each finished request of the last 30 s for a part, in whatever order, and one that had seen eight did not accuse it at all. A part may turn fatal at a time.

The evidence is the CUSUM statistic now: ends of workers and finished requests in the order in which they began, an end adds, a finished request takes back an end, and the sum does not fall below 0. Gateways tell each other when the last eight finished requests of an accused part began. Parts of prompts that were answered before are judged once their ends have settled for 1.5 s, whole requests by an end on trial; first parts wait for suspected parts behind them.

Two tests expected finished requests from before the first end to clear a part. That is the fault; they have these requests after the ends now, and new tests hold what came before.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1679,13 +1679,18 @@
 }
 
 // QuarantineRecord is what gateways know of a part of requests under which workers
-// may end. Of a crash it has subject, weight, position and ageMs; of finished
-// requests subject, count and ageMs; of a verdict the other fields.
+// may end. Of a crash it has subject, weight, position, whole, onTrial and ageMs;
+// of finished requests subject, count, ageMs and begunAgesMs; of a verdict the
+// other fields.
 type QuarantineRecord struct {
-	// AgeMs is the time since the crash, or since the last of the finished requests,
-	// in milliseconds.
+	// AgeMs is the time since the crash, or since the last of the finished requests
+	// ended, in milliseconds.
 	AgeMs int `json:"ageMs,omitempty,omitzero"`
 
+	// BegunAgesMs holds the times since the finished requests began, in milliseconds,
+	// the longest first.
+	BegunAgesMs []int `json:"begunAgesMs,omitempty,omitzero"`
+
 	// ByOperator is set if an operator decided.
 	ByOperator bool `json:"byOperator,omitempty,omitzero"`
 
@@ -1702,6 +1707,10 @@
 	// there), finished (requests with it ended in order) or verdict.
 	Kind QuarantineRecordKind `json:"kind"`
 
+	// OnTrial is set if the request was sent as a suspected one, apart from others
+	// like it.
+	OnTrial bool `json:"onTrial,omitempty,omitzero"`
+
 	// Part is the ID of the part of a prompt, or the hash of a request without one,
 	// in hexadecimal.
 	Part string `json:"part"`
@@ -1731,6 +1740,9 @@
 
 	// Weight is how much the requests are accused of the end of the worker, 0 to 1.
 	Weight float64 `json:"weight,omitempty,omitzero"`
+
+	// Whole is set if the part is a whole request without a prompt.
+	Whole bool `json:"whole,omitempty,omitzero"`
 }
 
 type QuarantineRecordKind string
--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -214,7 +214,7 @@
 	q := gw.gateway.quarantine
 	q.mu.Lock()
 	for range 60 {
-		q.tracker.RecordFinished(sinceBoot(), "svc", []uint64{1})
+		q.tracker.RecordFinished(sinceBoot(), sinceBoot(), "svc", []uint64{1})
 	}
 	for i := range 2 {
 		q.tracker.RecordEnd(sinceBoot()-time.Duration(2-i)*time.Second, quarantine.WorkerEnd{Service: "svc", Worker: fmt.Sprint(i), IDs: []uint64{0xb}, Weight: 1})
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -68,7 +68,7 @@
 			return
 		}
 		a.exchange.releaseConn(g.pool)
-		g.quarantine.recordSurvival(r.service, r.parts)
+		g.quarantine.recordSurvival(r.service, r.parts, a.begunAt)
 	}()
 	return h
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -40,7 +40,7 @@
 
 	mu      sync.Mutex
 	tracker *quarantine.Tracker
-	// turns holds the suspected parts of which requests wait or are on their way.
+	// turns holds the turns of suspected requests that wait or are on their way.
 	turns map[quarantine.Part]*aloneTurn
 	// pending holds the attempts whose answers have not begun.
 	pending map[*attempt]*request
@@ -96,23 +96,23 @@
 	return q.tracker.Decide(sinceBoot(), service, parts)
 }
 
-// takeAlone reports whether a request with a suspected part may go now, and if so makes it the one on
-// its way. Each gateway draws when its next one may go, so that over all gateways about one goes in
-// each aloneSlot, or probationSlot.
-func (q *quarantineGuard) takeAlone(now time.Time, d quarantine.Decision) bool {
+// takeAlone reports whether a suspected request may take a turn now, and if so makes it the one on its
+// way. Each gateway draws when its next one may go, so that over all gateways about one goes in each
+// aloneSlot, or probationSlot.
+func (q *quarantineGuard) takeAlone(now time.Time, key quarantine.Part, onProbation bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	turn := q.turns[d.Part]
+	turn := q.turns[key]
 	if turn == nil {
 		slot := aloneSlot
-		if d.OnProbation {
+		if onProbation {
 			slot = probationSlot
 		}
 		turn = &aloneTurn{at: now}
 		if q.gateways > 1 {
 			turn.at = now.Add(time.Duration(rand.Float64() * float64(q.gateways) * float64(slot))) //nolint:gosec // spreads requests
 		}
-		q.turns[d.Part] = turn
+		q.turns[key] = turn
 	}
 	if turn.taken || now.Before(turn.at) {
 		return false
@@ -121,10 +121,10 @@
 	return true
 }
 
-func (q *quarantineGuard) releaseAlone(part quarantine.Part) {
+func (q *quarantineGuard) releaseAlone(key quarantine.Part) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	delete(q.turns, part)
+	delete(q.turns, key)
 }
 
 // recordPending records that an attempt was sent. Its connection is closed if a part of its request is
@@ -183,10 +183,11 @@
 	q.apply(verdicts, "known from another gateway, or from what others know")
 }
 
-// recordSurvival records a request that did not end its worker.
-func (q *quarantineGuard) recordSurvival(service string, parts []uint64) {
+// recordSurvival records a request that did not end its worker, which began with it at begunAt.
+func (q *quarantineGuard) recordSurvival(service string, parts []uint64, begunAt time.Time) {
 	q.mu.Lock()
-	cleared := q.tracker.RecordFinished(sinceBoot(), service, parts)
+	now := sinceBoot()
+	cleared := q.tracker.RecordFinished(now, now-time.Since(begunAt), service, parts)
 	q.mu.Unlock()
 	q.logVerdicts(cleared, "a worker answered a request with it")
 }
@@ -203,7 +204,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for service, n := range counts {
-		q.tracker.SetWorkers(service, n, versions[service])
+		q.tracker.SetWorkers(sinceBoot(), service, n, versions[service])
 	}
 }
 
@@ -225,6 +226,7 @@
 	q.mu.Lock()
 	verdicts := q.tracker.RecordEnd(sinceBoot(), quarantine.WorkerEnd{
 		Service: r.service, Version: a.worker.Version, Worker: workerKey(a.worker), IDs: r.parts, Weight: weight,
+		IsWhole: !r.hasPrompt(), OnTrial: r.turn != nil,
 	})
 	evidence := make([]quarantine.Summary, 0, maxLoggedParts)
 	for _, id := range r.parts[:min(len(r.parts), maxLoggedParts)] {
@@ -237,7 +239,7 @@
 	}
 	q.log.Info("worker has ended under a request", zap.String("worker", a.worker.ID), zap.String("service", r.service), zap.String("version", a.worker.Version),
 		zap.String("request", r.inbound.meta.RequestID), zap.String("customer", r.customer.Name), zap.Any("evidence", evidence),
-		zap.Float64("weight", weight), zap.Bool("was_alone", a.wasAlone), zap.Bool("on_trial", r.alonePart != nil), zap.Int64("since_begin_ms", sinceBegin))
+		zap.Float64("weight", weight), zap.Bool("was_alone", a.wasAlone), zap.Bool("on_trial", r.turn != nil), zap.Int64("since_begin_ms", sinceBegin))
 	q.metrics.countWorkerEnd(r.service)
 	q.apply(verdicts, "workers ended under requests with it")
 }
--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -17,8 +17,9 @@
 	// maxEndedWorkers is how many workers may end under one request.
 	maxEndedWorkers = 2
 	// sharedWeight is the accusation of a request without a prompt whose answer had not begun, and that
-	// was not alone on its server: its header comes only when the work is done.
-	sharedWeight = 0.5
+	// was not alone on its server: its header comes only when the work is done. Two such ends make a
+	// suspect of a service of any size.
+	sharedWeight = 0.75
 	// maxAloneWait bounds the wait of a request with a suspected part, and maxAloneShare the share of
 	// its remaining time.
 	maxAloneWait  = 1500 * time.Millisecond
@@ -76,10 +77,11 @@
 		switch {
 		case r.endedWorkers.Load() > 0:
 			return errkind.New(errkind.UpstreamFailed, "a worker ended while it answered the request")
-		case r.alonePart != nil && *r.alonePart == d.Part:
+		case r.turn != nil && *r.turn == r.turnOf(d):
 			return nil // an earlier attempt took the turn
-		case q.takeAlone(now, d):
-			r.alonePart = &d.Part
+		case q.takeAlone(now, r.turnOf(d), d.OnProbation):
+			turn := r.turnOf(d)
+			r.turn = &turn
 			return nil
 		case d.OnProbation || now.After(until):
 			return r.quarantineRefusal(errkind.New(errkind.Overloaded, "requests like this are sent one at a time: workers have ended under them").WithRetryAfter(maxAloneWait))
@@ -116,20 +118,38 @@
 
 // releaseAlone lets another request with the suspected part go.
 func (r *request) releaseAlone() {
-	if r.alonePart != nil {
-		r.gateway.quarantine.releaseAlone(*r.alonePart)
-		r.alonePart = nil
+	if r.turn != nil {
+		r.gateway.quarantine.releaseAlone(*r.turn)
+		r.turn = nil
 	}
 }
 
+// turnOf returns the turn that the request must take. The suspected whole requests of a service have one
+// in common: two of them on one server could not be told apart.
+func (r *request) turnOf(d quarantine.Decision) quarantine.Part {
+	if r.hasPrompt() || d.OnProbation {
+		return d.Part
+	}
+	return quarantine.Part{Service: d.Part.Service}
+}
+
 // recordSurvival records that a worker has answered the request, or writes on long after it began.
 // Another request with the same suspected part may go then.
 func (r *request) recordSurvival(a *attempt) {
 	r.releaseAlone()
 	if !a.survived {
 		a.survived = true
-		r.gateway.quarantine.recordSurvival(r.service, r.parts)
+		r.gateway.quarantine.recordSurvival(r.service, r.parts, a.workBegan(r.hasPrompt()))
+	}
+}
+
+// workBegan returns when the worker began with the request: of a stream, whose header comes with its
+// beginning, that of the header, otherwise that of the attempt.
+func (a *attempt) workBegan(hasPrompt bool) time.Time {
+	if hasPrompt && !a.begunAt.IsZero() {
+		return a.begunAt
 	}
+	return a.started
 }
 
 // recordBreak records that the answer of an attempt broke off. If the worker has ended, the request is
@@ -144,7 +164,7 @@
 		weight = quarantine.Weight(time.Since(a.begunAt))
 	case r.hasPrompt():
 		return // it waited
-	case a.wasAlone:
+	case a.wasAlone, r.turn != nil:
 		weight = 1
 	default:
 		weight = sharedWeight
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -55,8 +55,8 @@
 	// endedWorkers is the number of workers that ended shortly after they had begun to answer the
 	// request. The reader of an answer that was set aside counts too.
 	endedWorkers atomic.Int32
-	// alonePart is the suspected part of which this request is the one on its way.
-	alonePart *quarantine.Part
+	// turn is the turn that the request has taken because it is suspected; see turnOf.
+	turn *quarantine.Part
 
 	headerSent bool
 	// aborted reports whether the caller's connection must be closed.
--- a/internal/gateway/turnedfatal_test.go
+++ b/internal/gateway/turnedfatal_test.go
@@ -130,7 +130,7 @@
 		{servers: 1, interval: 400 * time.Millisecond, answeredBefore: true, atOneGateway: true},
 		{servers: 12, interval: 50 * time.Millisecond, answeredBefore: true, crashInterval: 2 * time.Second},
 	}
-	length, counted := 14*time.Second, 5*time.Second
+	length, counted := 16*time.Second, 4*time.Second
 	if *fullFatalTable {
 		cases, length, counted = allFatalCases(), 18*time.Second, 8*time.Second
 	}
--- a/internal/news/quarantine.go
+++ b/internal/news/quarantine.go
@@ -1,6 +1,7 @@
 package news
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -40,10 +41,14 @@
 		switch {
 		case r.Crash != nil:
 			e.Kind, e.Subject, e.Weight, e.Position = api.QuarantineRecordKindCrash, formatHash(r.Crash.Worker), r.Crash.Weight, r.Crash.Position
+			e.Whole, e.OnTrial = r.Crash.IsWhole, r.Crash.OnTrial
 			e.AgeMs = int((now - r.Crash.At).Milliseconds())
 		case r.Finished != nil:
 			e.Kind, e.Subject, e.Count = api.QuarantineRecordKindFinished, formatHash(r.Finished.Origin), r.Finished.Count
 			e.AgeMs = int((now - r.Finished.At).Milliseconds())
+			for _, at := range r.Finished.Begun {
+				e.BegunAgesMs = append(e.BegunAgesMs, int((now - at).Milliseconds()))
+			}
 		case r.Verdict != nil:
 			v := r.Verdict
 			e.Kind, e.Sequence, e.Condemned, e.Version = api.QuarantineRecordKindVerdict, int(v.Sequence), v.Condemned, v.Version
@@ -84,12 +89,19 @@
 			if e.Weight < 0 || e.Weight > 1 {
 				return nil, eris.Errorf("record of part %q has weight %v, must be 0 to 1", e.Part, e.Weight)
 			}
-			r.Crash = &quarantine.Crash{Worker: subject, Weight: e.Weight, Position: e.Position, At: at}
+			r.Crash = &quarantine.Crash{Worker: subject, Weight: e.Weight, Position: e.Position, IsWhole: e.Whole, OnTrial: e.OnTrial, At: at}
 		case api.QuarantineRecordKindFinished:
 			if e.Count < 0 {
 				return nil, eris.Errorf("record of part %q has count %d, must not be negative", e.Part, e.Count)
 			}
+			if len(e.BegunAgesMs) > quarantine.MaxFinishedTimes {
+				return nil, eris.Errorf("record of part %q has the times of %d requests, at most %d are allowed", e.Part, len(e.BegunAgesMs), quarantine.MaxFinishedTimes)
+			}
 			r.Finished = &quarantine.Finished{Origin: subject, Count: e.Count, At: at}
+			for _, age := range e.BegunAgesMs {
+				r.Finished.Begun = append(r.Finished.Begun, now-time.Duration(age)*time.Millisecond)
+			}
+			slices.Sort(r.Finished.Begun)
 		default:
 			return nil, eris.Errorf("record of part %q has kind %q", e.Part, e.Kind)
 		}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -25,10 +26,18 @@
 
 // candidate is a part with the evidence against it.
 type candidate struct {
-	part     Part
+	part Part
+	// ratio is the log-likelihood ratio since the part has turned fatal, if it has, and ends the number
+	// of ends of workers since then.
 	ratio    float64
 	ends     int
 	position int
+	isWhole  bool
+	// onTrial is set if one of the ends was under a request that was sent alone.
+	onTrial bool
+	// wasAnswered is set if requests with the part finished before the first of the ends, and isCommon
+	// if many did at one gateway.
+	wasAnswered, isCommon bool
 }
 
 // judge condemns the parts of a service that the evidence speaks against: the one that explains most
@@ -54,7 +63,7 @@
 // those behind them.
 func (t *Tracker) mostAccused(now Elapsed, name string) (candidate, bool) {
 	explained := t.explained(name)
-	var found []candidate
+	var found, suspects []candidate
 	for part, p := range t.ledger.parts {
 		if part.Service != name || t.isCondemned(now, part) {
 			continue
@@ -62,87 +71,206 @@
 		if t.hasFailedProbation(part) {
 			return t.evidence(now, now, part, nil), true
 		}
-		if len(p.crashes) < minEndedWorkers {
+		if len(p.crashes) < minSuspectEnds {
 			continue
 		}
-		c := t.evidence(now, now-t.settleTime, part, explained)
-		if c.ends >= minEndedWorkers && c.ratio >= condemnThreshold {
-			found = append(found, c)
+		if c := t.evidence(now, now, part, explained); c.ends >= minSuspectEnds && c.ratio >= suspectThreshold {
+			suspects = append(suspects, c)
 		}
 	}
-	if len(found) == 0 {
-		return candidate{}, false
+	for _, c := range suspects {
+		if c = t.settled(now, c, explained); c.isEnough() && !t.needsTrial(c, suspects) {
+			found = append(found, c)
+		}
 	}
 	slices.SortFunc(found, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.ratio, a.ratio), cmp.Compare(a.part.ID, b.part.ID))
 	})
-	best := found[0]
-	for _, c := range found[1:] {
-		if c.position > best.position && found[0].ratio-c.ratio <= ratioMargin {
+	var best candidate
+	for _, c := range found {
+		isBetter := best.ends == 0 || c.position > best.position && found[0].ratio-c.ratio <= ratioMargin
+		if isBetter && !t.isExplainedLater(now, c, suspects, explained) {
 			best = c
 		}
 	}
-	return best, true
+	return best, best.ends > 0
+}
+
+// isEnough reports whether the evidence condemns a part.
+func (c *candidate) isEnough() bool { return c.ends >= minEndedWorkers && c.ratio >= condemnThreshold }
+
+// settled returns the evidence on a part without the ends that are too recent to condemn it.
+func (t *Tracker) settled(now Elapsed, c candidate, explained map[uint64]bool) candidate {
+	settleTime := t.settleTime
+	if c.wasAnswered && !c.isWhole {
+		settleTime = max(settleTime, turnedSettleTime)
+	}
+	return t.evidence(now, now-settleTime, c.part, explained)
+}
+
+// isExplainedLater reports whether the ends that condemn a part are those of suspected parts further back
+// in prompts, which will be condemned or cleared first. Sound first parts have the ends of several fatal
+// parts behind them, and may reach the threshold before each of these.
+func (t *Tracker) isExplainedLater(now Elapsed, c candidate, suspects []candidate, explained map[uint64]bool) bool {
+	if c.isWhole {
+		return false
+	}
+	without := maps.Clone(explained)
+	own := t.ledger.parts[c.part]
+	for _, s := range suspects {
+		if s.isWhole || s.position <= c.position {
+			continue
+		}
+		for worker := range t.ledger.parts[s.part].crashes {
+			if own.crashes[worker] != nil {
+				without[worker] = true
+			}
+		}
+	}
+	rest := t.settled(now, c, without)
+	return !rest.isEnough()
 }
 
-// evidence returns the log-likelihood ratio between "requests with the part end their workers" and
-// "they were there when workers ended for another reason". The chance of the latter follows from
-// the ends of workers that the part has nothing to do with: those of all gateways by worker and time,
-// and those of this gateway by its requests, so that a version whose workers end on their own
-// accuses nothing. Ends up to upTo count.
+// needsTrial reports whether a whole request must end a server while it is sent alone before it is
+// condemned: it was answered before, or another suspect was on the same servers when they ended. Callers
+// repeat sound requests that were cut together with a fatal one.
+func (t *Tracker) needsTrial(c candidate, suspects []candidate) bool {
+	if !c.isWhole || c.onTrial {
+		return false
+	}
+	return c.wasAnswered || slices.ContainsFunc(suspects, func(s candidate) bool {
+		return s.isWhole && s.part != c.part && c.ratio-s.ratio <= ratioMargin && t.sharedEnds(c.part, s.part) >= minSuspectEnds
+	})
+}
+
+// sharedEnds returns the number of workers that ended under both parts.
+func (t *Tracker) sharedEnds(a, b Part) int {
+	n := 0
+	for worker := range t.ledger.parts[a].crashes {
+		if t.ledger.parts[b].crashes[worker] != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// evidence returns the log-likelihood ratio between "requests with the part end their workers since some
+// time" and "they were there when workers ended for another reason": the CUSUM statistic of Page over
+// the ends of workers under the part and its finished requests, in the order in which they began. A
+// finished request takes back an end at least, and what came before the ratio was last 0 says nothing:
+// a part may turn fatal. The chance that a worker ends for another reason follows from the ends of
+// workers that the part has nothing to do with: those of all gateways by worker and time, and those of
+// this gateway by its requests, so that a version whose workers end on their own accuses nothing. Ends
+// up to upTo count.
 func (t *Tracker) evidence(now, upTo Elapsed, part Part, explained map[uint64]bool) candidate {
 	p := t.ledger.parts[part]
 	if p == nil {
 		return candidate{part: part}
 	}
-	s := t.serviceOf(part.Service)
-	unrelated, unrelatedBegun := 0.0, 0.0
-	for worker, end := range s.ends {
-		if p.crashes[worker] == nil && !explained[worker] && now-end.at <= evidenceWindow {
-			unrelated++
-			unrelatedBegun += end.begun
-		}
-	}
-	byTime := (unrelated + 0.5) * fullWeightTime.Seconds() / (float64(max(s.workers, 1)) * evidenceWindow.Seconds())
-	byRequest := (unrelatedBegun + 0.5) / (s.finishedNow(now) + unrelatedBegun + 1)
-	chance := min(max(byTime, byRequest, minChance), maxChance)
 	out := candidate{part: part}
-	var counted []Crash
 	acquittedAt := Elapsed(math.MinInt64)
 	if v := t.ledger.verdicts[part]; v != nil && !v.value.Condemned {
 		acquittedAt = v.value.Until
 	}
+	finished, since := t.finishedOf(now, part)
+	var ends []Crash
 	for worker, c := range p.crashes {
-		if explained[worker] || now-c.value.At > evidenceWindow || c.value.At <= acquittedAt || c.value.At > upTo {
+		if explained[worker] || now-c.value.At > evidenceWindow || c.value.At <= max(acquittedAt, since) || c.value.At > upTo {
 			continue
 		}
-		counted = append(counted, c.value)
+		ends = append(ends, c.value)
 		out.position = max(out.position, c.value.Position)
+		out.isWhole = out.isWhole || c.value.IsWhole
+	}
+	ends = atDifferentMoments(ends)
+	ratioPerEnd := math.Log(fatalShare / t.otherChance(now, part, explained))
+	penalty := max(finishedPenalty, ratioPerEnd)
+	firstAt, next := Elapsed(0), 0
+	for _, c := range ends {
+		for ; next < len(finished) && finished[next].begun < c.At; next++ {
+			out.ratio -= penalty
+		}
+		if out.ratio <= 0 {
+			out.ratio, out.ends, out.onTrial, firstAt = 0, 0, false, c.At
+		}
+		out.ratio += c.Weight * ratioPerEnd
+		out.ends++
+		out.onTrial = out.onTrial || c.OnTrial
 	}
-	out.ratio, out.ends = endsAtDifferentMoments(counted, math.Log(fatalShare/chance))
-	for _, f := range p.finished {
-		if now-f.value.At <= evidenceWindow {
-			out.ratio -= finishedPenalty * float64(f.value.Count)
+	out.ratio = max(out.ratio-penalty*float64(len(finished)-next), 0)
+	before := map[uint64]int{}
+	for _, f := range finished {
+		if f.begun < firstAt {
+			out.wasAnswered = true
+			before[f.origin]++
+			out.isCommon = out.isCommon || before[f.origin] >= commonFinishes/2
 		}
 	}
 	return out
 }
 
-// endsAtDifferentMoments returns the sum of the weights of ends, each times ratioPerEnd, and their
-// number. Of ends at the same moment the one with the most weight counts.
-func endsAtDifferentMoments(ends []Crash, ratioPerEnd float64) (ratio float64, n int) {
+// otherChance returns the chance that a request with a part is on a worker that ends for a reason that has
+// nothing to do with it.
+func (t *Tracker) otherChance(now Elapsed, part Part, explained map[uint64]bool) float64 {
+	p, s := t.ledger.parts[part], t.serviceOf(part.Service)
+	unrelated, unrelatedBegun := 0.0, 0.0
+	for worker, end := range s.ends {
+		if p.crashes[worker] == nil && !explained[worker] && now-end.at <= evidenceWindow {
+			unrelated++
+			unrelatedBegun += end.begun
+		}
+	}
+	byTime := (unrelated + 0.5) * fullWeightTime.Seconds() / (float64(max(s.workers, 1)) * evidenceWindow.Seconds())
+	byRequest := (unrelatedBegun + 0.5) / (s.finishedNow(now) + unrelatedBegun + 1)
+	return min(max(byTime, byRequest, minChance), maxChance)
+}
+
+// finishedRequest is a finished request of a gateway.
+type finishedRequest struct {
+	begun  Elapsed
+	origin uint64
+}
+
+// finishedOf returns the known finished requests with a part, in the order in which they began, and
+// since when they are known: a gateway keeps its last ones only.
+func (t *Tracker) finishedOf(now Elapsed, part Part) (out []finishedRequest, since Elapsed) {
+	since = math.MinInt64
+	add := func(origin uint64, begun []Elapsed) {
+		if len(begun) >= commonFinishes {
+			since = max(since, begun[0])
+		}
+		for _, at := range begun {
+			if now-at <= evidenceWindow {
+				out = append(out, finishedRequest{at, origin})
+			}
+		}
+	}
+	if k, ok := t.known.Peek(part); ok {
+		add(t.origin, k.begun)
+	}
+	for origin, f := range t.ledger.parts[part].finished {
+		if origin != t.origin {
+			add(origin, f.value.begun())
+		}
+	}
+	slices.SortFunc(out, func(a, b finishedRequest) int { return cmp.Compare(a.begun, b.begun) })
+	return out, since
+}
+
+// atDifferentMoments returns the ends in order of time. Of ends at the same moment one stays, with the
+// most weight.
+func atDifferentMoments(ends []Crash) []Crash {
 	slices.SortFunc(ends, func(a, b Crash) int { return cmp.Compare(a.At, b.At) })
-	var start Elapsed
-	weight := 0.0
-	for i, c := range ends {
-		if i == 0 || c.At-start > sameMoment {
-			ratio += weight * ratioPerEnd
-			start, weight = c.At, 0
-			n++
+	out := ends[:0]
+	for _, c := range ends {
+		if len(out) == 0 || c.At-out[len(out)-1].At > sameMoment {
+			out = append(out, c)
+			continue
 		}
-		weight = max(weight, c.Weight)
+		last := &out[len(out)-1]
+		last.Weight, last.OnTrial = max(last.Weight, c.Weight), last.OnTrial || c.OnTrial
 	}
-	return ratio + weight*ratioPerEnd, n
+	return out
 }
 
 // Summary is the evidence on one part, for logs.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -29,15 +29,34 @@
 	Weight float64
 	// Position is the index of the part in the prompt.
 	Position int
-	At       Elapsed
+	// IsWhole is set if the part is a whole request without a prompt.
+	IsWhole bool
+	// OnTrial is set if the request was sent as a suspected one, apart from others like it.
+	OnTrial bool
+	At      Elapsed
 }
 
-// Finished states how many requests with a part a gateway has seen to end in order.
+// Finished states that requests with a part have ended in order at a gateway.
 type Finished struct {
 	// Origin is the hash of the gateway's run.
 	Origin uint64
-	Count  int
-	At     Elapsed
+	// Count is the number of the requests, up to commonFinishes, and At when the last one ended.
+	Count int
+	At    Elapsed
+	// Begun holds when they began, the earliest first, at most MaxFinishedTimes. It is empty if that is
+	// not known.
+	Begun []Elapsed
+}
+
+// MaxFinishedTimes bounds the times in a Finished.
+const MaxFinishedTimes = commonFinishes
+
+// begun returns when the requests began, or ended if that is not known.
+func (f *Finished) begun() []Elapsed {
+	if len(f.Begun) > 0 {
+		return f.Begun
+	}
+	return slices.Repeat([]Elapsed{f.At}, min(f.Count, commonFinishes))
 }
 
 // Verdict is a decision on a part. Of two verdicts on one part, that with the higher sequence holds.
@@ -130,9 +149,17 @@
 	delete(l.verdicts, least.Part)
 }
 
+// outweighs reports whether a crash says more than another one of the same part and worker.
+func (c *Crash) outweighs(other *Crash) bool {
+	if c.Weight != other.Weight {
+		return c.Weight > other.Weight
+	}
+	return c.OnTrial && !other.OnTrial
+}
+
 func (l *Ledger) mergeCrash(part Part, c Crash) bool {
 	p := l.recordsOf(part, c.At)
-	if known := p.crashes[c.Worker]; known != nil && known.value.Weight >= c.Weight || known == nil && len(p.crashes) >= maxCrashesPerPart {
+	if known := p.crashes[c.Worker]; known != nil && !c.outweighs(&known.value) || known == nil && len(p.crashes) >= maxCrashesPerPart {
 		return false
 	}
 	l.version++
@@ -152,8 +179,14 @@
 		known = &versioned[Finished]{value: Finished{Origin: f.Origin, At: f.At - 2*finishedTTL}}
 		p.finished[f.Origin] = known
 	}
-	changed := f.Count > known.value.Count || f.At-known.value.At > minFinishedInterval
-	known.value.Count, known.value.At = max(known.value.Count, f.Count), max(known.value.At, f.At)
+	isLater := f.At > known.value.At || f.At == known.value.At && len(f.Begun) > len(known.value.Begun)
+	changed := f.Count > known.value.Count || isLater && (f.At-known.value.At > minFinishedInterval || !p.hasEnoughSinceLastEnd(&known.value))
+	if changed || isLater {
+		known.value.Count = max(known.value.Count, f.Count)
+	}
+	if isLater && changed {
+		known.value.At, known.value.Begun = f.At, f.Begun
+	}
 	if changed {
 		l.version++
 		known.version = l.version
@@ -161,10 +194,24 @@
 	return changed
 }
 
-// minFinishedInterval is the least time between two versions of a Finished that differ in their time
-// alone.
+// minFinishedInterval is the least time between two versions of a Finished that differ in nothing that
+// the evidence needs.
 const minFinishedInterval = 5 * time.Second
 
+// hasEnoughSinceLastEnd reports whether a Finished names as many requests as it can that began after the
+// last end of a worker under the part.
+func (p *partRecords) hasEnoughSinceLastEnd(f *Finished) bool {
+	if len(f.Begun) < commonFinishes {
+		return false
+	}
+	for _, c := range p.crashes {
+		if c.value.At >= f.Begun[0] {
+			return false
+		}
+	}
+	return true
+}
+
 // recordsOf returns the records of a part, created if missing.
 func (l *Ledger) recordsOf(part Part, at Elapsed) *partRecords {
 	p := l.parts[part]
--- a/internal/quarantine/policy_test.go
+++ b/internal/quarantine/policy_test.go
@@ -74,7 +74,7 @@
 	m.rng = rand.New(rand.NewPCG(m.seed, 7))
 	for i := range m.gateways {
 		tracker := NewTracker(fmt.Sprint("g", i), time.UnixMilli(0))
-		tracker.SetWorkers(testService, m.workers, []string{"v1"})
+		tracker.SetWorkers(0, testService, m.workers, []string{"v1"})
 		m.trackers = append(m.trackers, tracker)
 		tracker.SetGateways(m.gateways)
 		m.turns = append(m.turns, map[Part]time.Duration{})
@@ -216,7 +216,7 @@
 		if now < r.finishAt {
 			return false
 		}
-		m.trackers[r.gateway].RecordFinished(now, testService, r.ids)
+		m.trackers[r.gateway].RecordFinished(now, r.begunAt, testService, r.ids)
 		return true
 	})
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,12 +14,15 @@
 	// last the longest time ago yields.
 	maxKnownParts = 16384
 	// commonFinishes is the number of requests with a part that must have finished lately at a gateway
-	// for the gateway to accuse the part of nothing. The first parts of prompts are in nearly every
-	// request, and so under nearly every worker that ends.
+	// for the part to be a common one. The first parts of prompts are in nearly every request, and so
+	// under nearly every worker that ends.
 	commonFinishes = 8
-	// finishedTTL is how long finished requests speak for a part, from the last one on. A part may
-	// begin to end workers.
+	// finishedTTL is how long finished requests are remembered, from the last one on.
 	finishedTTL = 30 * time.Second
+	// turnedSettleTime is how long the ends of workers under a part of prompts that was answered before
+	// must be known before they count. Requests that began after them show by then whether the part has
+	// turned fatal: an answer counts as survived after a second, and is known to others an exchange later.
+	turnedSettleTime = 1500 * time.Millisecond
 	// sameMoment is the time within which the ends of several workers count as one: machines of a
 	// rack lose power at once, and each of their requests is under several ends.
 	sameMoment = 50 * time.Millisecond
@@ -77,10 +81,24 @@
 	settleTime time.Duration
 }
 
-// knownPart counts the finished requests of this gateway that had a part, up to commonFinishes.
+// knownPart holds when the last requests of this gateway with a part began that have finished, up to
+// commonFinishes, and when the last one finished.
 type knownPart struct {
-	finished int
-	lastAt   Elapsed
+	begun  []Elapsed
+	lastAt Elapsed
+}
+
+// add records a finished request.
+func (k *knownPart) add(now, begun Elapsed) {
+	if now-k.lastAt > finishedTTL {
+		k.begun = nil
+	}
+	if len(k.begun) == commonFinishes {
+		k.begun = append(k.begun[:0], k.begun[1:]...)
+	}
+	at, _ := slices.BinarySearch(k.begun, begun)
+	k.begun = slices.Insert(k.begun, at, begun)
+	k.lastAt = max(k.lastAt, now)
 }
 
 // finishedLately returns the count if it still speaks for the part.
@@ -88,13 +106,16 @@
 	if now-k.lastAt > finishedTTL {
 		return 0
 	}
-	return k.finished
+	return len(k.begun)
 }
 
 // service is what a Tracker knows of one service.
 type service struct {
 	workers  int
 	versions []string
+	// mostWorkers is the greatest number of workers of late, some of which may have ended since.
+	mostWorkers   int
+	mostWorkersAt Elapsed
 	// finished is the decayed number of finished requests of this gateway, as of finishedAt.
 	finished   float64
 	finishedAt Elapsed
@@ -132,9 +153,12 @@
 }
 
 // SetWorkers sets the number of workers of a service and the versions of their software.
-func (t *Tracker) SetWorkers(name string, workers int, versions []string) {
+func (t *Tracker) SetWorkers(now Elapsed, name string, workers int, versions []string) {
 	s := t.serviceOf(name)
 	s.workers, s.versions = workers, versions
+	if workers >= s.mostWorkers || now-s.mostWorkersAt > evidenceWindow {
+		s.mostWorkers, s.mostWorkersAt = workers, now
+	}
 }
 
 // SetGateways sets the number of gateways that exchange what they know, this one included.
@@ -145,9 +169,9 @@
 	}
 }
 
-// RecordFinished records that a request with some parts ended in order. It returns the condemnations
-// that end by it.
-func (t *Tracker) RecordFinished(now Elapsed, name string, ids []uint64) []Verdict {
+// RecordFinished records that a request with some parts ended in order, and when its worker began with
+// it. It returns the condemnations that end by it.
+func (t *Tracker) RecordFinished(now, begun Elapsed, name string, ids []uint64) []Verdict {
 	s := t.serviceOf(name)
 	s.finished, s.finishedAt = s.finishedNow(now)+1, now
 	var cleared []Verdict
@@ -161,7 +185,7 @@
 			k = &knownPart{}
 			t.known.Add(part, k)
 		}
-		k.finished, k.lastAt = min(k.finishedLately(now)+1, commonFinishes), now
+		k.add(now, begun)
 		t.publishFinished(now, part, k)
 	}
 	return cleared
@@ -173,7 +197,7 @@
 	p, v := t.ledger.parts[part], t.ledger.verdicts[part]
 	isNear := p != nil && len(p.crashes) >= minSuspectEnds || v != nil && v.value.Condemned
 	if isNear && k.finishedLately(now) > 0 {
-		t.ledger.mergeFinished(part, Finished{t.origin, k.finished, k.lastAt})
+		t.ledger.mergeFinished(part, Finished{Origin: t.origin, Count: len(k.begun), At: k.lastAt, Begun: slices.Clone(k.begun)})
 	}
 }
 
@@ -192,6 +216,10 @@
 	IDs    []uint64
 	// Weight is how much the request is accused; see Weight.
 	Weight float64
+	// IsWhole is set if the request has no prompt, so that its one part is the whole request.
+	IsWhole bool
+	// OnTrial is set if the request was sent as a suspected one, apart from others like it.
+	OnTrial bool
 }
 
 // RecordEnd records the end of a worker under a request of this gateway. It returns the parts that are
@@ -202,12 +230,8 @@
 	end.begun += e.Weight
 	for i, id := range e.IDs {
 		part := Part{e.Service, id}
-		k, known := t.known.Peek(part)
-		if known && k.finishedLately(now) >= commonFinishes {
-			continue
-		}
-		t.ledger.mergeCrash(part, Crash{Worker: worker, Weight: e.Weight, Position: i, At: now})
-		if known {
+		t.ledger.mergeCrash(part, Crash{Worker: worker, Weight: e.Weight, Position: i, IsWhole: e.IsWhole, OnTrial: e.OnTrial, At: now})
+		if k, ok := t.known.Peek(part); ok {
 			t.publishFinished(now, part, k)
 		}
 	}
@@ -277,11 +301,9 @@
 		}
 	}
 	var out []Verdict
-	if t.settleTime > 0 {
-		for name, s := range t.services {
-			if s.hasEndSince(now - t.settleTime - maxTickInterval) {
-				out = append(out, t.judge(now, name, s.onlyVersion())...)
-			}
+	for name, s := range t.services {
+		if s.hasEndSince(now - max(t.settleTime, turnedSettleTime) - maxTickInterval) {
+			out = append(out, t.judge(now, name, s.onlyVersion())...)
 		}
 	}
 	return out
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -19,9 +19,9 @@
 // newTestTracker returns a Tracker of a service with 9 workers that has seen 100 requests finish.
 func newTestTracker(origin string) *Tracker {
 	t := NewTracker(origin, time.UnixMilli(1_700_000_000_000))
-	t.SetWorkers(testService, 9, []string{"v1"})
+	t.SetWorkers(0, testService, 9, []string{"v1"})
 	for i := range 100 {
-		t.RecordFinished(time.Second, testService, []uint64{1, 100 + uint64(i)%10})
+		t.RecordFinished(time.Second, time.Second, testService, []uint64{1, 100 + uint64(i)%10})
 	}
 	return t
 }
@@ -54,7 +54,7 @@
 	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{1, fatal}).Action, Send)
 	tracker.RecordEnd(moment(1), endOf(1, 1, fatal))
 	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{1, fatal}).Action, SendAlone)
-	tracker.RecordFinished(moment(5), testService, []uint64{1, fatal})
+	tracker.RecordFinished(moment(5), moment(5), testService, []uint64{1, fatal})
 	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{1, fatal}).Action, Send)
 }
 
@@ -78,7 +78,7 @@
 // Guards against a version whose workers end under everything and that makes parts look fatal.
 func TestVersionThatEndsOnItsOwnCondemnsNothing(t *testing.T) {
 	tracker := NewTracker("a", time.UnixMilli(0))
-	tracker.SetWorkers(testService, 9, []string{"v1"})
+	tracker.SetWorkers(time.Second, testService, 9, []string{"v1"})
 	rng := rand.New(rand.NewPCG(1, 1))
 	for worker := range 60 {
 		now := time.Duration(worker) * 500 * time.Millisecond
@@ -97,7 +97,7 @@
 	for i := range 20 {
 		now := moment(2 * i)
 		assert.Equal(t, len(tracker.RecordEnd(now, endOf(i, 1, 500+uint64(i)))), 0)
-		tracker.RecordFinished(now, testService, []uint64{1})
+		tracker.RecordFinished(now, now, testService, []uint64{1})
 	}
 	assert.Equal(t, tracker.Decide(moment(40), testService, []uint64{1}).Action, Send)
 }
@@ -133,10 +133,9 @@
 // Guards against a sound part that is condemned although other gateways have seen it finish.
 func TestFinishedRequestsOfOtherGatewaysClearPart(t *testing.T) {
 	a, b := newTestTracker("a"), newTestTracker("b")
-	b.RecordFinished(time.Second, testService, []uint64{77})
-	b.RecordFinished(time.Second, testService, []uint64{77})
 	for i := range 2 {
 		a.RecordEnd(moment(i), endOf(i, 77))
+		b.RecordFinished(moment(3), moment(2), testService, []uint64{77})
 	}
 	records, _ := a.Changes(0, 100)
 	b.Merge(moment(5), records)
@@ -156,8 +155,8 @@
 	assert.Equal(t, a.Decide(moment(3), testService, []uint64{77}).Action, Refuse)
 	for i := range 4 {
 		other := newTestTracker(fmt.Sprint("b", i))
-		other.RecordFinished(moment(0), testService, []uint64{77})
-		other.RecordFinished(moment(0), testService, []uint64{77})
+		other.RecordFinished(moment(4), moment(3), testService, []uint64{77})
+		other.RecordFinished(moment(4), moment(3), testService, []uint64{77})
 		records, _ := a.Changes(0, 100)
 		other.Merge(moment(4), records)
 		records, _ = other.Changes(0, 100)
@@ -178,6 +177,91 @@
 	assert.Equal(t, b.Decide(moment(6), testService, []uint64{fatal}).Action, Refuse)
 }
 
+// wholeEnd returns the end of a server under a request without a prompt.
+func wholeEnd(worker int, id uint64, onTrial bool) WorkerEnd {
+	e := endOf(worker, id)
+	e.IsWhole, e.OnTrial = true, onTrial
+	return e
+}
+
+// Guards against a request that ends one server after the other because servers answered it before.
+func TestRequestThatTurnsFatalIsCondemnedOnTrial(t *testing.T) {
+	tracker := newTestTracker("a")
+	for range 60 {
+		tracker.RecordFinished(time.Second, time.Second, testService, []uint64{fatal})
+	}
+	for i := range 3 {
+		tracker.RecordEnd(moment(i), wholeEnd(i, fatal, false))
+	}
+	assert.Equal(t, tracker.Decide(moment(3), testService, []uint64{fatal}).Action, SendAlone)
+	assert.Equal(t, len(tracker.RecordEnd(moment(4), wholeEnd(4, fatal, true))), 1)
+	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{fatal}).Action, Refuse)
+}
+
+// Guards against a sound request that is condemned because servers ended under it and another one, and
+// against two alike that are never told apart.
+func TestRequestsOnTheSameServersAreTriedApart(t *testing.T) {
+	const sound = uint64(0x50)
+	tracker := newTestTracker("a")
+	for i := range 3 {
+		assert.Equal(t, len(tracker.RecordEnd(moment(i), wholeEnd(i, sound, false))), 0)
+		assert.Equal(t, len(tracker.RecordEnd(moment(i), wholeEnd(i, fatal, false))), i/2, "condemned before another request was known to be there")
+		if i == 1 {
+			break
+		}
+	}
+	assert.Equal(t, tracker.Decide(moment(3), testService, []uint64{sound}).Action, SendAlone)
+	assert.Equal(t, tracker.Decide(moment(3), testService, []uint64{fatal}).Action, SendAlone)
+	tracker.RecordFinished(moment(4), moment(3), testService, []uint64{sound})
+	assert.Equal(t, len(tracker.RecordEnd(moment(4), wholeEnd(3, fatal, true))), 1)
+	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{sound}).Action, Send)
+	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{fatal}).Action, Refuse)
+}
+
+// Guards against a part of prompts that is condemned before its requests could show that they finish, and
+// against one that turned fatal and is condemned never.
+func TestPartThatWasAnsweredIsCondemnedOnceItsEndsHaveSettled(t *testing.T) {
+	play := func(finishesAfterwards bool) *Tracker {
+		tracker := newTestTracker("a")
+		for range 20 {
+			tracker.RecordFinished(time.Second, time.Second, testService, []uint64{77})
+		}
+		for i := range 4 {
+			tracker.RecordEnd(moment(i), endOf(i, 1, 77))
+		}
+		assert.Equal(t, tracker.Decide(moment(4), testService, []uint64{1, 77}).Action, Send)
+		for range 4 {
+			tracker.RecordFinished(moment(10), moment(6), testService, []uint64{1})
+			if finishesAfterwards {
+				tracker.RecordFinished(moment(10), moment(6), testService, []uint64{77})
+			}
+		}
+		tracker.Tick(moment(4) + turnedSettleTime)
+		return tracker
+	}
+	assert.Equal(t, play(false).Decide(moment(30), testService, []uint64{1, 77}).Action, Refuse)
+	assert.Equal(t, play(false).Decide(moment(30), testService, []uint64{1}).Action, Send)
+	assert.Equal(t, play(true).Decide(moment(30), testService, []uint64{1, 77}).Action, Send)
+}
+
+// Guards against a sound first part that is condemned because fatal parts behind it, each with too few ends
+// yet, share its ends.
+func TestFirstPartWaitsForPartsBehindIt(t *testing.T) {
+	tracker := NewTracker("a", time.UnixMilli(0))
+	tracker.SetWorkers(time.Second, testService, 5, []string{"v1"})
+	for range 400 {
+		tracker.RecordFinished(time.Second, time.Second, testService, []uint64{2})
+	}
+	for i := range 6 {
+		for _, v := range tracker.RecordEnd(moment(i), endOf(i, 1, fatal+uint64(i%2))) {
+			assert.Assert(t, v.Part.ID >= fatal, "part %x is condemned", v.Part.ID)
+		}
+	}
+	assert.Equal(t, tracker.Decide(moment(7), testService, []uint64{1}).Action == Refuse, false)
+	assert.Equal(t, tracker.Decide(moment(7), testService, []uint64{1, fatal}).Action, Refuse)
+	assert.Equal(t, tracker.Decide(moment(7), testService, []uint64{1, fatal + 1}).Action, Refuse)
+}
+
 // Guards against a part that stays condemned for ever, and against one that ends workers for as long as
 // it comes after its condemnation has ended.
 func TestProbationEndsByOneRequest(t *testing.T) {
@@ -199,7 +283,7 @@
 	assert.Equal(t, tracker.Decide(now, testService, []uint64{1, fatal}).Action, Refuse)
 
 	tracker, now = condemned()
-	verdicts = tracker.RecordFinished(now, testService, []uint64{1, fatal})
+	verdicts = tracker.RecordFinished(now, now, testService, []uint64{1, fatal})
 	assert.Equal(t, len(verdicts), 1)
 	assert.Equal(t, verdicts[0].Condemned, false)
 	assert.Equal(t, tracker.Decide(now, testService, []uint64{1, fatal}).Action, Send)
@@ -211,10 +295,10 @@
 	for i := range 3 {
 		tracker.RecordEnd(moment(i), endOf(i, 1, fatal))
 	}
-	tracker.SetWorkers(testService, 18, []string{"v1", "v2"})
+	tracker.SetWorkers(time.Second, testService, 18, []string{"v1", "v2"})
 	tracker.Tick(3 * time.Second)
 	assert.Equal(t, tracker.Decide(20*time.Second, testService, []uint64{fatal}).Action, Refuse)
-	tracker.SetWorkers(testService, 9, []string{"v2"})
+	tracker.SetWorkers(time.Second, testService, 9, []string{"v2"})
 	tracker.Tick(20 * time.Second)
 	assert.Equal(t, tracker.Decide(20*time.Second, testService, []uint64{fatal}).Action, Refuse)
 	assert.Equal(t, tracker.Decide(20*time.Second+2*probationDelay, testService, []uint64{fatal}).Action, SendAlone)
@@ -312,7 +396,7 @@
 	for i := range uint64(b.N) {
 		ids := []uint64{1 + i%4, 1000 + i%500}
 		t.Decide(time.Second, testService, ids)
-		t.RecordFinished(time.Second, testService, ids)
+		t.RecordFinished(time.Second, time.Second, testService, ids)
 	}
 }
 
@@ -335,7 +419,7 @@
 	before := liveHeap()
 	tracker := NewTracker("a", time.UnixMilli(0))
 	for i := range uint64(2 * maxKnownParts) {
-		tracker.RecordFinished(0, testService, []uint64{i})
+		tracker.RecordFinished(0, 0, testService, []uint64{i})
 	}
 	for i := range uint64(maxParts) {
 		for worker := range uint64(maxCrashesPerPart) {
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -68,12 +68,19 @@
 	return v, true
 }
 
-// acquit ends the condemnation of a part that more speaks for than against, now that other gateways have
-// said how many requests with it they have seen to finish. Their records may be later than those of the
-// ends.
+// acquit ends the condemnation of a part under whose ends other gateways have seen requests finish, or
+// that is common there and condemned before that was known. Their records may be later than those of
+// the ends.
 func (t *Tracker) acquit(now Elapsed, part Part) (Verdict, bool) {
-	known := t.ledger.verdicts[part]
-	if known == nil || known.value.ByOperator || !t.isCondemned(now, part) || t.evidence(now, now, part, nil).ratio > acquitThreshold {
+	known, p := t.ledger.verdicts[part], t.ledger.parts[part]
+	if known == nil || known.value.ByOperator || !t.isCondemned(now, part) || p == nil || len(p.crashes) < minEndedWorkers {
+		return Verdict{}, false
+	}
+	c := t.evidence(now, now, part, nil)
+	if !c.isWhole && c.isCommon {
+		c = t.evidence(now, now-turnedSettleTime, part, nil)
+	}
+	if c.ratio > 0 {
 		return Verdict{}, false
 	}
 	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), Tries: known.value.Tries, Until: now}
@@ -81,10 +88,6 @@
 	return v, true
 }
 
-// acquitThreshold is the log-likelihood ratio from which a condemned part is acquitted: two finished
-// requests more than its ends outweigh.
-const acquitThreshold = -2 * finishedPenalty
-
 // hasFailedProbation reports whether a worker has ended under a part on probation.
 func (t *Tracker) hasFailedProbation(part Part) bool {
 	since, ok := t.probation[part]
@@ -136,7 +139,11 @@
 	if p == nil || len(p.crashes) < minSuspectEnds {
 		return false
 	}
-	c := t.evidence(now, now, part, t.explained(part.Service))
+	explained := t.explained(part.Service)
+	c := t.evidence(now, now, part, explained)
+	if !c.isWhole && c.isCommon {
+		c = t.evidence(now, now-turnedSettleTime, part, explained)
+	}
 	return c.ends >= minSuspectEnds && c.ratio >= suspectThreshold
 }
 
