Use one connection for each run at a backend server, and for each rating

A second copy of an answer that came behind the next request on the same connection was taken for its answer: the caller of an operation got another request's result, or a refusal that said not run while the request ran, and an answer got the rating of another one. Nothing in a result, a refusal or a rating names its request. Calls that run requests, orders and ratings have a connection each now; the sidecar stands beside its backend server, where a new one costs little.

--- a/internal/daemon/rater.go
+++ b/internal/daemon/rater.go
@@ -52,6 +52,9 @@
 func ratingTransport() *http.Transport {
 	t := http.DefaultTransport.(*http.Transport).Clone() //nolint:forcetypeassert // net/http documents the type
 	t.MaxResponseHeaderBytes = framing.MaxHeadBytes
+	// A rating names no request, so that a second copy of one on a connection in use again would be
+	// taken for that of the next answer.
+	t.DisableKeepAlives = true
 	return t
 }
 
--- a/internal/daemon/rater_test.go
+++ b/internal/daemon/rater_test.go
@@ -1,6 +1,10 @@
 package daemon
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -31,3 +35,37 @@
 	assert.ErrorContains(t, err, "rating service")
 	assert.Assert(t, time.Since(started) < time.Second, "refused after %v and %d bytes", time.Since(started), sent.Load())
 }
+
+// Guards against a second copy of a rating that is taken for that of the next answer.
+func TestCopyOfRatingIsNotTakenForTheNextOne(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	var ratings atomic.Int64
+	serve := func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		reader, last := bufio.NewReader(c), ""
+		for {
+			r, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			fmt.Fprint(c, last)
+			time.Sleep(5 * time.Millisecond)
+			last = fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n{\"score\":0.%d}", ratings.Add(1))
+			fmt.Fprint(c, last)
+		}
+	}
+	go func() {
+		for c, err := listener.Accept(); err == nil; c, err = listener.Accept() {
+			go serve(c)
+		}
+	}()
+	r := newRater(&api.RatingSettings{URL: "http://" + listener.Addr().String()}, func(entry.RatingReceived) {})
+	for i := range 4 {
+		got, err := r.rate(t.Context(), entry.RateAnswer{})
+		assert.NilError(t, err)
+		assert.Equal(t, got, float64(i+1)/10)
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -28,8 +28,6 @@
 	maxResponseBytes = 4 << 20
 	// shortCallTimeout bounds connecting, load reports and reads of cache events.
 	shortCallTimeout = time.Second
-	// maxDrainBytes bounds what is read of a body after the end event.
-	maxDrainBytes = 1024
 )
 
 // GenerateRequest is the request body of POST /v1/generate.
@@ -72,6 +70,10 @@
 type Client struct {
 	baseURL string
 	http    *http.Client
+	// runs is the client of calls that run requests. Each has a connection of its own: a second copy of
+	// an answer names no request until its first token, and on a connection in use again it would be
+	// taken for the answer to the next call, also a status that says "not run".
+	runs *http.Client
 }
 
 // NewClient returns a client of the backend server with the base URL url.
@@ -83,7 +85,9 @@
 
 		MaxResponseHeaderBytes: framing.MaxHeadBytes,
 	}
-	return &Client{baseURL: url, http: &http.Client{Transport: transport}}
+	single := transport.Clone()
+	single.DisableKeepAlives = true
+	return &Client{baseURL: url, http: &http.Client{Transport: transport}, runs: &http.Client{Transport: single}}
 }
 
 // Close closes the idle connections of the client.
@@ -93,7 +97,7 @@
 // stream. Repeated tokens are dropped. An event of another request or attempt, a
 // missing token or a missing end event is an error of kind truncated.
 func (c *Client) Generate(ctx context.Context, g GenerateRequest, onToken func(Token)) (EndEvent, error) {
-	resp, err := c.post(ctx, "/v1/generate", g, nil)
+	resp, err := post(ctx, c.runs, c.baseURL+"/v1/generate", g, nil)
 	if err != nil {
 		return EndEvent{}, err
 	}
@@ -111,8 +115,6 @@
 			return EndEvent{}, err
 		}
 		if done {
-			// The transport reuses a connection only after its body was read to the end.
-			_, _ = io.CopyN(io.Discard, resp.Body, maxDrainBytes)
 			return validator.end, nil
 		}
 	}
@@ -185,7 +187,7 @@
 // response. The service gets the request ID and attempt as HTTP headers.
 func (c *Client) CallOperation(ctx context.Context, operation, request string, attempt int, body json.RawMessage) (json.RawMessage, error) {
 	header := http.Header{"X-Request-Id": {request}, "X-Attempt": {strconv.Itoa(attempt)}}
-	resp, err := c.post(ctx, "/v1/operations/"+operation, body, header)
+	resp, err := post(ctx, c.runs, c.baseURL+"/v1/operations/"+operation, body, header)
 	if err != nil {
 		return nil, err
 	}
@@ -210,7 +212,7 @@
 		Request string `json:"request"`
 		Attempt int    `json:"attempt"`
 	}{request, attempt}
-	resp, err := c.post(ctx, "/v1/cancel", body, nil)
+	resp, err := post(ctx, c.http, c.baseURL+"/v1/cancel", body, nil)
 	if err != nil {
 		return err
 	}
@@ -245,12 +247,12 @@
 	return nil
 }
 
-func (c *Client) post(ctx context.Context, path string, body any, header http.Header) (*http.Response, error) {
+func post(ctx context.Context, client *http.Client, url string, body any, header http.Header) (*http.Response, error) {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Internal, "backend request cannot be encoded").WithRunState(api.RunStateNotRun)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.baseURL+path, bytes.NewReader(raw))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
 	if err != nil {
 		return nil, errkind.Wrap(err, errkind.Internal, "backend request cannot be built").WithRunState(api.RunStateNotRun)
 	}
@@ -258,7 +260,7 @@
 		req.Header[name] = values
 	}
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := c.http.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, transportError(err)
 	}
--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -43,7 +43,7 @@
 
 // SendOrder sends an order and waits until the engine has executed or refused it.
 func (c *Client) SendOrder(ctx context.Context, order Order) OrderOutcome {
-	resp, err := c.post(ctx, "/v1/orders", order, nil)
+	resp, err := post(ctx, c.runs, c.baseURL+"/v1/orders", order, nil)
 	if err != nil {
 		notSent := errkind.FromError(err).RunState == api.RunStateNotRun
 		return OrderOutcome{OutcomeKnown: notSent, Err: err}
