Take no answer without an ID on a connection whose answers named requests

A second copy of an answer or refusal that a worker sent without a request ID, behind the next request, reached the caller of that request: 503 and so 'not run' for a request that ran. Workers echo the ID; one that has done so on a connection must go on doing so there, or the answer counts as broken off. A connection on which an answer to another request was skipped is not used again.

--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -42,6 +42,8 @@
 	idleTimeout time.Duration
 	idleSince   time.Time
 	isReused    bool
+	// namesRequests reports whether an answer on the connection has named its request.
+	namesRequests bool
 	// head bounds the head of the response that is being read.
 	head framing.HeadCounter
 	// received is the number of bytes that were read from the connection.
@@ -51,8 +53,9 @@
 	onReadTimeout func() time.Time
 }
 
-// Read reads from the connection and fails if the head of the response is beyond its bounds. If onReadTimeout extends the deadline, Read waits on instead
-// of returning the timeout, because the readers of a response body keep an error for good.
+// Read reads from the connection and fails if the head of the response is beyond its bounds. If
+// onReadTimeout extends the deadline, Read waits on instead of returning the timeout, because the readers
+// of a response body keep an error for good.
 func (c *conn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -82,6 +82,9 @@
 	writeOK       bool
 	stopAfterFunc func() bool
 	isDone        bool
+	// hadOtherAnswer reports whether an answer to another request was skipped. Nobody knows what
+	// else will come on the connection then, so that it is not used again.
+	hadOtherAnswer bool
 }
 
 // maxInlineWriteBytes is the largest request that is written before its response is read. It
@@ -132,6 +135,10 @@
 	maxInformationalResponses = 5
 )
 
+// errAnswerOfNoRequest is returned for an answer that names no request, on a connection whose earlier
+// answers did. It may be a second copy of one of these.
+var errAnswerOfNoRequest = eris.New("answer names no request, unlike earlier ones on the connection")
+
 // readHeader reads the header of the response until the deadline. Responses to other requests,
 // which may arrive late on the same connection, are skipped.
 func (e *exchange) readHeader(codec HeaderCodec, method, requestID string, deadline time.Time) error {
@@ -145,11 +152,16 @@
 		}
 		meta := codec.ResponseMeta(resp.Header)
 		if meta.RequestID != "" && meta.RequestID != requestID {
+			e.hadOtherAnswer = true
 			if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStaleResponseBytes)); err != nil {
 				return eris.Wrap(err, "body of a late response to another request ended early")
 			}
 			continue
 		}
+		if meta.RequestID == "" && e.conn.namesRequests {
+			return errAnswerOfNoRequest
+		}
+		e.conn.namesRequests = e.conn.namesRequests || meta.RequestID != ""
 		e.resp, e.meta = resp, meta
 		return nil
 	}
@@ -192,7 +204,7 @@
 		e.closeConn()
 		return
 	}
-	if !e.stopAfterFunc() || !e.writeOK || e.resp == nil || e.resp.Close || framing.Of(e.resp) == framing.CloseDelimited {
+	if !e.stopAfterFunc() || !e.writeOK || e.resp == nil || e.resp.Close || e.hadOtherAnswer || framing.Of(e.resp) == framing.CloseDelimited {
 		_ = e.conn.Close()
 		return
 	}
