Condemn a suspect that was never answered without a trial in small services

A service of one server was down for half a minute while a request that ended it was repeated: each trial of the suspect cost all callers the service until the server was back, and the verdict came with the fourth end. In a service of at most two servers a whole request that two servers ended under, and that nobody has got an answer to, is condemned at once. Ordinary ends make the ratio too small for that (TestCrashesCondemnNoSoundPart).

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -79,7 +79,7 @@
 		}
 	}
 	for _, c := range suspects {
-		if c = t.settled(now, c, explained); c.isEnough() && !t.needsTrial(c, suspects) {
+		if c = t.settled(now, c, explained); (c.isEnough() || t.isInSmallService(c)) && !t.needsTrial(c, suspects) {
 			found = append(found, c)
 		}
 	}
@@ -99,6 +99,11 @@
 // isEnough reports whether the evidence condemns a part.
 func (c *candidate) isEnough() bool { return c.ends >= minEndedWorkers && c.ratio >= condemnThreshold }
 
+// isInSmallService reports whether a suspected whole request is condemned because its service is small.
+func (t *Tracker) isInSmallService(c candidate) bool {
+	return c.isWhole && c.ends >= minSuspectEnds && c.ratio >= suspectThreshold && t.serviceOf(c.part.Service).mostWorkers <= smallService
+}
+
 // settled returns the evidence on a part without the ends that are too recent to condemn it.
 func (t *Tracker) settled(now Elapsed, c candidate, explained map[uint64]bool) candidate {
 	settleTime := t.settleTime
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -43,6 +43,9 @@
 	// condemned, and minSuspectEnds that before it is suspected.
 	minEndedWorkers = 3
 	minSuspectEnds  = 2
+	// smallService is the number of workers up to which a suspect that was never answered is condemned
+	// without a trial, which would take half of the service or all of it from sound callers.
+	smallService = 2
 	// condemnThreshold is the log-likelihood ratio from which a part is condemned: odds of 160,000
 	// to 1, for the thousands of parts that an hour brings into contact with ended workers.
 	condemnThreshold = 12
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -198,6 +198,29 @@
 	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{fatal}).Action, Refuse)
 }
 
+// Guards against a service of one server that goes down a third time for a request that nobody has ever got
+// an answer to.
+func TestSuspectOfSmallServiceIsCondemnedAfterTwoEnds(t *testing.T) {
+	for _, servers := range []int{1, 3} {
+		tracker := NewTracker("a", time.UnixMilli(0))
+		tracker.SetWorkers(0, testService, servers, []string{"v1"})
+		tracker.SetWorkers(time.Second, testService, 1, []string{"v1"})
+		for i := range 60 {
+			tracker.RecordFinished(time.Second, time.Second, testService, []uint64{uint64(i)})
+		}
+		tracker.RecordEnd(moment(0), wholeEnd(0, fatal, false))
+		tracker.RecordEnd(moment(40), wholeEnd(1, fatal, false))
+		want := Refuse
+		if servers > 1 {
+			want = SendAlone
+		}
+		assert.Equal(t, tracker.Decide(moment(41), testService, []uint64{fatal}).Action, want, "service of %d servers", servers)
+		tracker.RecordEnd(moment(80), wholeEnd(2, 5, false))
+		tracker.RecordEnd(moment(120), wholeEnd(3, 5, false))
+		assert.Equal(t, tracker.Decide(moment(121), testService, []uint64{5}).Action == Refuse, false, "answered before")
+	}
+}
+
 // Guards against a sound request that is condemned because servers ended under it and another one, and
 // against two alike that are never told apart.
 func TestRequestsOnTheSameServersAreTriedApart(t *testing.T) {
