Tell several fatal requests and parts apart, and acquit what another explains

The ends under a rival, a part that may be fatal too and shares no end, do not count for that any more.

A request that has all ends of a condemned one, and more, explains them now, and the other is acquitted (TestRequestIsAcquittedOnceAnotherExplainsItsEnds, which failed before). go test ./internal/quarantine passes.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -2,28 +2,36 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"strconv"
 )
 
-// explained returns the ends of workers of a service that condemned parts explain.
-func (t *Tracker) explained(name string) map[uint64]bool {
+// explained returns the ends of workers of the service of a part that condemned parts explain. A whole
+// request that had all ends of a condemned one, and more, explains these itself.
+func (t *Tracker) explained(part Part) map[uint64]bool {
 	out := map[uint64]bool{}
-	for part, v := range t.ledger.verdicts {
-		if part.Service != name || !v.value.Condemned {
+	for other, v := range t.ledger.verdicts {
+		if other.Service != part.Service || !v.value.Condemned {
 			continue
 		}
-		if p := t.ledger.parts[part]; p != nil {
-			for worker := range p.crashes {
-				out[worker] = true
-			}
+		p := t.ledger.parts[other]
+		if p == nil || p.isWhole() && t.hasAllEndsOf(part, other) {
+			continue
+		}
+		for worker := range p.crashes {
+			out[worker] = true
 		}
 	}
 	return out
 }
 
+// hasAllEndsOf reports whether workers ended under a part whenever they did under another, and more often.
+func (t *Tracker) hasAllEndsOf(part, other Part) bool {
+	p, q := t.ledger.parts[part], t.ledger.parts[other]
+	return p != nil && part != other && len(p.crashes) > len(q.crashes) && t.sharedEnds(part, other) == len(q.crashes)
+}
+
 // candidate is a part with the evidence against it.
 type candidate struct {
 	part Part
@@ -44,6 +52,7 @@
 // first. What it explains does not accuse another part any more.
 func (t *Tracker) judge(now Elapsed, name, version string) []Verdict {
 	var out []Verdict
+	t.findRivals(now, name)
 	for range maxCondemnedAtOnce {
 		best, ok := t.mostAccused(now, name)
 		if !ok {
@@ -51,6 +60,9 @@
 		}
 		out = append(out, t.condemn(now, best, version))
 	}
+	if len(out) > 0 {
+		out = append(out, t.acquitExplained(now, name)...)
+	}
 	return out
 }
 
@@ -62,7 +74,6 @@
 // requests had, the last one is taken: requests share the first parts of a prompt more often than
 // those behind them.
 func (t *Tracker) mostAccused(now Elapsed, name string) (candidate, bool) {
-	explained := t.explained(name)
 	var found, suspects []candidate
 	for part, p := range t.ledger.parts {
 		if part.Service != name || t.isCondemned(now, part) {
@@ -74,12 +85,12 @@
 		if len(p.crashes) < minSuspectEnds {
 			continue
 		}
-		if c := t.evidence(now, now, part, explained); c.ends >= minSuspectEnds && c.ratio >= suspectThreshold {
+		if c := t.evidence(now, now, part, t.explained(part)); c.ends >= minSuspectEnds && c.ratio >= suspectThreshold {
 			suspects = append(suspects, c)
 		}
 	}
 	for _, c := range suspects {
-		if c = t.settled(now, c, explained); (c.isEnough() || t.isInSmallService(c)) && !t.needsTrial(c, suspects) {
+		if c = t.settled(now, c, t.explained(c.part)); (c.isEnough() || t.isInSmallService(c)) && !t.needsTrial(c, suspects) {
 			found = append(found, c)
 		}
 	}
@@ -89,7 +100,7 @@
 	var best candidate
 	for _, c := range found {
 		isBetter := best.ends == 0 || c.position > best.position && found[0].ratio-c.ratio <= ratioMargin
-		if isBetter && !t.isExplainedLater(now, c, suspects, explained) {
+		if isBetter && !t.isExplainedLater(now, c, suspects) {
 			best = c
 		}
 	}
@@ -116,11 +127,11 @@
 // isExplainedLater reports whether the ends that condemn a part are those of suspected parts further back
 // in prompts, which will be condemned or cleared first. Sound first parts have the ends of several fatal
 // parts behind them, and may reach the threshold before each of these.
-func (t *Tracker) isExplainedLater(now Elapsed, c candidate, suspects []candidate, explained map[uint64]bool) bool {
+func (t *Tracker) isExplainedLater(now Elapsed, c candidate, suspects []candidate) bool {
 	if c.isWhole {
 		return false
 	}
-	without := maps.Clone(explained)
+	without := t.explained(c.part)
 	own := t.ledger.parts[c.part]
 	for _, s := range suspects {
 		if s.isWhole || s.position <= c.position {
@@ -214,13 +225,57 @@
 	return out
 }
 
+const (
+	// rivalThreshold is the ratio from which the ends under a part may be its doing: odds of 20 to 1.
+	rivalThreshold = 3
+	// maxRivals bounds the rivals of a service, those with the greatest ratio.
+	maxRivals = 16
+)
+
+// findRivals finds the parts of a service that may be fatal too. Where several parts are, the ends under
+// each would make the others look as if workers ended anyway.
+func (t *Tracker) findRivals(now Elapsed, name string) {
+	s := t.serviceOf(name)
+	s.rivals = nil
+	var found []candidate
+	for part, p := range t.ledger.parts {
+		if part.Service != name || len(p.crashes) < minSuspectEnds || t.isCondemned(now, part) {
+			continue
+		}
+		if c := t.evidence(now, now, part, t.explained(part)); c.ends >= minSuspectEnds && c.ratio >= rivalThreshold {
+			found = append(found, c)
+		}
+	}
+	slices.SortFunc(found, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.ratio, a.ratio), cmp.Compare(a.part.ID, b.part.ID))
+	})
+	for _, c := range found[:min(len(found), maxRivals)] {
+		s.rivals = append(s.rivals, c.part)
+	}
+}
+
+// rivalEnds returns the ends of workers under the rivals of a part that have no end in common with it.
+func (t *Tracker) rivalEnds(part Part) map[uint64]bool {
+	out := map[uint64]bool{}
+	for _, rival := range t.serviceOf(part.Service).rivals {
+		p := t.ledger.parts[rival]
+		if p == nil || rival == part || t.sharedEnds(part, rival) > 0 {
+			continue
+		}
+		for worker := range p.crashes {
+			out[worker] = true
+		}
+	}
+	return out
+}
+
 // otherChance returns the chance that a request with a part is on a worker that ends for a reason that has
 // nothing to do with it.
 func (t *Tracker) otherChance(now Elapsed, part Part, explained map[uint64]bool) float64 {
-	p, s := t.ledger.parts[part], t.serviceOf(part.Service)
+	p, s, rivalEnds := t.ledger.parts[part], t.serviceOf(part.Service), t.rivalEnds(part)
 	unrelated, unrelatedBegun := 0.0, 0.0
 	for worker, end := range s.ends {
-		if p.crashes[worker] == nil && !explained[worker] && now-end.at <= evidenceWindow {
+		if p.crashes[worker] == nil && !explained[worker] && !rivalEnds[worker] && now-end.at <= evidenceWindow {
 			unrelated++
 			unrelatedBegun += end.begun
 		}
@@ -292,7 +347,7 @@
 
 // Summarize returns the evidence on a part.
 func (t *Tracker) Summarize(now Elapsed, part Part) Summary {
-	c := t.evidence(now, now, part, t.explained(part.Service))
+	c := t.evidence(now, now, part, t.explained(part))
 	out := Summary{Part: strconv.FormatUint(part.ID, 16), Ends: c.ends, Ratio: math.Round(10*c.ratio) / 10}
 	if k, ok := t.known.Peek(part); ok {
 		out.Finished = k.finishedLately(now)
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -103,6 +103,14 @@
 	lastAt   Elapsed
 }
 
+// isWhole reports whether the part is a whole request.
+func (p *partRecords) isWhole() bool {
+	for _, c := range p.crashes {
+		return c.value.IsWhole
+	}
+	return false
+}
+
 // NewLedger returns an empty Ledger. The first version must be above all versions of earlier
 // ledgers of this process.
 func NewLedger(firstVersion int64) *Ledger {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -125,6 +125,8 @@
 	// ends holds the workers that ended, by hash, with the requests of this gateway that had just
 	// begun there.
 	ends map[uint64]*workerEnd
+	// rivals holds the parts that may be fatal besides the one that is judged.
+	rivals []Part
 }
 
 type workerEnd struct {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -241,6 +241,23 @@
 	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{fatal}).Action, Refuse)
 }
 
+// Guards against a sound request that stays condemned because it was on trial on a server that a fatal one
+// ended, which is condemned later.
+func TestRequestIsAcquittedOnceAnotherExplainsItsEnds(t *testing.T) {
+	const sound = uint64(0x50)
+	tracker := newTestTracker("a")
+	for i := range 2 {
+		tracker.RecordEnd(moment(i), wholeEnd(i, sound, false))
+	}
+	assert.Equal(t, len(tracker.RecordEnd(moment(2), wholeEnd(2, sound, true))), 1)
+	for i := range 3 {
+		tracker.RecordEnd(moment(i), wholeEnd(i, fatal, false))
+	}
+	tracker.RecordEnd(moment(4), wholeEnd(4, fatal, true))
+	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{fatal}).Action, Refuse)
+	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{sound}).Action, Send)
+}
+
 // Guards against a part of prompts that is condemned before its requests could show that they finish, and
 // against one that turned fatal and is condemned never.
 func TestPartThatWasAnsweredIsCondemnedOnceItsEndsHaveSettled(t *testing.T) {
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -88,6 +88,35 @@
 	return v, true
 }
 
+// acquitExplained ends the condemnations of whole requests all of whose ends are those of another condemned
+// one, which has more: sound requests that were on the same servers as a fatal one.
+func (t *Tracker) acquitExplained(now Elapsed, name string) []Verdict {
+	var out []Verdict
+	for part, known := range t.ledger.verdicts {
+		if part.Service != name || known.value.ByOperator || !t.isCondemned(now, part) || !t.isExplainedByOther(now, part) {
+			continue
+		}
+		v := Verdict{Part: part, Sequence: t.nextSequence(now, part), Tries: known.value.Tries, Until: now}
+		t.ledger.mergeVerdict(v)
+		out = append(out, v)
+	}
+	return out
+}
+
+// isExplainedByOther reports whether another condemned request has all ends of a part, and more.
+func (t *Tracker) isExplainedByOther(now Elapsed, part Part) bool {
+	p := t.ledger.parts[part]
+	if p == nil || len(p.crashes) == 0 || !p.isWhole() {
+		return false
+	}
+	for other := range t.ledger.verdicts {
+		if other.Service == part.Service && t.isCondemned(now, other) && t.hasAllEndsOf(other, part) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasFailedProbation reports whether a worker has ended under a part on probation.
 func (t *Tracker) hasFailedProbation(part Part) bool {
 	since, ok := t.probation[part]
@@ -139,7 +168,7 @@
 	if p == nil || len(p.crashes) < minSuspectEnds {
 		return false
 	}
-	explained := t.explained(part.Service)
+	explained := t.explained(part)
 	c := t.evidence(now, now, part, explained)
 	if !c.isWhole && c.isCommon {
 		c = t.evidence(now, now-turnedSettleTime, part, explained)
