Do not take comments and blank lines for events of a stream

A worker that sent a comment or a blank line now and then, and no event, was awaited until the request's deadline: each block renewed the time in which the next event is due. The caller got a cut stream although another worker could go on. Blocks without a field renew nothing now, also for the pace of a rollout's evidence. Slow streams are not touched (TestSlowStreamIsNotCut).

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -14,6 +14,8 @@
 type eventReader struct {
 	br  *bufio.Reader
 	buf answerBuffer
+	// isEmpty reports whether the last block had no field, only comments and blank lines.
+	isEmpty bool
 }
 
 // newEventReader returns a reader of the events of r. The caller must call close.
@@ -30,7 +32,7 @@
 // framing.MaxEventBytes, and errNoBufferMemory. The bytes are valid until the next call.
 func (e *eventReader) next() (event []byte, id int64, err error) {
 	e.buf.reset()
-	id = -1
+	id, e.isEmpty = -1, true
 	for {
 		line, err := e.br.ReadSlice('\n')
 		if len(e.buf.bytes)+len(line) > framing.MaxEventBytes {
@@ -49,6 +51,7 @@
 		if len(text) == 0 {
 			return e.buf.bytes, id, nil
 		}
+		e.isEmpty = e.isEmpty && text[0] == ':'
 		if value, ok := bytes.CutPrefix(text, []byte("id:")); ok {
 			if n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64); err == nil {
 				id = n
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -205,8 +205,11 @@
 	meter := paceMeter{dispatcher: r.gateway.dispatcher, evidence: a.evidence, running: a.exchange.meta.Load.Running}
 	defer meter.end()
 	for {
-		if err := a.exchange.conn.SetReadDeadline(r.nextPieceDeadline()); err != nil {
-			return eris.Wrap(err, "connection is closed")
+		// Comments alone do not show that the worker goes on.
+		if !events.isEmpty {
+			if err := a.exchange.conn.SetReadDeadline(r.nextPieceDeadline()); err != nil {
+				return eris.Wrap(err, "connection is closed")
+			}
 		}
 		event, id, err := events.next()
 		a.record.countEvent(len(event), err)
@@ -219,7 +222,9 @@
 			}
 			return eris.Wrap(err, "stream broke off")
 		}
-		meter.event()
+		if !events.isEmpty {
+			meter.event()
+		}
 		if !a.survived && time.Since(a.begunAt) > survivalTime {
 			r.recordSurvival(a)
 		}
