Let a stream that has sent only comments begin at another worker

The first comment of a worker sent the caller the header, and a stream that then stalled could not begin elsewhere: it was cut after 1.5 s. Comments wait for the first event now, up to 4 KiB, and are delivered with it (TestCommentsBeforeTheFirstEventAreDelivered).

--- a/internal/gateway/drip_test.go
+++ b/internal/gateway/drip_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,14 +25,13 @@
 		for _, begun := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, begun %v", name, begun), func(t *testing.T) {
 				t.Parallel()
+				var arrivals atomic.Int64
 				script := func(_ int, c net.Conn, r receivedRequest) bool {
 					writeStreamHeader(c, r)
-					switch last := r.request.Header.Get("Last-Event-Id"); {
-					case r.request.Header.Get(DefaultHeaderNames.ExpectWorker) == "w2" && last == "":
-						writeChunk(c, formatEvent(1)+formatEvent(2))
-						fmt.Fprint(c, "0\r\n\r\n")
-						return true
-					case last != "":
+					if arrivals.Add(1) > 1 {
+						if r.request.Header.Get("Last-Event-Id") == "" {
+							writeChunk(c, formatEvent(1))
+						}
 						writeChunk(c, formatEvent(2))
 						fmt.Fprint(c, "0\r\n\r\n")
 						return true
@@ -93,3 +93,21 @@
 		})
 	}
 }
+
+// Guards against comments before the first event that do not reach the caller: they are a part of the body.
+func TestCommentsBeforeTheFirstEventAreDelivered(t *testing.T) {
+	for _, events := range []string{"", formatEvent(1)} {
+		w := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool {
+			writeStreamHeader(c, r)
+			writeChunk(c, ": hello\n\n\n")
+			if events != "" {
+				writeChunk(c, events)
+			}
+			fmt.Fprint(c, "0\r\n\r\n")
+			return true
+		})
+		resp := startGateway(t, w).call("POST", "/stream/x", "prompt")
+		assert.NilError(t, resp.err)
+		assert.Equal(t, resp.body, ": hello\n\n\n"+events)
+	}
+}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -204,6 +204,7 @@
 	defer func() { a.exchange.conn.onReadTimeout = nil }()
 	meter := paceMeter{dispatcher: r.gateway.dispatcher, evidence: a.evidence, running: a.exchange.meta.Load.Running}
 	defer meter.end()
+	var lead []byte // comments before the first event
 	for {
 		// Comments alone do not show that the worker goes on.
 		if !events.isEmpty {
@@ -214,6 +215,9 @@
 		event, id, err := events.next()
 		a.record.countEvent(len(event), err)
 		if errors.Is(err, io.EOF) {
+			if len(lead) > 0 {
+				return r.writeEvent(a, lead, -1, false)
+			}
 			return nil
 		}
 		if err != nil {
@@ -231,6 +235,14 @@
 		if id >= 0 && r.headerSent && id <= r.lastEventID {
 			continue // the caller already received this event
 		}
+		if !r.headerSent {
+			if events.isEmpty && len(lead)+len(event) <= maxLeadBytes {
+				lead = append(lead, event...)
+				continue
+			}
+			event = append(lead, event...)
+			lead = nil
+		}
 		started := time.Now()
 		if err := r.writeEvent(a, event, id, !events.hasBuffered()); err != nil {
 			return err
@@ -239,6 +251,10 @@
 	}
 }
 
+// maxLeadBytes bounds the comments that wait for the first event. As long as the caller has nothing, a
+// stream that has no event can begin at another worker.
+const maxLeadBytes = 4 << 10
+
 // writeEvent sends one event to the caller, after the header if that is not sent yet, and
 // remembers its ID for resuming the stream.
 func (r *request) writeEvent(a *attempt, event []byte, id int64, flush bool) error {
