Answer all requests that have arrived when a planned stop begins

http.Server.Shutdown drops each request whose head it has not read when it is called, also whole ones that wait in the kernel, and resets connections in the queue of the listener: callers of a gateway or an entry that stopped under load got a closed connection. A listener of its own knows which connections are idle; a stop takes what waits in the queue, closes only connections on which nothing has arrived, and answers on the others.

--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -4,16 +4,19 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/callerapi"
 	"github.com/borageflow/borageflow/internal/entry"
+	"github.com/borageflow/borageflow/internal/httpdrain"
 	"github.com/borageflow/borageflow/internal/manifest"
 	"github.com/borageflow/borageflow/internal/observe"
 	"github.com/borageflow/borageflow/internal/peer"
@@ -26,18 +29,19 @@
 // entryDaemon holds the parts of a process with role entry.
 type entryDaemon struct {
 	*base
-	loop         *entryLoop
-	exchange     *exchangeLoop
-	node         *peer.Node
-	outbox       *outbox
-	recorder     *recorder
-	store        platform.Store
-	healthServer *observe.HealthServer
-	callerServer *http.Server
-	adminServer  *http.Server
-	leaving      atomic.Bool
-	members      atomic.Pointer[[]api.Member]
-	startedAt    time.Time
+	loop           *entryLoop
+	exchange       *exchangeLoop
+	node           *peer.Node
+	outbox         *outbox
+	recorder       *recorder
+	store          platform.Store
+	healthServer   *observe.HealthServer
+	callerServer   *http.Server
+	callerListener *httpdrain.Listener
+	adminServer    *http.Server
+	leaving        atomic.Bool
+	members        atomic.Pointer[[]api.Member]
+	startedAt      time.Time
 }
 
 func newEntryDaemon(b *base, store platform.Store) (*entryDaemon, error) {
@@ -192,7 +196,12 @@
 	if s.TLS != nil {
 		pair = s.TLS.Callers
 	}
-	listener, err := listen(s.Listen.Callers, s.Limits.Connections, pair)
+	plain, err := net.Listen("tcp", s.Listen.Callers)
+	if err != nil {
+		return eris.Wrapf(err, "listener %s cannot be opened", s.Listen.Callers)
+	}
+	d.callerListener = httpdrain.NewListener(plain)
+	listener, err := limitAndEncrypt(d.callerListener, s.Limits.Connections, pair)
 	if err != nil {
 		return err
 	}
@@ -203,6 +212,7 @@
 		ReadHeaderTimeout: ms(s.Limits.ReadTimeoutMs), MaxHeaderBytes: s.Limits.HeaderBytes, IdleTimeout: time.Minute,
 		ErrorLog: zap.NewStdLog(observe.ComponentLogger(d.log, "http")),
 	}
+	d.callerListener.Prepare(d.callerServer)
 	go d.serveHTTP(d.callerServer, listener)
 	return nil
 }
@@ -221,9 +231,8 @@
 	limit := ms(d.settings.Timing.DrainMs)
 	shutdown, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	if err := d.callerServer.Shutdown(shutdown); err != nil {
+	if err := d.callerListener.Shutdown(shutdown, d.callerServer); err != nil {
 		log.Warn("callers were cut", zap.Error(err))
-		_ = d.callerServer.Close()
 	}
 	d.loop.events.Put(ctx, entry.DrainStarted{})
 	if !waitOrTimeout(ctx, d.loop.drained, flushTimeout) {
--- a/internal/daemon/entryadmin.go
+++ b/internal/daemon/entryadmin.go
@@ -95,7 +95,7 @@
 
 // serveHTTP serves a listener until its server is closed.
 func (d *entryDaemon) serveHTTP(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		d.log.Error("listener has failed and accepts no more connections", zap.String("address", listener.Addr().String()), zap.Error(err))
 	}
 }
@@ -107,6 +107,11 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "listener %s cannot be opened", address)
 	}
+	return limitAndEncrypt(listener, connections, pair)
+}
+
+// limitAndEncrypt bounds the connections of a listener and uses TLS if pair is set.
+func limitAndEncrypt(listener net.Listener, connections int, pair *api.TLSPair) (net.Listener, error) {
 	listener = netutil.LimitListener(listener, connections)
 	config, err := serverTLS(pair)
 	if err != nil {
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/borageflow/borageflow/internal/framing"
+	"github.com/borageflow/borageflow/internal/netpeek"
 )
 
 const (
@@ -194,24 +195,7 @@
 
 // isReusable reports whether an idle connection is open and has nothing to read. Bytes that
 // arrive while it is idle belong to no request.
-func isReusable(c *conn) bool {
-	sys, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sys.SyscallConn()
-	if err != nil {
-		return false
-	}
-	wouldBlock := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		_, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		wouldBlock = errors.Is(err, unix.EAGAIN)
-		return true
-	})
-	return err == nil && wouldBlock
-}
+func isReusable(c *conn) bool { return netpeek.Look(c.Conn) == netpeek.Quiet }
 
 // parseIdleTimeout returns how long to keep an idle connection, given the worker's Keep-Alive
 // header. "timeout=5" means that the worker closes it after 5 s.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/httpdrain"
 	"github.com/borageflow/borageflow/internal/observe"
 )
 
@@ -51,6 +52,7 @@
 	logWriter  *asyncWriter
 
 	callerServer   *http.Server
+	callerListener *httpdrain.Listener
 	healthServer   *http.Server
 	metricsServer  *http.Server
 	activeRequests atomic.Int64
@@ -263,7 +265,9 @@
 			return err
 		}
 	}
-	go func() { _ = g.callerServer.Serve(listener) }()
+	g.callerListener = httpdrain.NewListener(listener)
+	g.callerListener.Prepare(g.callerServer)
+	go func() { _ = g.callerServer.Serve(g.callerListener) }()
 	return nil
 }
 
@@ -286,7 +290,7 @@
 		g.metrics.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	server := &http.Server{Handler: router, ReadHeaderTimeout: healthTimeout, ReadTimeout: healthTimeout}
+	server := &http.Server{Handler: router, ReadHeaderTimeout: healthTimeout, ReadTimeout: healthTimeout, IdleTimeout: callerIdleTimeout}
 	go func() { _ = server.Serve(listener) }()
 	return server, nil
 }
@@ -348,9 +352,8 @@
 	}
 	shutdownCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	if err := g.callerServer.Shutdown(shutdownCtx); err != nil {
-		g.log.Warn("grace period is over, closing the connections of running requests", zap.Int64("active", g.activeRequests.Load()), zap.Error(err))
-		_ = g.callerServer.Close()
+	if err := g.callerListener.Shutdown(shutdownCtx, g.callerServer); err != nil {
+		g.log.Warn("grace period is over, the connections of running requests are closed", zap.Int64("active", g.activeRequests.Load()), zap.Error(err))
 	}
 	g.stopBackground()
 	g.pool.close()
