Contain unexpected errors in one request, message or duty

A verdict in the store or of a peer with a negative number of tries ended each gateway that judged the part again (negative shift), and a record with a time ahead of now counted for ever, so that the quarantine of its service was blind. Ages, tries and sequences are bounded. A panic in a request, in a step of the exchange, a tick, a record, an answer that was set aside or a message between peers ends that one alone, is logged with its stack and counted (borageflow_gateway_panics_total); the caller gets 500.

TestVerdictWithImpossibleNumbersDoesNoHarm and TestTimesOfRecordsAreBounded failed before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -90,7 +90,9 @@
 
 // newNode returns the peer node. It uses mutual TLS when the settings name certificates.
 func (b *base) newNode(handler peer.Handler, local func() api.Hello) (*peer.Node, error) {
-	o := peer.Options{Handler: handler, Local: local}
+	o := peer.Options{Handler: handler, Local: local, OnPanic: func(method string, value any) {
+		observe.ComponentLogger(b.log, "peer").Error("message of a peer cannot be handled and is ignored", zap.String("method", method), zap.Any("panic", value), zap.Stack("stack"))
+	}}
 	if t := b.settings.TLS; t != nil && t.Peers != nil {
 		server, client, err := tlsconf.PeerConfigs(*t.Peers)
 		if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,18 +187,23 @@
 			return
 		case <-ticker.C:
 		}
-		now := sinceBoot()
-		g.dispatcher.tick(now)
-		g.quarantine.tick(now)
-		if n%idleCleanupTicks == 0 {
-			g.pool.closeUnused(g.dispatcher.usableAddresses())
-		}
-		for _, w := range g.dispatcher.dueRolloutWrites(now) {
-			g.goroutines.Go(func() { g.recordRollout(w) })
-		}
-		for _, w := range g.quarantine.dueWrites() {
-			g.goroutines.Go(func() { g.recordCondemnation(w) })
-		}
+		g.protect("tick", func() { g.tick(n) })
+	}
+}
+
+// tick does what is due at the n-th tick.
+func (g *Gateway) tick(n int) {
+	now := sinceBoot()
+	g.dispatcher.tick(now)
+	g.quarantine.tick(now)
+	if n%idleCleanupTicks == 0 {
+		g.pool.closeUnused(g.dispatcher.usableAddresses())
+	}
+	for _, w := range g.dispatcher.dueRolloutWrites(now) {
+		g.goroutines.Go(func() { g.protect("record of a rollout", func() { g.recordRollout(w) }) })
+	}
+	for _, w := range g.quarantine.dueWrites() {
+		g.goroutines.Go(func() { g.protect("record of a condemnation", func() { g.recordCondemnation(w) }) })
 	}
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -43,11 +43,9 @@
 // defaultRequestTimeout applies when neither the caller nor the route sets a time limit.
 const defaultRequestTimeout = 10 * time.Minute
 
-// ServeHTTP forwards a caller's request to a worker. It implements http.Handler.
-func (g *Gateway) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+// serveRequest forwards a caller's request to a worker.
+func (g *Gateway) serveRequest(w http.ResponseWriter, req *http.Request) {
 	started := time.Now()
-	g.activeRequests.Add(1)
-	defer g.activeRequests.Add(-1)
 	meta := g.headers.RequestMeta(req.Header)
 	g.metrics.requests.Inc()
 	if synced, reason := g.dispatcher.hasSynced(); !synced {
@@ -79,7 +77,7 @@
 		return
 	}
 	deadline := started.Add(requestTimeout(meta.TimeLimit, route.Timeout))
-	body, refusal := readLimitedBody(w, req, snapshot.config.Limits, deadline)
+	body, refusal := readLimitedBody(unwrapWriter(w), req, snapshot.config.Limits, deadline)
 	if refusal != nil {
 		g.writeError(w, meta, snapshot, refusal)
 		return
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -55,8 +55,8 @@
 	go func() {
 		defer close(h.done)
 		defer release()
-		if h.err == nil {
-			h.err = h.read(g.buffers)
+		if h.err == nil && !g.protect("answer that was set aside", func() { h.err = h.read(g.buffers) }) {
+			h.err = errUnexpected
 		}
 		h.mu.Lock()
 		h.ended = true
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -54,6 +54,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_refused_total{kind=%q}", kind)).Inc()
 }
 
+// countPanic counts an unexpected error that was contained.
+func (m *gatewayMetrics) countPanic(duty string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_panics_total{duty=%q}", duty)).Inc()
+}
+
 // countWorkerEnd counts a worker that ended under a request.
 func (m *gatewayMetrics) countWorkerEnd(service string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_worker_ends_total{service=%q}", service)).Inc()
--- a/internal/gateway/peerexchange.go
+++ b/internal/gateway/peerexchange.go
@@ -47,7 +47,8 @@
 func (g *Gateway) runExchangeLoop(step func(ctx context.Context) time.Duration) {
 	for g.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(g.ctx, loadExchangeTimeout)
-		pause := step(ctx)
+		pause := loadRetryInterval
+		g.protect("exchange", func() { pause = step(ctx) })
 		cancel()
 		jitter := 1 + loadIntervalJitter*(2*rand.Float64()-1) //nolint:gosec // spreads timers
 		timer := time.NewTimer(time.Duration(float64(pause) * jitter))
--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -79,7 +79,10 @@
 	relayLog := observe.ComponentLogger(log, "relay")
 	relay := news.NewRelay(relayWatchTimeout+s.StoreTimeout+relayedAgeAllowance, sinceBoot, relayLog)
 	hello := api.Hello{Member: api.Member{Instance: s.Instance, Incarnation: int(started.UnixNano()), FailureDomain: s.FailureDomain, Address: s.PeerAddress, State: api.MemberStateReady}}
-	p := &relayPeer{relay: relay, node: peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello { return hello }})}
+	onPanic := func(method string, value any) {
+		relayLog.Error("message of a peer cannot be handled and is ignored", zap.String("method", method), zap.Any("panic", value), zap.Stack("stack"))
+	}
+	p := &relayPeer{relay: relay, node: peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello { return hello }, OnPanic: onPanic})}
 	p.isRelay = s.isRelay()
 	if p.isRelay || !s.usesRelays() {
 		return p, store
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -56,7 +56,7 @@
 	for ctx.Err() == nil {
 		sentAt := sinceBoot()
 		callCtx, endCall := w.relists.registerCall(ctx, w)
-		u, err := w.nextUpdate(callCtx)
+		u, err := w.nextUpdateSafely(callCtx)
 		canceled := callCtx.Err() != nil
 		endCall()
 		w.onCall(w.topic.String(), u.Relayed, err == nil)
@@ -71,6 +71,18 @@
 	}
 }
 
+// nextUpdateSafely returns the next update, or an error if what the store or a relay has sent cannot be
+// read without a panic.
+func (w *topicWatcher) nextUpdateSafely(ctx context.Context) (u forward.Update, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			w.log.Error("answer of the store cannot be read", zap.Stringer("topic", w.topic), zap.Int64("revision", w.revision), zap.Any("panic", p), zap.Stack("stack"))
+			err = errUnexpected
+		}
+	}()
+	return w.nextUpdate(ctx)
+}
+
 func (w *topicWatcher) nextUpdate(ctx context.Context) (forward.Update, error) {
 	if !w.hasListed {
 		return w.store.List(ctx, w.topic)
--- a/internal/news/quarantine.go
+++ b/internal/news/quarantine.go
@@ -74,7 +74,7 @@
 		if e.Kind == api.QuarantineRecordKindVerdict {
 			r.Verdict = &quarantine.Verdict{
 				Part: r.Part, Sequence: int64(e.Sequence), Condemned: e.Condemned, Version: e.Version, Crashes: e.Crashes, Tries: e.Tries,
-				ByOperator: e.ByOperator, Until: now + time.Duration(e.RemainingMs)*time.Millisecond,
+				ByOperator: e.ByOperator, Until: now + time.Duration(min(max(e.RemainingMs, -maxRemainingMs), maxRemainingMs))*time.Millisecond,
 			}
 			out = append(out, r)
 			continue
@@ -83,7 +83,7 @@
 		if err != nil {
 			return nil, eris.Wrapf(err, "record of part %q has subject %q", e.Part, e.Subject)
 		}
-		at := now - time.Duration(e.AgeMs)*time.Millisecond
+		at := ago(now, e.AgeMs)
 		switch e.Kind {
 		case api.QuarantineRecordKindCrash:
 			if e.Weight < 0 || e.Weight > 1 {
@@ -99,7 +99,7 @@
 			}
 			r.Finished = &quarantine.Finished{Origin: subject, Count: e.Count, At: at}
 			for _, age := range e.BegunAgesMs {
-				r.Finished.Begun = append(r.Finished.Begun, now-time.Duration(age)*time.Millisecond)
+				r.Finished.Begun = append(r.Finished.Begun, ago(now, age))
 			}
 			slices.Sort(r.Finished.Begun)
 		default:
@@ -110,6 +110,18 @@
 	return out, nil
 }
 
+const (
+	// maxAgeMs bounds the stated age of a record. Older ones are no evidence any more.
+	maxAgeMs = int(time.Hour / time.Millisecond)
+	// maxRemainingMs bounds the stated rest of a condemnation, also that of an operator.
+	maxRemainingMs = int(30 * 24 * time.Hour / time.Millisecond)
+)
+
+// ago returns the time that a record states as an age. A time ahead of now would count for ever.
+func ago(now Elapsed, ageMs int) Elapsed {
+	return now - time.Duration(min(max(ageMs, 0), maxAgeMs))*time.Millisecond
+}
+
 // mergeQuarantine adds records to those of the relay. The caller holds the lock.
 func (r *Relay) mergeQuarantine(now Elapsed, records []quarantine.Record) {
 	r.quarantine.Expire(now)
--- a/internal/news/quarantine_test.go
+++ b/internal/news/quarantine_test.go
@@ -1,6 +1,7 @@
 package news
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -39,3 +40,48 @@
 	_, err = decodeQuarantine(now, []api.QuarantineRecord{{Kind: api.QuarantineRecordKindFinished, Service: "svc", Part: "1", Subject: "2", BegunAgesMs: make([]int, 100)}})
 	assert.ErrorContains(t, err, "100 requests")
 }
+
+// Guards against a record with a time ahead of now, which would count for ever, or one out of range.
+func TestTimesOfRecordsAreBounded(t *testing.T) {
+	const now = time.Hour
+	for _, age := range []int{-1, -1 << 62, 1 << 62, 1<<63 - 1} {
+		got, err := decodeQuarantine(now, []api.QuarantineRecord{
+			{Kind: api.QuarantineRecordKindCrash, Service: "svc", Part: "1", Subject: "2", AgeMs: age},
+			{Kind: api.QuarantineRecordKindFinished, Service: "svc", Part: "1", Subject: "2", AgeMs: age, BegunAgesMs: []int{age}},
+		})
+		assert.NilError(t, err)
+		for _, at := range []Elapsed{got[0].Crash.At, got[1].Finished.At, got[1].Finished.Begun[0]} {
+			assert.Assert(t, at <= now && at >= 0, "age %d is decoded as %v", age, at)
+		}
+	}
+}
+
+// Guards against a message of a peer that ends the relay or the gateway that reads it.
+func FuzzReportOfGateway(f *testing.F) {
+	f.Add([]byte(`{"loads":"","quarantine":[{"kind":"crash","service":"s","part":"dead","subject":"1","weight":1,"ageMs":5,"whole":true}]}`))
+	f.Add([]byte(`{"quarantine":[{"kind":"verdict","service":"s","part":"dead","sequence":9223372036854775807,"tries":-5,"condemned":true,"remainingMs":-1}]}`))
+	f.Add([]byte(`{"quarantine":[{"kind":"finished","service":"","part":"","subject":"zz","count":-1,"begunAgesMs":[-9223372036854775808]}],"evidence":[{}]}`))
+	f.Add([]byte(`{"loads":"//////8=","failures":"AAAA","demand":"!","evidenceSince":-1,"quarantineSince":-9}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var p api.LoadsParams
+		if json.Unmarshal(raw, &p) != nil {
+			return
+		}
+		own, err := decodeReport(p.Loads, p.Failures, p.Demand, p.Evidence)
+		if err != nil {
+			return
+		}
+		if own.Quarantine, err = decodeQuarantine(time.Hour, p.Quarantine); err != nil {
+			return
+		}
+		tracker := quarantine.NewTracker("g", time.UnixMilli(0))
+		for range 3 {
+			tracker.Merge(time.Hour, own.Quarantine)
+			for _, r := range own.Quarantine {
+				tracker.RecordEnd(time.Hour, quarantine.WorkerEnd{Service: r.Part.Service, Worker: r.Part.Service, IDs: []uint64{r.Part.ID}, Weight: 1})
+			}
+			tracker.Tick(time.Hour)
+		}
+		tracker.Changes(int64(p.QuarantineSince), 10)
+	})
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -233,7 +233,9 @@
 type dispatcher struct {
 	handler    Handler
 	localHello func() api.Hello
-	link       *Link
+	// onPanic is called by the function that recovered a panic in a handler.
+	onPanic func(method string, value any)
+	link    *Link
 	// helloDone is closed when the remote hello was stored in link.
 	helloDone chan struct{}
 	helloOnce sync.Once
@@ -248,6 +250,13 @@
 	<-d.connReady
 	call := &Call{Method: req.Method, conn: conn, id: req.ID, isNotification: req.Notif}
 	call.Params = d.stream.params
+	defer func() {
+		// One message must not end the process, which would meet it again from each peer that has it.
+		if p := recover(); p != nil {
+			d.onPanic(req.Method, p)
+			call.Fail(errkind.New(errkind.Internal, "message cannot be handled: unexpected error"))
+		}
+	}()
 	if req.Method == MethodHello {
 		d.handleHello(call)
 		return
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -17,6 +17,7 @@
 type Node struct {
 	handler    Handler
 	localHello func() api.Hello
+	onPanic    func(method string, value any)
 	serverTLS  *tls.Config
 	clientTLS  *tls.Config
 	counters   Counters
@@ -55,6 +56,10 @@
 	Handler Handler
 	// Local returns the hello message that this process sends.
 	Local func() api.Hello
+	// OnPanic is called with the method of a message whose handler has panicked and the value of the
+	// panic, while the stack is still that of the handler. The call fails; other messages are served.
+	// Nil ignores it.
+	OnPanic func(method string, value any)
 	// ServerTLS and ClientTLS configure mutual TLS for accepted and dialed links;
 	// nil means plain TCP.
 	ServerTLS, ClientTLS *tls.Config
@@ -64,8 +69,11 @@
 // links.
 func NewNode(o Options) *Node {
 	ctx, cancel := context.WithCancel(context.Background())
+	if o.OnPanic == nil {
+		o.OnPanic = func(string, any) {}
+	}
 	return &Node{
-		handler: o.Handler, localHello: o.Local, serverTLS: o.ServerTLS, clientTLS: o.ClientTLS,
+		handler: o.Handler, localHello: o.Local, onPanic: o.OnPanic, serverTLS: o.ServerTLS, clientTLS: o.ClientTLS,
 		ctx: ctx, cancel: cancel,
 		outgoing: map[string]*outgoingLink{}, accepted: map[*Link]bool{},
 	}
@@ -110,7 +118,7 @@
 
 func (n *Node) serveConn(conn net.Conn) {
 	link := &Link{}
-	d := &dispatcher{handler: n.handler, localHello: n.localHello, link: link, helloDone: make(chan struct{})}
+	d := &dispatcher{handler: n.handler, localHello: n.localHello, onPanic: n.onPanic, link: link, helloDone: make(chan struct{})}
 	d.startConn(n.ctx, conn, &n.counters)
 	n.mu.Lock()
 	n.accepted[link] = true
@@ -197,7 +205,7 @@
 	}
 	link := &Link{}
 	helloDone := make(chan struct{})
-	d := &dispatcher{handler: n.handler, localHello: n.localHello, link: link, helloDone: helloDone}
+	d := &dispatcher{handler: n.handler, localHello: n.localHello, onPanic: n.onPanic, link: link, helloDone: helloDone}
 	d.startConn(n.ctx, conn, &n.counters)
 	var hello api.Hello
 	if err := link.Call(ctx, MethodHello, n.localHello(), &hello); err != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -225,3 +227,33 @@
 		}
 	})
 }
+
+// panicker panics on MethodRun.
+type panicker struct{ recorder }
+
+// Serve implements Handler.
+func (p *panicker) Serve(link *Link, call *Call) {
+	if call.Method == MethodRun {
+		panic("malformed message")
+	}
+	p.recorder.Serve(link, call)
+}
+
+// Guards against one message that ends the process, and against an unexpected error that is not reported.
+func TestPanicOfOneMessageEndsThatOneAlone(t *testing.T) {
+	var reported atomic.Value
+	server := NewNode(Options{Handler: &panicker{}, Local: func() api.Hello { return api.Hello{} }, OnPanic: func(method string, value any) {
+		reported.Store(fmt.Sprint(method, ": ", value))
+	}})
+	address, err := server.Listen("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(server.Close)
+	client, _, _ := startTestNode(t, "client")
+	link, err := client.Link(t.Context(), address)
+	assert.NilError(t, err)
+	var out api.ProbeResult
+	err = link.Call(t.Context(), MethodRun, struct{}{}, &out)
+	assert.Equal(t, errkind.FromError(err).Kind, errkind.Internal)
+	assert.Equal(t, reported.Load(), MethodRun+": malformed message")
+	assert.NilError(t, link.Call(t.Context(), MethodProbe, struct{}{}, &out))
+}
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -19,6 +19,10 @@
 	maxOriginsPerPart = 64
 )
 
+// maxSequence bounds the sequences of verdicts, which other processes and the store state. Each later
+// decision on a part needs a higher one.
+const maxSequence = 1 << 53
+
 // VerdictTTL is how long a verdict is kept after its end, as the memory of earlier ones.
 const VerdictTTL = time.Hour
 
@@ -134,6 +138,10 @@
 }
 
 func (l *Ledger) mergeVerdict(v Verdict) bool {
+	if v.Sequence < 0 || v.Sequence > maxSequence {
+		return false
+	}
+	v.Tries, v.Crashes = max(v.Tries, 0), max(v.Crashes, 0)
 	known := l.verdicts[v.Part]
 	if known != nil && known.value.Sequence >= v.Sequence {
 		return false
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -415,6 +415,23 @@
 	})
 }
 
+// Guards against a verdict of a peer or the store whose numbers end the process or can never be overruled.
+func TestVerdictWithImpossibleNumbersDoesNoHarm(t *testing.T) {
+	tracker := newTestTracker("a")
+	part := Part{testService, fatal}
+	tracker.Merge(moment(0), []Record{
+		{Part: part, Verdict: &Verdict{Part: part, Sequence: 1, Tries: -100, Crashes: -1}},
+		{Part: part, Verdict: &Verdict{Part: part, Sequence: 1<<63 - 1, Condemned: true, Until: 1 << 62}},
+	})
+	assert.Equal(t, tracker.Decide(moment(0), testService, []uint64{fatal}).Action, Send)
+	for i := range 3 {
+		tracker.RecordEnd(moment(i+1), endOf(i, 1, fatal))
+	}
+	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{fatal}).Action, Refuse)
+	_, ok := tracker.Lift(moment(6), part)
+	assert.Assert(t, ok)
+}
+
 // Guards against records that take unbounded memory.
 func TestLedgerIsBounded(t *testing.T) {
 	l := NewLedger(0)
