Use no answer of a store that is about another call or object

A second copy of an answer that came first on a connection in use again was read as the answer to the next call: a watch read as a list removed all workers, and a claim was thought to be read or written that was another one. A copy of an older list of the same kind is not told apart.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -102,11 +102,23 @@
 	return Object{Key: o.Key, Version: o.Version, Generation: o.Generation, Value: o.Value}
 }
 
+// checkKey returns an error if the response to a call is about another object than key: a second copy of
+// an earlier response, which on a connection in use again comes first.
+func (o objectJSON) checkKey(k call, key string) error {
+	if o.Key == key {
+		return nil
+	}
+	return k.responseLost(eris.Errorf("response is about object %q, not %q", o.Key, key))
+}
+
 // Get implements Store by GET /v1/objects/{key}.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
 	var out objectJSON
-	err := c.do(ctx, call{method: http.MethodGet, path: objectPath(key), result: &out})
-	if err != nil {
+	k := call{method: http.MethodGet, path: objectPath(key), result: &out}
+	if err := c.do(ctx, k); err != nil {
+		return Object{}, err
+	}
+	if err := out.checkKey(k, key); err != nil {
 		return Object{}, err
 	}
 	return c.recordGeneration(out.object()), nil
@@ -119,14 +131,17 @@
 		return Object{}, eris.Wrapf(ErrRefused, "value of %q has %d bytes, at most %d are allowed", key, len(value), MaxValueBytes)
 	}
 	var out objectJSON
-	err := c.do(ctx, call{
+	k := call{
 		method: http.MethodPut,
 		path:   objectPath(key),
 		query:  url.Values{"ifVersion": {strconv.FormatInt(ifVersion, 10)}},
 		body:   value,
 		result: &out,
-	})
-	if err != nil {
+	}
+	if err := c.do(ctx, k); err != nil {
+		return Object{}, err
+	}
+	if err := out.checkKey(k, key); err != nil {
 		return Object{}, err
 	}
 	return out.object(), nil
@@ -164,9 +179,11 @@
 		query.Set("generation", strconv.FormatInt(generation, 10))
 	}
 	var out objectJSON
-	path := "/v1/watch/" + escapeKey(key)
-	err := c.do(ctx, call{method: http.MethodGet, path: path, query: query, serverWait: wait, result: &out})
-	if err != nil {
+	k := call{method: http.MethodGet, path: "/v1/watch/" + escapeKey(key), query: query, serverWait: wait, result: &out}
+	if err := c.do(ctx, k); err != nil {
+		return Object{}, err
+	}
+	if err := out.checkKey(k, key); err != nil {
 		return Object{}, err
 	}
 	return c.recordGeneration(out.object()), nil
