Let the soak draw requests that turn fatal, and plain ones that are repeated

Fatal parts of a fifth of the seeds are answered for 7 s before they turn fatal, and a seventh repeat a plain request that ends its worker, which has three free ends as on the users' page. The table of the quarantine has messages of 256 records, as in the product; the tests of the model keep their 64.

--- a/internal/quarantine/policy_test.go
+++ b/internal/quarantine/policy_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -25,6 +26,8 @@
 	crashesPerMinute, massCrash float64
 	length                      time.Duration
 	seed                        uint64
+	// maxRecords bounds the records of one message, modelMaxRecords if 0.
+	maxRecords int
 
 	rng      *rand.Rand
 	trackers []*Tracker
@@ -228,12 +231,14 @@
 	sent, read int64
 }
 
-// modelMaxRecords bounds the records of one message.
+// modelMaxRecords bounds the records of one message. It is a quarter of the bound of package news, so that
+// evidence is later than in a fleet.
 const modelMaxRecords = 64
 
 // exchange exchanges the records of each gateway whose time has come with one of three relays, and those
 // of the relays among each other.
 func (m *model) exchange(now time.Duration, condemned map[Part]bool) {
+	limit := cmp.Or(m.maxRecords, modelMaxRecords)
 	for i, t := range m.trackers {
 		c := &m.cursors[i]
 		if now < c.next {
@@ -242,11 +247,11 @@
 		c.next = now + modelExchange
 		relay := m.relays[i%len(m.relays)]
 		var records []Record
-		records, c.sent = t.Changes(c.sent, modelMaxRecords)
+		records, c.sent = t.Changes(c.sent, limit)
 		for _, r := range records {
 			relay.Merge(r)
 		}
-		records, c.read = relay.ChangedSince(c.read, modelMaxRecords)
+		records, c.read = relay.ChangedSince(c.read, limit)
 		t.Merge(now, records)
 		t.Tick(now)
 		for _, v := range t.Verdicts() {
@@ -327,7 +332,7 @@
 					var sum modelResult
 					most, seeds := 0, 5
 					for seed := range uint64(seeds) {
-						m := model{gateways: s.gateways, workers: s.workers, perSecond: s.perSecond, fatalShare: share, fatalParts: parts, crashesPerMinute: crashes, length: 20 * time.Second, seed: seed + 100}
+						m := model{gateways: s.gateways, workers: s.workers, perSecond: s.perSecond, fatalShare: share, fatalParts: parts, crashesPerMinute: crashes, length: 20 * time.Second, seed: seed + 100, maxRecords: 256}
 						out := m.run()
 						sum.ends, sum.late, sum.condemnedSound = sum.ends+out.ends, sum.late+out.late, sum.condemnedSound+out.condemnedSound
 						sum.sound, sum.refused = sum.sound+out.sound, sum.refused+out.refused
--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -55,6 +55,9 @@
 		if rng.IntN(4) == 0 {
 			c.key = keyForVersion(int(sc.configVersion.Load()))
 		}
+		if sc.fatal.path != "" && prompts.Float64() < pathShare {
+			c.path, c.prompt, c.key = sc.fatal.path, "", "key-permanent"
+		}
 		sc.send(client, &c)
 		sc.calls.add(c)
 		time.Sleep(time.Duration(rng.IntN(30)) * time.Millisecond)
@@ -69,7 +72,7 @@
 	g := sc.gateways[c.gateway]
 	c.incarnation = g.currentIncarnation()
 	method, body := http.MethodPost, io.Reader(strings.NewReader(c.body))
-	if c.path == safePath {
+	if strings.HasPrefix(c.path, safePath) {
 		method, body, c.body = http.MethodGet, http.NoBody, ""
 	}
 	req, err := http.NewRequest(method, "http://"+g.callerAddress+c.path, body)
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -183,7 +183,7 @@
 	failures := map[string]int{}
 	for i := range sc.calls.list {
 		c := &sc.calls.list[i]
-		if c.sentAt.After(sc.healedAt.Add(recoveryBound)) && c.key == "key-permanent" && sc.fatal.fatalPart(c.prompt) == "" {
+		if c.sentAt.After(sc.healedAt.Add(recoveryBound)) && c.key == "key-permanent" && sc.fatal.of(c.path, c.prompt) == "" {
 			total++
 			if c.status == http.StatusOK && c.complete {
 				good++
--- a/test/soak/fatal.go
+++ b/test/soak/fatal.go
@@ -12,12 +12,17 @@
 	"github.com/borageflow/borageflow/platform"
 )
 
-// fatalParts are the parts of prompts that end the workers of a scenario. A worker ends shortly after
-// it has begun to answer a request with one of them, and a new one is started for it.
+// fatalParts are the parts of prompts, and the path of plain requests, that end the workers of a scenario.
+// A worker ends shortly after it has begun to answer a request with one of them, and a new one is started
+// for it.
 type fatalParts struct {
 	parts []string
 	// share is the share of the streams that have one of the parts.
 	share float64
+	// path is the path of a plain request that is repeated, "" for none.
+	path string
+	// soundUntil is when the parts and the path turn fatal.
+	soundUntil time.Time
 
 	mu sync.Mutex
 	// ends holds the ends of workers by part, arrivals the IDs of the requests that reached workers.
@@ -41,11 +46,23 @@
 	// quietTime after the part has ended maxFreeEnds workers.
 	maxLateArrivals = 3
 	maxFreeEnds     = 5
+	// maxFreePathEnds is that number for a plain request that is repeated.
+	maxFreePathEnds = 3
+	// pathShare is the share of the requests that repeat the fatal plain request.
+	pathShare = 0.05
+	// soundTime is the time in which fatal parts are answered, in the seeds in which they turn fatal.
+	soundTime = 7 * time.Second
 )
 
 // drawFatalParts returns the fatal parts of a seed: none for every third one.
 func drawFatalParts(seed uint64) *fatalParts {
 	f := &fatalParts{ends: map[string][]time.Time{}}
+	if seed%5 == 4 {
+		f.soundUntil = time.Now().Add(soundTime)
+	}
+	if seed%7 == 4 {
+		f.path = safePath + "fatal"
+	}
 	rng := rand.New(rand.NewPCG(seed, 0xfa7a1)) //nolint:gosec // seeded on purpose
 	if seed%3 == 0 {
 		return f
@@ -77,10 +94,18 @@
 	return ""
 }
 
+// of returns the fatal part of a request with a path and a prompt, its path if that is fatal, or "".
+func (f *fatalParts) of(path, prompt string) string {
+	if f.path != "" && path == f.path {
+		return path
+	}
+	return f.fatalPart(prompt)
+}
+
 // begin records that a worker has begun to answer a request. It returns true if the worker ends.
 func (f *fatalParts) begin(worker string, r *http.Request) bool {
-	part := f.fatalPart(r.Header.Get(platform.Headers.Prompt))
-	if part == "" {
+	part := f.of(r.URL.Path, r.Header.Get(platform.Headers.Prompt))
+	if part == "" || time.Now().Before(f.soundUntil) {
 		return false
 	}
 	f.mu.Lock()
@@ -139,19 +164,23 @@
 		calls[sc.calls.list[i].id] = &sc.calls.list[i]
 	}
 	for part, ends := range sc.fatal.ends {
-		if len(ends) < maxFreeEnds {
+		freeEnds := maxFreeEnds
+		if part == sc.fatal.path {
+			freeEnds = maxFreePathEnds
+		}
+		if len(ends) < freeEnds {
 			continue
 		}
 		slices.SortFunc(ends, time.Time.Compare)
-		bound := ends[maxFreeEnds-1].Add(quietTime)
+		bound := ends[freeEnds-1].Add(quietTime)
 		late := 0
 		for _, a := range sc.fatal.arrivals {
-			if c := calls[a.request]; c != nil && a.part == part && a.at.After(bound) && sc.faultFree(c.gateway, ends[maxFreeEnds-1], a.at) {
+			if c := calls[a.request]; c != nil && a.part == part && a.at.After(bound) && sc.faultFree(c.gateway, ends[freeEnds-1], a.at) {
 				late++
 			}
 		}
 		if late > maxLateArrivals {
-			add("%d requests with part %s reached workers later than %v after it had ended %d, %d ended in all", late, part, quietTime, maxFreeEnds, len(ends))
+			add("%d requests with part %s reached workers later than %v after it had ended %d, %d ended in all", late, part, quietTime, freeEnds, len(ends))
 		}
 	}
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -20,10 +20,14 @@
 // fatalSeed is a seed whose fatal parts reach workers too often if gateways do not refuse them.
 const fatalSeed = 542064155
 
+// turnedFatalSeed is a seed whose fatal parts and repeated plain request are answered for some seconds
+// before they turn fatal.
+const turnedFatalSeed = 74
+
 // Guards against gateway processes that break a documented guarantee while the processes, their
 // connections or their store have faults.
 func TestShortSoak(t *testing.T) {
-	soakSeeds(t, 10*time.Second, append(regressionSeeds, relaySeed, fatalSeed)...)
+	soakSeeds(t, 10*time.Second, append(regressionSeeds, relaySeed, fatalSeed, turnedFatalSeed)...)
 }
 
 // Guards against fatal parts that reach workers, and sound ones that are refused, where gateways exchange
--- a/test/soak/worker.go
+++ b/test/soak/worker.go
@@ -118,6 +118,11 @@
 		w.serveStream(out, r, fault)
 		return
 	}
+	if w.fatal.begin(w.id, r) {
+		w.onEnd()
+		w.close()
+		return
+	}
 	time.Sleep(processingTime)
 	answer := "answer to " + id + " " + string(body)
 	if fault == "cut" {
