--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -206,42 +206,28 @@
 	defer meter.end()
 	var lead []byte // comments before the first event
 	for {
-		// Comments alone do not show that the worker goes on.
-		if !events.isEmpty {
-			if err := a.exchange.conn.SetReadDeadline(r.nextPieceDeadline()); err != nil {
-				return eris.Wrap(err, "connection is closed")
-			}
-		}
-		event, id, err := events.next()
-		a.record.countEvent(len(event), err)
-		if errors.Is(err, io.EOF) {
-			if len(lead) > 0 {
-				return r.writeEvent(a, lead, -1, false)
-			}
-			return nil
+		event, id, err := r.awaitEvent(a, events)
+		if errors.Is(err, io.EOF) && len(lead) > 0 {
+			return r.writeEvent(a, lead, -1, false)
 		}
 		if err != nil {
-			if isTimeout(err) && r.remaining() > 0 {
-				return framing.ErrStalled
-			}
-			return eris.Wrap(err, "stream broke off")
+			return r.endOfEvents(err)
 		}
 		if !events.isEmpty {
 			meter.event()
 		}
-		if !a.survived && time.Since(a.begunAt) > survivalTime {
+		if time.Since(a.begunAt) > survivalTime {
 			r.recordSurvival(a)
 		}
+		if !r.headerSent && events.isEmpty && len(lead)+len(event) <= maxLeadBytes {
+			lead = append(lead, event...)
+			continue
+		}
 		if id >= 0 && r.headerSent && id <= r.lastEventID {
 			continue // the caller already received this event
 		}
-		if !r.headerSent {
-			if events.isEmpty && len(lead)+len(event) <= maxLeadBytes {
-				lead = append(lead, event...)
-				continue
-			}
-			event = append(lead, event...)
-			lead = nil
+		if len(lead) > 0 {
+			event, lead = append(lead, event...), nil
 		}
 		started := time.Now()
 		if err := r.writeEvent(a, event, id, !events.hasBuffered()); err != nil {
@@ -251,6 +237,30 @@
 	}
 }
 
+// awaitEvent reads the next event. Comments do not renew the time in which it is due: they do not show that
+// the worker goes on.
+func (r *request) awaitEvent(a *attempt, events *eventReader) (event []byte, id int64, err error) {
+	if !events.isEmpty {
+		if err := a.exchange.conn.SetReadDeadline(r.nextPieceDeadline()); err != nil {
+			return nil, -1, eris.Wrap(err, "connection is closed")
+		}
+	}
+	event, id, err = events.next()
+	a.record.countEvent(len(event), err)
+	return event, id, err
+}
+
+// endOfEvents returns why a stream ended, nil at its end in order.
+func (r *request) endOfEvents(err error) error {
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case isTimeout(err) && r.remaining() > 0:
+		return framing.ErrStalled
+	}
+	return eris.Wrap(err, "stream broke off")
+}
+
 // maxLeadBytes bounds the comments that wait for the first event. As long as the caller has nothing, a
 // stream that has no event can begin at another worker.
 const maxLeadBytes = 4 << 10
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -74,29 +74,17 @@
 // requests had, the last one is taken: requests share the first parts of a prompt more often than
 // those behind them.
 func (t *Tracker) mostAccused(now Elapsed, name string) (candidate, bool) {
-	var found, suspects []candidate
-	for part, p := range t.ledger.parts {
-		if part.Service != name || t.isCondemned(now, part) {
-			continue
-		}
-		if t.hasFailedProbation(part) {
-			return t.evidence(now, now, part, nil), true
-		}
-		if len(p.crashes) < minSuspectEnds {
-			continue
-		}
-		if c := t.evidence(now, now, part, t.explained(part)); c.ends >= minSuspectEnds && c.ratio >= suspectThreshold {
-			suspects = append(suspects, c)
-		}
+	if part, ok := t.failedProbation(now, name); ok {
+		return t.evidence(now, now, part, nil), true
 	}
+	suspects := t.accused(now, name, suspectThreshold)
+	var found []candidate
 	for _, c := range suspects {
 		if c = t.settled(now, c, t.explained(c.part)); (c.isEnough() || t.isInSmallService(c)) && !t.needsTrial(c, suspects) {
 			found = append(found, c)
 		}
 	}
-	slices.SortFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.ratio, a.ratio), cmp.Compare(a.part.ID, b.part.ID))
-	})
+	sortByRatio(found)
 	var best candidate
 	for _, c := range found {
 		isBetter := best.ends == 0 || c.position > best.position && found[0].ratio-c.ratio <= ratioMargin
@@ -107,6 +95,38 @@
 	return best, best.ends > 0
 }
 
+// accused returns the parts of a service that are not condemned and whose evidence, the latest included,
+// reaches a threshold.
+func (t *Tracker) accused(now Elapsed, name string, threshold float64) []candidate {
+	var out []candidate
+	for part, p := range t.ledger.parts {
+		if part.Service != name || len(p.crashes) < minSuspectEnds || t.isCondemned(now, part) {
+			continue
+		}
+		if c := t.evidence(now, now, part, t.explained(part)); c.ends >= minSuspectEnds && c.ratio >= threshold {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// failedProbation returns a part of a service under which a worker has ended on probation.
+func (t *Tracker) failedProbation(now Elapsed, name string) (Part, bool) {
+	for part := range t.probation {
+		if part.Service == name && !t.isCondemned(now, part) && t.hasFailedProbation(part) {
+			return part, true
+		}
+	}
+	return Part{}, false
+}
+
+// sortByRatio sorts candidates, those with the greatest ratio first.
+func sortByRatio(list []candidate) {
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.ratio, a.ratio), cmp.Compare(a.part.ID, b.part.ID))
+	})
+}
+
 // isEnough reports whether the evidence condemns a part.
 func (c *candidate) isEnough() bool { return c.ends >= minEndedWorkers && c.ratio >= condemnThreshold }
 
@@ -179,41 +199,17 @@
 // this gateway by its requests, so that a version whose workers end on their own accuses nothing. Ends
 // up to upTo count.
 func (t *Tracker) evidence(now, upTo Elapsed, part Part, explained map[uint64]bool) candidate {
-	p := t.ledger.parts[part]
-	if p == nil {
+	if t.ledger.parts[part] == nil {
 		return candidate{part: part}
 	}
-	out := candidate{part: part}
-	acquittedAt := Elapsed(math.MinInt64)
-	if v := t.ledger.verdicts[part]; v != nil && !v.value.Condemned {
-		acquittedAt = v.value.Until
-	}
 	finished, since := t.finishedOf(now, part)
-	var ends []Crash
-	for worker, c := range p.crashes {
-		if explained[worker] || now-c.value.At > evidenceWindow || c.value.At <= max(acquittedAt, since) || c.value.At > upTo {
-			continue
-		}
-		ends = append(ends, c.value)
-		out.position = max(out.position, c.value.Position)
-		out.isWhole = out.isWhole || c.value.IsWhole
-	}
-	ends = atDifferentMoments(ends)
-	ratioPerEnd := math.Log(fatalShare / t.otherChance(now, part, explained))
-	penalty := max(finishedPenalty, ratioPerEnd)
-	firstAt, next := Elapsed(0), 0
+	ends := t.countedEnds(now, part, max(since, t.acquittedAt(part)), upTo, explained)
+	out := candidate{part: part}
 	for _, c := range ends {
-		for ; next < len(finished) && finished[next].begun < c.At; next++ {
-			out.ratio -= penalty
-		}
-		if out.ratio <= 0 {
-			out.ratio, out.ends, out.onTrial, firstAt = 0, 0, false, c.At
-		}
-		out.ratio += c.Weight * ratioPerEnd
-		out.ends++
-		out.onTrial = out.onTrial || c.OnTrial
+		out.position = max(out.position, c.Position)
+		out.isWhole = out.isWhole || c.IsWhole
 	}
-	out.ratio = max(out.ratio-penalty*float64(len(finished)-next), 0)
+	firstAt := out.cumulate(atDifferentMoments(ends), finished, math.Log(fatalShare/t.otherChance(now, part, explained)))
 	before := map[uint64]int{}
 	for _, f := range finished {
 		if f.begun < firstAt {
@@ -225,6 +221,45 @@
 	return out
 }
 
+// cumulate sets the ratio from ends and finished requests in order of time. It returns the time of the
+// first end that counts.
+func (c *candidate) cumulate(ends []Crash, finished []finishedRequest, ratioPerEnd float64) (firstAt Elapsed) {
+	penalty := max(finishedPenalty, ratioPerEnd)
+	next := 0
+	for _, end := range ends {
+		for ; next < len(finished) && finished[next].begun < end.At; next++ {
+			c.ratio -= penalty
+		}
+		if c.ratio <= 0 {
+			c.ratio, c.ends, c.onTrial, firstAt = 0, 0, false, end.At
+		}
+		c.ratio += end.Weight * ratioPerEnd
+		c.ends++
+		c.onTrial = c.onTrial || end.OnTrial
+	}
+	c.ratio = max(c.ratio-penalty*float64(len(finished)-next), 0)
+	return firstAt
+}
+
+// acquittedAt returns when the condemnation of a part ended, if it has.
+func (t *Tracker) acquittedAt(part Part) Elapsed {
+	if v := t.ledger.verdicts[part]; v != nil && !v.value.Condemned {
+		return v.value.Until
+	}
+	return math.MinInt64
+}
+
+// countedEnds returns the ends of workers under a part after one time and up to another.
+func (t *Tracker) countedEnds(now Elapsed, part Part, after, upTo Elapsed, explained map[uint64]bool) []Crash {
+	var out []Crash
+	for worker, c := range t.ledger.parts[part].crashes {
+		if !explained[worker] && now-c.value.At <= evidenceWindow && c.value.At > after && c.value.At <= upTo {
+			out = append(out, c.value)
+		}
+	}
+	return out
+}
+
 const (
 	// rivalThreshold is the ratio from which the ends under a part may be its doing: odds of 20 to 1.
 	rivalThreshold = 3
@@ -237,18 +272,8 @@
 func (t *Tracker) findRivals(now Elapsed, name string) {
 	s := t.serviceOf(name)
 	s.rivals = nil
-	var found []candidate
-	for part, p := range t.ledger.parts {
-		if part.Service != name || len(p.crashes) < minSuspectEnds || t.isCondemned(now, part) {
-			continue
-		}
-		if c := t.evidence(now, now, part, t.explained(part)); c.ends >= minSuspectEnds && c.ratio >= rivalThreshold {
-			found = append(found, c)
-		}
-	}
-	slices.SortFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.ratio, a.ratio), cmp.Compare(a.part.ID, b.part.ID))
-	})
+	found := t.accused(now, name, rivalThreshold)
+	sortByRatio(found)
 	for _, c := range found[:min(len(found), maxRivals)] {
 		s.rivals = append(s.rivals, c.part)
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -476,12 +476,17 @@
 	before := liveHeap()
 	tracker := NewTracker("a", time.UnixMilli(0))
 	for i := range uint64(2 * maxKnownParts) {
-		tracker.RecordFinished(0, 0, testService, []uint64{i})
+		for range commonFinishes {
+			tracker.RecordFinished(0, 0, testService, []uint64{i})
+		}
 	}
 	for i := range uint64(maxParts) {
 		for worker := range uint64(maxCrashesPerPart) {
 			tracker.ledger.Merge(Record{Part: Part{testService, i}, Crash: &Crash{Worker: worker, Weight: 1}})
 		}
+		for origin := range uint64(maxOriginsPerPart) {
+			tracker.ledger.Merge(Record{Part: Part{testService, i}, Finished: &Finished{Origin: origin, Count: commonFinishes, Begun: make([]Elapsed, commonFinishes)}})
+		}
 		tracker.ledger.Merge(Record{Part: Part{testService, i}, Verdict: &Verdict{Part: Part{testService, i}, Sequence: 1, Condemned: true, Until: time.Hour}})
 	}
 	used := liveHeap() - before
