Look twice whether a worker has ended after it broke off an answer

A server that fails requests cuts the answer some 30 ms before it refuses connections; the gateway looked once, at the break, found it alive and accused nobody. A broken attempt whose worker still accepts connections waits for a second look after 120 ms; all attempts of a worker share it.

Besides, answers with 5xx spoke for a request: a server that failed has not shown that it can run it.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -27,8 +27,12 @@
 	restartDelay time.Duration
 	slots        int
 	answerTime   time.Duration
+	// endDelay is the time from the break of the answer to a fatal plain request to the end of the worker.
+	endDelay time.Duration
 	// isFatal reports whether requests that are fatal end workers now; nil if they always do.
 	isFatal func() bool
+	// fails reports whether the next plain request is answered with 500; nil if none is.
+	fails func() bool
 
 	mu      sync.Mutex
 	started int
@@ -80,7 +84,7 @@
 	w, err := forwarding.StartWorker(forwarding.WorkerConfig{
 		ID: id, Address: ownHost() + ":0", Slots: f.slots, EventInterval: f.answerTime,
 		HeaderNames: forwarding.HeaderNames{RequestID: names.RequestID, ExpectWorker: names.ExpectWorker, NotRun: names.NotRun, Load: names.Load, WorkerID: names.WorkerID, Model: names.Model, Prompt: names.Prompt},
-		FatalPart:   fatalPart, FatalPath: "/safe/fatal", FatalDelay: 60 * time.Millisecond, IsFatal: f.isFatal, OnEnd: func() { f.workerEnded(id) },
+		FatalPart:   fatalPart, FatalPath: "/safe/fatal", FatalDelay: 60 * time.Millisecond, IsFatal: f.isFatal, EndDelay: f.endDelay, Fails: f.fails, OnEnd: func() { f.workerEnded(id) },
 	})
 	if err != nil {
 		f.t.Errorf("worker cannot be started: %v", err)
@@ -254,6 +258,28 @@
 	assert.Equal(t, get("/safe/sound").status, http.StatusOK)
 }
 
+// Guards against a plain request that ends one server after the other and is accused of nothing because each
+// server breaks off its answer some milliseconds before it ends.
+func TestServerThatEndsAfterTheBreakIsNoticed(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, 100*time.Millisecond)
+	f.endDelay = 40 * time.Millisecond
+	for range 8 {
+		f.start()
+	}
+	gw := startGatewayWith(t, testSettings(t), f.store)
+	for i := range 60 {
+		gw.call("GET", fmt.Sprintf("/safe/sound-%d", i), "")
+	}
+	gw.waitFor("request is refused", func() bool {
+		resp := gw.call("GET", "/safe/fatal", "")
+		time.Sleep(100 * time.Millisecond)
+		return resp.status == http.StatusServiceUnavailable && resp.header.Get("Retry-After") == ""
+	})
+	assert.Assert(t, f.endCount() <= 8, "%d servers ended", f.endCount())
+	assert.Equal(t, gw.call("GET", "/safe/sound", "").status, http.StatusOK)
+}
+
 // Guards against requests of one kind that end one worker after the other.
 func TestRequestsThatEndWorkersStopBeingSent(t *testing.T) {
 	t.Parallel()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -22,6 +22,11 @@
 	// endProbeTimeout bounds the connection attempt that shows whether a worker has ended. One whose
 	// machine does not answer at all is not taken for ended.
 	endProbeTimeout = 100 * time.Millisecond
+	// endRecheckDelay is the time after the break of an answer in which its worker may end. Workers that
+	// crash cut connections up to 40 ms before they refuse new ones.
+	endRecheckDelay = 120 * time.Millisecond
+	// maxRechecksPerWorker bounds the broken attempts of a worker that wait for that look.
+	maxRechecksPerWorker = 64
 	// maxKnownEnds bounds the ended workers that are remembered.
 	maxKnownEnds = 1024
 	// aloneSlot is the time that one request with a suspected part takes until all gateways know
@@ -46,6 +51,8 @@
 	pending map[*attempt]*request
 	// pendingWorkers counts them by worker.
 	pendingWorkers map[string]*pendingWorker
+	// rechecks holds the broken attempts whose workers are looked at again, by worker.
+	rechecks map[string][]endedAttempt
 	// ends holds the workers that are known to have ended.
 	ends *lru.LRU[string, struct{}]
 	// gateways is the number of gateways that exchange what they know.
@@ -75,7 +82,7 @@
 	}
 	q := &quarantineGuard{
 		log: log, metrics: m, tracker: quarantine.NewTracker(origin, time.Now().Add(-sinceBoot())),
-		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, pendingWorkers: map[string]*pendingWorker{}, ends: ends, gateways: 1, cursors: map[string]*news.QuarantineCursor{}, writer: newCondemnationWriter(isRelay),
+		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, pendingWorkers: map[string]*pendingWorker{}, rechecks: map[string][]endedAttempt{}, ends: ends, gateways: 1, cursors: map[string]*news.QuarantineCursor{}, writer: newCondemnationWriter(isRelay),
 	}
 	m.set.NewGauge("borageflow_gateway_condemned_parts", func() float64 { return float64(len(q.condemnations())) })
 	return q
@@ -222,11 +229,15 @@
 }
 
 // recordEnd records that a worker ended under a request, and logs it.
-func (q *quarantineGuard) recordEnd(r *request, a *attempt, weight float64) {
+func (q *quarantineGuard) recordEnd(e endedAttempt) {
+	r := e.request
+	if e.weight >= sharedWeight {
+		r.endedWorkers.Add(1)
+	}
 	q.mu.Lock()
-	verdicts := q.tracker.RecordEnd(sinceBoot(), quarantine.WorkerEnd{
-		Service: r.service, Version: a.worker.Version, Worker: workerKey(a.worker), IDs: r.parts, Weight: weight,
-		IsWhole: !r.hasPrompt(), OnTrial: r.turn != nil,
+	verdicts := q.tracker.RecordEnd(sinceBoot()-time.Since(e.brokeAt), quarantine.WorkerEnd{
+		Service: r.service, Version: e.worker.Version, Worker: workerKey(e.worker), IDs: r.parts, Weight: e.weight,
+		IsWhole: !r.hasPrompt(), OnTrial: e.onTrial,
 	})
 	evidence := make([]quarantine.Summary, 0, maxLoggedParts)
 	for _, id := range r.parts[:min(len(r.parts), maxLoggedParts)] {
@@ -234,16 +245,54 @@
 	}
 	q.mu.Unlock()
 	sinceBegin := int64(-1)
-	if !a.begunAt.IsZero() {
-		sinceBegin = time.Since(a.begunAt).Milliseconds()
+	if !e.begunAt.IsZero() {
+		sinceBegin = e.brokeAt.Sub(e.begunAt).Milliseconds()
 	}
-	q.log.Info("worker has ended under a request", zap.String("worker", a.worker.ID), zap.String("service", r.service), zap.String("version", a.worker.Version),
+	q.log.Info("worker has ended under a request", zap.String("worker", e.worker.ID), zap.String("service", r.service), zap.String("version", e.worker.Version),
 		zap.String("request", r.inbound.meta.RequestID), zap.String("customer", r.customer.Name), zap.Any("evidence", evidence),
-		zap.Float64("weight", weight), zap.Bool("was_alone", a.wasAlone), zap.Bool("on_trial", r.turn != nil), zap.Int64("since_begin_ms", sinceBegin))
+		zap.Float64("weight", e.weight), zap.Bool("was_alone", e.wasAlone), zap.Bool("on_trial", e.onTrial), zap.Int64("since_begin_ms", sinceBegin),
+		zap.Int64("since_break_ms", time.Since(e.brokeAt).Milliseconds()))
 	q.metrics.countWorkerEnd(r.service)
 	q.apply(verdicts, "workers ended under requests with it")
 }
 
+// recheckEnd looks later whether the worker of a broken attempt has ended after all, and records that.
+// Breaks of one worker wait for the same look.
+func (g *Gateway) recheckEnd(e endedAttempt) {
+	q, key := g.quarantine, workerKey(e.worker)
+	q.mu.Lock()
+	waiting, isRunning := q.rechecks[key]
+	if len(waiting) < maxRechecksPerWorker {
+		q.rechecks[key] = append(waiting, e)
+	}
+	q.mu.Unlock()
+	if isRunning {
+		return
+	}
+	g.goroutines.Go(func() { g.protect("check of a worker", func() { g.runRecheck(e.worker, key) }) })
+}
+
+// runRecheck waits and then records the broken attempts of a worker if it has ended.
+func (g *Gateway) runRecheck(w forward.Worker, key string) {
+	timer := time.NewTimer(endRecheckDelay)
+	defer timer.Stop()
+	select {
+	case <-g.ctx.Done():
+	case <-timer.C:
+	}
+	ended := g.ctx.Err() == nil && g.hasEnded(w)
+	g.quarantine.mu.Lock()
+	waiting := g.quarantine.rechecks[key]
+	delete(g.quarantine.rechecks, key)
+	g.quarantine.mu.Unlock()
+	if !ended {
+		return
+	}
+	for _, e := range waiting {
+		g.quarantine.recordEnd(e)
+	}
+}
+
 // apply logs verdicts and closes the connections of attempts that wait at workers and that a verdict
 // condemns.
 func (q *quarantineGuard) apply(verdicts []quarantine.Verdict, reason string) {
--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/framing"
 	"github.com/borageflow/borageflow/internal/quarantine"
 )
@@ -134,10 +136,11 @@
 }
 
 // recordSurvival records that a worker has answered the request, or writes on long after it began.
-// Another request with the same suspected part may go then.
+// Another request with the same suspected part may go then. A worker that failed has not shown that it can
+// run the request.
 func (r *request) recordSurvival(a *attempt) {
 	r.releaseAlone()
-	if !a.survived {
+	if !a.survived && a.exchange.resp.StatusCode < http.StatusInternalServerError {
 		a.survived = true
 		r.gateway.quarantine.recordSurvival(r.service, r.parts, a.workBegan(r.hasPrompt()))
 	}
@@ -169,11 +172,23 @@
 	default:
 		weight = sharedWeight
 	}
-	if weight == 0 || !r.gateway.dispatcher.isInUse(a.worker) || !r.gateway.hasEnded(a.worker) {
+	if weight == 0 || !r.gateway.dispatcher.isInUse(a.worker) {
 		return
 	}
-	if weight >= sharedWeight {
-		r.endedWorkers.Add(1)
+	end := endedAttempt{request: r, worker: a.worker, begunAt: a.begunAt, brokeAt: time.Now(), weight: weight, wasAlone: a.wasAlone, onTrial: r.turn != nil}
+	if r.gateway.hasEnded(a.worker) {
+		r.gateway.quarantine.recordEnd(end)
+		return
 	}
-	r.gateway.quarantine.recordEnd(r, a, weight)
+	r.gateway.recheckEnd(end)
+}
+
+// endedAttempt is an attempt whose answer broke off and whose worker has ended, or may end soon.
+type endedAttempt struct {
+	request          *request
+	worker           forward.Worker
+	begunAt, brokeAt time.Time
+	weight           float64
+	// wasAlone and onTrial are those of the attempt and of its request at the break.
+	wasAlone, onTrial bool
 }
--- a/internal/gateway/turnedfatal_test.go
+++ b/internal/gateway/turnedfatal_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/borageflow/borageflow/internal/quarantine"
 	"github.com/borageflow/borageflow/internal/standin/forwarding"
 )
 
@@ -27,12 +29,14 @@
 	answeredBefore bool
 	// crashInterval is the time between two ends of servers for other reasons, 0 for none.
 	crashInterval time.Duration
+	// failShare is the share of the requests that servers answer with 500.
+	failShare float64
 	// atOneGateway reports whether the fatal request comes at one gateway only.
 	atOneGateway bool
 }
 
 func (c fatalCase) String() string {
-	return fmt.Sprintf("servers=%d,every=%v,before=%v,crashes=%v,one=%v", c.servers, c.interval, c.answeredBefore, c.crashInterval, c.atOneGateway)
+	return fmt.Sprintf("servers=%d,every=%v,before=%v,crashes=%v,fail=%v,one=%v", c.servers, c.interval, c.answeredBefore, c.crashInterval, c.failShare, c.atOneGateway)
 }
 
 const (
@@ -66,6 +70,9 @@
 	f.slots, f.answerTime = 6, 15*time.Millisecond
 	started := time.Now()
 	f.isFatal = func() bool { return time.Since(started) >= fatalStart }
+	if c.failShare > 0 {
+		f.fails = func() bool { return rand.Float64() < c.failShare }
+	}
 	for range c.servers {
 		f.start()
 	}
@@ -140,6 +147,7 @@
 		{servers: 3, interval: 200 * time.Millisecond},
 		{servers: 3, interval: 200 * time.Millisecond, answeredBefore: true},
 		{servers: 6, interval: 400 * time.Millisecond, answeredBefore: true},
+		{servers: 3, interval: 200 * time.Millisecond, failShare: 0.4},
 		{servers: 1, interval: 400 * time.Millisecond},
 		{servers: 1, interval: 400 * time.Millisecond, answeredBefore: true, atOneGateway: true},
 		{servers: 12, interval: 50 * time.Millisecond, answeredBefore: true, crashInterval: 2 * time.Second},
@@ -159,7 +167,7 @@
 			assert.Assert(t, out.ends > 0 && out.asked > 0, "the fatal request reached no server, or ended them to the end")
 			assert.Assert(t, out.late <= 3, "%d servers ended later than %v after the third, %d in all", out.late, fatalBound, out.ends)
 			assert.Equal(t, out.quarantined, 0, "sound requests were refused as condemned")
-			if c.crashInterval == 0 || c.servers > 3 {
+			if c.failShare == 0 && (c.crashInterval == 0 || c.servers > 3) {
 				assert.Assert(t, out.served*10 >= out.asked*9, "%d of %d sound requests were served", out.served, out.asked)
 			}
 		})
@@ -184,3 +192,28 @@
 	}
 	return out
 }
+
+// Guards against a fatal request that is cleared by the errors with which failing servers answer it: a server
+// that failed has not shown that it can run the request.
+func TestErrorsDoNotSpeakForRequest(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusNotFound, http.StatusInternalServerError, http.StatusBadGateway} {
+		w := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool {
+			writeResponse(c, r, status, formatEvent(1))
+			return true
+		})
+		gw := startGateway(t, w)
+		gw.call("POST", "/unsafe/x", "q")
+		gw.call("POST", "/stream/x", "q", DefaultHeaderNames.Prompt, promptWith(1, "a"))
+		q := gw.gateway.quarantine
+		q.mu.Lock()
+		finished := q.tracker.Summarize(sinceBoot(), quarantine.Part{Service: "svc", ID: 0xa}).Finished
+		id := (&inboundRequest{method: "POST", host: "test", target: "/unsafe/x", body: []byte("q")}).fingerprint("ada")
+		finished += q.tracker.Summarize(sinceBoot(), quarantine.Part{Service: "svc", ID: id}).Finished
+		q.mu.Unlock()
+		want := 2
+		if status >= http.StatusInternalServerError {
+			want = 0
+		}
+		assert.Equal(t, finished, want, "status %d", status)
+	}
+}
--- a/internal/standin/forwarding/worker.go
+++ b/internal/standin/forwarding/worker.go
@@ -37,8 +37,12 @@
 	// FatalPath is a path of plain requests that end the worker after FatalDelay, without an answer;
 	// empty for none.
 	FatalPath string
+	// EndDelay is the time from the break of such an answer to the end of the worker, 0 for none.
+	EndDelay time.Duration
 	// IsFatal reports whether FatalPart and FatalPath end the worker now; nil if they always do.
 	IsFatal func() bool
+	// Fails reports whether the next plain request is answered with 500; nil if none is.
+	Fails func() bool
 	// OnEnd is called just before the connections are closed.
 	OnEnd func()
 }
@@ -96,8 +100,16 @@
 		w.stream(out, r)
 		return
 	}
+	if w.config.Fails != nil && w.config.Fails() {
+		http.Error(out, "worker failed", http.StatusInternalServerError)
+		return
+	}
 	if w.config.FatalPath != "" && r.URL.Path == w.config.FatalPath && w.isFatal() {
 		time.Sleep(w.config.FatalDelay)
+		if w.config.EndDelay > 0 {
+			time.AfterFunc(w.config.EndDelay, w.End)
+			panic(http.ErrAbortHandler)
+		}
 		w.End()
 		return
 	}
