Evacuate failure domains and limit the requests to cold workers

Cause: no code read the operator's order to evacuate a failure domain, and none knew that a worker is cold.

Change: evacuations are a topic of the store, read where the settings name their bound and passed on by relays. Cold workers get a rate limit that the gateways divide by their demand, as for limits that workers name; three quarters of the rate are used, and an unused permit lapses after 250 ms. The workers of a failure domain that is taken back count as cold for the time that a start takes. Both are conditions of mayGet, which every attempt passes. A cold worker's load is that of this gateway alone: with the mean of the pool, permits lapsed unused (17 of 51 requests instead of 8 at 29 gateways and 3 workers, 30 requests a second each).

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -645,6 +645,11 @@
 	// milliseconds; 0 means unknown, and relays are not used.
 	DrainMs int `json:"drainMs,omitempty,omitzero"`
 
+	// EvacuateMs is the time after which the workers of a failure domain that an
+	// operator evacuates must get no new requests, in milliseconds; 0 means that
+	// evacuations are not used.
+	EvacuateMs int `json:"evacuateMs,omitempty,omitzero"`
+
 	// GraceSeconds is the time from SIGTERM until the process is killed; default 8.
 	GraceSeconds float64 `json:"graceSeconds,omitempty,omitzero"`
 
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -105,7 +105,7 @@
 
 // eligible reports whether a request may go to a worker now.
 func (s *workerState) eligible(now Elapsed, q *WorkerQuery) bool {
-	return s.matches(q) && s.mayGet(now, q.limitShare)
+	return s.matches(q) && s.mayGet(now, q)
 }
 
 // score returns the estimated load of a worker with the penalties for another pool and
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -10,6 +10,11 @@
 // report decays to the mean of the pool, because a worker without reports is no less loaded
 // than the others.
 func (p *Placer) estimatedLoad(now Elapsed, s *workerState) float64 {
+	if s.notice != nil && s.notice.coldLimit(now) != nil {
+		// The limit keeps the load of the other processes low. With the mean of the pool instead,
+		// the permits of cold workers lapsed unused.
+		return p.ownLoad(s)
+	}
 	if s.hasPeerLoad && now-s.peerLoadAt <= p.opts.PeerLoadTTL && p.usesPeerLoads(s.Service, s.poolIndex()) {
 		return p.ownLoad(s) + s.peerLoad
 	}
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -11,6 +11,10 @@
 	// pauseUntil is the end of the time for which the worker wants no requests of this gateway.
 	pauseUntil Elapsed
 	limit      *rateLimit
+	// coldUntil is the end of the worker's cold time by its entry, and assumedColdUntil that of the time
+	// in which it may be cold whatever its entry says. cold is its limit meanwhile.
+	coldUntil, assumedColdUntil Elapsed
+	cold                        *rateLimit
 	// limitNamedAt is the start of the latest request whose answer named the limit.
 	limitNamedAt Elapsed
 	// recordedAt is the time of the last answer that asked for something.
@@ -115,57 +119,91 @@
 
 // wait returns the time until the worker may get a request that it may not get now, or false if it
 // gets none any more.
-func (n *notice) wait(now Elapsed, share float64) (time.Duration, bool) {
-	pause := max(n.pauseUntil-now, 0)
-	if n.leaving || n.limit == nil {
-		return pause, !n.leaving
+func (n *notice) wait(now Elapsed, q *WorkerQuery) (time.Duration, bool) {
+	wait := max(n.pauseUntil-now, 0)
+	if n.leaving {
+		return wait, false
 	}
-	permit, ok := n.limit.nextPermit(now, share)
-	return max(pause, permit), ok
+	if n.limit != nil {
+		permit, ok := n.limit.nextPermit(now, q.limitShare)
+		if !ok {
+			return 0, false
+		}
+		wait = max(wait, permit)
+	}
+	if cold := n.coldLimit(now); cold != nil {
+		permit, ok := cold.nextPermit(now, q.coldShare)
+		end := max(n.coldUntil, n.assumedColdUntil) - now
+		if !ok || permit > end {
+			permit = end
+		}
+		wait = max(wait, permit)
+	}
+	return wait, true
 }
 
-// mayGet reports whether a worker may get a request now by what it asked for. share is this
-// gateway's share of the limits of the service's workers.
-func (s *workerState) mayGet(now Elapsed, share float64) bool {
+// mayGet reports whether a worker may get a request now: its failure domain is not evacuated, and what
+// the worker asked for and its cold time leave room. Every attempt passes here.
+func (s *workerState) mayGet(now Elapsed, q *WorkerQuery) bool {
+	if s.evacuated {
+		return false
+	}
 	n := s.notice
-	return n == nil || !n.leaving && now >= n.pauseUntil && (n.limit == nil || n.limit.allows(now, share))
+	if n == nil {
+		return true
+	}
+	if n.leaving || now < n.pauseUntil || n.limit != nil && !n.limit.allows(now, q.limitShare) {
+		return false
+	}
+	cold := n.coldLimit(now)
+	return cold == nil || cold.allows(now, q.coldShare)
 }
 
 // recordSent records that a worker gets a request.
 func (p *Placer) recordSent(now Elapsed, s *workerState) {
-	if n := s.notice; n != nil && n.limit != nil {
+	n := s.notice
+	if n == nil {
+		return
+	}
+	if n.limit != nil {
 		n.limit.take(now, p.limitShare(now, s.Service))
 	}
+	if cold := n.coldLimit(now); cold != nil {
+		cold.take(now, p.coldShare(now, s.Service))
+	}
 }
 
 // NextTurn returns the time until a worker may get a request that none may get now, and whether
-// this is so only because of what the workers asked for.
+// this is so only because of what the workers asked for or because they are cold.
 func (p *Placer) NextTurn(now Elapsed, q WorkerQuery) (time.Duration, bool) {
 	var shortest time.Duration
 	found := false
-	share := p.limitShare(now, q.Service)
+	q.limitShare, q.coldShare = p.limitShare(now, q.Service), p.coldShare(now, q.Service)
 	for _, s := range p.services[q.Service] {
 		switch {
-		case !s.matches(&q):
+		case !s.matches(&q) || s.evacuated:
 			continue
-		case s.mayGet(now, share):
+		case s.mayGet(now, &q):
 			return 0, false
 		}
-		if wait, ok := s.notice.wait(now, share); ok && (!found || wait < shortest) {
+		if wait, ok := s.notice.wait(now, &q); ok && (!found || wait < shortest) {
 			shortest, found = wait, true
 		}
 	}
 	return shortest, found
 }
 
-// NoticeCounts is the number of workers by what they asked for.
-type NoticeCounts struct{ Limited, Pausing, Leaving int }
+// NoticeCounts is the number of workers by what limits their requests.
+type NoticeCounts struct{ Limited, Pausing, Leaving, Cold, Evacuated int }
 
-// NoticeCounts counts the workers that asked for something.
+// NoticeCounts counts the workers whose requests are limited. A worker that asked for something counts
+// by that alone.
 func (p *Placer) NoticeCounts(now Elapsed) NoticeCounts {
 	var c NoticeCounts
 	for _, s := range p.workers {
 		switch {
+		case s.evacuated:
+			c.Evacuated++
 		case s.notice == nil:
 		case s.notice.leaving:
 			c.Leaving++
@@ -173,6 +211,8 @@
 			c.Pausing++
 		case s.notice.limit != nil:
 			c.Limited++
+		case s.notice.isCold(now):
+			c.Cold++
 		}
 	}
 	return c
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -85,7 +85,13 @@
 	// gatewaysAt.
 	gateways   int
 	gatewaysAt Elapsed
-	cache      *lru.LRU[partKey, *[maxHoldersPerPart]partHolder]
+	// firstExchangeAt is the time of the first exchange.
+	firstExchangeAt Elapsed
+	// coldStarts holds the behavior of cold workers by service.
+	coldStarts map[string]ColdStart
+	// evacuated are the failure domains whose workers get no new requests.
+	evacuated []string
+	cache     *lru.LRU[partKey, *[maxHoldersPerPart]partHolder]
 	// peers is the number of processes whose loads are exchanged, this one included, as of
 	// peersAt. peerInterval is the time between the last two exchanges.
 	peers        int
@@ -99,7 +105,8 @@
 type workerState struct {
 	Worker
 	hash      uint64
-	notice    *notice // nil if the worker asked for nothing
+	notice    *notice // nil if the worker asked for nothing and was never cold
+	evacuated bool    // the worker's failure domain is evacuated
 	pooled    bool    // the worker belongs to one of two pools
 	heavy     bool    // the pool of the larger models
 	answering int     // requests of this process whose answer has started
@@ -151,6 +158,7 @@
 			s = &workerState{share: 1, hash: xxhash.Sum64String(w.ID)}
 		}
 		s.Worker = w
+		s.evacuated = slices.Contains(p.evacuated, w.FailureDomain)
 		p.attachNotice(s)
 		next[w.ID] = s
 		p.services[w.Service] = append(p.services[w.Service], s)
@@ -179,8 +187,9 @@
 	// smallest or only model.
 	Heavy  bool
 	Prompt []PromptPart
-	// limitShare is this gateway's share of the limits of the service's workers. Pick sets it.
-	limitShare float64
+	// limitShare is this gateway's share of the limits of the service's workers, and coldShare that of
+	// the rates of cold ones. The Placer sets them.
+	limitShare, coldShare float64
 }
 
 // Placement is the worker chosen by Pick and the data behind the choice.
@@ -208,7 +217,7 @@
 		p.markCascading(q.Service)
 	}
 	p.demandFor(q.Service).add(now)
-	q.limitShare = p.limitShare(now, q.Service)
+	q.limitShare, q.coldShare = p.limitShare(now, q.Service), p.coldShare(now, q.Service)
 	best, leastScore, candidates := p.leastLoaded(now, &q, rng)
 	if best == nil {
 		return Placement{}, false
--- a/internal/forward/ratelimit.go
+++ b/internal/forward/ratelimit.go
@@ -22,11 +22,15 @@
 )
 
 // rateLimit spends this gateway's share of a limit that a worker named for the requests of all
-// gateways together. It is a token bucket; below half a permit a second, a permit that is not
-// used within permitLife expires.
+// gateways together. It is a token bucket; where less than one permit comes within permitLife, a permit
+// that is not used in that time expires.
 type rateLimit struct {
 	perSecond float64
-	permits   float64
+	// use is the part of perSecond that the gateways use together, and permitLife how long an unused
+	// permit is held.
+	use        float64
+	permitLife time.Duration
+	permits    float64
 	// at is the time up to which permits is computed; fullAt is when the last permit came that
 	// has not expired yet, if permits is 1.
 	at, fullAt Elapsed
@@ -35,19 +39,19 @@
 // newRateLimit returns a limit named at a time. draw is a random number in [0, 1) that spreads the
 // first permits of the gateways.
 func newRateLimit(now Elapsed, perSecond, draw float64) *rateLimit {
-	return &rateLimit{perSecond: max(perSecond, minLimit), permits: draw, at: now, fullAt: now}
+	return &rateLimit{perSecond: max(perSecond, minLimit), use: limitUse, permitLife: permitLife, permits: draw, at: now, fullAt: now}
 }
 
 // advance adds the permits since the last call. share is this gateway's share of the limit.
 func (l *rateLimit) advance(now Elapsed, share float64) {
-	rate := limitUse * l.perSecond * share
+	rate := l.use * l.perSecond * share
 	elapsed := now - l.at
 	if rate <= 0 || elapsed <= 0 {
 		l.at = max(l.at, now)
 		return
 	}
 	l.at = now
-	most := rate * permitLife.Seconds()
+	most := rate * l.permitLife.Seconds()
 	if most >= 1 {
 		l.permits = math.Min(l.permits+rate*elapsed.Seconds(), most)
 		return
@@ -61,11 +65,11 @@
 		l.permits, l.fullAt = 1, now-elapsed+missing
 	}
 	l.permits = 1
-	period := time.Duration(float64(time.Second)/rate) + permitLife
+	period := time.Duration(float64(time.Second)/rate) + l.permitLife
 	since := (now - l.fullAt) % period
 	l.fullAt = now - since
-	if since > permitLife {
-		l.permits = rate * (since - permitLife).Seconds()
+	if since > l.permitLife {
+		l.permits = rate * (since - l.permitLife).Seconds()
 	}
 }
 
@@ -84,7 +88,7 @@
 // nextPermit returns the time until a request may be sent, or false if none may at all.
 func (l *rateLimit) nextPermit(now Elapsed, share float64) (time.Duration, bool) {
 	l.advance(now, share)
-	rate := limitUse * l.perSecond * share
+	rate := l.use * l.perSecond * share
 	switch {
 	case l.permits >= 1:
 		return 0, true
@@ -178,6 +182,9 @@
 // SetPeerDemand sets the number of all gateways, this one included, and the requests a second of
 // the others together by service.
 func (p *Placer) SetPeerDemand(now Elapsed, gateways int, perSecond func(service string) float64) {
+	if p.gateways == 0 {
+		p.firstExchangeAt = now
+	}
 	p.gateways, p.gatewaysAt = gateways, now
 	for service := range p.services {
 		p.demandFor(service).updateShare(now, gateways, perSecond(service))
--- a/internal/forward/store.go
+++ b/internal/forward/store.go
@@ -15,14 +15,15 @@
 	WorkerTopic
 	RolloutTopic
 	CondemnationTopic
+	EvacuationTopic
 )
 
 // Topics lists every Topic.
-var Topics = []Topic{ConfigTopic, WorkerTopic, RolloutTopic, CondemnationTopic}
+var Topics = []Topic{ConfigTopic, WorkerTopic, RolloutTopic, CondemnationTopic, EvacuationTopic}
 
 // String returns the name used in logs and metrics.
 func (t Topic) String() string {
-	return [...]string{"config", "workers", "rollouts", "condemnations"}[t]
+	return [...]string{"config", "workers", "rollouts", "condemnations", "evacuations"}[t]
 }
 
 // Update is the content of one answer of the store, or of a relay, about one topic.
@@ -39,6 +40,8 @@
 	Rollouts []RolloutChange
 	// Condemnations may be empty in updates of gateways of earlier versions.
 	Condemnations []CondemnationChange `json:",omitempty"`
+	// Evacuations holds the failure domains whose workers get no new requests.
+	Evacuations []EvacuationChange `json:",omitempty"`
 	// Relayed is set when another process passed the update on. Age is then the time since
 	// that process last knew that no newer update existed.
 	Relayed bool
@@ -50,13 +53,15 @@
 
 // ChangeCount returns the number of changed objects, including those that could not be decoded.
 func (u *Update) ChangeCount() int {
-	return len(u.Configs) + len(u.Workers) + len(u.Rollouts) + len(u.Condemnations) + len(u.Faults)
+	return len(u.Configs) + len(u.Workers) + len(u.Rollouts) + len(u.Condemnations) + len(u.Evacuations) + len(u.Faults)
 }
 
 // WorkerChange is a new or changed worker or, if Removed is set, the removal of the worker
 // with its ID.
 type WorkerChange struct {
 	Worker
+	// ColdFor is how long the worker stays cold, as of its entry; 0 if it is warm.
+	ColdFor time.Duration `json:",omitempty"`
 	Removed bool
 }
 
@@ -93,6 +98,13 @@
 	Removed bool
 }
 
+// EvacuationChange is an order that the workers of a failure domain get no new requests or, if
+// Removed is set, the end of that order.
+type EvacuationChange struct {
+	FailureDomain string
+	Removed       bool
+}
+
 // Fault is an object that could not be decoded; Name is empty if that could not be decoded
 // either.
 type Fault struct {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -74,6 +74,10 @@
 	// MaxConnections is the number of connections that one worker accepts from all clients
 	// together.
 	MaxConnections int
+	// ColdStart is how long a worker stays cold after its start. ColdPerSecond is the number of
+	// requests a second that a cold worker takes from all gateways together; 0 means no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 	// Engine is nil for services without model engines.
 	Engine *Engine
 }
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -40,8 +40,11 @@
 	placer          *forward.Placer
 	health          *membership.HealthTracker
 	usableWorkers   map[string]forward.Worker
-	retryBudgets    map[string]*retry.Budget
-	rollouts        *rolloutTracker
+	evacuations     *forward.Evacuations
+	// evacuationsListed is set once the evacuations have been listed, or if they are not used.
+	evacuationsListed bool
+	retryBudgets      map[string]*retry.Budget
+	rollouts          *rolloutTracker
 	// exchangesLoads reports whether the loads of other gateways are used.
 	exchangesLoads bool
 	escalator      *forward.Escalator
@@ -67,12 +70,14 @@
 		placer:         forward.NewPlacer(forward.PlacerOptions{FailureDomain: s.FailureDomain, MinGateways: s.minGateways()}),
 		health:         membership.NewHealthTracker(ejectionConfig),
 		usableWorkers:  map[string]forward.Worker{},
+		evacuations:    forward.NewEvacuations(workerGracePeriod),
 		retryBudgets:   map[string]*retry.Budget{},
 		rollouts:       newRolloutTracker(s),
 		exchangesLoads: s.usesRelays(),
 		escalator:      forward.NewEscalator(),
 		headerTimeouts: forward.NewHeaderTimeoutEstimator(),
 	}
+	d.evacuationsListed = s.MaxEvacuateDelay == 0
 	d.settings.Store(&s)
 	return d
 }
@@ -89,6 +94,9 @@
 		return false
 	}
 	d.snapshot.Store(&configSnapshot{config: config, routes: forward.NewRouteTable(config.Routes)})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.SetColdStarts(sinceBoot(), config.ColdStarts())
 	return true
 }
 
@@ -128,6 +136,7 @@
 		d.workers.Apply(now, u.Workers)
 	}
 	d.syncWorkers(now)
+	d.recordColdWorkers(now, u.Workers)
 }
 
 // storeLost records that the store does not answer.
@@ -145,6 +154,7 @@
 	d.workers.Expire(now)
 	d.handleHealthEvent(membership.HealthTick{})
 	d.syncWorkers(now)
+	d.endEvacuations(now, d.evacuations.Expire(now))
 	d.rollouts.tick(now, d.log)
 }
 
@@ -216,6 +226,8 @@
 		return false, "workers have not been received from the store yet"
 	case !d.rollouts.hasListed:
 		return false, "rollouts have not been received from the store yet"
+	case !d.evacuationsListed:
+		return false, "evacuations have not been received from the store yet"
 	}
 	return true, ""
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,8 @@
 	m.set.NewGauge("borageflow_gateway_limited_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Limited) })
 	m.set.NewGauge("borageflow_gateway_pausing_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Pausing) })
 	m.set.NewGauge("borageflow_gateway_leaving_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Leaving) })
+	m.set.NewGauge("borageflow_gateway_cold_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Cold) })
+	m.set.NewGauge("borageflow_gateway_evacuated_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Evacuated) })
 	m.set.NewGauge("borageflow_gateway_log_lines_dropped", func() float64 { return float64(logWriter.dropped.Load()) })
 	return g
 }
@@ -159,6 +161,11 @@
 			g.quarantine.applyStore(u)
 		}, onStoreLost: ignoreLoss, onCall: g.metrics.countStoreCall, relists: relists, log: log},
 	}
+	if g.settings.MaxEvacuateDelay > 0 {
+		watchers = append(watchers, &topicWatcher{topic: forward.EvacuationTopic, store: g.store, watchTimeout: g.settings.LongWatchTimeout, minBackoff: initialBackoff, maxBackoff: maxLongWatchBackoff, batchDelay: rolloutBatchDelay, apply: func(u *forward.Update, _ time.Duration) {
+			g.dispatcher.applyEvacuations(sinceBoot(), u)
+		}, onStoreLost: ignoreLoss, onCall: g.metrics.countStoreCall, relists: relists, log: log})
+	}
 	for _, w := range watchers {
 		w.relayPeer = g.relayPeer
 	}
--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -39,11 +39,12 @@
 	failedExchanges uint64
 }
 
-// usesRelays reports whether the updates of the store come from relays: they are configured, and the bounds for draining and for applying
-// a configuration leave time for a relay that is cut off from the store without notice.
+// usesRelays reports whether the updates of the store come from relays: they are configured, and the
+// bounds for draining, for applying a configuration and for evacuating a failure domain leave time for a
+// relay that is cut off from the store without notice.
 func (s *Settings) usesRelays() bool {
 	needed := relayWatchTimeout + s.StoreTimeout + relayDelayReserve
-	return len(s.Relays) > 0 && s.MaxDrainDelay >= needed && s.MaxApplyDelay >= needed
+	return len(s.Relays) > 0 && s.MaxDrainDelay >= needed && s.MaxApplyDelay >= needed && (s.MaxEvacuateDelay == 0 || s.MaxEvacuateDelay >= needed)
 }
 
 // isRelay reports whether this process is one of the configured relays.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -254,6 +254,9 @@
 		if wait, ok := r.nextTurn(); ok {
 			return attempt{}, errkind.New(errkind.Overloaded, "all workers of the service asked for fewer requests").WithRetryAfter(wait)
 		}
+		if r.gateway.dispatcher.allEvacuated(r.service) {
+			return attempt{}, errkind.New(errkind.NoCandidate, "all workers of the service are in evacuated failure domains").WithRetryAfter(defaultRetryAfter)
+		}
 		return attempt{}, errkind.New(errkind.NoCandidate, "no usable worker of the service is known").WithRetryAfter(defaultRetryAfter)
 	}
 	r.placement = p
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -66,6 +66,9 @@
 	// which a leaving worker must get no new work, MaxApplyDelay that after which a
 	// configuration must be in force. If one of the two delays is 0, relays are not used.
 	SessionTimeout, MaxDrainDelay, MaxApplyDelay time.Duration
+	// MaxEvacuateDelay is the delay after which the workers of a failure domain that an operator
+	// evacuates must get no new requests; 0 means that evacuations are not used.
+	MaxEvacuateDelay time.Duration
 	// RetryRatio is the number of retries allowed per request, and RetrySlack the number allowed
 	// beyond that ratio within RetryWindow, both over all instances.
 	RetryRatio, RetrySlack float64
@@ -145,6 +148,7 @@
 	out.RetryWindow = secondsOr(b.RetryWindowSeconds, defaultRetryWindow)
 	out.SessionTimeout = secondsOr(b.SessionSeconds, defaultSessionTimeout)
 	out.MaxDrainDelay, out.MaxApplyDelay = millisecondsOr(b.DrainMs, 0), millisecondsOr(b.ApplyMs, 0)
+	out.MaxEvacuateDelay = millisecondsOr(b.EvacuateMs, 0)
 	if s.Peers != nil {
 		out.PeerAddress, out.Relays = s.Peers.Listen, s.Peers.Relays
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -28,9 +28,11 @@
 	// that they come from the store itself.
 	RelayAddress string `json:"relay,omitempty"`
 	// IsRelay reports whether this gateway is a relay.
-	IsRelay  bool           `json:"passesOn,omitempty"`
-	Workers  []WorkerState  `json:"workers"`
-	Rollouts []RolloutState `json:"rollouts"`
+	IsRelay bool `json:"passesOn,omitempty"`
+	// Evacuated are the failure domains whose workers get no new requests by order of an operator.
+	Evacuated []string       `json:"evacuated,omitempty"`
+	Workers   []WorkerState  `json:"workers"`
+	Rollouts  []RolloutState `json:"rollouts"`
 }
 
 // WorkerState is the status of a worker as this gateway knows it.
@@ -77,6 +79,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	s.Evacuated = d.evacuations.Domains()
 	for id, w := range d.usableWorkers {
 		load, age := d.placer.LoadEstimate(now, id)
 		s.Workers = append(s.Workers, WorkerState{id, w.Service, w.Version, w.Address, d.health.Share(id), load, age.Milliseconds()})
--- a/internal/news/update_log.go
+++ b/internal/news/update_log.go
@@ -47,6 +47,10 @@
 	rollouts     map[string]forward.Rollout
 	// condemnations are keyed by service and part.
 	condemnations map[condemnationKey]forward.Condemnation
+	// evacuations holds the evacuated failure domains.
+	evacuations map[string]bool
+	// coldFor holds how long workers stay cold as of their last entries, by ID, without warm ones.
+	coldFor map[string]time.Duration
 	// snapshot is the encoded topic as of the last entry; nil if it must be encoded again.
 	snapshot json.RawMessage
 }
@@ -82,7 +86,7 @@
 func NewUpdateLog(maxAge time.Duration) *UpdateLog {
 	l := &UpdateLog{maxAge: maxAge, topics: map[forward.Topic]*topicLog{}}
 	for _, t := range forward.Topics {
-		l.topics[t] = &topicLog{workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, condemnations: map[condemnationKey]forward.Condemnation{}}
+		l.topics[t] = &topicLog{workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, condemnations: map[condemnationKey]forward.Condemnation{}, evacuations: map[string]bool{}, coldFor: map[string]time.Duration{}}
 	}
 	return l
 }
@@ -102,6 +106,8 @@
 		clear(t.workers)
 		clear(t.rollouts)
 		clear(t.condemnations)
+		clear(t.evacuations)
+		clear(t.coldFor)
 	}
 	changes := t.apply(u)
 	changed := reset || changes.ChangeCount() > 0
@@ -146,15 +152,7 @@
 	if u.Full {
 		out.Workers, out.Rollouts = t.removeUnlisted(u)
 	}
-	for _, w := range u.Workers {
-		if known, ok := t.workers[w.ID]; w.Removed || !ok || known != w.Worker {
-			out.Workers = append(out.Workers, w)
-		}
-		t.workers[w.ID] = w.Worker
-		if w.Removed {
-			delete(t.workers, w.ID)
-		}
-	}
+	t.applyWorkers(u, out)
 	for _, r := range u.Rollouts {
 		if known, ok := t.rollouts[r.Service]; r.Removed || !ok || known != r.Rollout {
 			out.Rollouts = append(out.Rollouts, r)
@@ -165,9 +163,56 @@
 		}
 	}
 	t.applyCondemnations(u, out)
+	t.applyEvacuations(u, out)
 	return out
 }
 
+// applyWorkers applies the workers of an update and adds those that altered the state to changes.
+func (t *topicLog) applyWorkers(u, changes *forward.Update) {
+	for _, w := range u.Workers {
+		if known, ok := t.workers[w.ID]; w.Removed || !ok || known != w.Worker || t.changesColdness(&w) {
+			changes.Workers = append(changes.Workers, w)
+		}
+		t.workers[w.ID], t.coldFor[w.ID] = w.Worker, w.ColdFor
+		if w.ColdFor == 0 {
+			delete(t.coldFor, w.ID)
+		}
+		if w.Removed {
+			delete(t.workers, w.ID)
+			delete(t.coldFor, w.ID)
+		}
+	}
+}
+
+// changesColdness reports whether the entry of a known worker says something new of how long the worker
+// stays cold. A shorter time is what the gateways expect, and would send each heartbeat of a cold worker
+// to all of them.
+func (t *topicLog) changesColdness(w *forward.WorkerChange) bool {
+	known := t.coldFor[w.ID]
+	return w.ColdFor > known || w.ColdFor == 0 && known > 0
+}
+
+// applyEvacuations applies the evacuations of an update and adds those that altered the state to changes.
+func (t *topicLog) applyEvacuations(u, changes *forward.Update) {
+	listed := map[string]bool{}
+	for _, e := range u.Evacuations {
+		listed[e.FailureDomain] = !e.Removed
+		if t.evacuations[e.FailureDomain] == e.Removed {
+			changes.Evacuations = append(changes.Evacuations, e)
+		}
+		t.evacuations[e.FailureDomain] = true
+		if e.Removed {
+			delete(t.evacuations, e.FailureDomain)
+		}
+	}
+	for domain := range t.evacuations {
+		if u.Full && !listed[domain] {
+			changes.Evacuations = append(changes.Evacuations, forward.EvacuationChange{FailureDomain: domain, Removed: true})
+			delete(t.evacuations, domain)
+		}
+	}
+}
+
 type condemnationKey struct {
 	service string
 	part    uint64
@@ -209,6 +254,7 @@
 		if !listedWorkers[id] {
 			workers = append(workers, forward.WorkerChange{Worker: w, Removed: true})
 			delete(t.workers, id)
+			delete(t.coldFor, id)
 		}
 	}
 	for service, r := range t.rollouts {
@@ -298,7 +344,7 @@
 		u.Configs = []*forward.Config{t.config}
 	}
 	for _, w := range t.workers {
-		u.Workers = append(u.Workers, forward.WorkerChange{Worker: w})
+		u.Workers = append(u.Workers, forward.WorkerChange{Worker: w, ColdFor: t.coldFor[w.ID]})
 	}
 	for _, r := range t.rollouts {
 		u.Rollouts = append(u.Rollouts, forward.RolloutChange{Rollout: r})
@@ -306,6 +352,9 @@
 	for _, c := range t.condemnations {
 		u.Condemnations = append(u.Condemnations, forward.CondemnationChange{Condemnation: c})
 	}
+	for domain := range t.evacuations {
+		u.Evacuations = append(u.Evacuations, forward.EvacuationChange{FailureDomain: domain})
+	}
 	return u
 }
 
@@ -341,6 +390,7 @@
 		out.Workers = append(out.Workers, u.Workers...)
 		out.Rollouts = append(out.Rollouts, u.Rollouts...)
 		out.Condemnations = append(out.Condemnations, u.Condemnations...)
+		out.Evacuations = append(out.Evacuations, u.Evacuations...)
 	}
 	return out, nil
 }
--- a/internal/news/update_log_test.go
+++ b/internal/news/update_log_test.go
@@ -322,3 +322,40 @@
 		}
 	})
 }
+
+// Guards against an order or a cold worker that a relay does not pass on, and against a message for each
+// heartbeat of a cold worker.
+func TestEvacuationsAndColdWorkersArePassedOn(t *testing.T) {
+	l := newTestLog(t, 0)
+	record := func(topic forward.Topic, u *forward.Update) bool {
+		changed, err := l.Record(topic, u, 0)
+		assert.NilError(t, err)
+		return changed
+	}
+	since := func(topic forward.Topic, revision int64) forward.Update {
+		d, _, err := l.Since(0, topic, revision, true)
+		assert.NilError(t, err)
+		u, err := Merge(d)
+		assert.NilError(t, err)
+		return u
+	}
+	ordered := forward.EvacuationChange{FailureDomain: "a"}
+	assert.Check(t, record(forward.EvacuationTopic, &forward.Update{Revision: 11, Evacuations: []forward.EvacuationChange{ordered}}))
+	assert.DeepEqual(t, since(forward.EvacuationTopic, 10).Evacuations, []forward.EvacuationChange{ordered})
+	assert.DeepEqual(t, since(forward.EvacuationTopic, 3).Evacuations, []forward.EvacuationChange{ordered})
+	assert.Check(t, !record(forward.EvacuationTopic, &forward.Update{Revision: 12, Full: true, Evacuations: []forward.EvacuationChange{ordered}}))
+	assert.Check(t, record(forward.EvacuationTopic, &forward.Update{Revision: 13, Full: true}))
+	assert.DeepEqual(t, since(forward.EvacuationTopic, 12).Evacuations, []forward.EvacuationChange{{FailureDomain: "a", Removed: true}})
+
+	cold := workerChange("w")
+	entry := func(revision int64, coldFor time.Duration) bool {
+		cold.ColdFor = coldFor
+		return record(forward.WorkerTopic, watchUpdate(revision, cold))
+	}
+	assert.Check(t, entry(14, 3*time.Second))
+	assert.Check(t, !entry(15, 2*time.Second), "a shorter time is no news")
+	assert.DeepEqual(t, since(forward.WorkerTopic, 3).Workers, []forward.WorkerChange{cold})
+	assert.Check(t, entry(16, 3*time.Second), "a longer time is")
+	assert.Check(t, entry(17, 0) && !entry(18, 0))
+	assert.Check(t, entry(19, time.Second), "a worker that turns cold again is")
+}
--- a/internal/standin/forwarding/store.go
+++ b/internal/standin/forwarding/store.go
@@ -28,9 +28,11 @@
 	rollouts map[string]forward.Rollout
 	// condemnations are keyed by service and part.
 	condemnations map[string]forward.Condemnation
-	changes       []storeChange
-	down          bool
-	recorded      []forward.RolloutProgress
+	// evacuations holds the evacuated failure domains.
+	evacuations map[string]bool
+	changes     []storeChange
+	down        bool
+	recorded    []forward.RolloutProgress
 	// oldestRevision is the first revision of the remaining history. Watches that
 	// started from an earlier revision receive no further changes.
 	oldestRevision int64
@@ -46,7 +48,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{revision: 1, changed: make(chan struct{}), workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, condemnations: map[string]forward.Condemnation{}, activeWatches: map[forward.Topic]int{}}
+	return &Store{revision: 1, changed: make(chan struct{}), workers: map[string]forward.Worker{}, rollouts: map[string]forward.Rollout{}, condemnations: map[string]forward.Condemnation{}, evacuations: map[string]bool{}, activeWatches: map[forward.Topic]int{}}
 }
 
 // NewForwardingStore returns a store that forwards lists and watches to backing. SetDown on it
@@ -83,6 +85,14 @@
 	s.appendChange(forward.WorkerTopic, forward.Update{Workers: []forward.WorkerChange{{Worker: w}}})
 }
 
+// PutColdWorker adds or replaces a worker whose entry says how long it stays cold.
+func (s *Store) PutColdWorker(w forward.Worker, coldFor time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers[w.ID] = w
+	s.appendChange(forward.WorkerTopic, forward.Update{Workers: []forward.WorkerChange{{Worker: w, ColdFor: coldFor}}})
+}
+
 // RemoveWorker removes the entry of a worker.
 func (s *Store) RemoveWorker(id string) {
 	s.mu.Lock()
@@ -101,6 +111,22 @@
 	s.appendChange(forward.RolloutTopic, forward.Update{Rollouts: []forward.RolloutChange{{Rollout: r}}})
 }
 
+// PutEvacuation orders the evacuation of a failure domain.
+func (s *Store) PutEvacuation(domain string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuations[domain] = true
+	s.appendChange(forward.EvacuationTopic, forward.Update{Evacuations: []forward.EvacuationChange{{FailureDomain: domain}}})
+}
+
+// RemoveEvacuation takes the order back.
+func (s *Store) RemoveEvacuation(domain string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.evacuations, domain)
+	s.appendChange(forward.EvacuationTopic, forward.Update{Evacuations: []forward.EvacuationChange{{FailureDomain: domain, Removed: true}}})
+}
+
 // SetDown makes every call fail while down is true, including the watches that wait.
 func (s *Store) SetDown(down bool) {
 	s.mu.Lock()
@@ -145,6 +171,10 @@
 		for _, r := range s.rollouts {
 			u.Rollouts = append(u.Rollouts, forward.RolloutChange{Rollout: r})
 		}
+	case forward.EvacuationTopic:
+		for domain := range s.evacuations {
+			u.Evacuations = append(u.Evacuations, forward.EvacuationChange{FailureDomain: domain})
+		}
 	case forward.CondemnationTopic:
 		for _, c := range s.condemnations {
 			u.Condemnations = append(u.Condemnations, forward.CondemnationChange{Condemnation: c})
