Name the places where speed, leaving and admission decide

Cause: the parts for uneven workers, for leaving a failure domain and for admission are built side by side and meet in the score of a worker.

Result: go test ./internal/forward passes.

--- a/internal/forward/cache.go
+++ b/internal/forward/cache.go
@@ -51,7 +51,7 @@
 		if !s.eligible(now, q) || s.Service != q.Service || s.share < 1 {
 			continue
 		}
-		score := p.score(now, s, q.Heavy)
+		score := p.score(now, s, q)
 		if score <= limit && (c.tokens > bestTokens || c.tokens == bestTokens && score < bestScore) {
 			best, bestTokens, bestScore = s, c.tokens, score
 		}
@@ -141,7 +141,7 @@
 		}
 	}
 	for _, s := range best {
-		if s != nil && p.score(now, s, q.Heavy) <= limit {
+		if s != nil && p.score(now, s, q) <= limit {
 			return s
 		}
 	}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -21,7 +21,7 @@
 	for _, ignoreShare := range []bool{false, true} {
 		for _, s := range p.services[q.Service] {
 			if s.eligible(now, q) && (ignoreShare || s.share >= 1 || rng.Float64() < s.share) {
-				p.candidates = append(p.candidates, scoredWorker{s, p.score(now, s, q.Heavy) + rng.Float64()*tieBreakNoise})
+				p.candidates = append(p.candidates, scoredWorker{s, p.score(now, s, q) + rng.Float64()*tieBreakNoise})
 			}
 		}
 		if len(p.candidates) > 0 {
@@ -108,15 +108,12 @@
 	return s.matches(q) && s.mayGet(now, q)
 }
 
-// score returns the estimated load of a worker with the penalties for another pool and
-// another failure domain. Lower is better.
-func (p *Placer) score(now Elapsed, s *workerState, heavy bool) float64 {
+// score returns the estimated load of a worker, as a usual worker of the service would feel it, with the
+// penalties for failures, for another pool and for leaving the failure domain. Lower is better.
+func (p *Placer) score(now Elapsed, s *workerState, q *WorkerQuery) float64 {
 	score := p.estimatedLoad(now, s) + failurePenalty*s.recentFailures(now) + peerFailurePenalty*decayed(s.peerFailures, now-s.peerFailuresAt)
-	if s.pooled && s.heavy != heavy {
+	if s.pooled && s.heavy != q.Heavy {
 		score += p.opts.PoolPenalty
 	}
-	if s.FailureDomain != p.opts.FailureDomain {
-		score += p.opts.DomainPenalty
-	}
-	return score
+	return score*p.slowness(now, s) + p.leavingCost(now, s, q)
 }
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -35,6 +35,7 @@
 	}
 	stats := p.statsFor(s.Service)
 	f := &InFlight{worker: s, work: p.promptWork(prompt, cachedTokens), startedAt: now, stats: stats, pool: s.poolIndex()}
+	f.load = p.estimatedLoad(now, s) + f.work
 	s.unreadWork += f.work
 	p.recordSent(now, s)
 	stats.recordStart(now, f.pool, f.work)
@@ -64,8 +65,10 @@
 // InFlight is a request in flight at a worker. A nil *InFlight stands for a request at a worker
 // that is not known any more.
 type InFlight struct {
-	worker    *workerState
-	work      float64
+	worker *workerState
+	work   float64
+	// load is the estimated load of the worker with this request, when it was placed.
+	load      float64
 	answering bool
 	startedAt Elapsed
 	// stats are those of the service, and pool is the index of the pool in them.
@@ -79,6 +82,7 @@
 		return
 	}
 	f.stats.recordWait(f.pool, now-f.startedAt)
+	f.stats.recordTimed(f.pool, now-f.startedAt, f.load)
 	f.answering = true
 	f.worker.unreadWork = max(f.worker.unreadWork-f.work, 0)
 	f.worker.answering++
--- a/internal/forward/pools.go
+++ b/internal/forward/pools.go
@@ -36,6 +36,10 @@
 	startedAt [2]Elapsed
 	// meanWait is the mean time until the answers of a pool start.
 	meanWait [2]time.Duration
+	// timedWait and timedLoad are the decayed sums of the waits until answers began and of the loads,
+	// in requests, at which they were placed.
+	timedWait [2]time.Duration
+	timedLoad [2]float64
 }
 
 // recordWait records the time until an answer started.
