--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -53,6 +53,8 @@
 	sc.checkVersions(add)
 	sc.checkNotices(add)
 	sc.checkRollouts(add)
+	sc.checkEvacuations(add)
+	sc.checkColdWorkers(add)
 	sc.checkFatalParts(add)
 	sc.checkRecovery(add)
 	return found
--- a/test/soak/config.go
+++ b/test/soak/config.go
@@ -14,6 +14,8 @@
 	wireService struct {
 		Name           string
 		MaxConnections int
+		ColdStartS     float64
+		ColdPerS       float64
 	}
 	wireCustomer struct {
 		Name    string
@@ -27,7 +29,7 @@
 	}
 	wireWorker struct {
 		Service, Address, Zone, Version, State string
-		Slots                                  int
+		Slots, ColdLeftMs                      int
 	}
 	wireRollout struct {
 		Service, Target string
@@ -64,7 +66,7 @@
 	return wireConfig{
 		Version:  version,
 		Routes:   []wireRoute{route("safe", safePath, "safe"), route("unsafe", unsafePath, "unsafe"), route("stream", streamPath, "stream")},
-		Services: []wireService{{serviceName, 100}},
+		Services: []wireService{{serviceName, 100, coldTime.Seconds(), coldPerSecond}},
 		Tenants: []wireCustomer{
 			{customerForVersion(version), []string{"key-permanent"}},
 			{"passing", []string{keyForVersion(version), keyForVersion(version - 1)}},
--- a/test/soak/scenario.go
+++ b/test/soak/scenario.go
@@ -38,6 +38,7 @@
 	ledger         *ledger
 	notices        *noticeLog
 	fatal          *fatalParts
+	evacuations    *evacuations
 	gateways       []*gateway
 	workers        []*proxiedWorker
 	calls          callLog
@@ -75,7 +76,7 @@
 // run. If a guarantee is broken and logDir is set, the gateway logs are copied to logDir.
 func runSeed(dir, binary string, seed uint64, size scenarioSize, logDir string) ([]string, string, error) {
 	sc := &scenario{
-		seed: seed, size: size, bounds: boundsForSeed(seed), store: newStore(), ledger: &ledger{runs: map[string][]run{}}, notices: newNoticeLog(), fatal: drawFatalParts(seed),
+		seed: seed, size: size, bounds: boundsForSeed(seed), store: newStore(), ledger: &ledger{runs: map[string][]run{}}, notices: newNoticeLog(), fatal: drawFatalParts(seed), evacuations: drawEvacuations(seed),
 		committedAt: map[int]time.Time{}, revokedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, errs: make(chan error, 100),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -166,13 +167,17 @@
 	worker.onEnd = proxy.end
 	p := &proxiedWorker{worker, proxy}
 	sc.workers = append(sc.workers, p)
-	sc.register(p, "ready")
+	sc.evacuations.zoneOf(p.id, sc.workersStarted)
+	sc.registerFor(p, "ready", sc.evacuations.startCold(p.id))
 	return nil
 }
 
 // register writes the state of a worker to the store.
-func (sc *scenario) register(p *proxiedWorker, state string) {
-	sc.store.put("servers", p.id, wireWorker{Service: serviceName, Address: p.proxy.address(), Zone: "a", Version: p.version, State: state, Slots: 16})
+func (sc *scenario) register(p *proxiedWorker, state string) { sc.registerFor(p, state, 0) }
+
+// registerFor writes the state of a worker and how long it stays cold, in milliseconds.
+func (sc *scenario) registerFor(p *proxiedWorker, state string, coldMs int) {
+	sc.store.put("servers", p.id, wireWorker{Service: serviceName, Address: p.proxy.address(), Zone: sc.evacuations.zones[p.id], Version: p.version, State: state, Slots: 16, ColdLeftMs: coldMs})
 }
 
 func (sc *scenario) closeWorkers() {
@@ -194,6 +199,7 @@
 		time.Sleep(time.Duration(100+rng.IntN(700)) * time.Millisecond)
 		sc.replaceEnded()
 		sc.injectFault(rng)
+		sc.startEvacuation()
 	}
 	sc.clearFaults()
 	sc.wait(sc.healedAt.Add(recoveryBound + 2*time.Second))
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,10 +24,13 @@
 // before they turn fatal.
 const turnedFatalSeed = 74
 
+// evacuationSeeds draw evacuations and cold workers, with relays and without.
+var evacuationSeeds = []uint64{6, 15}
+
 // Guards against gateway processes that break a documented guarantee while the processes, their
 // connections or their store have faults.
 func TestShortSoak(t *testing.T) {
-	soakSeeds(t, 10*time.Second, append(regressionSeeds, relaySeed, fatalSeed, turnedFatalSeed)...)
+	soakSeeds(t, 10*time.Second, append(append(regressionSeeds, relaySeed, fatalSeed, turnedFatalSeed), evacuationSeeds...)...)
 }
 
 // Guards against fatal parts that reach workers, and sound ones that are refused, where gateways exchange
