Order the finished requests of a gateway by number, and send no record back

Cause: a record of finished requests states times as ages, so that each message on the way makes it later. It came back to the process that it came from, looked like a later statement, and was passed on again without end.

Change: each gateway numbers its statements, and of two the one with the higher number holds. Ledgers remember the run that a record came from and leave it out for that reader; a gateway skips its own statements. The field is additive: without it, times decide as before.

Mechanical: tests of the package name the source of records; no check of theirs is changed.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1732,6 +1732,10 @@
 	// Service is the name of the service.
 	Service string `json:"service"`
 
+	// Statement orders what one gateway states of finished requests, from 1; 0 if a
+	// process on the way does not know it.
+	Statement int `json:"statement,omitempty,omitzero"`
+
 	// Subject is the hash of the run of the worker that ended, or of the gateway that
 	// saw the requests finish, in hexadecimal.
 	Subject string `json:"subject,omitempty,omitzero"`
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -175,7 +175,7 @@
 		c = &news.QuarantineCursor{}
 		q.cursors[address] = c
 	}
-	records, sent = q.tracker.Changes(c.Sent, news.MaxQuarantineRecords)
+	records, sent = q.tracker.Changes(c.Sent, news.MaxQuarantineRecords, quarantine.Source(c.Run)) //nolint:gosec // identifies the run
 	return records, sent, c.Read
 }
 
@@ -185,7 +185,7 @@
 	q.gateways = got.Gateways
 	q.tracker.SetGateways(got.Gateways)
 	q.cursors[address].Advance(got.QuarantineRun, got.QuarantineRead, sent)
-	verdicts := q.tracker.Merge(sinceBoot(), got.Quarantine)
+	verdicts := q.tracker.Merge(sinceBoot(), quarantine.Source(got.QuarantineRun), got.Quarantine) //nolint:gosec // identifies the run
 	q.mu.Unlock()
 	q.apply(verdicts, "known from another gateway, or from what others know")
 }
--- a/internal/gateway/quarantinestore.go
+++ b/internal/gateway/quarantinestore.go
@@ -92,7 +92,7 @@
 			Until: now + time.UnixMilli(c.UntilUnixMs).Sub(wall),
 		}})
 	}
-	verdicts := q.tracker.Merge(now, records)
+	verdicts := q.tracker.Merge(now, quarantine.NoSource, records)
 	q.mu.Unlock()
 	q.apply(verdicts, "recorded in the store")
 }
--- a/internal/news/exchange.go
+++ b/internal/news/exchange.go
@@ -23,6 +23,9 @@
 	// QuarantineRead is the version of the relay's records up to which the gateway has read.
 	Quarantine                     []quarantine.Record
 	QuarantineSent, QuarantineRead int64
+	// Run identifies the run of the gateway. A new run has none of the records that came from an
+	// earlier one.
+	Run int64
 }
 
 // PeerReport is what an exchange returns.
@@ -39,6 +42,8 @@
 	QuarantineRead, QuarantineRun int64
 	// Next is the time until the next exchange.
 	Next time.Duration
+	// source is the relay that answered.
+	source quarantine.Source
 }
 
 // serveLoads records what a gateway states and answers with what the others do. Another relay gets
@@ -58,10 +63,10 @@
 		return
 	}
 	if p.Relay {
-		call.Respond(r.answerRelay(int64(p.EvidenceSince), int64(p.QuarantineSince)))
+		call.Respond(r.answerRelay(linkSource(link), int64(p.EvidenceSince), int64(p.QuarantineSince)))
 		return
 	}
-	own.QuarantineRead = int64(p.QuarantineSince)
+	own.QuarantineRead, own.Run = int64(p.QuarantineSince), int64(link.Remote.Incarnation)
 	answer := r.Exchange(link.Remote.Instance, own)
 	result := api.LoadsResult{
 		Loads: answer.Loads.Encode(), Failures: answer.Failures.Encode(), Demand: answer.Demand.Encode(), Gateways: answer.Gateways, Evidence: encodeEvidence(answer.Evidence),
@@ -100,13 +105,13 @@
 
 // answerRelay returns the loads of the gateways that report here, and the evidence and the records of
 // the quarantine that changed after two versions.
-func (r *Relay) answerRelay(evidenceSince, quarantineSince int64) api.LoadsResult {
+func (r *Relay) answerRelay(reader quarantine.Source, evidenceSince, quarantineSince int64) api.LoadsResult {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	stats, gateways := r.loads.OfGateways(r.clock())
 	records, version := r.evidence.ChangedSince(evidenceSince)
 	out := api.LoadsResult{Loads: stats.Loads.Encode(), Failures: stats.Failures.Encode(), Demand: stats.Demand.Encode(), Gateways: gateways, Evidence: encodeEvidence(records), EvidenceVersion: int(version)}
-	quarantined, quarantineVersion := r.quarantine.ChangedSince(quarantineSince, MaxQuarantineRecords)
+	quarantined, quarantineVersion := r.quarantine.ChangedSince(quarantineSince, MaxQuarantineRecords, reader)
 	out.Quarantine, out.QuarantineVersion, out.QuarantineRun = encodeQuarantine(r.clock(), quarantined), int(quarantineVersion), int(r.quarantineRun)
 	out.NextMs = int(r.loads.Interval(len(out.Loads) + len(out.Failures)).Milliseconds())
 	return out
@@ -124,8 +129,9 @@
 		r.evidence.Merge(now, e)
 		out.Evidence = append(out.Evidence, EvidenceRecord{Rollout: e.Rollout, Evidence: r.evidence.OthersOf(e.Rollout, e.Origin)})
 	}
-	r.mergeQuarantine(now, own.Quarantine)
-	out.Quarantine, out.QuarantineRead = r.quarantine.ChangedSince(own.QuarantineRead, MaxQuarantineRecords)
+	source := sourceOf(instance, own.Run)
+	r.mergeQuarantine(now, source, own.Quarantine)
+	out.Quarantine, out.QuarantineRead = r.quarantine.ChangedSince(own.QuarantineRead, MaxQuarantineRecords, source)
 	out.QuarantineRun = r.quarantineRun
 	out.Next = r.loads.Interval(0)
 	return out
@@ -149,7 +155,7 @@
 		r.evidence.Merge(now, e)
 	}
 	r.fetchedEvidence[address] = version
-	r.mergeQuarantine(now, got.Quarantine)
+	r.mergeQuarantine(now, got.source, got.Quarantine)
 	r.fetchedQuarantine[address] = got.QuarantineRead
 	return got.Next, nil
 }
@@ -181,5 +187,6 @@
 	return PeerReport{
 		WorkerStats: got.WorkerStats, Gateways: max(result.Gateways, 1), Evidence: got.Evidence, Next: time.Duration(result.NextMs) * time.Millisecond,
 		Quarantine: quarantined, QuarantineRead: int64(result.QuarantineVersion), QuarantineRun: int64(result.QuarantineRun),
+		source: linkSource(link),
 	}, int64(result.EvidenceVersion), err
 }
--- a/internal/news/quarantine.go
+++ b/internal/news/quarantine.go
@@ -5,9 +5,11 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/peer"
 	"github.com/borageflow/borageflow/internal/quarantine"
 )
 
@@ -45,6 +47,7 @@
 			e.AgeMs = int((now - r.Crash.At).Milliseconds())
 		case r.Finished != nil:
 			e.Kind, e.Subject, e.Count = api.QuarantineRecordKindFinished, formatHash(r.Finished.Origin), r.Finished.Count
+			e.Statement = int(r.Finished.Sequence)
 			e.AgeMs = int((now - r.Finished.At).Milliseconds())
 			for _, at := range r.Finished.Begun {
 				e.BegunAgesMs = append(e.BegunAgesMs, int((now - at).Milliseconds()))
@@ -97,7 +100,7 @@
 			if len(e.BegunAgesMs) > quarantine.MaxFinishedTimes {
 				return nil, eris.Errorf("record of part %q has the times of %d requests, at most %d are allowed", e.Part, len(e.BegunAgesMs), quarantine.MaxFinishedTimes)
 			}
-			r.Finished = &quarantine.Finished{Origin: subject, Count: e.Count, At: at}
+			r.Finished = &quarantine.Finished{Origin: subject, Sequence: int64(max(e.Statement, 0)), Count: e.Count, At: at}
 			for _, age := range e.BegunAgesMs {
 				r.Finished.Begun = append(r.Finished.Begun, ago(now, age))
 			}
@@ -122,10 +125,20 @@
 	return now - time.Duration(min(max(ageMs, 0), maxAgeMs))*time.Millisecond
 }
 
-// mergeQuarantine adds records to those of the relay. The caller holds the lock.
-func (r *Relay) mergeQuarantine(now Elapsed, records []quarantine.Record) {
+// sourceOf returns the source of the records of a run of a process.
+func sourceOf(instance string, run int64) quarantine.Source {
+	return quarantine.Source(xxhash.Sum64String(instance + "/" + strconv.FormatInt(run, 10)))
+}
+
+// linkSource returns the source of the records that come over a link.
+func linkSource(link *peer.Link) quarantine.Source {
+	return sourceOf(link.Remote.Instance, int64(link.Remote.Incarnation))
+}
+
+// mergeQuarantine adds records from a source to those of the relay. The caller holds the lock.
+func (r *Relay) mergeQuarantine(now Elapsed, from quarantine.Source, records []quarantine.Record) {
 	r.quarantine.Expire(now)
 	for _, record := range records {
-		r.quarantine.Merge(record)
+		r.quarantine.Merge(from, record)
 	}
 }
--- a/internal/news/quarantine_test.go
+++ b/internal/news/quarantine_test.go
@@ -76,12 +76,12 @@
 		}
 		tracker := quarantine.NewTracker("g", time.UnixMilli(0))
 		for range 3 {
-			tracker.Merge(time.Hour, own.Quarantine)
+			tracker.Merge(time.Hour, quarantine.NoSource, own.Quarantine)
 			for _, r := range own.Quarantine {
 				tracker.RecordEnd(time.Hour, quarantine.WorkerEnd{Service: r.Part.Service, Worker: r.Part.Service, IDs: []uint64{r.Part.ID}, Weight: 1})
 			}
 			tracker.Tick(time.Hour)
 		}
-		tracker.Changes(int64(p.QuarantineSince), 10)
+		tracker.Changes(int64(p.QuarantineSince), 10, quarantine.NoSource)
 	})
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -44,6 +44,11 @@
 type Finished struct {
 	// Origin is the hash of the gateway's run.
 	Origin uint64
+	// Sequence orders the statements of the gateway, from 1. It is 0 if they have come through a
+	// process that does not know it. Times cannot order them: each process on the way adds the time of
+	// its message to them, so that a statement that came back looked like a later one and was passed
+	// on again without end.
+	Sequence int64
 	// Count is the number of the requests, up to commonFinishes, and At when the last one ended.
 	Count int
 	At    Elapsed
@@ -87,6 +92,13 @@
 	Verdict  *Verdict
 }
 
+// Source identifies the run of a process that records come from. NoSource is this process itself, or
+// an unknown one.
+type Source uint64
+
+// NoSource is the Source of records that were made here.
+const NoSource Source = 0
+
 // Ledger holds what gateways know of parts. Records merge to the same state in any order and
 // however often they arrive.
 type Ledger struct {
@@ -99,6 +111,8 @@
 type versioned[T any] struct {
 	value   T
 	version int64
+	// from is where the value came from. That process has it already.
+	from Source
 }
 
 type partRecords struct {
@@ -124,20 +138,20 @@
 // Version returns the version of the last change.
 func (l *Ledger) Version() int64 { return l.version }
 
-// Merge adds a record and reports whether it changed anything.
-func (l *Ledger) Merge(r Record) bool {
+// Merge adds a record from a source and reports whether it changed anything.
+func (l *Ledger) Merge(from Source, r Record) bool {
 	switch {
 	case r.Verdict != nil:
-		return l.mergeVerdict(*r.Verdict)
+		return l.mergeVerdict(from, *r.Verdict)
 	case r.Crash != nil:
-		return l.mergeCrash(r.Part, *r.Crash)
+		return l.mergeCrash(from, r.Part, *r.Crash)
 	case r.Finished != nil:
-		return l.mergeFinished(r.Part, *r.Finished)
+		return l.mergeFinished(from, r.Part, *r.Finished)
 	}
 	return false
 }
 
-func (l *Ledger) mergeVerdict(v Verdict) bool {
+func (l *Ledger) mergeVerdict(from Source, v Verdict) bool {
 	if v.Sequence < 0 || v.Sequence > maxSequence {
 		return false
 	}
@@ -150,7 +164,7 @@
 		l.dropVerdict()
 	}
 	l.version++
-	l.verdicts[v.Part] = &versioned[Verdict]{v, l.version}
+	l.verdicts[v.Part] = &versioned[Verdict]{v, l.version, from}
 	return true
 }
 
@@ -173,18 +187,18 @@
 	return c.OnTrial && !other.OnTrial
 }
 
-func (l *Ledger) mergeCrash(part Part, c Crash) bool {
+func (l *Ledger) mergeCrash(from Source, part Part, c Crash) bool {
 	p := l.recordsOf(part, c.At)
 	if known := p.crashes[c.Worker]; known != nil && !c.outweighs(&known.value) || known == nil && len(p.crashes) >= maxCrashesPerPart {
 		return false
 	}
 	l.version++
-	p.crashes[c.Worker] = &versioned[Crash]{c, l.version}
+	p.crashes[c.Worker] = &versioned[Crash]{c, l.version, from}
 	p.lastAt = max(p.lastAt, c.At)
 	return true
 }
 
-func (l *Ledger) mergeFinished(part Part, f Finished) bool {
+func (l *Ledger) mergeFinished(from Source, part Part, f Finished) bool {
 	p := l.recordsOf(part, f.At)
 	p.lastAt = max(p.lastAt, f.At)
 	known := p.finished[f.Origin]
@@ -195,21 +209,29 @@
 		known = &versioned[Finished]{value: Finished{Origin: f.Origin, At: f.At - 2*finishedTTL}}
 		p.finished[f.Origin] = known
 	}
-	isLater := f.At > known.value.At || f.At == known.value.At && len(f.Begun) > len(known.value.Begun)
+	isLater := f.isLater(&known.value)
 	changed := f.Count > known.value.Count || isLater && (f.At-known.value.At > minFinishedInterval || !p.hasEnoughSinceLastEnd(&known.value))
 	if changed || isLater {
 		known.value.Count = max(known.value.Count, f.Count)
 	}
 	if isLater && changed {
-		known.value.At, known.value.Begun = f.At, f.Begun
+		known.value.At, known.value.Begun, known.value.Sequence = f.At, f.Begun, f.Sequence
 	}
 	if changed {
 		l.version++
-		known.version = l.version
+		known.version, known.from = l.version, from
 	}
 	return changed
 }
 
+// isLater reports whether a statement is a later one than another of the same gateway.
+func (f *Finished) isLater(other *Finished) bool {
+	if f.Sequence > 0 && other.Sequence > 0 {
+		return f.Sequence > other.Sequence
+	}
+	return f.At > other.At || f.At == other.At && len(f.Begun) > len(other.Begun)
+}
+
 // minFinishedInterval is the least time between two versions of a Finished that differ in nothing that
 // the evidence needs.
 const minFinishedInterval = 5 * time.Second
@@ -274,30 +296,30 @@
 }
 
 // ChangedSince returns at most limit records that changed after a version, the oldest changes first,
-// and the version up to which they reach.
-func (l *Ledger) ChangedSince(version int64, limit int) ([]Record, int64) {
+// and the version up to which they reach. Those that came from the reader are left out.
+func (l *Ledger) ChangedSince(version int64, limit int, reader Source) ([]Record, int64) {
 	if version >= l.version {
 		return nil, l.version
 	}
 	var changed []versioned[Record]
-	add := func(at int64, r Record) {
-		if at > version {
-			changed = append(changed, versioned[Record]{r, at})
+	add := func(at int64, from Source, r Record) {
+		if at > version && (from != reader || reader == NoSource) {
+			changed = append(changed, versioned[Record]{value: r, version: at})
 		}
 	}
 	for part, p := range l.parts {
 		for _, c := range p.crashes {
 			crash := c.value
-			add(c.version, Record{Part: part, Crash: &crash})
+			add(c.version, c.from, Record{Part: part, Crash: &crash})
 		}
 		for _, f := range p.finished {
 			finished := f.value
-			add(f.version, Record{Part: part, Finished: &finished})
+			add(f.version, f.from, Record{Part: part, Finished: &finished})
 		}
 	}
 	for part, v := range l.verdicts {
 		verdict := v.value
-		add(v.version, Record{Part: part, Verdict: &verdict})
+		add(v.version, v.from, Record{Part: part, Verdict: &verdict})
 	}
 	slices.SortFunc(changed, func(a, b versioned[Record]) int { return cmp.Compare(a.version, b.version) })
 	upTo := l.version
--- a/internal/quarantine/policy_test.go
+++ b/internal/quarantine/policy_test.go
@@ -247,12 +247,12 @@
 		c.next = now + modelExchange
 		relay := m.relays[i%len(m.relays)]
 		var records []Record
-		records, c.sent = t.Changes(c.sent, limit)
+		records, c.sent = t.Changes(c.sent, limit, NoSource)
 		for _, r := range records {
-			relay.Merge(r)
+			relay.Merge(NoSource, r)
 		}
-		records, c.read = relay.ChangedSince(c.read, limit)
-		t.Merge(now, records)
+		records, c.read = relay.ChangedSince(c.read, limit, NoSource)
+		t.Merge(now, NoSource, records)
 		t.Tick(now)
 		for _, v := range t.Verdicts() {
 			condemned[v.Part] = true
@@ -260,10 +260,10 @@
 	}
 	if now%modelExchange == 0 {
 		for i, from := range m.relays {
-			records, _ := from.ChangedSince(0, 1<<20)
+			records, _ := from.ChangedSince(0, 1<<20, NoSource)
 			for _, r := range records {
-				m.relays[(i+1)%len(m.relays)].Merge(r)
-				m.relays[(i+2)%len(m.relays)].Merge(r)
+				m.relays[(i+1)%len(m.relays)].Merge(NoSource, r)
+				m.relays[(i+2)%len(m.relays)].Merge(NoSource, r)
 			}
 		}
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -80,6 +80,8 @@
 	probation map[Part]Elapsed
 	// firstSequence is the sequence that stands for the start of the clock.
 	firstSequence int64
+	// finishedSequence is the sequence of the last Finished that this Tracker stated.
+	finishedSequence int64
 	// settleTime is how long the end of a worker is known before it can condemn a part.
 	settleTime time.Duration
 }
@@ -201,9 +203,16 @@
 func (t *Tracker) publishFinished(now Elapsed, part Part, k *knownPart) {
 	p, v := t.ledger.parts[part], t.ledger.verdicts[part]
 	isNear := p != nil && len(p.crashes) >= minSuspectEnds || v != nil && v.value.Condemned
-	if isNear && k.finishedLately(now) > 0 {
-		t.ledger.mergeFinished(part, Finished{Origin: t.origin, Count: len(k.begun), At: k.lastAt, Begun: slices.Clone(k.begun)})
+	if !isNear || k.finishedLately(now) == 0 {
+		return
 	}
+	f := Finished{Origin: t.origin, Count: len(k.begun), At: k.lastAt, Begun: k.begun}
+	if p != nil && p.finished[t.origin] != nil && !f.isLater(&p.finished[t.origin].value) {
+		return
+	}
+	t.finishedSequence++
+	f.Sequence, f.Begun = t.finishedSequence, slices.Clone(k.begun)
+	t.ledger.mergeFinished(NoSource, part, f)
 }
 
 func (s *service) finishedNow(now Elapsed) float64 {
@@ -235,7 +244,7 @@
 	end.begun += e.Weight
 	for i, id := range e.IDs {
 		part := Part{e.Service, id}
-		t.ledger.mergeCrash(part, Crash{Worker: worker, Weight: e.Weight, Position: i, IsWhole: e.IsWhole, OnTrial: e.OnTrial, At: now})
+		t.ledger.mergeCrash(NoSource, part, Crash{Worker: worker, Weight: e.Weight, Position: i, IsWhole: e.IsWhole, OnTrial: e.OnTrial, At: now})
 		if k, ok := t.known.Peek(part); ok {
 			t.publishFinished(now, part, k)
 		}
@@ -253,13 +262,16 @@
 	return end
 }
 
-// Merge adds what other gateways know. It returns the verdicts that were not known, and those that
-// follow.
-func (t *Tracker) Merge(now Elapsed, records []Record) []Verdict {
+// Merge adds what other gateways know, as a source states it. It returns the verdicts that were not
+// known, and those that follow.
+func (t *Tracker) Merge(now Elapsed, from Source, records []Record) []Verdict {
 	affected := map[string]bool{}
 	var out []Verdict
 	for _, r := range records {
-		if !t.ledger.Merge(r) {
+		if r.Finished != nil && r.Finished.Origin == t.origin {
+			continue // an own statement that comes back
+		}
+		if !t.ledger.Merge(from, r) {
 			continue
 		}
 		switch {
@@ -288,9 +300,9 @@
 }
 
 // Changes returns what changed after a version of this Tracker's knowledge, also what it learned
-// from others; see Ledger.ChangedSince.
-func (t *Tracker) Changes(version int64, limit int) ([]Record, int64) {
-	return t.ledger.ChangedSince(version, limit)
+// from others but the reader; see Ledger.ChangedSince.
+func (t *Tracker) Changes(version int64, limit int, reader Source) ([]Record, int64) {
+	return t.ledger.ChangedSince(version, limit, reader)
 }
 
 // Tick removes what is out of date. It returns the parts that are condemned by ends that have been known
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -119,9 +119,9 @@
 		assert.Equal(t, len(tracker.RecordEnd(moment(i), endOf(i, 1, fatal))), 0)
 	}
 	for _, from := range trackers {
-		records, _ := from.Changes(0, 100)
+		records, _ := from.Changes(0, 100, NoSource)
 		for _, to := range trackers {
-			to.Merge(moment(5), records)
+			to.Merge(moment(5), NoSource, records)
 		}
 	}
 	for _, tracker := range trackers {
@@ -137,10 +137,10 @@
 		a.RecordEnd(moment(i), endOf(i, 77))
 		b.RecordFinished(moment(3), moment(2), testService, []uint64{77})
 	}
-	records, _ := a.Changes(0, 100)
-	b.Merge(moment(5), records)
-	records, _ = b.Changes(0, 100)
-	a.Merge(moment(5), records)
+	records, _ := a.Changes(0, 100, NoSource)
+	b.Merge(moment(5), NoSource, records)
+	records, _ = b.Changes(0, 100, NoSource)
+	a.Merge(moment(5), NoSource, records)
 	assert.Equal(t, a.Decide(moment(5), testService, []uint64{77}).Action, Send)
 	assert.Equal(t, len(a.RecordEnd(moment(6), endOf(2, 77))), 0)
 }
@@ -157,10 +157,10 @@
 		other := newTestTracker(fmt.Sprint("b", i))
 		other.RecordFinished(moment(4), moment(3), testService, []uint64{77})
 		other.RecordFinished(moment(4), moment(3), testService, []uint64{77})
-		records, _ := a.Changes(0, 100)
-		other.Merge(moment(4), records)
-		records, _ = other.Changes(0, 100)
-		a.Merge(moment(5), records)
+		records, _ := a.Changes(0, 100, NoSource)
+		other.Merge(moment(4), NoSource, records)
+		records, _ = other.Changes(0, 100, NoSource)
+		a.Merge(moment(5), NoSource, records)
 	}
 	assert.Equal(t, a.Decide(moment(6), testService, []uint64{77}).Action, Send)
 	assert.Equal(t, len(a.RecordEnd(moment(7), endOf(4, 77))), 0, "ends before the acquittal count")
@@ -169,11 +169,11 @@
 	for i := range 3 {
 		b.RecordEnd(moment(i), endOf(i, fatal))
 	}
-	records, _ := b.Changes(0, 100)
+	records, _ := b.Changes(0, 100, NoSource)
 	other := newTestTracker("c")
-	other.Merge(moment(4), records)
-	records, _ = other.Changes(0, 100)
-	b.Merge(moment(5), records)
+	other.Merge(moment(4), NoSource, records)
+	records, _ = other.Changes(0, 100, NoSource)
+	b.Merge(moment(5), NoSource, records)
 	assert.Equal(t, b.Decide(moment(6), testService, []uint64{fatal}).Action, Refuse)
 }
 
@@ -225,10 +225,10 @@
 	part := Part{testService, 100}
 	tracker.Set(time.Second, part, time.Minute)
 	assert.Equal(t, tracker.Decide(2*time.Second, testService, []uint64{100}).Action, Refuse)
-	records, _ := tracker.Changes(0, 100)
+	records, _ := tracker.Changes(0, 100, NoSource)
 	_, ok := tracker.Lift(3*time.Second, part)
 	assert.Assert(t, ok)
-	tracker.Merge(4*time.Second, records)
+	tracker.Merge(4*time.Second, NoSource, records)
 	assert.Equal(t, tracker.Decide(4*time.Second, testService, []uint64{100}).Action, Send)
 	for i := range 3 {
 		tracker.RecordEnd(4*time.Second+moment(i)-moment(0), endOf(i, fatal))
@@ -260,19 +260,19 @@
 		}
 		a, b := NewLedger(0), NewLedger(0)
 		for _, r := range records {
-			a.Merge(r)
+			a.Merge(NoSource, r)
 		}
 		for _, r := range rapid.Permutation(records).Draw(t, "order") {
-			b.Merge(r)
-			b.Merge(r)
+			b.Merge(NoSource, r)
+			b.Merge(NoSource, r)
 		}
 		for version := int64(0); ; {
 			var page []Record
-			if page, version = a.ChangedSince(version, 3); len(page) == 0 {
+			if page, version = a.ChangedSince(version, 3, NoSource); len(page) == 0 {
 				break
 			}
 			for _, r := range page {
-				b.Merge(r)
+				b.Merge(NoSource, r)
 			}
 		}
 		for part, p := range a.parts {
@@ -294,7 +294,7 @@
 func TestVerdictWithImpossibleNumbersDoesNoHarm(t *testing.T) {
 	tracker := newTestTracker("a")
 	part := Part{testService, fatal}
-	tracker.Merge(moment(0), []Record{
+	tracker.Merge(moment(0), NoSource, []Record{
 		{Part: part, Verdict: &Verdict{Part: part, Sequence: 1, Tries: -100, Crashes: -1}},
 		{Part: part, Verdict: &Verdict{Part: part, Sequence: 1<<63 - 1, Condemned: true, Until: 1 << 62}},
 	})
@@ -311,8 +311,8 @@
 func TestLedgerIsBounded(t *testing.T) {
 	l := NewLedger(0)
 	for i := range uint64(3 * maxParts) {
-		l.Merge(Record{Part: Part{testService, i}, Crash: &Crash{Worker: i, Weight: 1, At: time.Duration(i)}})
-		l.Merge(Record{Part: Part{testService, i}, Verdict: &Verdict{Part: Part{testService, i}, Sequence: 1, Condemned: true, ByOperator: i == 0, Until: time.Duration(i)}})
+		l.Merge(NoSource, Record{Part: Part{testService, i}, Crash: &Crash{Worker: i, Weight: 1, At: time.Duration(i)}})
+		l.Merge(NoSource, Record{Part: Part{testService, i}, Verdict: &Verdict{Part: Part{testService, i}, Sequence: 1, Condemned: true, ByOperator: i == 0, Until: time.Duration(i)}})
 	}
 	assert.Equal(t, len(l.parts), maxParts)
 	assert.Equal(t, len(l.verdicts), maxVerdicts)
@@ -337,7 +337,7 @@
 	tracker := newTestTracker("a")
 	for part := range uint64(maxVerdicts + 50) {
 		for i := range 3 {
-			tracker.ledger.mergeCrash(Part{testService, 1000 + part}, Crash{Worker: 10*part + uint64(i), Weight: 1, At: moment(i)})
+			tracker.ledger.mergeCrash(NoSource, Part{testService, 1000 + part}, Crash{Worker: 10*part + uint64(i), Weight: 1, At: moment(i)})
 		}
 	}
 	verdicts := tracker.RecordEnd(moment(4), endOf(1, 1))
@@ -357,12 +357,12 @@
 	}
 	for i := range uint64(maxParts) {
 		for worker := range uint64(maxCrashesPerPart) {
-			tracker.ledger.Merge(Record{Part: Part{testService, i}, Crash: &Crash{Worker: worker, Weight: 1}})
+			tracker.ledger.Merge(NoSource, Record{Part: Part{testService, i}, Crash: &Crash{Worker: worker, Weight: 1}})
 		}
 		for origin := range uint64(maxOriginsPerPart) {
-			tracker.ledger.Merge(Record{Part: Part{testService, i}, Finished: &Finished{Origin: origin, Count: commonFinishes, Begun: make([]Elapsed, commonFinishes)}})
+			tracker.ledger.Merge(NoSource, Record{Part: Part{testService, i}, Finished: &Finished{Origin: origin, Count: commonFinishes, Begun: make([]Elapsed, commonFinishes)}})
 		}
-		tracker.ledger.Merge(Record{Part: Part{testService, i}, Verdict: &Verdict{Part: Part{testService, i}, Sequence: 1, Condemned: true, Until: time.Hour}})
+		tracker.ledger.Merge(NoSource, Record{Part: Part{testService, i}, Verdict: &Verdict{Part: Part{testService, i}, Sequence: 1, Condemned: true, Until: time.Hour}})
 	}
 	used := liveHeap() - before
 	t.Logf("%d kB", used/1024)
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -14,7 +14,7 @@
 		v.Crashes += known.value.Crashes
 	}
 	v.Until = now + min(CondemnedFor<<min(v.Tries, 8), maxCondemnedFor)
-	t.ledger.mergeVerdict(v)
+	t.ledger.mergeVerdict(NoSource, v)
 	delete(t.probation, c.part)
 	return v
 }
@@ -63,7 +63,7 @@
 		return Verdict{}, false
 	}
 	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), Tries: known.value.Tries, Until: now}
-	t.ledger.mergeVerdict(v)
+	t.ledger.mergeVerdict(NoSource, v)
 	delete(t.probation, part)
 	return v, true
 }
@@ -84,7 +84,7 @@
 		return Verdict{}, false
 	}
 	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), Tries: known.value.Tries, Until: now}
-	t.ledger.mergeVerdict(v)
+	t.ledger.mergeVerdict(NoSource, v)
 	return v, true
 }
 
@@ -97,7 +97,7 @@
 			continue
 		}
 		v := Verdict{Part: part, Sequence: t.nextSequence(now, part), Tries: known.value.Tries, Until: now}
-		t.ledger.mergeVerdict(v)
+		t.ledger.mergeVerdict(NoSource, v)
 		out = append(out, v)
 	}
 	return out
@@ -209,7 +209,7 @@
 // Set condemns a part for a time on behalf of an operator.
 func (t *Tracker) Set(now Elapsed, part Part, lifetime time.Duration) Verdict {
 	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), Condemned: true, ByOperator: true, Until: now + lifetime}
-	t.ledger.mergeVerdict(v)
+	t.ledger.mergeVerdict(NoSource, v)
 	return v
 }
 
@@ -221,6 +221,6 @@
 		return Verdict{}, false
 	}
 	v := Verdict{Part: part, Sequence: t.nextSequence(now, part), ByOperator: true, Until: now}
-	t.ledger.mergeVerdict(v)
+	t.ledger.mergeVerdict(NoSource, v)
 	return v, true
 }
