Count the bytes of calls to other gateways and to the store

Change: borageflow_gateway_domain_bytes_total{cause,domain}, counted by the process that calls. A node without a counter encodes calls as before.

Result: go test -race ./internal/peer ./internal/gateway ./platform passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -102,10 +102,14 @@
 		ctx: ctx, cancel: cancel,
 		origin: s.Instance + "@" + strconv.FormatInt(time.Now().UnixNano(), 36),
 	}
-	g.relayPeer, g.store = newRelayPeer(s, deps.Store, time.Now(), log)
+	g.relayPeer, g.store = newRelayPeer(s, deps.Store, time.Now(), m, log)
 	g.quarantine = newQuarantineGuard(g.origin, s.isRelay(), m, observe.ComponentLogger(log, "quarantine"))
 	g.dispatcher = newDispatcher(s, observe.ComponentLogger(log, "state"))
 	g.dispatcher.onWorkers = g.quarantine.setWorkers
+	if counted, ok := deps.Store.(interface{ Bytes() int64 }); ok {
+		// Where the store lies is not known.
+		m.set.NewGauge(`borageflow_gateway_domain_bytes_total{cause="store",domain="unknown"}`, func() float64 { return float64(counted.Bytes()) })
+	}
 	m.set.NewGauge("borageflow_gateway_active_requests", func() float64 { return float64(g.activeRequests.Load()) })
 	m.set.NewGauge("borageflow_gateway_config_age_seconds", func() float64 {
 		return (sinceBoot() - time.Duration(g.dispatcher.confirmedAt.Load())).Seconds()
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -90,6 +90,16 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_load_exchanges_total{ok=\"%t\"}", ok)).Inc()
 }
 
+// countPeerBytes counts the bytes of a call to another gateway and its answer, by whether it is in
+// another failure domain.
+func (m *gatewayMetrics) countPeerBytes(cause string, leavesDomain bool, bytes int) {
+	domain := "own"
+	if leavesDomain {
+		domain = "other"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_domain_bytes_total{cause=%q,domain=%q}", cause, domain)).Add(bytes)
+}
+
 // countStoreCall counts a call to the store, or a response of a relay in its place.
 func (m *gatewayMetrics) countStoreCall(topic string, relayed, ok bool) {
 	if relayed {
--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -73,7 +73,7 @@
 // newRelayPeer returns the relay connection of this gateway and the store to watch: the store
 // itself on a relay and where the bounds do not allow relays, and a store that asks the relays
 // first elsewhere. The relay connection is nil where no relays are configured.
-func newRelayPeer(s Settings, store forward.Store, started time.Time, log *zap.Logger) (*relayPeer, forward.Store) {
+func newRelayPeer(s Settings, store forward.Store, started time.Time, m *gatewayMetrics, log *zap.Logger) (*relayPeer, forward.Store) {
 	if len(s.Relays) == 0 {
 		return nil, store
 	}
@@ -83,7 +83,14 @@
 	onPanic := func(method string, value any) {
 		relayLog.Error("message of a peer cannot be handled and is ignored", zap.String("method", method), zap.Any("panic", value), zap.Stack("stack"))
 	}
-	p := &relayPeer{relay: relay, node: peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello { return hello }, OnPanic: onPanic})}
+	onCall := func(remote api.Member, method string, bytes int) {
+		cause := "exchange"
+		if method == peer.MethodNews {
+			cause = "relay_updates"
+		}
+		m.countPeerBytes(cause, remote.FailureDomain != s.FailureDomain, bytes)
+	}
+	p := &relayPeer{relay: relay, node: peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello { return hello }, OnPanic: onPanic, OnCall: onCall})}
 	p.isRelay = s.isRelay()
 	if p.isRelay || !s.usesRelays() {
 		return p, store
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -130,6 +130,8 @@
 	pendingCalls atomic.Int64
 	// closedLocally is set by Close.
 	closedLocally atomic.Bool
+	// countCall is called with the bytes of each call and its answer, if set.
+	countCall func(remote api.Member, method string, bytes int)
 }
 
 // Key identifies a process: a restarted process of the same instance has another
@@ -150,6 +152,13 @@
 	l.pendingCalls.Add(1)
 	defer l.pendingCalls.Add(-1)
 	l.lastCallNanos.Store(time.Now().UnixNano())
+	if l.countCall != nil {
+		return l.callCounted(ctx, method, params, result)
+	}
+	return l.dispatch(ctx, method, params, result)
+}
+
+func (l *Link) dispatch(ctx context.Context, method string, params, result any) error {
 	pending, err := l.conn.DispatchCall(ctx, method, params)
 	if err != nil {
 		return sendError(err)
@@ -157,6 +166,28 @@
 	return responseError(pending.Wait(ctx, result))
 }
 
+// envelopeBytes is the length of what JSON-RPC and the stream put around the parameters and the result
+// of one call, with short method names.
+const envelopeBytes = 110
+
+// callCounted is a call whose parameters and result are encoded here, so that their bytes are known.
+func (l *Link) callCounted(ctx context.Context, method string, params, result any) error {
+	sent, err := json.Marshal(params)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "parameters of "+method+" cannot be encoded")
+	}
+	var received json.RawMessage
+	err = l.dispatch(ctx, method, json.RawMessage(sent), &received)
+	l.countCall(l.Remote, method, len(sent)+len(received)+envelopeBytes)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(received, result); err != nil {
+		return errkind.Wrap(err, errkind.UpstreamFailed, "answer to "+method+" does not match the schema")
+	}
+	return nil
+}
+
 // Notify sends a notification, which has no answer. A nil error means that it was
 // written to the connection.
 func (l *Link) Notify(ctx context.Context, method string, params any) error {
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -20,6 +20,7 @@
 	onPanic    func(method string, value any)
 	serverTLS  *tls.Config
 	clientTLS  *tls.Config
+	onCall     func(remote api.Member, method string, bytes int)
 	counters   Counters
 
 	ctx    context.Context
@@ -60,6 +61,8 @@
 	// panic, while the stack is still that of the handler. The call fails; other messages are served.
 	// Nil ignores it.
 	OnPanic func(method string, value any)
+	// OnCall is called with the bytes of each outgoing call and its answer. Nil ignores them.
+	OnCall func(remote api.Member, method string, bytes int)
 	// ServerTLS and ClientTLS configure mutual TLS for accepted and dialed links;
 	// nil means plain TCP.
 	ServerTLS, ClientTLS *tls.Config
@@ -73,7 +76,7 @@
 		o.OnPanic = func(string, any) {}
 	}
 	return &Node{
-		handler: o.Handler, localHello: o.Local, onPanic: o.OnPanic, serverTLS: o.ServerTLS, clientTLS: o.ClientTLS,
+		handler: o.Handler, localHello: o.Local, onPanic: o.OnPanic, serverTLS: o.ServerTLS, clientTLS: o.ClientTLS, onCall: o.OnCall,
 		ctx: ctx, cancel: cancel,
 		outgoing: map[string]*outgoingLink{}, accepted: map[*Link]bool{},
 	}
@@ -215,6 +218,7 @@
 	d.helloOnce.Do(func() {
 		link.Remote = hello.Member
 		link.Revision = hello.Revision
+		link.countCall = n.onCall
 		close(helloDone)
 		n.handler.LinkOpened(link)
 	})
