Exchange loads with the relay of the own failure domain

Cause: the exchange went to the relay that passes on the updates of the store. Besides, a connection between two relays that goes silent for good was never closed.

Change: the exchange chooses a relay of its own (news.RelayChoice, out of RelayedStore): one in the own failure domain, as long as it answers exchanges. After a failure the next relay is asked at once instead of after a second. A relay closes a link to another one that did not answer in time.

--- a/internal/gateway/peerexchange.go
+++ b/internal/gateway/peerexchange.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/internal/forward"
@@ -62,19 +61,21 @@
 
 // exchangeWithRelay states what this gateway knows to its relay and applies what the others know.
 func (g *Gateway) exchangeWithRelay(ctx context.Context) time.Duration {
-	address := g.exchangeRelay()
-	if address == "" {
-		return loadRetryInterval
-	}
+	relays := g.relayPeer.exchangeRelays
+	address := relays.Next()
 	own := g.ownReport(address)
 	got, err := news.ExchangeWithRelay(ctx, g.relayPeer.node, address, own)
 	g.metrics.countLoadExchange(err == nil)
 	if err != nil {
 		g.logExchangeFailure(address, err)
-		g.relayPeer.failedExchanges++
+		relays.BackOff(address, err)
+		if relays.Current() != "" {
+			return 0 // another relay is asked at once
+		}
 		return loadRetryInterval
 	}
 	g.loadFailure.Store(false)
+	relays.SetDomain(address, got.FailureDomain)
 	g.applyPeerReport(address, own.QuarantineSent, got)
 	if len(own.Demand) == 0 && len(own.Evidence) == 0 {
 		return max(got.Next, idleLoadInterval)
@@ -82,18 +83,6 @@
 	return got.Next
 }
 
-// exchangeRelay returns the relay to exchange with: the one that passes on the updates of the
-// store, or else one that is chosen by the name of this gateway, and the next one after a failure.
-func (g *Gateway) exchangeRelay() string {
-	if relayed, ok := g.store.(*news.RelayedStore); ok {
-		if address := relayed.CurrentRelay(); address != "" {
-			return address
-		}
-	}
-	relays := g.settings.Relays
-	return relays[(xxhash.Sum64String(g.settings.Instance)+g.relayPeer.failedExchanges)%uint64(len(relays))]
-}
-
 // recordOwnReport records what this relay knows itself and applies what the others know.
 func (g *Gateway) recordOwnReport(context.Context) time.Duration {
 	own := g.ownReport(g.settings.PeerAddress)
--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -34,9 +34,8 @@
 	node  *peer.Node
 	// isRelay reports whether this process passes updates on to other gateways.
 	isRelay bool
-	// failedExchanges is the number of failed exchanges with relays. Only the goroutine of the
-	// exchange uses it.
-	failedExchanges uint64
+	// exchangeRelays chooses the relay to exchange loads with.
+	exchangeRelays *news.RelayChoice
 }
 
 // usesRelays reports whether the updates of the store come from relays: they are configured, and the
@@ -92,6 +91,7 @@
 	}
 	p := &relayPeer{relay: relay, node: peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello { return hello }, OnPanic: onPanic, OnCall: onCall})}
 	p.isRelay = s.isRelay()
+	p.exchangeRelays = news.NewRelayChoice(s.Instance, s.FailureDomain, s.Relays, sinceBoot)
 	if p.isRelay || !s.usesRelays() {
 		return p, store
 	}
--- a/internal/news/exchange.go
+++ b/internal/news/exchange.go
@@ -42,8 +42,9 @@
 	QuarantineRead, QuarantineRun int64
 	// Next is the time until the next exchange.
 	Next time.Duration
-	// source is the relay that answered.
-	source quarantine.Source
+	// FailureDomain is that of the relay that answered, and source its run.
+	FailureDomain string
+	source        quarantine.Source
 }
 
 // serveLoads records what a gateway states and answers with what the others do. Another relay gets
@@ -177,6 +178,9 @@
 	}
 	var result api.LoadsResult
 	if err := link.Call(ctx, peer.MethodLoads, params, &result); err != nil {
+		if params.Relay && ctx.Err() != nil {
+			link.Close() // the connection may have gone silent for good, and nothing else uses it
+		}
 		return PeerReport{}, 0, eris.Wrapf(err, "relay %s does not answer with loads", address)
 	}
 	got, err := decodeReport(result.Loads, result.Failures, result.Demand, result.Evidence)
@@ -187,6 +191,6 @@
 	return PeerReport{
 		WorkerStats: got.WorkerStats, Gateways: max(result.Gateways, 1), Evidence: got.Evidence, Next: time.Duration(result.NextMs) * time.Millisecond,
 		Quarantine: quarantined, QuarantineRead: int64(result.QuarantineVersion), QuarantineRun: int64(result.QuarantineRun),
-		source: linkSource(link),
+		FailureDomain: link.Remote.FailureDomain, source: linkSource(link),
 	}, int64(result.EvidenceVersion), err
 }
--- a/internal/news/store.go
+++ b/internal/news/store.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/api"
@@ -16,14 +14,6 @@
 )
 
 const (
-	// silentBackoff is the time for which a relay is not used after it did not answer in
-	// time. Each request to such a relay takes the whole timeout, in which no updates
-	// arrive.
-	silentBackoff = 5 * time.Second
-	// refusedBackoff is the time for which a relay is not used after it refused a request,
-	// because it starts, shuts down or has no recent data. A refused request takes no time,
-	// and the store is called instead.
-	refusedBackoff = time.Second
 	// storeRetryInterval is the time between calls to a store that does not answer. Relays
 	// are tried more often, because they notice first that the store answers again. The
 	// interval does not apply to the configuration: its age decides whether API keys are
@@ -53,8 +43,6 @@
 type RelayedStore struct {
 	forward.Store
 	dialer LinkDialer
-	// domain is the failure domain of this gateway. Traffic within it is free of charge.
-	domain string
 	// timeout bounds a request to a relay beyond its waiting time.
 	timeout time.Duration
 	clock   func() Elapsed
@@ -65,8 +53,9 @@
 	listNowOnce sync.Once
 	log         *zap.Logger
 
+	relays *RelayChoice
+
 	mu       sync.Mutex
-	relays   []relayState
 	progress map[forward.Topic]topicProgress
 }
 
@@ -79,31 +68,12 @@
 	storeFailedAt Elapsed
 }
 
-// relayState is the address of a relay and what is known about it.
-type relayState struct {
-	address      string
-	backoffUntil Elapsed // the relay is not used before
-	// domain is the relay's failure domain; it is valid if domainKnown is set.
-	domain      string
-	domainKnown bool
-}
-
-// NewRelayedStore returns a store that reads from relays in front of a direct store. The order in
-// which relays are tried depends on instance, so that gateways spread their requests over
-// the relays.
+// NewRelayedStore returns a store that reads from relays in front of a direct store.
 func NewRelayedStore(direct forward.Store, dialer LinkDialer, instance, domain string, relays []string, timeout time.Duration, clock func() Elapsed, log *zap.Logger) *RelayedStore {
-	s := &RelayedStore{Store: direct, dialer: dialer, domain: domain, timeout: timeout, clock: clock, startedAt: clock(), listNow: make(chan struct{}), log: log, progress: map[forward.Topic]topicProgress{}}
-	ordered := slices.Clone(relays)
-	slices.SortFunc(ordered, func(a, b string) int {
-		if xxhash.Sum64String(instance+"/"+a) < xxhash.Sum64String(instance+"/"+b) {
-			return -1
-		}
-		return 1
-	})
-	for _, address := range ordered {
-		s.relays = append(s.relays, relayState{address: address})
+	return &RelayedStore{
+		Store: direct, dialer: dialer, relays: NewRelayChoice(instance, domain, relays, clock), timeout: timeout, clock: clock,
+		startedAt: clock(), listNow: make(chan struct{}), log: log, progress: map[forward.Topic]topicProgress{},
 	}
-	return s
 }
 
 // List implements forward.Store. The first list comes from a relay if one has the topic soon
@@ -146,13 +116,13 @@
 		case <-ctx.Done():
 		}
 	}()
-	for n := 0; len(s.relays) > 0 && n < maxFirstListRequests && ctx.Err() == nil; n++ {
+	for n := 0; len(s.relays.relays) > 0 && n < maxFirstListRequests && ctx.Err() == nil; n++ {
 		remaining := s.startedAt + firstListPatience - s.clock()
 		if remaining <= 0 {
 			break
 		}
 		callCtx, cancel := context.WithTimeout(ctx, min(remaining, firstListTimeout))
-		u, err := s.watchRelay(callCtx, s.relays[n%len(s.relays)].address, topic, 0, 0)
+		u, err := s.watchRelay(callCtx, s.relays.address(n), topic, 0, 0)
 		cancel()
 		switch {
 		case err == nil && u.Full && s.accept(topic, &u):
@@ -279,7 +249,7 @@
 	if err != nil {
 		return forward.Update{}, err
 	}
-	s.setRelayDomain(address, link.Remote.FailureDomain)
+	s.relays.SetDomain(address, link.Remote.FailureDomain)
 	u, err := requestDelta(ctx, link, api.NewsParams{Topic: topic.String(), Revision: int(revision), WaitMs: int(wait.Milliseconds()), Whole: s.storeFailing(topic)})
 	if err != nil && ctx.Err() != nil {
 		link.Close() // ends the requests for the other topics, which this relay would not answer either
@@ -287,70 +257,13 @@
 	return u, err
 }
 
-// isTimeout reports whether a relay did not answer in time, as opposed to refusing.
-func isTimeout(err error) bool { return errors.Is(err, context.DeadlineExceeded) }
-
 // CurrentRelay returns the address of the relay that is used now, or "" if the store is called
-// directly. It prefers relays in this gateway's failure domain, then those whose failure
-// domain is not known yet.
-func (s *RelayedStore) CurrentRelay() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock()
-	best, distance := "", noRelay
-	for _, r := range s.relays {
-		if d := r.distance(s.domain); now >= r.backoffUntil && d < distance {
-			best, distance = r.address, d
-		}
-	}
-	return best
-}
-
-// The distances of relays from a failure domain, most preferred first.
-const (
-	sameDomain = iota
-	unknownDomain
-	otherDomain
-	noRelay
-)
-
-func (r *relayState) distance(domain string) int {
-	switch {
-	case !r.domainKnown:
-		return unknownDomain
-	case r.domain == domain:
-		return sameDomain
-	}
-	return otherDomain
-}
-
-// setRelayDomain records the failure domain of a relay.
-func (s *RelayedStore) setRelayDomain(address, domain string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for i := range s.relays {
-		if r := &s.relays[i]; r.address == address {
-			r.domain, r.domainKnown = domain, true
-		}
-	}
-}
+// directly.
+func (s *RelayedStore) CurrentRelay() string { return s.relays.Current() }
 
 // backOff excludes a relay from use for a time that depends on how its last request failed.
 func (s *RelayedStore) backOff(address string, topic forward.Topic, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.clock()
-	backoff := refusedBackoff
-	if isTimeout(err) {
-		backoff = silentBackoff
-	}
-	for i := range s.relays {
-		if s.relays[i].address != address {
-			continue
-		}
-		if now >= s.relays[i].backoffUntil {
-			s.log.Info("request to a relay failed, the relay is not used for a while", zap.String("relay", address), zap.Stringer("topic", topic), zap.Duration("for", backoff), zap.Error(err))
-		}
-		s.relays[i].backoffUntil = max(s.relays[i].backoffUntil, now+backoff)
+	if backoff, wasUsed := s.relays.BackOff(address, err); wasUsed {
+		s.log.Info("request to a relay failed, the relay is not used for a while", zap.String("relay", address), zap.Stringer("topic", topic), zap.Duration("for", backoff), zap.Error(err))
 	}
 }
--- a/internal/news/store_test.go
+++ b/internal/news/store_test.go
@@ -286,7 +286,7 @@
 	defer func() { _ = silent.Close() }()
 	for name, change := range map[string]func(f *fixture){
 		"relay has no data": func(f *fixture) { f.relay.MarkUnavailable(forward.WorkerTopic) },
-		"relay is silent":   func(f *fixture) { f.store.relays[0].address = silent.Addr().String() },
+		"relay is silent":   func(f *fixture) { f.store.relays.relays[0].address = silent.Addr().String() },
 		"relay is gone":     func(f *fixture) { f.relayNode.Close() },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -346,8 +346,8 @@
 // it, and the requests for other topics must not wait for their own, longer timeouts.
 func TestSilentRelayIsAbandonedInTime(t *testing.T) {
 	f := newFixture(t)
-	proxyAddress, silence := startProxy(t, f.store.relays[0].address)
-	f.store.relays[0].address = proxyAddress
+	proxyAddress, silence := startProxy(t, f.store.relays.relays[0].address)
+	f.store.relays.relays[0].address = proxyAddress
 	f.watch(t, 10, time.Millisecond)
 	longWatch := make(chan forward.Update, 1)
 	go func() {
