Send changed evidence only between relays, and pack answers

Change: EvidenceTable keeps the version and the source of each part of the evidence and sends the parts that the reader lacks. Counters only rise, so that parts merge to the same sum in any order. Answers with loads of 512 bytes and more are compressed for gateways that say that they read them; older ones get and send what they did.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1122,6 +1122,9 @@
 	// before the first.
 	QuarantineSince int `json:"quarantineSince,omitempty,omitzero"`
 
+	// ReadsPacked is set by a gateway that reads packed answers.
+	ReadsPacked bool `json:"readsPacked,omitempty,omitzero"`
+
 	// Relay is set by relays, which state no loads and ask for those of the gateways
 	// that report to the answering relay.
 	Relay bool `json:"relay,omitempty,omitzero"`
@@ -1155,6 +1158,10 @@
 	// milliseconds.
 	NextMs int `json:"nextMs"`
 
+	// Packed is a whole LoadsResult in JSON, compressed with DEFLATE, in base64. It
+	// stands for the other fields. Only a gateway that reads packed answers gets it.
+	Packed string `json:"packed,omitempty,omitzero"`
+
 	// Quarantine holds the records that changed since quarantineSince, at most a
 	// bounded number.
 	Quarantine []QuarantineRecord `json:"quarantine,omitempty,omitzero"`
--- a/internal/news/compress.go
+++ b/internal/news/compress.go
@@ -3,10 +3,14 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/base64"
 	"encoding/json"
 	"io"
+	"sync"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/borageflow/borageflow/api"
 )
 
 const (
@@ -18,6 +22,50 @@
 	maxDecompressedBytes = 16 << 20
 )
 
+// resultPacker packs answers with loads. Several goroutines may use it.
+type resultPacker struct {
+	mu         sync.Mutex
+	compressor compressor
+}
+
+// pack returns the answer, packed if that makes it shorter and the gateway can read it.
+func (p *resultPacker) pack(result *api.LoadsResult, readsPacked bool) *api.LoadsResult {
+	if !readsPacked {
+		return result
+	}
+	raw, err := json.Marshal(result)
+	if err != nil || len(raw) < minCompressBytes {
+		return result
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	packed, err := p.compressor.deflate(raw)
+	if err != nil {
+		return result
+	}
+	return &api.LoadsResult{Gateways: result.Gateways, NextMs: result.NextMs, Packed: base64.StdEncoding.EncodeToString(packed)}
+}
+
+// unpack returns the answer that a packed one stands for, or the answer itself if it is not packed.
+func unpack(result *api.LoadsResult) (*api.LoadsResult, error) {
+	if result.Packed == "" {
+		return result, nil
+	}
+	compressed, err := base64.StdEncoding.DecodeString(result.Packed)
+	if err != nil {
+		return nil, eris.Wrap(err, "packed answer is not in base64")
+	}
+	raw, err := inflate(compressed)
+	if err != nil {
+		return nil, err
+	}
+	var out api.LoadsResult
+	if err := json.Unmarshal(raw, &out); err != nil {
+		return nil, eris.Wrap(err, "packed answer cannot be decoded")
+	}
+	return &out, nil
+}
+
 // compressor compresses updates that are sent between gateways. A configuration becomes 4
 // to 6 times shorter. The zero value is ready to use.
 type compressor struct {
@@ -31,6 +79,16 @@
 	if len(raw) < minCompressBytes {
 		return raw, nil
 	}
+	compressed, err := c.deflate(raw)
+	if err != nil {
+		return nil, err
+	}
+	encoded, err := json.Marshal(compressed)
+	return encoded, eris.Wrap(err, "update cannot be encoded")
+}
+
+// deflate returns compressed bytes.
+func (c *compressor) deflate(raw []byte) ([]byte, error) {
 	var buf bytes.Buffer
 	if c.writer == nil {
 		w, err := flate.NewWriter(nil, flate.BestSpeed)
@@ -46,8 +104,7 @@
 	if err := c.writer.Close(); err != nil {
 		return nil, eris.Wrap(err, "update cannot be compressed")
 	}
-	encoded, err := json.Marshal(buf.Bytes())
-	return encoded, eris.Wrap(err, "update cannot be encoded")
+	return buf.Bytes(), nil
 }
 
 // decompress returns the JSON object of an update that may be compressed. It returns an
@@ -60,6 +117,11 @@
 	if err := json.Unmarshal(encoded, &compressed); err != nil {
 		return nil, eris.Wrap(err, "compressed update is no base64 string")
 	}
+	return inflate(compressed)
+}
+
+// inflate returns what deflate compressed. It returns an error for more than maxDecompressedBytes.
+func inflate(compressed []byte) ([]byte, error) {
 	raw, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(compressed)), maxDecompressedBytes+1))
 	if err != nil {
 		return nil, eris.Wrap(err, "update cannot be decompressed")
--- a/internal/news/evidence.go
+++ b/internal/news/evidence.go
@@ -6,6 +6,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/quarantine"
 	"github.com/borageflow/borageflow/internal/rollout"
 )
 
@@ -43,7 +44,61 @@
 
 type originEvidence struct {
 	evidence rollout.Evidence
-	version  int64
+	// workers, kinds and baseline hold the last change of each part of the evidence, last that of all.
+	workers, kinds map[uint32]evidenceChange
+	baseline, last evidenceChange
+}
+
+// evidenceChange is the version of a change and the process that it came from, which has it already:
+// each statement of an origin holds all earlier ones.
+type evidenceChange struct {
+	version int64
+	from    quarantine.Source
+}
+
+func newOriginEvidence() *originEvidence {
+	return &originEvidence{evidence: rollout.NewEvidence(), workers: map[uint32]evidenceChange{}, kinds: map[uint32]evidenceChange{}}
+}
+
+// isNews reports whether a reader who knows a version lacks the change.
+func (c evidenceChange) isNews(version int64, reader quarantine.Source) bool {
+	return c.version > version && (reader == quarantine.NoSource || c.from != reader)
+}
+
+// changedSince returns the parts that a reader who knows a version lacks, and whether there are any.
+func (o *originEvidence) changedSince(version int64, reader quarantine.Source) (rollout.Evidence, bool) {
+	out := rollout.NewEvidence()
+	if o.last.version <= version {
+		return out, false
+	}
+	pick := func(to, from rollout.Tallies, changes map[uint32]evidenceChange) {
+		for hash, c := range changes {
+			if c.isNews(version, reader) {
+				to[hash] = from[hash]
+			}
+		}
+	}
+	pick(out.Workers, o.evidence.Workers, o.workers)
+	pick(out.Kinds, o.evidence.Kinds, o.kinds)
+	hasBaseline := o.baseline.isNews(version, reader)
+	if hasBaseline {
+		*out.Baseline = *o.evidence.Baseline
+	}
+	return out, hasBaseline || len(out.Workers)+len(out.Kinds) > 0
+}
+
+// changed records which parts of the evidence rose.
+func (o *originEvidence) changed(rise rollout.Evidence, c evidenceChange) {
+	for hash := range rise.Workers {
+		o.workers[hash] = c
+	}
+	for hash := range rise.Kinds {
+		o.kinds[hash] = c
+	}
+	if *rise.Baseline != (rollout.RatioHistogram{}) {
+		o.baseline = c
+	}
+	o.last = c
 }
 
 // NewEvidenceTable returns an empty table. The first version must be above all versions of
@@ -52,8 +107,8 @@
 	return &EvidenceTable{rollouts: map[string]*rolloutEvidence{}, version: firstVersion}
 }
 
-// Merge adds what a record holds beyond the known evidence of its origin.
-func (t *EvidenceTable) Merge(now Elapsed, r EvidenceRecord) {
+// Merge adds what a record from a source holds beyond the known evidence of its origin.
+func (t *EvidenceTable) Merge(now Elapsed, from quarantine.Source, r EvidenceRecord) {
 	known := t.rollouts[r.Rollout]
 	if known == nil {
 		t.expire(now)
@@ -69,13 +124,13 @@
 		if len(known.origins) >= maxGateways {
 			return
 		}
-		origin = &originEvidence{evidence: rollout.NewEvidence()}
+		origin = newOriginEvidence()
 		known.origins[r.Origin] = origin
 	}
 	if rise, changed := origin.evidence.Raise(r.Evidence); changed {
 		known.sum.Add(rise)
 		t.version++
-		origin.version = t.version
+		origin.changed(rise, evidenceChange{t.version, from})
 	}
 }
 
@@ -101,14 +156,14 @@
 	return out
 }
 
-// ChangedSince returns the records of single origins that changed after a version, and the present
-// version.
-func (t *EvidenceTable) ChangedSince(version int64) ([]EvidenceRecord, int64) {
+// ChangedSince returns the parts of the records of single origins that changed after a version, without
+// those that came from the reader, and the present version.
+func (t *EvidenceTable) ChangedSince(version int64, reader quarantine.Source) ([]EvidenceRecord, int64) {
 	var out []EvidenceRecord
 	for name, known := range t.rollouts {
 		for origin, e := range known.origins {
-			if e.version > version {
-				out = append(out, EvidenceRecord{name, origin, e.evidence.Clone()})
+			if changes, ok := e.changedSince(version, reader); ok {
+				out = append(out, EvidenceRecord{name, origin, changes})
 			}
 		}
 	}
--- a/internal/news/evidence_test.go
+++ b/internal/news/evidence_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/borageflow/borageflow/internal/peer"
+	"github.com/borageflow/borageflow/internal/quarantine"
 	"github.com/borageflow/borageflow/internal/rollout"
 )
 
@@ -24,25 +25,25 @@
 	rapid.Check(t, func(t *rapid.T) {
 		tables := []*EvidenceTable{NewEvidenceTable(0), NewEvidenceTable(1000)}
 		highest := map[string]int{}
-		since := []int64{0, 0}
+		since, source := []int64{0, 0}, []quarantine.Source{1, 2}
 		for range rapid.IntRange(1, 40).Draw(t, "events") {
 			to := rapid.IntRange(0, 1).Draw(t, "relay")
 			if rapid.Bool().Draw(t, "fetch") {
-				records, version := tables[1-to].ChangedSince(since[to])
+				records, version := tables[1-to].ChangedSince(since[to], source[to])
 				for _, r := range records {
-					tables[to].Merge(0, r)
+					tables[to].Merge(0, source[1-to], r)
 				}
 				since[to] = version
 				continue
 			}
 			origin, answers := fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "origin")), rapid.IntRange(0, 50).Draw(t, "answers")
-			tables[to].Merge(0, EvidenceRecord{"r", origin, evidenceOf(answers)})
+			tables[to].Merge(0, quarantine.NoSource, EvidenceRecord{"r", origin, evidenceOf(answers)})
 			highest[origin] = max(highest[origin], answers)
 		}
 		for i := range 2 {
-			records, _ := tables[1-i].ChangedSince(since[i])
+			records, _ := tables[1-i].ChangedSince(since[i], source[i])
 			for _, r := range records {
-				tables[i].Merge(0, r)
+				tables[i].Merge(0, source[1-i], r)
 			}
 		}
 		want := 0
@@ -62,7 +63,7 @@
 func TestEvidenceOfEndedRolloutsExpires(t *testing.T) {
 	table := NewEvidenceTable(0)
 	for i := range 3 * maxRollouts {
-		table.Merge(Elapsed(i)*time.Second, EvidenceRecord{fmt.Sprint(i), "g", evidenceOf(1)})
+		table.Merge(Elapsed(i)*time.Second, quarantine.NoSource, EvidenceRecord{fmt.Sprint(i), "g", evidenceOf(1)})
 	}
 	assert.Assert(t, len(table.rollouts) <= int(evidenceTTL.Seconds())+1, "%d", len(table.rollouts))
 }
--- a/internal/news/exchange.go
+++ b/internal/news/exchange.go
@@ -45,6 +45,8 @@
 	// FailureDomain is that of the relay that answered, and source its run.
 	FailureDomain string
 	source        quarantine.Source
+	// evidenceVersion is the version of the evidence of the relay.
+	evidenceVersion int64
 }
 
 // serveLoads records what a gateway states and answers with what the others do. Another relay gets
@@ -55,26 +57,34 @@
 		call.Fail(err)
 		return
 	}
-	own, err := decodeReport(p.Loads, p.Failures, p.Demand, p.Evidence)
-	if err == nil {
-		own.Quarantine, err = decodeQuarantine(r.clock(), p.Quarantine)
-	}
+	result, err := r.answerLoads(&link.Remote, &p)
 	if err != nil {
 		call.Fail(errkind.New(errkind.InvalidRequest, err.Error()))
 		return
 	}
+	call.Respond(r.packer.pack(&result, p.ReadsPacked))
+}
+
+// answerLoads returns the answer to a gateway or to another relay.
+func (r *Relay) answerLoads(remote *api.Member, p *api.LoadsParams) (api.LoadsResult, error) {
+	own, err := decodeReport(p.Loads, p.Failures, p.Demand, p.Evidence)
+	if err != nil {
+		return api.LoadsResult{}, err
+	}
+	if own.Quarantine, err = decodeQuarantine(r.clock(), p.Quarantine); err != nil {
+		return api.LoadsResult{}, err
+	}
 	if p.Relay {
-		call.Respond(r.answerRelay(linkSource(link), int64(p.EvidenceSince), int64(p.QuarantineSince)))
-		return
+		return r.answerRelay(sourceOfMember(remote), int64(p.EvidenceSince), int64(p.QuarantineSince)), nil
 	}
-	own.QuarantineRead, own.Run = int64(p.QuarantineSince), int64(link.Remote.Incarnation)
-	answer := r.Exchange(link.Remote.Instance, own)
+	own.QuarantineRead, own.Run = int64(p.QuarantineSince), int64(remote.Incarnation)
+	answer := r.Exchange(remote.Instance, own)
 	result := api.LoadsResult{
 		Loads: answer.Loads.Encode(), Failures: answer.Failures.Encode(), Demand: answer.Demand.Encode(), Gateways: answer.Gateways, Evidence: encodeEvidence(answer.Evidence),
 		Quarantine: encodeQuarantine(r.clock(), answer.Quarantine), QuarantineVersion: int(answer.QuarantineRead), QuarantineRun: int(answer.QuarantineRun),
 	}
 	result.NextMs = int(r.interval(&result).Milliseconds())
-	call.Respond(result)
+	return result, nil
 }
 
 func decodeReport(loads, failures, demand string, evidence []api.RolloutEvidence) (OwnReport, error) {
@@ -110,7 +120,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	stats, gateways := r.loads.OfGateways(r.clock())
-	records, version := r.evidence.ChangedSince(evidenceSince)
+	records, version := r.evidence.ChangedSince(evidenceSince, reader)
 	out := api.LoadsResult{Loads: stats.Loads.Encode(), Failures: stats.Failures.Encode(), Demand: stats.Demand.Encode(), Gateways: gateways, Evidence: encodeEvidence(records), EvidenceVersion: int(version)}
 	quarantined, quarantineVersion := r.quarantine.ChangedSince(quarantineSince, MaxQuarantineRecords, reader)
 	out.Quarantine, out.QuarantineVersion, out.QuarantineRun = encodeQuarantine(r.clock(), quarantined), int(quarantineVersion), int(r.quarantineRun)
@@ -126,11 +136,11 @@
 	r.loads.Report(now, instance, own.WorkerStats)
 	var out PeerReport
 	out.WorkerStats, out.Gateways = r.loads.OthersOf(now, instance)
+	source := sourceOf(instance, own.Run)
 	for _, e := range own.Evidence {
-		r.evidence.Merge(now, e)
+		r.evidence.Merge(now, source, e)
 		out.Evidence = append(out.Evidence, EvidenceRecord{Rollout: e.Rollout, Evidence: r.evidence.OthersOf(e.Rollout, e.Origin)})
 	}
-	source := sourceOf(instance, own.Run)
 	r.mergeQuarantine(now, source, own.Quarantine)
 	out.Quarantine, out.QuarantineRead = r.quarantine.ChangedSince(own.QuarantineRead, MaxQuarantineRecords, source)
 	out.QuarantineRun = r.quarantineRun
@@ -141,56 +151,78 @@
 // FetchFromRelay records what the gateways state that report to another relay. It returns the time
 // until it is to be fetched again.
 func (r *Relay) FetchFromRelay(ctx context.Context, dialer LinkDialer, address string) (time.Duration, error) {
-	r.mu.Lock()
-	since, quarantineSince := r.fetchedEvidence[address], r.fetchedQuarantine[address]
-	r.mu.Unlock()
-	got, version, err := callLoads(ctx, dialer, address, r.clock(), api.LoadsParams{Relay: true, EvidenceSince: int(since), QuarantineSince: int(quarantineSince)})
+	got, err := callLoads(ctx, dialer, address, r.clock(), r.fetchParams(address))
 	if err != nil {
 		return 0, err
 	}
+	r.applyFetched(address, &got)
+	return got.Next, nil
+}
+
+// fetchParams returns the request to another relay.
+func (r *Relay) fetchParams(address string) api.LoadsParams {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return api.LoadsParams{Relay: true, EvidenceSince: int(r.fetchedEvidence[address]), QuarantineSince: int(r.fetchedQuarantine[address]), ReadsPacked: true}
+}
+
+// applyFetched records the answer of another relay.
+func (r *Relay) applyFetched(address string, got *PeerReport) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock()
 	r.loads.ReportRelay(now, address, got.WorkerStats, got.Gateways)
 	for _, e := range got.Evidence {
-		r.evidence.Merge(now, e)
+		r.evidence.Merge(now, got.source, e)
 	}
-	r.fetchedEvidence[address] = version
+	r.fetchedEvidence[address] = got.evidenceVersion
 	r.mergeQuarantine(now, got.source, got.Quarantine)
 	r.fetchedQuarantine[address] = got.QuarantineRead
-	return got.Next, nil
 }
 
 // ExchangeWithRelay states what a gateway knows to a relay and returns what the others do.
 func ExchangeWithRelay(ctx context.Context, dialer LinkDialer, address string, own OwnReport) (PeerReport, error) {
-	got, _, err := callLoads(ctx, dialer, address, own.Now, api.LoadsParams{
-		Loads: own.Loads.Encode(), Failures: own.Failures.Encode(), Demand: own.Demand.Encode(), Evidence: encodeEvidence(own.Evidence),
-		Quarantine: encodeQuarantine(own.Now, own.Quarantine), QuarantineSince: int(own.QuarantineRead),
-	})
-	return got, err
+	return callLoads(ctx, dialer, address, own.Now, own.params())
 }
 
-// callLoads calls a relay at time now. It returns the answer of a relay and the version of its evidence.
-func callLoads(ctx context.Context, dialer LinkDialer, address string, now Elapsed, params api.LoadsParams) (PeerReport, int64, error) {
+// params returns the request that states the report.
+func (o *OwnReport) params() api.LoadsParams {
+	return api.LoadsParams{
+		Loads: o.Loads.Encode(), Failures: o.Failures.Encode(), Demand: o.Demand.Encode(), Evidence: encodeEvidence(o.Evidence),
+		Quarantine: encodeQuarantine(o.Now, o.Quarantine), QuarantineSince: int(o.QuarantineRead), ReadsPacked: true,
+	}
+}
+
+// callLoads calls a relay at time now and returns its answer.
+func callLoads(ctx context.Context, dialer LinkDialer, address string, now Elapsed, params api.LoadsParams) (PeerReport, error) {
 	link, err := dialer.Link(ctx, address)
 	if err != nil {
-		return PeerReport{}, 0, err
+		return PeerReport{}, err
 	}
 	var result api.LoadsResult
 	if err := link.Call(ctx, peer.MethodLoads, params, &result); err != nil {
 		if params.Relay && ctx.Err() != nil {
 			link.Close() // the connection may have gone silent for good, and nothing else uses it
 		}
-		return PeerReport{}, 0, eris.Wrapf(err, "relay %s does not answer with loads", address)
+		return PeerReport{}, eris.Wrapf(err, "relay %s does not answer with loads", address)
+	}
+	return readAnswer(now, &link.Remote, &result)
+}
+
+// readAnswer decodes the answer of a relay.
+func readAnswer(now Elapsed, relay *api.Member, packed *api.LoadsResult) (PeerReport, error) {
+	result, err := unpack(packed)
+	if err != nil {
+		return PeerReport{}, err
 	}
 	got, err := decodeReport(result.Loads, result.Failures, result.Demand, result.Evidence)
 	if err != nil {
-		return PeerReport{}, 0, err
+		return PeerReport{}, err
 	}
 	quarantined, err := decodeQuarantine(now, result.Quarantine)
 	return PeerReport{
 		WorkerStats: got.WorkerStats, Gateways: max(result.Gateways, 1), Evidence: got.Evidence, Next: time.Duration(result.NextMs) * time.Millisecond,
 		Quarantine: quarantined, QuarantineRead: int64(result.QuarantineVersion), QuarantineRun: int64(result.QuarantineRun),
-		FailureDomain: link.Remote.FailureDomain, source: linkSource(link),
-	}, int64(result.EvidenceVersion), err
+		FailureDomain: relay.FailureDomain, source: sourceOfMember(relay), evidenceVersion: int64(result.EvidenceVersion),
+	}, err
 }
--- a/internal/news/quarantine.go
+++ b/internal/news/quarantine.go
@@ -9,7 +9,6 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/api"
-	"github.com/borageflow/borageflow/internal/peer"
 	"github.com/borageflow/borageflow/internal/quarantine"
 )
 
@@ -130,9 +129,9 @@
 	return quarantine.Source(xxhash.Sum64String(instance + "/" + strconv.FormatInt(run, 10)))
 }
 
-// linkSource returns the source of the records that come over a link.
-func linkSource(link *peer.Link) quarantine.Source {
-	return sourceOf(link.Remote.Instance, int64(link.Remote.Incarnation))
+// sourceOfMember returns the source of the records of another process.
+func sourceOfMember(m *api.Member) quarantine.Source {
+	return sourceOf(m.Instance, int64(m.Incarnation))
 }
 
 // mergeQuarantine adds records from a source to those of the relay. The caller holds the lock.
--- a/internal/news/relay.go
+++ b/internal/news/relay.go
@@ -34,6 +34,7 @@
 	quarantine        *quarantine.Ledger
 	quarantineRun     int64
 	fetchedQuarantine map[string]int64
+	packer            resultPacker
 	// changed is closed and replaced when waiting requests must check for updates again.
 	changed chan struct{}
 }
--- a/internal/rollout/ratios.go
+++ b/internal/rollout/ratios.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"bytes"
 	"encoding/base64"
 	"encoding/binary"
 	"math"
@@ -75,7 +76,7 @@
 	for _, n := range h {
 		raw = binary.AppendUvarint(raw, uint64(max(n, 0))) //nolint:gosec // not negative
 	}
-	return base64.StdEncoding.EncodeToString(raw)
+	return base64.StdEncoding.EncodeToString(bytes.TrimRight(raw, "\x00"))
 }
 
 // DecodeRatioHistogram decodes what Encode returns. It returns an error for anything else.
