--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1122,6 +1122,9 @@
 	// before the first.
 	QuarantineSince int `json:"quarantineSince,omitempty,omitzero"`
 
+	// ReadsPacked is set by a gateway that reads packed answers.
+	ReadsPacked bool `json:"readsPacked,omitempty,omitzero"`
+
 	// Relay is set by relays, which state no loads and ask for those of the gateways
 	// that report to the answering relay.
 	Relay bool `json:"relay,omitempty,omitzero"`
@@ -1155,6 +1158,10 @@
 	// milliseconds.
 	NextMs int `json:"nextMs"`
 
+	// Packed is a whole LoadsResult in JSON, compressed with DEFLATE, in base64. It
+	// stands for the other fields. Only a gateway that reads packed answers gets it.
+	Packed string `json:"packed,omitempty,omitzero"`
+
 	// Quarantine holds the records that changed since quarantineSince, at most a
 	// bounded number.
 	Quarantine []QuarantineRecord `json:"quarantine,omitempty,omitzero"`
@@ -1732,6 +1739,10 @@
 	// Service is the name of the service.
 	Service string `json:"service"`
 
+	// Statement orders what one gateway states of finished requests, from 1; 0 if a
+	// process on the way does not know it.
+	Statement int `json:"statement,omitempty,omitzero"`
+
 	// Subject is the hash of the run of the worker that ended, or of the gateway that
 	// saw the requests finish, in hexadecimal.
 	Subject string `json:"subject,omitempty,omitzero"`
