Read the pace that workers state with their load

Cause: the load of a worker was read only if it had exactly three fields. Workers that share their machines state a fourth, how long work takes there at the moment, and their whole report was dropped.

Change: a fourth field becomes Load.Pace, and a service of which a worker has stated it reports its pace. A malformed fourth field drops the report, as any other field does. Services whose workers state three fields are decided as before.

Result: tests of internal/forward and of the parser pass with -race.

--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -126,6 +126,7 @@
 	}
 	s.load, s.reportedAt, s.ownLoadAtReport, s.hasReport = load, now, p.ownLoad(s), true
 	stats := p.statsFor(s.Service)
+	stats.reportsPace = stats.reportsPace || load.Pace > 0
 	reported := p.reportedLoad(s)
 	stats.meanLoad[s.poolIndex()] += poolMeanGain * (reported - stats.meanLoad[s.poolIndex()])
 	stats.meanForeignLoad[s.poolIndex()] += poolMeanGain * (max(reported-s.ownLoadAtReport, 0) - stats.meanForeignLoad[s.poolIndex()])
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -181,6 +181,9 @@
 // Load is the load that a worker reports in an answer, in requests.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the worker at the moment, relative to its usual time: 1 means as
+	// usual, 0 that the worker did not state it.
+	Pace float64
 }
 
 // AttemptMeta holds the values that the router sets on a request to a worker.
--- a/internal/gateway/decode_test.go
+++ b/internal/gateway/decode_test.go
@@ -11,6 +11,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/schemacheck"
 )
 
@@ -116,3 +117,27 @@
 		}
 	}
 }
+
+// Guards against a load that is read wrongly, one with a pace above all, and against a malformed one that
+// counts.
+func TestLoadIsRead(t *testing.T) {
+	for value, want := range map[string]forward.Load{
+		"3,0,8":         {Running: 3, Slots: 8},
+		"3, 1, 8, 100":  {Running: 3, Waiting: 1, Slots: 8, Pace: 1},
+		"64,12,64,250":  {Running: 64, Waiting: 12, Slots: 64, Pace: 2.5},
+		"3,0,8,87.5":    {Running: 3, Slots: 8, Pace: 0.875},
+		"":              {},
+		"3,0":           {},
+		"3,0,8,":        {},
+		"3,0,8,0":       {},
+		"3,0,8,-100":    {},
+		"3,0,8,NaN":     {},
+		"3,0,8,+Inf":    {},
+		"3,x,8,100":     {},
+		"3,0,8,100,100": {},
+	} {
+		meta := DefaultHeaderNames.ResponseMeta(http.Header{DefaultHeaderNames.Load: {value}})
+		assert.Equal(t, meta.HasLoad, want != forward.Load{}, "%q", value)
+		assert.Equal(t, meta.Load, want, "%q", value)
+	}
+}
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -35,7 +35,8 @@
 	Urgency string
 	// NotRun states in a response that the worker did not run the request.
 	NotRun string
-	// Load is the load of the worker in a response: running, waiting, slots.
+	// Load is the load of the worker in a response: running, waiting, slots. A fourth number, which
+	// may be missing, states how long work takes there at the moment; 100 means as usual.
 	Load string
 	// RateLimit is the number of requests a second, a decimal number, that the worker takes from
 	// all gateways together.
@@ -161,15 +162,37 @@
 	}
 	a.Leaving = h.Get(n.Leaving) == "1"
 	a.RateLimit, a.HasRateLimit = parseNumber(h.Get(n.RateLimit))
-	if fields := strings.Split(h.Get(n.Load), ","); len(fields) == 3 {
-		running, err1 := strconv.Atoi(strings.TrimSpace(fields[0]))
-		waiting, err2 := strconv.Atoi(strings.TrimSpace(fields[1]))
-		slots, err3 := strconv.Atoi(strings.TrimSpace(fields[2]))
-		if err1 == nil && err2 == nil && err3 == nil {
-			a.Load, a.HasLoad = forward.Load{Running: running, Waiting: waiting, Slots: slots}, true
+	a.Load, a.HasLoad = parseLoad(h.Get(n.Load))
+	return a
+}
+
+// usualPace is the pace that a worker states while work takes as long as usual.
+const usualPace = 100
+
+// parseLoad parses the value of the Load header. A fourth field that is no positive number makes the
+// whole value malformed, as any other field does.
+func parseLoad(value string) (forward.Load, bool) {
+	fields := strings.Split(value, ",")
+	if len(fields) != 3 && len(fields) != 4 {
+		return forward.Load{}, false
+	}
+	var counts [3]int
+	for i := range counts {
+		n, err := strconv.Atoi(strings.TrimSpace(fields[i]))
+		if err != nil {
+			return forward.Load{}, false
 		}
+		counts[i] = n
 	}
-	return a
+	load := forward.Load{Running: counts[0], Waiting: counts[1], Slots: counts[2]}
+	if len(fields) == 4 {
+		pace, ok := parseNumber(strings.TrimSpace(fields[3]))
+		if !ok || pace == 0 {
+			return forward.Load{}, false
+		}
+		load.Pace = pace / usualPace
+	}
+	return load, true
 }
 
 // maxRetryAfter bounds the time for which a worker can ask for no requests.
