Choose workers by expected time where they state their pace

Cause: workers of one service were taken for equally fast, and no decision read how many connections and prompt tokens a worker holds.

Change, only for services whose workers state their pace: the load of a worker is multiplied by how much longer it takes, from the pace it stated (half its weight after 250 ms) and from the times of its successful answers against the usual time of the same route, model and size at the same load. What the stated pace explains is left out. An estimate loses half its weight in 4 s, so that a slow worker is tried again. A second estimate holds for a nearly full worker. A worker without connections or memory for the request is used only if no other has room. Gateways log and count workers that turn slow and recover, and show estimates in /state.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -115,5 +115,8 @@
 	if s.pooled && s.heavy != q.Heavy {
 		score += p.opts.PoolPenalty
 	}
-	return score*p.slowness(now, s) + p.leavingCost(now, s, q)
+	if !s.stats.reportsPace {
+		return score + p.leavingCost(now, s, q)
+	}
+	return (score+q.work)*p.slowness(now, s) + s.capacityCost(now, q.tokens) + p.leavingCost(now, s, q)
 }
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -36,6 +36,11 @@
 	stats := p.statsFor(s.Service)
 	f := &InFlight{worker: s, work: p.promptWork(prompt, cachedTokens), startedAt: now, stats: stats, pool: s.poolIndex()}
 	f.load = p.estimatedLoad(now, s) + f.work
+	f.model, f.readsPrompt, f.wasNearlyFull = model, len(prompt) > 0, s.isNearlyFull()
+	f.tokens = heldTokens(prompt, cachedTokens)
+	stats.recordTokens(f.tokens)
+	s.inFlight++
+	s.tokens += f.tokens
 	s.unreadWork += f.work
 	p.recordSent(now, s)
 	stats.recordStart(now, f.pool, f.work)
@@ -71,6 +76,13 @@
 	load      float64
 	answering bool
 	startedAt Elapsed
+	// wait is the time until the answer started. wasNearlyFull reports whether the worker was nearly full
+	// when the request was placed.
+	wait          time.Duration
+	wasNearlyFull bool
+	model         string
+	readsPrompt   bool
+	tokens        float64
 	// stats are those of the service, and pool is the index of the pool in them.
 	stats *poolStats
 	pool  int
@@ -83,15 +95,19 @@
 	}
 	f.stats.recordWait(f.pool, now-f.startedAt)
 	f.stats.recordTimed(f.pool, now-f.startedAt, f.load)
-	f.answering = true
+	f.answering, f.wait = true, now-f.startedAt
 	f.worker.unreadWork = max(f.worker.unreadWork-f.work, 0)
 	f.worker.answering++
 }
 
 // End records that the request has ended. It must be called once.
 func (f *InFlight) End() {
+	if f == nil {
+		return
+	}
+	f.worker.inFlight--
+	f.worker.tokens = max(f.worker.tokens-f.tokens, 0)
 	switch {
-	case f == nil:
 	case f.answering:
 		f.worker.answering--
 	default:
@@ -125,6 +141,7 @@
 		return
 	}
 	s.load, s.reportedAt, s.ownLoadAtReport, s.hasReport = load, now, p.ownLoad(s), true
+	s.inFlightAtReport = s.inFlight
 	stats := p.statsFor(s.Service)
 	stats.reportsPace = stats.reportsPace || load.Pace > 0
 	reported := p.reportedLoad(s)
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -105,11 +105,16 @@
 type workerState struct {
 	Worker
 	hash      uint64
-	notice    *notice // nil if the worker asked for nothing and was never cold
-	evacuated bool    // the worker's failure domain is evacuated
-	pooled    bool    // the worker belongs to one of two pools
-	heavy     bool    // the pool of the larger models
-	answering int     // requests of this process whose answer has started
+	stats     *poolStats // those of the worker's service
+	notice    *notice    // nil if the worker asked for nothing and was never cold
+	evacuated bool       // the worker's failure domain is evacuated
+	pooled    bool       // the worker belongs to one of two pools
+	heavy     bool       // the pool of the larger models
+	answering int        // requests of this process whose answer has started
+	// inFlight is the number of the requests of this process, and tokens those that they hold.
+	inFlight int
+	tokens   float64
+	speed    workerSpeed
 	// unreadWork is the work of the other requests of this process, in requests.
 	unreadWork float64
 	// peerLoad is the load that other processes cause, as of peerLoadAt.
@@ -126,7 +131,9 @@
 	load            Load
 	reportedAt      Elapsed
 	ownLoadAtReport float64
-	hasReport       bool
+	// inFlightAtReport is inFlight at the time of the report.
+	inFlightAtReport int
+	hasReport        bool
 }
 
 // NewPlacer returns a Placer without workers.
@@ -157,7 +164,7 @@
 		if !ok || s.StartUnixMs != w.StartUnixMs || s.Address != w.Address {
 			s = &workerState{share: 1, hash: xxhash.Sum64String(w.ID)}
 		}
-		s.Worker = w
+		s.Worker, s.stats = w, p.statsFor(w.Service)
 		s.evacuated = slices.Contains(p.evacuated, w.FailureDomain)
 		p.attachNotice(s)
 		next[w.ID] = s
@@ -190,6 +197,9 @@
 	// limitShare is this gateway's share of the limits of the service's workers, and coldShare that of
 	// the rates of cold ones. The Placer sets them.
 	limitShare, coldShare float64
+	// work is the work of the request beyond its shared parts, and tokens those that it holds at a worker.
+	// The Placer sets them.
+	work, tokens float64
 }
 
 // Placement is the worker chosen by Pick and the data behind the choice.
@@ -218,6 +228,9 @@
 	}
 	p.demandFor(q.Service).add(now)
 	q.limitShare, q.coldShare = p.limitShare(now, q.Service), p.coldShare(now, q.Service)
+	if p.reportsPace(q.Service) {
+		q.setSize(p)
+	}
 	best, leastScore, candidates := p.leastLoaded(now, &q, rng)
 	if best == nil {
 		return Placement{}, false
--- a/internal/forward/pools.go
+++ b/internal/forward/pools.go
@@ -30,8 +30,12 @@
 	meanLoad, meanForeignLoad [2]float64
 	// hasCascades is set once a heavy request was placed.
 	hasCascades bool
-	// reportsPace is set once a worker has stated how long work takes on it.
+	// reportsPace is set once a worker has stated how long work takes on it. speed, capacity and
+	// meanTokens, the mean number of tokens that a request holds at a worker, are used only then.
 	reportsPace bool
+	speed       serviceSpeed
+	capacity    Capacity
+	meanTokens  float64
 	// started is the work of the requests that this process started in each pool, decayed as of
 	// startedAt.
 	started   [2]float64
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -97,6 +97,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.placer.SetColdStarts(sinceBoot(), config.ColdStarts())
+	d.placer.SetCapacities(config.Capacities())
 	return true
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,6 +113,7 @@
 	m.set.NewGauge("borageflow_gateway_limited_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Limited) })
 	m.set.NewGauge("borageflow_gateway_pausing_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Pausing) })
 	m.set.NewGauge("borageflow_gateway_leaving_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Leaving) })
+	m.set.NewGauge("borageflow_gateway_slow_workers", func() float64 { return float64(g.dispatcher.slowWorkers()) })
 	m.set.NewGauge("borageflow_gateway_cold_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Cold) })
 	m.set.NewGauge("borageflow_gateway_evacuated_workers", func() float64 { return float64(g.dispatcher.noticeCounts().Evacuated) })
 	m.set.NewGauge("borageflow_gateway_log_lines_dropped", func() float64 { return float64(logWriter.dropped.Load()) })
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -446,6 +446,9 @@
 	} else {
 		r.gateway.dispatcher.recordAttempt(a.worker, membership.Succeeded, latency)
 	}
+	if status < http.StatusMultipleChoices {
+		r.gateway.dispatcher.recordServed(now, a, r.route.Name)
+	}
 	if r.route.Kind == forward.Stream && !failed && status < http.StatusMultipleChoices {
 		if next, ok := r.shouldEscalate(a); ok {
 			r.escalate(a, next)
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -48,6 +48,12 @@
 	Load float64 `json:"load"`
 	// LoadAgeMs is the age of the worker's last load report, negative before the first one.
 	LoadAgeMs int64 `json:"loadAgeMs"`
+	// Slowness is how much longer than on a usual worker of the service the same load takes now, and
+	// Learned the part of it that its answers show, of which there were Answers lately. They are absent
+	// for services whose workers do not state their pace.
+	Slowness float64 `json:"slowness,omitempty"`
+	Learned  float64 `json:"learnedSlowness,omitempty"`
+	Answers  float64 `json:"speedAnswers,omitempty"`
 }
 
 // RolloutState is the status of a rollout as this gateway knows it.
@@ -82,7 +88,11 @@
 	s.Evacuated = d.evacuations.Domains()
 	for id, w := range d.usableWorkers {
 		load, age := d.placer.LoadEstimate(now, id)
-		s.Workers = append(s.Workers, WorkerState{id, w.Service, w.Version, w.Address, d.health.Share(id), load, age.Milliseconds()})
+		speed, _ := d.placer.SpeedEstimate(now, id)
+		s.Workers = append(s.Workers, WorkerState{
+			id, w.Service, w.Version, w.Address, d.health.Share(id), load, age.Milliseconds(),
+			speed.Slowness, speed.Learned, speed.Answers,
+		})
 	}
 	slices.SortFunc(s.Workers, func(a, b WorkerState) int { return strings.Compare(a.Service+a.ID, b.Service+b.ID) })
 	for _, tracked := range d.rollouts.byService {
