--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -165,25 +165,9 @@
 	}
 	d.appliedVersion = d.workers.Version()
 	usable := d.workers.Usable(now)
-	usableByID := make(map[string]forward.Worker, len(usable))
-	for _, w := range usable {
-		usableByID[w.ID] = w
-		old, ok := d.usableWorkers[w.ID]
-		if !ok || old != w {
-			d.handleHealthEvent(membership.ServerChanged{Server: w.ID, Incarnation: int(w.StartUnixMs), Versions: []string{w.Service}})
-			d.handleHealthEvent(membership.SignalsReceived{Server: w.ID, Signals: membership.Signals{Ready: true, Alive: true}})
-			d.log.Info("worker is in use", zap.String("worker", w.ID), zap.String("service", w.Service), zap.String("version", w.Version), zap.String("address", w.Address))
-		}
-	}
-	for id := range d.usableWorkers {
-		if _, ok := usableByID[id]; !ok {
-			d.handleHealthEvent(membership.ServerRemoved{Server: id})
-			d.log.Info("worker gets no new work", zap.String("worker", id))
-		}
-	}
-	d.usableWorkers = usableByID
+	d.syncHealth(usable)
 	d.placer.SetWorkers(usable)
-	for id := range usableByID {
+	for id := range d.usableWorkers {
 		d.placer.SetShare(id, d.health.Share(id))
 	}
 	d.rollouts.recordBaseline(usable)
@@ -206,8 +190,7 @@
 func (d *dispatcher) handleHealthEvent(e membership.HealthEvent) {
 	for _, effect := range d.health.Handle(time.Now(), e) {
 		if changed, ok := effect.(membership.ShareChanged); ok {
-			d.placer.SetShare(changed.Server, changed.Share)
-			d.log.Info("share of a worker changed", zap.String("worker", changed.Server), zap.Float64("share", changed.Share), zap.String("reason", string(changed.Reason)))
+			d.applyShare(changed)
 		}
 	}
 }
--- a/internal/membership/health.go
+++ b/internal/membership/health.go
@@ -196,6 +196,8 @@
 	cfg     HealthConfig
 	now     time.Time
 	servers map[string]*server
+	// sorted holds all servers by name.
+	sorted []*server
 	// serving holds the servers of each version, sorted by name.
 	serving map[string][]*server
 	// totals holds the outcomes of each version over all its servers.
@@ -263,6 +265,7 @@
 	if !ok {
 		s = &server{name: e.Server, step: finalStep(), signals: Signals{Ready: true, Alive: true}}
 		h.servers[e.Server] = s
+		h.sorted = insertServer(h.sorted, s)
 		h.effects = append(h.effects, ShareChanged{Server: s.name, Share: s.share(), Reason: ReasonSignals})
 	}
 	if e.Incarnation < s.incarnation {
@@ -280,8 +283,7 @@
 	h.removeFromVersions(s)
 	s.versions = slices.Clone(e.Versions)
 	for _, v := range s.versions {
-		h.serving[v] = append(h.serving[v], s)
-		slices.SortFunc(h.serving[v], func(a, b *server) int { return cmp.Compare(a.name, b.name) })
+		h.serving[v] = insertServer(h.serving[v], s)
 	}
 	h.restoreLastServer(old)
 	h.restoreLastServer(s.versions)
@@ -300,10 +302,33 @@
 	}
 }
 
+// insertServer inserts a server into a list that is sorted by name. A list of several thousand workers
+// arrives at once, so that sorting at each of them takes seconds on a small instance.
+func insertServer(list []*server, s *server) []*server {
+	i, found := findServer(list, s.name)
+	if found {
+		return list
+	}
+	return slices.Insert(list, i, s)
+}
+
+// removeServerFrom removes a server from a list that is sorted by name.
+func removeServerFrom(list []*server, s *server) []*server {
+	i, found := findServer(list, s.name)
+	if !found {
+		return list
+	}
+	return slices.Delete(list, i, i+1)
+}
+
+func findServer(list []*server, name string) (int, bool) {
+	return slices.BinarySearchFunc(list, name, func(s *server, name string) int { return cmp.Compare(s.name, name) })
+}
+
 // removeFromVersions removes a server from the lists of its versions.
 func (h *HealthTracker) removeFromVersions(s *server) {
 	for _, v := range s.versions {
-		h.serving[v] = slices.DeleteFunc(h.serving[v], func(other *server) bool { return other == s })
+		h.serving[v] = removeServerFrom(h.serving[v], s)
 		if len(h.serving[v]) == 0 {
 			delete(h.serving, v)
 			delete(h.totals, v)
@@ -318,6 +343,7 @@
 	}
 	h.removeFromVersions(s)
 	delete(h.servers, name)
+	h.sorted = removeServerFrom(h.sorted, s)
 	h.restoreLastServer(s.versions)
 }
 
--- a/internal/membership/health_eject.go
+++ b/internal/membership/health_eject.go
@@ -97,8 +97,8 @@
 	for _, version := range sortedKeys(h.serving) {
 		h.ejectSlowServers(version)
 	}
-	for _, name := range sortedKeys(h.servers) {
-		h.advanceStep(h.servers[name])
+	for _, s := range h.sorted {
+		h.advanceStep(s)
 	}
 }
 
@@ -212,7 +212,10 @@
 		var best *server
 		hasTraffic := false
 		for _, s := range h.serving[version] {
-			hasTraffic = hasTraffic || s.share() > 0
+			if s.share() > 0 {
+				hasTraffic = true
+				break
+			}
 			usable := s.step == ejectedStep && s.signals.Ready && s.signals.Alive
 			if usable && (best == nil || s.strikes < best.strikes) {
 				best = s
