Use all the memory that a large event takes

An event a little longer than the own memory of its answer took 8 KiB of the shared memory, used 12 bytes of them, and took 8 KiB more for the next line. Of 400 callers that read events of 8,206 bytes slowly, 144 lost an answer that was ready: "memory for large events is used up". A buffer now grows by all that it takes; the same 400 callers lost none.

TestTakenMemoryIsUsed failed before, at answer 256. Events above 16 KiB from 400 workers at once still exceed the 4 MiB that all answers share.

--- a/internal/gateway/buffers.go
+++ b/internal/gateway/buffers.go
@@ -52,6 +52,9 @@
 		}
 		b.taken += more
 	}
+	if b.taken > 0 {
+		size = ownBufferBytes + int(b.taken) // all that is taken, so that it is not taken again
+	}
 	grown := make([]byte, len(b.bytes), size)
 	copy(grown, b.bytes)
 	b.bytes = grown
--- a/internal/gateway/buffers_test.go
+++ b/internal/gateway/buffers_test.go
@@ -53,3 +53,15 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(large.bytes)+len(rest), 4*ownBufferBytes)
 }
+
+// Guards against shared memory that is taken twice for one event, so that 400 callers that read events a
+// little larger than the own memory of an answer lose answers that are ready.
+func TestTakenMemoryIsUsed(t *testing.T) {
+	memory := newBufferMemory()
+	for n := range 400 {
+		b := answerBuffer{memory: memory}
+		for _, size := range []int{6, readBufferBytes, readBufferBytes, 8} {
+			assert.Assert(t, b.append(make([]byte, size)), "answer %d has no memory", n)
+		}
+	}
+}
