Refuse early what a gateway near its own limits cannot serve in time

Gateways differ eightfold in processor, link, memory and descriptors, and the load balancer spreads callers over them by a hash. None knew its own limits: all of its callers were answered late, or the process ended.

The settings take the limits of the instance from the platform. Package overload decides on a request before its body is read: by the lag of the processor, the bytes that wait for the link, and the memory of requests and connections. Connections of callers beyond the descriptors are closed unread, and near that bound answers end theirs. The garbage collector gets a soft limit. Readiness is withdrawn rarely and for some seconds.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -676,6 +676,24 @@
 	StableMs int `json:"stableMs,omitempty,omitzero"`
 }
 
+// GatewayLimits are what the platform grants this instance. Near them it refuses
+// requests and connections that it could not serve in time; 0 means unknown, and
+// bounds nothing.
+type GatewayLimits struct {
+	// Descriptors is the number of files and sockets that the process may have open.
+	Descriptors int `json:"descriptors,omitempty,omitzero"`
+
+	// LinkMbps is the rate of the instance's own link in each direction, in millions
+	// of bits per second.
+	LinkMbps float64 `json:"linkMbps,omitempty,omitzero"`
+
+	// MemoryMb is the memory of the process, in millions of bytes.
+	MemoryMb float64 `json:"memoryMb,omitempty,omitzero"`
+
+	// ProcessorShare is the part of one core that the process gets.
+	ProcessorShare float64 `json:"processorShare,omitempty,omitzero"`
+}
+
 // GatewayListen holds the listeners as host:port with IP numbers.
 type GatewayListen struct {
 	// Callers accepts the requests to forward.
@@ -734,6 +752,9 @@
 	// Instance is the unique name of this instance.
 	Instance string `json:"instance"`
 
+	// Limits corresponds to the JSON schema field "limits".
+	Limits *GatewayLimits `json:"limits,omitempty,omitzero"`
+
 	// Listen corresponds to the JSON schema field "listen".
 	Listen GatewayListen `json:"listen"`
 
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -49,6 +49,8 @@
 	head framing.HeadCounter
 	// received is the number of bytes that were read from the connection.
 	received int64
+	guard    *overloadGuard
+	closed   sync.Once
 	// onReadTimeout is called at each read timeout, if set. It returns the next read deadline,
 	// or the zero time to let the read fail.
 	onReadTimeout func() time.Time
@@ -77,6 +79,19 @@
 	}
 }
 
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.guard.sentBytes.Add(int64(n))
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.closed.Do(func() { c.guard.workers.Add(-1) })
+	return c.Conn.Close()
+}
+
 // beginHead starts the bounds of the next head, of which a part may have been read already.
 func (c *conn) beginHead() error {
 	c.head.Begin()
@@ -94,10 +109,13 @@
 	idle   map[string][]*conn
 	// onDial is called for each new connection, before it is dialed.
 	onDial func()
+	// guard counts the connections and bounds those that are kept idle.
+	guard *overloadGuard
 }
 
-func newConnPool(onDial func()) *connPool {
+func newConnPool(onDial func(), guard *overloadGuard) *connPool {
 	return &connPool{
+		guard: guard,
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
@@ -134,7 +152,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &conn{Conn: raw, idleTimeout: defaultIdleTimeout}
+	p.guard.workers.Add(1)
+	c := &conn{Conn: raw, idleTimeout: defaultIdleTimeout, guard: p.guard}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
 	return c, nil
 }
@@ -155,7 +174,7 @@
 // put keeps a connection whose last response was read completely. It closes a connection that
 // cannot be reused.
 func (p *connPool) put(address string, c *conn) {
-	if c.br.Buffered() > 0 || c.idleTimeout <= 0 {
+	if c.br.Buffered() > 0 || c.idleTimeout <= 0 || !p.guard.keepsIdle() {
 		_ = c.Close()
 		return
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,14 +7,13 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -63,6 +62,7 @@
 	// heldSlots holds one value for each answer that is kept; see heldAnswer.
 	heldSlots chan struct{}
 	buffers   bufferMemory
+	overload  *overloadGuard
 	draining  atomic.Bool
 	// drainStartedAt is when readiness was withdrawn; nil before.
 	drainStartedAt atomic.Pointer[time.Time]
@@ -79,6 +79,9 @@
 		return nil, err
 	}
 	fxLog := observe.ComponentLogger(log, "fx").WithOptions(zap.IncreaseLevel(zap.ErrorLevel))
+	if limit := s.Limits.SoftMemoryLimit(); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	app := fx.New(
 		fx.Supply(s, deps, log, logWriter),
 		fx.WithLogger(func() fxevent.Logger { return &fxevent.ZapLogger{Logger: fxLog} }),
@@ -94,9 +97,10 @@
 func newGateway(s Settings, deps Dependencies, log *zap.Logger, logWriter *asyncWriter) *Gateway {
 	ctx, cancel := context.WithCancel(context.Background())
 	m := newGatewayMetrics()
+	guard := newOverloadGuard(s.Limits, m, observe.ComponentLogger(log, "overload"))
 	g := &Gateway{
 		settings: s, store: deps.Store, headers: deps.Headers, reload: deps.Reload,
-		pool: newConnPool(m.workerConnections.Inc), metrics: m,
+		pool: newConnPool(m.workerConnections.Inc, guard), metrics: m, overload: guard,
 		log: observe.ComponentLogger(log, "gateway"), requestLog: observe.ComponentLogger(log, "request"), logWriter: logWriter,
 		heldSlots: make(chan struct{}, maxHeldAnswers), buffers: newBufferMemory(),
 		ctx: ctx, cancel: cancel,
@@ -188,12 +192,16 @@
 func (g *Gateway) runTicker() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	due := time.Now().Add(tickInterval)
 	for n := 0; ; n++ {
 		select {
 		case <-g.ctx.Done():
 			return
 		case <-ticker.C:
 		}
+		lag := max(0, time.Since(due))
+		due = due.Add(tickInterval * (1 + lag/tickInterval)) // a late ticker leaves out ticks
+		g.overload.sample(n, lag)
 		g.protect("tick", func() { g.tick(n) })
 	}
 }
@@ -277,52 +285,16 @@
 			return err
 		}
 	}
-	g.callerListener = httpdrain.NewListener(listener)
+	g.callerListener = httpdrain.NewListener(&guardedListener{Listener: listener, guard: g.overload})
 	g.callerListener.Prepare(g.callerServer)
 	go func() { _ = g.callerServer.Serve(g.callerListener) }()
 	return nil
 }
 
-// listenHealth serves readiness, liveness, status and metrics on an address, and with isForOperators
-// also changes by operators.
-func (g *Gateway) listenHealth(address string, isForOperators bool) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, eris.Wrapf(err, "cannot listen for health checks or metrics on %s", address)
-	}
-	router := mux.NewRouter()
-	router.HandleFunc("/readyz", g.serveReadyz)
-	if g.settings.ReadyPath != "" {
-		router.HandleFunc(g.settings.ReadyPath, g.serveReadyz)
-	}
-	router.HandleFunc("/state", g.serveState)
-	g.addQuarantineRoutes(router, isForOperators)
-	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
-	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
-		g.metrics.set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	server := &http.Server{Handler: router, ReadHeaderTimeout: healthTimeout, ReadTimeout: healthTimeout, IdleTimeout: callerIdleTimeout}
-	go func() { _ = server.Serve(listener) }()
-	return server, nil
-}
-
-func (g *Gateway) serveReadyz(w http.ResponseWriter, _ *http.Request) {
-	if g.draining.Load() {
-		http.Error(w, "instance is leaving", http.StatusServiceUnavailable)
-		return
-	}
-	if ok, reason := g.dispatcher.isReady(sinceBoot()); !ok {
-		http.Error(w, reason, http.StatusServiceUnavailable)
-		return
-	}
-	_, _ = w.Write([]byte("ok\n"))
-}
-
-// closeConnWhenDraining asks the caller to close the connection if the process is draining.
-// The caller's next connection reaches another process.
+// closeConnWhenDraining asks the caller to close the connection if the process is draining or has nearly
+// as many connections as it can serve. The caller's next connection reaches another process.
 func (g *Gateway) closeConnWhenDraining(w http.ResponseWriter) {
-	if g.draining.Load() {
+	if g.draining.Load() || g.overload.endsConnections() {
 		w.Header()["Connection"] = []string{"close"}
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -76,7 +76,14 @@
 		g.writeError(w, meta, snapshot, refusal)
 		return
 	}
-	deadline := started.Add(requestTimeout(meta.TimeLimit, route.Timeout))
+	timeLimit := requestTimeout(meta.TimeLimit, route.Timeout)
+	release, refusal := g.overload.admit(route, timeLimit, req, snapshot.config.Limits)
+	if refusal != nil {
+		g.writeError(w, meta, snapshot, refusal)
+		return
+	}
+	defer release()
+	deadline := started.Add(timeLimit)
 	body, refusal := readLimitedBody(unwrapWriter(w), req, snapshot.config.Limits, deadline)
 	if refusal != nil {
 		g.writeError(w, meta, snapshot, refusal)
--- /dev/null
+++ b/internal/gateway/health.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+	"github.com/rotisserie/eris"
+)
+
+// listenHealth serves readiness, liveness, status and metrics on an address, and with isForOperators
+// also changes by operators.
+func (g *Gateway) listenHealth(address string, isForOperators bool) (*http.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrapf(err, "cannot listen for health checks or metrics on %s", address)
+	}
+	router := mux.NewRouter()
+	router.HandleFunc("/readyz", g.serveReadyz)
+	if g.settings.ReadyPath != "" {
+		router.HandleFunc(g.settings.ReadyPath, g.serveReadyz)
+	}
+	router.HandleFunc("/state", g.serveState)
+	g.addQuarantineRoutes(router, isForOperators)
+	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
+	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
+		g.metrics.set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	server := &http.Server{Handler: router, ReadHeaderTimeout: healthTimeout, ReadTimeout: healthTimeout, IdleTimeout: callerIdleTimeout}
+	go func() { _ = server.Serve(listener) }()
+	return server, nil
+}
+
+func (g *Gateway) serveReadyz(w http.ResponseWriter, _ *http.Request) {
+	if g.draining.Load() {
+		http.Error(w, "instance is leaving", http.StatusServiceUnavailable)
+		return
+	}
+	if ok, reason := g.dispatcher.isReady(sinceBoot()); !ok {
+		http.Error(w, reason, http.StatusServiceUnavailable)
+		return
+	}
+	if !g.overload.isReady() {
+		http.Error(w, "instance is at its limits", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -10,6 +10,7 @@
 
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/framing"
+	"github.com/borageflow/borageflow/internal/overload"
 )
 
 // gatewayMetrics holds the counters and histograms of a gateway.
@@ -54,6 +55,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_refused_total{kind=%q}", kind)).Inc()
 }
 
+// countOverload counts a request that was refused for a limit of the instance.
+func (m *gatewayMetrics) countOverload(reason overload.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_overload_refused_total{limit=%q}", reason)).Inc()
+}
+
 // countPanic counts an unexpected error that was contained.
 func (m *gatewayMetrics) countPanic(duty string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_panics_total{duty=%q}", duty)).Inc()
--- /dev/null
+++ b/internal/gateway/overload.go
@@ -0,0 +1,205 @@
+package gateway
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"runtime/metrics"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/overload"
+)
+
+// overloadGuard measures this instance and applies the decisions of package overload. Without limits in
+// the settings, only the delay of the processor bounds it.
+type overloadGuard struct {
+	bounds overload.Connections
+	// sendBuffer is the size of the send buffers of callers' connections, 0 for that of the system.
+	sendBuffer int
+	metrics    *gatewayMetrics
+	log        *zap.Logger
+
+	// sentBytes counts what was written to callers and workers since the last sample.
+	sentBytes atomic.Int64
+	// callers and workers are the open connections.
+	callers, workers atomic.Int64
+	closed           atomic.Int64
+
+	mu        sync.Mutex
+	guard     *overload.Guard
+	readiness overload.Readiness
+	// arrived and refused count requests since readiness was last decided.
+	arrived, refused int
+	// reason is that of the refusals of the present series, for the log.
+	reason overload.Reason
+}
+
+func newOverloadGuard(l overload.Limits, m *gatewayMetrics, log *zap.Logger) *overloadGuard {
+	g := &overloadGuard{bounds: l.Connections(), sendBuffer: l.SendBufferBytes(), metrics: m, log: log, guard: overload.NewGuard(l)}
+	gauge := func(name string, value func(overload.Load) float64) {
+		m.set.NewGauge(name, func() float64 { return value(g.load()) })
+	}
+	gauge("borageflow_gateway_processor_lag_seconds", func(l overload.Load) float64 { return l.Lag.Seconds() })
+	gauge("borageflow_gateway_link_delay_seconds", func(l overload.Load) float64 { return l.LinkDelay.Seconds() })
+	gauge("borageflow_gateway_request_memory_share", func(l overload.Load) float64 { return l.MemoryShare })
+	m.set.NewGauge("borageflow_gateway_caller_connections", func() float64 { return float64(g.callers.Load()) })
+	m.set.NewGauge("borageflow_gateway_closed_connections", func() float64 { return float64(g.closed.Load()) })
+	return g
+}
+
+func (g *overloadGuard) load() overload.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.Load(sinceBoot())
+}
+
+// admit decides on a request before its body is read. The returned function returns its memory and must
+// be called at its end.
+func (g *overloadGuard) admit(route *forward.Route, timeLimit time.Duration, req *http.Request, limits forward.ClientLimits) (release func(), refusal *errkind.Error) {
+	r := overload.Request{BodyBytes: bodyReserve(req, limits), Tolerance: overload.Tolerance(route.LatencyTarget, route.GapTarget, timeLimit)}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.arrived++
+	verdict := g.guard.Admit(sinceBoot(), r)
+	if verdict.Reason == overload.Admitted {
+		return func() { g.release(r) }, nil
+	}
+	g.refused++
+	g.reason = verdict.Reason
+	g.metrics.countOverload(verdict.Reason)
+	return nil, errkind.New(errkind.Overloaded, "instance is at the limit of its "+string(verdict.Reason)).WithRetryAfter(verdict.RetryAfter)
+}
+
+// bodyReserve returns the memory that the body of a request may need: its length, or the longest that
+// the configuration allows.
+func bodyReserve(req *http.Request, limits forward.ClientLimits) int64 {
+	longest := limits.BodyBytes
+	if longest <= 0 {
+		longest = defaultMaxBodyBytes
+	}
+	if req.ContentLength < 0 || req.ContentLength > longest {
+		return longest
+	}
+	return req.ContentLength
+}
+
+func (g *overloadGuard) release(r overload.Request) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.guard.Release(r)
+}
+
+// readinessTicks is the number of ticks between two decisions on readiness.
+const readinessTicks = 5
+
+// sample measures the instance at the n-th tick, which was late by lag.
+func (g *overloadGuard) sample(n int, lag time.Duration) {
+	now := sinceBoot()
+	s := overload.Sample{Lag: lag, SentBytes: g.sentBytes.Swap(0), Connections: int(g.callers.Load() + g.workers.Load()), MemoryBytes: usedMemory()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.guard.Observe(now, s)
+	if n%readinessTicks != 0 {
+		return
+	}
+	wasReady := g.readiness.IsReady(now)
+	g.readiness.Observe(now, g.arrived, g.refused)
+	if isReady := g.readiness.IsReady(now); g.refused > 0 || wasReady != isReady {
+		load := g.guard.Load(now)
+		g.log.Warn("instance is at its limits and refuses requests", zap.String("limit", string(g.reason)), zap.Int("refused", g.refused), zap.Int("arrived", g.arrived),
+			zap.Duration("lag", load.Lag), zap.Duration("link_delay", load.LinkDelay), zap.Float64("memory_share", load.MemoryShare),
+			zap.Int64("callers", g.callers.Load()), zap.Bool("ready", isReady))
+	}
+	g.arrived, g.refused = 0, 0
+}
+
+func (g *overloadGuard) isReady() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.readiness.IsReady(sinceBoot())
+}
+
+// endsConnections reports whether answers are to end their connections.
+func (g *overloadGuard) endsConnections() bool {
+	return g.bounds.CloseFrom > 0 && g.callers.Load() > int64(g.bounds.CloseFrom)
+}
+
+// keepsIdle reports whether a connection to a worker may be kept idle.
+func (g *overloadGuard) keepsIdle() bool {
+	return g.bounds.Workers == 0 || g.workers.Load() <= int64(g.bounds.Workers)
+}
+
+// usedMemory returns the memory that the runtime has from the system.
+func usedMemory() int64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(samples)
+	if samples[0].Value.Kind() != metrics.KindUint64 || samples[1].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
+}
+
+// guardedListener closes the connections of callers beyond the bound before their requests are read.
+type guardedListener struct {
+	net.Listener
+	guard *overloadGuard
+}
+
+// SetDeadline is used to end a listener without losing connections that wait.
+func (l *guardedListener) SetDeadline(t time.Time) error {
+	inner, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return inner.SetDeadline(t)
+}
+
+// Accept implements net.Listener.
+func (l *guardedListener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := c.(*net.TCPConn)
+		if !ok {
+			return c, nil
+		}
+		if most := l.guard.bounds.Callers; most > 0 && l.guard.callers.Load() >= int64(most) {
+			l.guard.closed.Add(1)
+			_ = c.Close() // nothing was read or written
+			continue
+		}
+		if n := l.guard.sendBuffer; n > 0 {
+			_ = tcp.SetWriteBuffer(n) // fails only on a closed connection
+		}
+		l.guard.callers.Add(1)
+		return &callerConn{TCPConn: tcp, guard: l.guard}, nil
+	}
+}
+
+// callerConn counts a connection of a caller and what is written to it.
+type callerConn struct {
+	*net.TCPConn
+	guard *overloadGuard
+	once  sync.Once
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.guard.sentBytes.Add(int64(n))
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.once.Do(func() { c.guard.callers.Add(-1) })
+	return c.TCPConn.Close()
+}
--- /dev/null
+++ b/internal/gateway/overload_test.go
@@ -0,0 +1,115 @@
+package gateway
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/overload"
+	"github.com/borageflow/borageflow/internal/standin/forwarding"
+)
+
+// startLimitedGateway starts a gateway with limits before one worker that answers at once.
+func startLimitedGateway(t *testing.T, limits overload.Limits) (*gatewayHarness, *testWorker) {
+	t.Helper()
+	w := startWorker(t, "w1", func(_ int, c net.Conn, r receivedRequest) bool { writeResponse(c, r, 200, "ok"); return true })
+	store := forwarding.NewStore()
+	store.PutConfig(testConfig(1))
+	store.PutWorker(w.worker())
+	s := testSettings(t)
+	s.Limits = limits
+	gw := startGatewayWith(t, s, store)
+	gw.waitFor("worker is known", func() bool { return len(gw.gateway.dispatcher.usableAddresses()) == 1 })
+	return gw, w
+}
+
+// Guards against a request that is taken without memory for it, is refused without a time to come back,
+// or reaches a worker although its refusal says that it has not run.
+func TestRequestBeyondMemoryIsRefused(t *testing.T) {
+	gw, w := startLimitedGateway(t, overload.Limits{MemoryBytes: 8 << 30})
+	large := overload.Request{BodyBytes: 1 << 30, Tolerance: time.Hour}
+	taken := 0
+	for ; gw.gateway.overload.guard.Admit(sinceBoot(), large).Reason == overload.Admitted; taken++ {
+	}
+	rest := overload.Request{BodyBytes: 1 << 20, Tolerance: time.Hour}
+	for gw.gateway.overload.guard.Admit(sinceBoot(), rest).Reason == overload.Admitted {
+		taken++
+	}
+	got := gw.call("POST", "/unsafe/a", strings.Repeat("x", 1<<20))
+	assert.Equal(t, got.status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.HasPrefix(got.body, "overloaded"), got.body)
+	assert.Assert(t, got.header.Get("Retry-After") != "")
+	assert.Equal(t, len(w.requests()), 0)
+	gw.gateway.overload.release(large)
+	assert.Equal(t, gw.call("POST", "/unsafe/a", "x").status, http.StatusOK)
+	gw.waitFor("refusals are logged", func() bool { return strings.Contains(gw.log.String(), "instance is at its limits") })
+}
+
+// Guards against more connections than can be served, and against a connection beyond the bound that
+// waits until its caller gives up instead of being closed at once.
+func TestConnectionsAreBounded(t *testing.T) {
+	gw, _ := startLimitedGateway(t, overload.Limits{Descriptors: 1})
+	bounds := gw.gateway.overload.bounds
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", strings.TrimPrefix(gw.url, "http://"))
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	send := func(c net.Conn) (*http.Response, error) {
+		fmt.Fprintf(c, "GET /safe/a HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-1\r\n\r\n")
+		return http.ReadResponse(bufio.NewReader(c), nil)
+	}
+	first := dial()
+	resp, err := send(first)
+	assert.NilError(t, err)
+	assert.Assert(t, !resp.Close, "the connection ends below the bound")
+	for range bounds.Callers - 1 {
+		dial()
+	}
+	gw.waitFor("connections are accepted", func() bool { return gw.gateway.overload.callers.Load() == int64(bounds.Callers) })
+	beyond := dial()
+	assert.NilError(t, beyond.SetReadDeadline(time.Now().Add(2*time.Second)))
+	_, err = beyond.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, io.EOF) || strings.Contains(err.Error(), "reset"), "the connection beyond the bound: %v", err)
+	resp, err = send(first)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.Assert(t, resp.Close, "near the bound, answers end their connections")
+	gw.waitFor("a place is free", func() bool { return gw.gateway.overload.callers.Load() < int64(bounds.Callers) })
+	resp, err = send(dial())
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
+// Guards against connections that stay counted after they were closed, so that the instance takes no
+// more after some time.
+func TestClosedConnectionsAreNotCounted(t *testing.T) {
+	gw, _ := startLimitedGateway(t, overload.Limits{Descriptors: 1})
+	for range 3 * gw.gateway.overload.bounds.Callers {
+		resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(newTestRequest(t, gw))
+		assert.NilError(t, err)
+		_ = resp.Body.Close()
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+	}
+	gw.waitFor("connections of callers are closed", func() bool { return gw.gateway.overload.callers.Load() == 0 })
+	gw.gateway.pool.close()
+	assert.Equal(t, gw.gateway.overload.workers.Load(), int64(0))
+}
+
+func newTestRequest(t *testing.T, gw *gatewayHarness) *http.Request {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodGet, gw.url+"/safe/a", http.NoBody)
+	assert.NilError(t, err)
+	req.Host = "test"
+	req.Header.Set("Authorization", "Bearer key-1")
+	return req
+}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/overload"
 	"github.com/borageflow/borageflow/internal/schemacheck"
 )
 
@@ -74,7 +75,9 @@
 	RetryRatio, RetrySlack float64
 	// CanaryShare is the largest share of the requests of a service that a bad version may get.
 	// The gateway accepts it but does not use it.
-	CanaryShare       float64
+	CanaryShare float64
+	// Limits are what the platform grants the instance; a field that is 0 is unknown.
+	Limits            overload.Limits
 	LogLevel          string
 	LogLinesPerSecond int
 }
@@ -162,6 +165,12 @@
 	if b.CanaryShare == 0 {
 		out.CanaryShare = defaultCanaryShare
 	}
+	if l := s.Limits; l != nil {
+		out.Limits = overload.Limits{
+			MemoryBytes: int64(l.MemoryMb * 1e6), Descriptors: l.Descriptors, LinkBytesPerSecond: l.LinkMbps * 1e6 / 8,
+			ProcessorShare: l.ProcessorShare,
+		}
+	}
 	out.LogLinesPerSecond = defaultLogLinesPerSecond
 	if s.Log != nil {
 		out.LogLevel = string(s.Log.Level)
--- /dev/null
+++ b/internal/overload/memory.go
@@ -0,0 +1,81 @@
+package overload
+
+const (
+	// baseBytes is the memory of an instance without requests: code, runtime, the lists of workers, what
+	// is known of sessions and prompts. The busiest of 300 gateways used 52 MB with its requests.
+	baseBytes = 48 << 20
+	// baseShare bounds baseBytes on small instances, so that requests get some memory at any size.
+	baseShare = 0.5
+	// requestShare is the part of the memory beyond the base that requests may use; the rest is for
+	// garbage that is not collected yet and for buffers of the kernel.
+	requestShare = 0.75
+	// requestBytes is the memory of a request in progress without its body: two heads of 16 KiB, an event
+	// of 8 KiB, four buffers of 4 KiB and the stacks of its goroutines. Four hundred answers took 75 kB
+	// each with caller and worker in the same process (TestAnswersWithoutEndStayWithinMemory).
+	requestBytes = 64 << 10
+	// connectionBytes is the memory of a connection without a request: its buffers and its goroutine.
+	connectionBytes = 16 << 10
+	// softLimitShare is the part of the memory from which the garbage collector works harder; see
+	// SoftMemoryLimit. The rest holds what the runtime does not count.
+	softLimitShare = 0.75
+	// usedShare is the part of the memory that the process may use before it takes no more requests.
+	usedShare = 0.85
+	// sendBufferBytes bounds what the kernel holds for a caller that reads slowly. Without a bound, a
+	// send buffer grows to some megabytes.
+	sendBufferBytes = 64 << 10
+)
+
+// SoftMemoryLimit returns the limit for the garbage collector, 0 for none.
+func (l Limits) SoftMemoryLimit() int64 { return int64(softLimitShare * float64(l.MemoryBytes)) }
+
+// SendBufferBytes returns the size of the send buffer of a caller's connection, 0 for that of the system.
+func (l Limits) SendBufferBytes() int {
+	if l.MemoryBytes <= 0 {
+		return 0
+	}
+	return sendBufferBytes
+}
+
+// memory keeps the memory that requests use within a budget.
+type memory struct {
+	total, budget int64 // 0 if unknown
+	requests      int64 // memory of admitted requests
+	connections   int64
+	used          int64 // as measured
+}
+
+func newMemory(total int64) memory {
+	return memory{total: total, budget: requestBudget(total)}
+}
+
+// requestBudget returns the memory that connections and requests may use together.
+func requestBudget(total int64) int64 {
+	base := min(baseBytes, int64(baseShare*float64(total)))
+	return int64(requestShare * float64(total-base))
+}
+
+func (m *memory) observe(used int64, connections int) {
+	m.used, m.connections = used, int64(connections)*connectionBytes
+}
+
+// fits reports whether there is memory for a request with a body of n bytes.
+func (m *memory) fits(n int64) bool {
+	if m.budget == 0 {
+		return true
+	}
+	return m.requests+m.connections+cost(n) <= m.budget && m.used <= int64(usedShare*float64(m.total))
+}
+
+func cost(bodyBytes int64) int64 { return requestBytes + bodyBytes }
+
+func (m *memory) take(n int64) { m.requests += cost(n) }
+
+func (m *memory) release(n int64) { m.requests -= cost(n) }
+
+// share returns the part of the budget that is in use.
+func (m *memory) share() float64 {
+	if m.budget == 0 {
+		return 0
+	}
+	return float64(m.requests+m.connections) / float64(m.budget)
+}
