Serve from the first pages of a long list of workers

After all of 300 gateways had been killed before 3,000 workers, each listed 750 kB at the store at the same time: until the last page had arrived, callers were refused with "workers have not been received from the store yet".

The workers of a page are used as soon as it arrives, until the whole list replaces them.

A failure domain that returned left 245 lines on each gateway for the cold times of its workers, during which the gateways of the others answered nothing for 0.35 and 0.55 s; more than 20 are now counted in one line.

--- a/internal/forward/store.go
+++ b/internal/forward/store.go
@@ -130,6 +130,12 @@
 	ErrNotFound = errors.New("object does not exist")
 )
 
+// PageLister is a Store that lists the workers in pages. The handler gets each page as it arrives, so that
+// a gateway can serve callers before the last one has.
+type PageLister interface {
+	OnWorkerPage(handler func(u *Update))
+}
+
 // Store is the object store that all processes share.
 type Store interface {
 	// List returns every object of a topic.
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -35,6 +35,8 @@
 	workers        *forward.WorkerList
 	appliedVersion uint64
 	workersListed  bool
+	// workersPaged is set once a page of the first list was applied.
+	workersPaged bool
 	// workersRevision is the revision of the last update of the workers.
 	workersRevision int64
 	placer          *forward.Placer
@@ -205,7 +207,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case !d.workersListed:
+	case !d.workersListed && !d.workersPaged:
 		return false, "workers have not been received from the store yet"
 	case !d.rollouts.hasListed:
 		return false, "rollouts have not been received from the store yet"
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -38,12 +38,20 @@
 
 // recordColdWorkers records how long workers stay cold by their entries. The caller holds the lock.
 func (d *dispatcher) recordColdWorkers(now time.Duration, changes []forward.WorkerChange) {
+	var changed []*forward.WorkerChange
 	for i := range changes {
 		c := &changes[i]
 		if !c.Removed && d.placer.RecordCold(now, c.ID, c.ColdFor, d.rng.Float64()) {
-			d.log.Info("cold time of a worker changed", zap.String("worker", c.ID), zap.Int64("cold_ms", c.ColdFor.Milliseconds()))
+			changed = append(changed, c)
 		}
 	}
+	if len(changed) > maxWorkerLines {
+		d.log.Info("cold times of many workers changed", zap.Int("workers", len(changed)), zap.Int64("first_cold_ms", changed[0].ColdFor.Milliseconds()))
+		return
+	}
+	for _, c := range changed {
+		d.log.Info("cold time of a worker changed", zap.String("worker", c.ID), zap.Int64("cold_ms", c.ColdFor.Milliseconds()))
+	}
 }
 
 // allEvacuated reports whether all workers of a service are in evacuated failure domains.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,13 +42,15 @@
 	relayPeer  *relayPeer
 	quarantine *quarantineGuard
 	store      forward.Store
-	headers    HeaderCodec
-	reload     func() (Settings, error)
-	pool       *connPool
-	metrics    *gatewayMetrics
-	log        *zap.Logger
-	requestLog *zap.Logger
-	logWriter  *asyncWriter
+	// directStore is the store itself, without relays.
+	directStore forward.Store
+	headers     HeaderCodec
+	reload      func() (Settings, error)
+	pool        *connPool
+	metrics     *gatewayMetrics
+	log         *zap.Logger
+	requestLog  *zap.Logger
+	logWriter   *asyncWriter
 
 	callerServer   *http.Server
 	callerListener *httpdrain.Listener
@@ -99,7 +101,7 @@
 	m := newGatewayMetrics()
 	guard := newOverloadGuard(s.Limits, m, observe.ComponentLogger(log, "overload"))
 	g := &Gateway{
-		settings: s, store: deps.Store, headers: deps.Headers, reload: deps.Reload,
+		settings: s, store: deps.Store, directStore: deps.Store, headers: deps.Headers, reload: deps.Reload,
 		pool: newConnPool(m.workerConnections.Inc, guard), metrics: m, overload: guard,
 		log: observe.ComponentLogger(log, "gateway"), requestLog: observe.ComponentLogger(log, "request"), logWriter: logWriter,
 		heldSlots: make(chan struct{}, maxHeldAnswers), buffers: newBufferMemory(),
@@ -130,6 +132,9 @@
 	if err := g.relayPeer.listen(g.settings, g.log); err != nil {
 		return err
 	}
+	if lister, ok := g.directStore.(forward.PageLister); ok {
+		lister.OnWorkerPage(func(u *forward.Update) { g.dispatcher.applyWorkerPage(sinceBoot(), u) })
+	}
 	for _, w := range g.newWatchers() {
 		g.goroutines.Go(func() { w.run(g.ctx) })
 	}
--- a/internal/gateway/workerlist.go
+++ b/internal/gateway/workerlist.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -15,6 +16,20 @@
 // list would use the processor of a small instance while callers wait.
 const maxWorkerLines = 20
 
+// applyWorkerPage applies a page of the first list of workers. Its workers may be used at once; which of
+// them are in use in all is known with the last page.
+func (d *dispatcher) applyWorkerPage(now time.Duration, u *forward.Update) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.workersListed {
+		return
+	}
+	d.workers.Apply(now, u.Workers)
+	d.workersPaged = true
+	d.syncWorkers(now)
+	d.recordColdWorkers(now, u.Workers)
+}
+
 // syncHealth passes the changes from the workers in use so far to the health tracker. The caller holds
 // the lock.
 func (d *dispatcher) syncHealth(usable []forward.Worker) {
--- a/internal/gateway/workerlist_test.go
+++ b/internal/gateway/workerlist_test.go
@@ -37,9 +37,50 @@
 	}
 }
 
+// Guards against a gateway that refuses callers until the last of several thousand workers has been listed:
+// 300 gateways that started at once took 3.2 s for that. Guards also against a page that outlives the list:
+// a worker that has left meanwhile, or one of an older list.
+func TestPageOfFirstListIsUsed(t *testing.T) {
+	d := newDispatcher(testSettings(t), newNopLogger())
+	d.applyConfig(testConfig(1))
+	d.applyRollouts(time.Second, &forward.Update{Full: true, Revision: 5})
+	d.applyEvacuations(time.Second, &forward.Update{Full: true, Revision: 5})
+	synced, _ := d.hasSynced()
+	assert.Assert(t, !synced)
+	list := longWorkerList(1000).Workers
+	d.applyWorkerPage(time.Second, &forward.Update{Revision: 5, Workers: list[500:]})
+	synced, reason := d.hasSynced()
+	assert.Assert(t, synced, reason)
+	placement, _, ok := d.pickWorker(time.Second, forward.WorkerQuery{Service: "svc"}, "", "r", false)
+	assert.Assert(t, ok)
+	assert.Assert(t, placement.Worker.ID >= list[500].ID)
+	d.applyWorkers(time.Second, &forward.Update{Full: true, Revision: 5, Workers: list[:900]})
+	assert.Equal(t, len(d.usableWorkers), 900)
+	d.applyWorkerPage(time.Second, &forward.Update{Revision: 5, Workers: list[900:]})
+	assert.Equal(t, len(d.usableWorkers), 900)
+}
+
 func BenchmarkFirstWorkerList(b *testing.B) {
 	u := longWorkerList(3000)
 	for b.Loop() {
 		newDispatcher(testSettings(b), newNopLogger()).applyWorkers(time.Second, u)
 	}
 }
+
+// BenchmarkReturnOfDomain measures 415 workers that return cold.
+func BenchmarkReturnOfDomain(b *testing.B) {
+	d := newDispatcher(testSettings(b), newNopLogger())
+	config := testConfig(1)
+	config.Services["svc"] = forward.Service{Name: "svc", ColdPerSecond: 17}
+	d.applyConfig(config)
+	d.applyWorkers(time.Second, longWorkerList(3000))
+	returning := longWorkerList(415).Workers
+	for n := 0; b.Loop(); n++ {
+		u := &forward.Update{Revision: int64(6 + n)}
+		for i, w := range returning {
+			w.ID, w.ColdFor = fmt.Sprintf("i-%06d-%d", i, n), 3*time.Second
+			u.Workers = append(u.Workers, w)
+		}
+		d.applyWorkers(time.Duration(2+n)*time.Second, u)
+	}
+}
