Bound nothing by the processor where its share is unknown

The lag of the processor refused requests also without limits in the settings: TestFaultyAnswerMatrix failed beside a load average of 30, with "instance is at the limit of its processor". An instance without a known share now admits as before; TestUnknownLimitsBoundNothing covers it.

--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -16,8 +16,7 @@
 	"github.com/borageflow/borageflow/internal/overload"
 )
 
-// overloadGuard measures this instance and applies the decisions of package overload. Without limits in
-// the settings, only the delay of the processor bounds it.
+// overloadGuard measures this instance and applies the decisions of package overload.
 type overloadGuard struct {
 	bounds overload.Connections
 	// sendBuffer is the size of the send buffers of callers' connections, 0 for that of the system.
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -77,7 +77,7 @@
 // NewGuard returns a Guard for an instance without load.
 func NewGuard(l Limits) *Guard {
 	return &Guard{
-		processor: processor{pause: quotaPause(l.ProcessorShare)},
+		processor: processor{isKnown: l.ProcessorShare > 0, pause: quotaPause(l.ProcessorShare)},
 		link:      link{rate: l.LinkBytesPerSecond * linkPayloadShare},
 		memory:    newMemory(l.MemoryBytes),
 	}
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -16,6 +16,9 @@
 // deployments must be served as before.
 func TestUnknownLimitsBoundNothing(t *testing.T) {
 	g := NewGuard(Limits{})
+	for range 3 {
+		g.Observe(0, Sample{Lag: 10 * time.Second, MemoryBytes: 1 << 40, SentBytes: 1 << 40, Connections: 1 << 20})
+	}
 	for range 10_000 {
 		assert.Equal(t, g.Admit(0, Request{BodyBytes: 1 << 20}).Reason, Admitted)
 	}
--- a/internal/overload/processor.go
+++ b/internal/overload/processor.go
@@ -12,6 +12,9 @@
 
 // processor estimates how long work waits for the processor.
 type processor struct {
+	// isKnown reports whether the processor share is known. Otherwise the lag bounds nothing: it may be
+	// that of a machine that is shared with others.
+	isKnown bool
 	// pause is the lag that an instance has without being overloaded.
 	pause time.Duration
 	// last and previous are the lags of the last two samples.
@@ -34,7 +37,7 @@
 // delay returns the lag that has lasted for two samples. A single one is a suspended machine or the
 // start of the process, after which there is no queue.
 func (p *processor) delay() time.Duration {
-	if d := min(p.last, p.previous); d > p.pause {
+	if d := min(p.last, p.previous); p.isKnown && d > p.pause {
 		return d
 	}
 	return 0
