Hold the true length of a body once it is read

Cause: a body without a stated length reserved the longest that is allowed, 4 MiB, until the end of its request. Clients send bodies in chunks too, and streams last seconds: sixteen of them filled the memory for requests of an instance of 136 MB.

Change: the reservation takes the true length once the body has been read.

Result: TestBodyWithoutLengthHoldsItsOwnMemory; without Settle it fails at request 16.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -77,18 +77,19 @@
 		return
 	}
 	timeLimit := requestTimeout(meta.TimeLimit, route.Timeout)
-	release, refusal := g.overload.admit(route, timeLimit, req, snapshot.config.Limits)
+	memory, refusal := g.overload.admit(route, timeLimit, req, snapshot.config.Limits)
 	if refusal != nil {
 		g.writeError(w, meta, snapshot, refusal)
 		return
 	}
-	defer release()
+	defer memory.release()
 	deadline := started.Add(timeLimit)
 	body, refusal := readLimitedBody(unwrapWriter(w), req, snapshot.config.Limits, deadline)
 	if refusal != nil {
 		g.writeError(w, meta, snapshot, refusal)
 		return
 	}
+	memory.settle(len(body))
 	r := &request{
 		gateway: g, writer: w, route: route, customer: customer, apiKey: key, started: started, lastEventID: -1,
 		inbound: inboundRequest{
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -58,16 +58,35 @@
 	return g.guard.Load(sinceBoot())
 }
 
-// admit decides on a request before its body is read. The returned function returns its memory and must
-// be called at its end.
-func (g *overloadGuard) admit(route *forward.Route, timeLimit time.Duration, req *http.Request, limits forward.ClientLimits) (release func(), refusal *errkind.Error) {
+// reservation is the memory of an admitted request.
+type reservation struct {
+	guard   *overloadGuard
+	request overload.Request
+}
+
+// settle replaces the reserved length of the body by the true one.
+func (r *reservation) settle(bodyBytes int) {
+	r.guard.mu.Lock()
+	defer r.guard.mu.Unlock()
+	r.request = r.guard.guard.Settle(r.request, int64(bodyBytes))
+}
+
+// release returns the memory. It must be called at the end of the request.
+func (r *reservation) release() {
+	r.guard.mu.Lock()
+	defer r.guard.mu.Unlock()
+	r.guard.guard.Release(r.request)
+}
+
+// admit decides on a request before its body is read.
+func (g *overloadGuard) admit(route *forward.Route, timeLimit time.Duration, req *http.Request, limits forward.ClientLimits) (*reservation, *errkind.Error) {
 	r := overload.Request{BodyBytes: bodyReserve(req, limits), Tolerance: overload.Tolerance(route.LatencyTarget, route.GapTarget, timeLimit)}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.arrived++
 	verdict := g.guard.Admit(sinceBoot(), r)
 	if verdict.Reason == overload.Admitted {
-		return func() { g.release(r) }, nil
+		return &reservation{g, r}, nil
 	}
 	g.refused++
 	g.reason = verdict.Reason
@@ -88,12 +107,6 @@
 	return req.ContentLength
 }
 
-func (g *overloadGuard) release(r overload.Request) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.guard.Release(r)
-}
-
 // readinessTicks is the number of ticks between two decisions on readiness.
 const readinessTicks = 5
 
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -48,7 +48,7 @@
 	assert.Assert(t, strings.HasPrefix(got.body, "overloaded"), got.body)
 	assert.Assert(t, got.header.Get("Retry-After") != "")
 	assert.Equal(t, len(w.requests()), 0)
-	gw.gateway.overload.release(large)
+	(&reservation{gw.gateway.overload, large}).release()
 	assert.Equal(t, gw.call("POST", "/unsafe/a", "x").status, http.StatusOK)
 	gw.waitFor("refusals are logged", func() bool { return strings.Contains(gw.log.String(), "instance is at its limits") })
 }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -102,6 +102,15 @@
 	return min(max(delay, minRetryAfter), maxRetryAfter)
 }
 
+// Settle replaces the length of the body of an admitted request by the true one, and returns the request to
+// release. The longest allowed body was reserved for one without a stated length.
+func (g *Guard) Settle(r Request, bodyBytes int64) Request {
+	g.memory.release(r.BodyBytes)
+	g.memory.take(bodyBytes)
+	r.BodyBytes = bodyBytes
+	return r
+}
+
 // Release returns the memory of an admitted request.
 func (g *Guard) Release(r Request) { g.memory.release(r.BodyBytes) }
 
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -154,3 +154,20 @@
 	}
 	assert.Assert(t, withdrawn > 0 && withdrawn*8 < all, "withdrawn in %d of %d seconds", withdrawn, all)
 }
+
+// Guards against requests whose bodies have no stated length and that hold the memory of the longest body
+// until they end: sixteen of them filled an instance of 136 MB.
+func TestBodyWithoutLengthHoldsItsOwnMemory(t *testing.T) {
+	const longest, length = 4 << 20, 9000
+	g := NewGuard(Limits{MemoryBytes: 136 << 20})
+	var open []Request
+	for i := range 400 {
+		r := Request{BodyBytes: longest, Tolerance: time.Second}
+		assert.Equal(t, g.Admit(0, r).Reason, Admitted, "request %d", i)
+		open = append(open, g.Settle(r, length))
+	}
+	for _, r := range open {
+		g.Release(r)
+	}
+	assert.Equal(t, g.Load(0).MemoryShare, 0.0)
+}
