--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -181,6 +181,9 @@
 // Load is the load that a worker reports in an answer, in requests.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the worker's machine now, as a multiple of the usual time; 0 means
+	// that the worker does not state it.
+	Pace float64
 }
 
 // AttemptMeta holds the values that the router sets on a request to a worker.
