Decide for each request whether leaving the failure domain pays

A fixed penalty of half a request stood for another failure domain, and the homes of shared prompt parts ignored the domain.

Where the settings hold 'leaving', or workers state how long work takes, a worker elsewhere counts as loaded up to the point at which answers at home still begin in a quarter of the time left. What is beyond leaves until the expected times are level. Prompt parts have homes in each domain unless reading them again costs callers more than the way. Bytes of requests between domains are counted by cause.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -676,6 +676,19 @@
 	StableMs int `json:"stableMs,omitempty,omitzero"`
 }
 
+// GatewayLeaving is what it costs to send a request to a worker in another failure
+// domain, as time of its caller. With it, leaving is weighed for all services;
+// without it, only for those whose workers state how long work takes.
+type GatewayLeaving struct {
+	// MsPerMegabyte is the cost of 1,000,000 bytes of a request and its answer, in
+	// milliseconds; 0 in both fields means 800, a link of 10 Mbit/s.
+	MsPerMegabyte float64 `json:"msPerMegabyte,omitempty,omitzero"`
+
+	// MsPerRoundTrip is the cost of the way to the worker and back, in milliseconds;
+	// 0 in both fields means 2.
+	MsPerRoundTrip float64 `json:"msPerRoundTrip,omitempty,omitzero"`
+}
+
 // GatewayListen holds the listeners as host:port with IP numbers.
 type GatewayListen struct {
 	// Callers accepts the requests to forward.
@@ -734,6 +747,9 @@
 	// Instance is the unique name of this instance.
 	Instance string `json:"instance"`
 
+	// Leaving corresponds to the JSON schema field "leaving".
+	Leaving *GatewayLeaving `json:"leaving,omitempty,omitzero"`
+
 	// Listen corresponds to the JSON schema field "listen".
 	Listen GatewayListen `json:"listen"`
 
--- a/internal/forward/cache.go
+++ b/internal/forward/cache.go
@@ -22,13 +22,13 @@
 // tokens it is expected to have cached: the worker with the longest cached prefix if that
 // covers all shared parts, otherwise a rendezvous worker of the prompt, otherwise the
 // worker with the longest prefix. It considers only workers whose score is at most limit
-// and returns nil if there is none.
-func (p *Placer) pickByAffinity(now Elapsed, q *WorkerQuery, limit float64) (*workerState, int) {
+// and returns nil if there is none. least is the least loaded worker.
+func (p *Placer) pickByAffinity(now Elapsed, q *WorkerQuery, least *workerState, limit float64) (*workerState, int) {
 	w, cached := p.longestCached(now, q, limit)
 	if w != nil && cached >= sharedTokens(q.Prompt) {
 		return w, cached
 	}
-	if preferred := p.rendezvousWorker(now, q, limit); preferred != nil {
+	if preferred := p.rendezvousOfDomains(now, q, least, limit); preferred != nil {
 		return preferred, 0
 	}
 	return w, cached
@@ -51,7 +51,7 @@
 		if !s.eligible(now, q) || s.Service != q.Service || s.share < 1 {
 			continue
 		}
-		score := p.score(now, s, q)
+		score := p.affinityScore(now, s, q, p.paysForCache(q, c.tokens))
 		if score <= limit && (c.tokens > bestTokens || c.tokens == bestTokens && score < bestScore) {
 			best, bestTokens, bestScore = s, c.tokens, score
 		}
@@ -116,10 +116,24 @@
 // sent to. With a single one, a part that many requests share overloads its worker.
 const rendezvousReplicas = 2
 
+// rendezvousOfDomains returns the rendezvous worker of all failure domains for a prompt. Where leaving the
+// failure domain is weighed and the prompt is not worth it, it returns that of the own failure domain, or
+// else of the one with the least loaded worker.
+func (p *Placer) rendezvousOfDomains(now Elapsed, q *WorkerQuery, least *workerState, limit float64) *workerState {
+	if len(q.Prompt) < 2 || q.leaving == nil || p.gathers(q) {
+		return p.rendezvousWorker(now, q, limit, "")
+	}
+	if s := p.rendezvousWorker(now, q, limit, p.opts.FailureDomain); s != nil || least.FailureDomain == p.opts.FailureDomain {
+		return s
+	}
+	return p.rendezvousWorker(now, q, limit, least.FailureDomain)
+}
+
 // rendezvousWorker returns the first worker, in rendezvous hash order for the last shared
 // part of the prompt, whose score is at most limit, or nil. All processes compute the same
-// order, so that they need not exchange the contents of the caches.
-func (p *Placer) rendezvousWorker(now Elapsed, q *WorkerQuery, limit float64) *workerState {
+// order, so that they need not exchange the contents of the caches. It considers only the
+// workers of a failure domain unless domain is empty.
+func (p *Placer) rendezvousWorker(now Elapsed, q *WorkerQuery, limit float64, domain string) *workerState {
 	if len(q.Prompt) < 2 {
 		return nil
 	}
@@ -127,7 +141,7 @@
 	var best [rendezvousReplicas]*workerState
 	var rank [rendezvousReplicas]uint64
 	for _, s := range p.services[q.Service] {
-		if !s.eligible(now, q) || s.share < 1 || s.pooled && s.heavy != q.Heavy {
+		if !s.eligible(now, q) || s.share < 1 || s.pooled && s.heavy != q.Heavy || domain != "" && s.FailureDomain != domain {
 			continue
 		}
 		r := mix64(key ^ s.hash)
@@ -141,7 +155,7 @@
 		}
 	}
 	for _, s := range best {
-		if s != nil && p.score(now, s, q) <= limit {
+		if s != nil && p.affinityScore(now, s, q, domain == "") <= limit {
 			return s
 		}
 	}
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -21,7 +21,11 @@
 	for _, ignoreShare := range []bool{false, true} {
 		for _, s := range p.services[q.Service] {
 			if s.eligible(now, q) && (ignoreShare || s.share >= 1 || rng.Float64() < s.share) {
-				p.candidates = append(p.candidates, scoredWorker{s, p.score(now, s, q) + rng.Float64()*tieBreakNoise})
+				score := p.score(now, s, q)
+				if q.leaving != nil && s.FailureDomain == p.opts.FailureDomain {
+					q.leaving.leastAtHome = min(q.leaving.leastAtHome, score)
+				}
+				p.candidates = append(p.candidates, scoredWorker{s, score + rng.Float64()*tieBreakNoise})
 			}
 		}
 		if len(p.candidates) > 0 {
@@ -31,7 +35,11 @@
 	if len(p.candidates) == 0 {
 		return nil, math.Inf(1), 0
 	}
-	worker, level := chooseLevel(p.candidates, p.unseenWork(now, q), rng.Float64())
+	work := p.unseenWork(now, q)
+	if q.leaving != nil {
+		work = q.leaving.unseen
+	}
+	worker, level := chooseLevel(p.candidates, work, rng.Float64())
 	return worker, level, len(p.candidates)
 }
 
@@ -40,7 +48,7 @@
 // some ten milliseconds, such a load is gone before it is known, and the reports in the answers
 // of the workers say more.
 func (p *Placer) usesPeerLoads(service string, pool int) bool {
-	return p.statsFor(service).meanWait[pool] >= p.peerInterval
+	return p.expectedWait(service, pool) >= p.peerInterval
 }
 
 // scoredWorker is a candidate with its score.
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -107,6 +107,7 @@
 	for id, s := range p.workers {
 		s.peerLoad, s.peerLoadAt, s.hasPeerLoad = loads(id), now, true
 	}
+	p.updateStatedLoads()
 }
 
 // OwnLoads calls report for each worker at which this process causes a load.
@@ -126,6 +127,7 @@
 	}
 	s.load, s.reportedAt, s.ownLoadAtReport, s.hasReport = load, now, p.ownLoad(s), true
 	stats := p.statsFor(s.Service)
+	stats.reportsPace = stats.reportsPace || load.Pace > 0
 	reported := p.reportedLoad(s)
 	stats.meanLoad[s.poolIndex()] += poolMeanGain * (reported - stats.meanLoad[s.poolIndex()])
 	stats.meanForeignLoad[s.poolIndex()] += poolMeanGain * (max(reported-s.ownLoadAtReport, 0) - stats.meanForeignLoad[s.poolIndex()])
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -20,6 +20,10 @@
 	TokensPerRequest float64
 	// DomainPenalty is added to the score of workers in other failure domains, in requests.
 	DomainPenalty float64
+	// Leaving is what leaving the failure domain costs, where it is weighed: for services whose workers
+	// state how long work takes, and for all services if LeavingIsSet.
+	Leaving      LeavingCost
+	LeavingIsSet bool
 	// PoolPenalty is added to the score of workers of the other pool, in requests. With a
 	// penalty of 4, prompts queued in one pool while the other had no queue.
 	PoolPenalty float64
@@ -45,6 +49,9 @@
 	if o.DomainPenalty == 0 {
 		o.DomainPenalty = 0.5
 	}
+	if o.Leaving == (LeavingCost{}) {
+		o.Leaving = LeavingCost{PerMegabyte: defaultLeavingPerMegabyte, PerRoundTrip: defaultLeavingPerRoundTrip}
+	}
 	if o.PoolPenalty == 0 {
 		o.PoolPenalty = 2
 	}
@@ -92,6 +99,10 @@
 	// evacuated are the failure domains whose workers get no new requests.
 	evacuated []string
 	cache     *lru.LRU[partKey, *[maxHoldersPerPart]partHolder]
+	// reuse is the share of the requests whose shared part this process sent to a worker before.
+	reuse map[reuseKey]*reuse
+	// urgent holds the most urgent requests by service.
+	urgent map[string]UrgentRequests
 	// peers is the number of processes whose loads are exchanged, this one included, as of
 	// peersAt. peerInterval is the time between the last two exchanges.
 	peers        int
@@ -137,7 +148,7 @@
 	}
 	return &Placer{
 		opts: o.withDefaults(), workers: map[string]*workerState{}, services: map[string][]*workerState{}, pools: map[string]*poolStats{}, cache: cache,
-		notices: map[string]*notice{}, demands: map[string]*demand{},
+		notices: map[string]*notice{}, demands: map[string]*demand{}, reuse: map[reuseKey]*reuse{},
 	}
 }
 
@@ -187,6 +198,17 @@
 	// smallest or only model.
 	Heavy  bool
 	Prompt []PromptPart
+	// Route is the name of the route, and Priority the priority of the request; 0 is the most urgent.
+	Route    string
+	Priority int
+	// TargetLeft is the time until the latency target of the request; 0 if it has none or it has passed.
+	TargetLeft time.Duration
+	// Bytes is the length of the request and its answer, as far as it is known.
+	Bytes int
+	// IsPinned is set if Allowed keeps the request to the version of its session.
+	IsPinned bool
+	// leaving holds the terms for leaving the failure domain; nil where it is not weighed.
+	leaving *leavingTerms
 	// limitShare is this gateway's share of the limits of the service's workers, and coldShare that of
 	// the rates of cold ones. The Placer sets them.
 	limitShare, coldShare float64
@@ -204,6 +226,8 @@
 	CachedTokens int
 	// Candidates is the number of workers that were compared.
 	Candidates int
+	// LeftFor is why the worker is in another failure domain, StaysHome if it is not.
+	LeftFor LeavingCause
 }
 
 // Pick chooses the worker for a request and returns false if no worker is eligible. It
@@ -218,18 +242,24 @@
 	}
 	p.demandFor(q.Service).add(now)
 	q.limitShare, q.coldShare = p.limitShare(now, q.Service), p.coldShare(now, q.Service)
+	q.leaving = p.termsOfLeaving(now, &q)
 	best, leastScore, candidates := p.leastLoaded(now, &q, rng)
 	if best == nil {
 		return Placement{}, false
 	}
-	cached := 0
+	p.recordPressure(now, &q)
+	cached, cause := 0, p.causeOfLeast(now, best, &q)
 	if len(q.Prompt) > 0 {
 		allowance := float64(sharedTokens(q.Prompt)) / p.opts.TokensPerRequest
-		if s, tokens := p.pickByAffinity(now, &q, leastScore+allowance); s != nil {
+		if s, tokens := p.pickByAffinity(now, &q, best, leastScore+allowance); s != nil {
+			if s != best && cause.isChosen() {
+				cause = p.causeOfAffinity(s, tokens)
+			}
 			best, cached = s, tokens
 		}
+		p.recordReuse(now, &q)
 	}
-	out := Placement{Worker: best.Worker, Load: p.estimatedLoad(now, best), LoadAge: -1, CachedTokens: cached, Candidates: candidates}
+	out := Placement{Worker: best.Worker, Load: p.estimatedLoad(now, best), LoadAge: -1, CachedTokens: cached, Candidates: candidates, LeftFor: cause}
 	if best.hasReport {
 		out.LoadAge = now - best.reportedAt
 	}
--- a/internal/forward/pools.go
+++ b/internal/forward/pools.go
@@ -30,6 +30,10 @@
 	meanLoad, meanForeignLoad [2]float64
 	// hasCascades is set once a heavy request was placed.
 	hasCascades bool
+	// reportsPace is set once a worker of the service stated how long work takes on it.
+	reportsPace bool
+	// domains is the number of failure domains with workers of the service.
+	domains int
 	// started is the work of the requests that this process started in each pool, decayed as of
 	// startedAt.
 	started   [2]float64
@@ -40,6 +44,11 @@
 	// in requests, at which they were placed.
 	timedWait [2]time.Duration
 	timedLoad [2]float64
+	// statedLoad is the mean load that other processes state of the workers at home.
+	statedLoad [2]float64
+	// pressure is the mean pressure on the workers at home, see recordPressure, as of pressureAt.
+	pressure   float64
+	pressureAt Elapsed
 }
 
 // recordWait records the time until an answer started.
@@ -73,15 +82,26 @@
 	return stats
 }
 
+// poolOf returns the index of the pool that serves heavy or other requests.
+func (s *poolStats) poolOf(heavy bool) int {
+	if heavy && s.hasCascades {
+		return 1
+	}
+	return 0
+}
+
 // dividePools assigns the workers of each version to pools by the order of their hashes, so
 // that all processes divide them nearly alike.
 func (p *Placer) dividePools() {
 	for service, list := range p.services {
 		stats := p.statsFor(service)
 		byVersion := map[string][]*workerState{}
+		domains := map[string]bool{}
 		for _, s := range list {
+			domains[s.FailureDomain] = true
 			byVersion[s.Version] = append(byVersion[s.Version], s)
 		}
+		stats.domains = len(domains)
 		for _, group := range byVersion {
 			slices.SortFunc(group, func(a, b *workerState) int {
 				if a.hash < b.hash {
--- a/internal/forward/ratelimit.go
+++ b/internal/forward/ratelimit.go
@@ -110,6 +110,8 @@
 	// before the first exchange.
 	share   float64
 	shareAt Elapsed
+	// peers is the requests a second of the other gateways together as of the last exchange.
+	peers float64
 }
 
 // demandTime is the time over which the rate of requests is averaged.
@@ -154,6 +156,7 @@
 		d.share = equal
 	}
 	rise := math.Min(float64(now-d.shareAt)/float64(shareRiseTime), 1)
+	d.peers = peers
 	d.share = math.Min(target, d.share+rise*math.Max(target-d.share, 0))
 	d.shareAt = now
 }
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -49,6 +49,8 @@
 	exchangesLoads bool
 	escalator      *forward.Escalator
 	headerTimeouts *forward.HeaderTimeoutEstimator
+	// extraBytes is the mean number of bytes of an attempt beyond the body of its request, by route.
+	extraBytes map[string]float64
 	// onWorkers is called with the usable workers when they have changed; it may be nil.
 	onWorkers func([]forward.Worker)
 	log       *zap.Logger
@@ -67,7 +69,7 @@
 		log:            log,
 		rng:            rand.New(rand.NewPCG(now, now>>7)), //nolint:gosec // load balancing needs no cryptographic randomness
 		workers:        forward.NewWorkerList(workerGracePeriod),
-		placer:         forward.NewPlacer(forward.PlacerOptions{FailureDomain: s.FailureDomain, MinGateways: s.minGateways()}),
+		placer:         forward.NewPlacer(forward.PlacerOptions{FailureDomain: s.FailureDomain, MinGateways: s.minGateways(), Leaving: s.LeavingCost, LeavingIsSet: s.LeavingIsSet}),
 		health:         membership.NewHealthTracker(ejectionConfig),
 		usableWorkers:  map[string]forward.Worker{},
 		evacuations:    forward.NewEvacuations(workerGracePeriod),
@@ -76,6 +78,7 @@
 		exchangesLoads: s.usesRelays(),
 		escalator:      forward.NewEscalator(),
 		headerTimeouts: forward.NewHeaderTimeoutEstimator(),
+		extraBytes:     map[string]float64{},
 	}
 	d.evacuationsListed = s.MaxEvacuateDelay == 0
 	d.settings.Store(&s)
@@ -97,6 +100,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.placer.SetColdStarts(sinceBoot(), config.ColdStarts())
+	d.placer.SetUrgentRequests(config.UrgentRequests())
 	return true
 }
 
@@ -273,7 +277,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	filter := d.rollouts.chooseVersion(now, q.Service, session, requestID, avoidTarget)
-	q.Allowed = filter.allowed
+	q.Bytes += int(d.extraBytes[q.Route])
+	q.Allowed, q.IsPinned = filter.allowed, filter.isPinned
 	p, ok := d.placer.Pick(now, q, d.rng)
 	if !ok && filter.fallback != nil && !d.mustWait(now, q) {
 		q.Allowed = filter.fallback
@@ -412,6 +417,7 @@
 	defer d.mu.Unlock()
 	d.settings.Store(&s)
 	d.rollouts.sessionTimeout = s.SessionTimeout
+	d.placer.SetLeavingCost(s.LeavingCost, s.LeavingIsSet)
 	for _, b := range d.retryBudgets {
 		b.SetOptions(retryOptions(&s))
 	}
--- a/internal/gateway/escalation.go
+++ b/internal/gateway/escalation.go
@@ -32,9 +32,10 @@
 	r.triedWorkers = nil
 	r.fallback = forward.NewFallback(now-time.Since(r.started), now, r.route.LatencyTarget, r.deadline.Sub(r.started))
 	r.fallbackAt = r.started.Add(r.fallback.Latest() - (now - time.Since(r.started)))
-	inFlight := a.inFlight
-	r.held = r.holdAnswer(*a, time.Now().Add(r.fallback.ReadUntil()-now), func() {
-		r.gateway.dispatcher.releaseWorker(inFlight)
+	held := *a
+	r.held = r.holdAnswer(held, time.Now().Add(r.fallback.ReadUntil()-now), func() {
+		r.gateway.dispatcher.releaseWorker(held.inFlight)
+		r.recordBytes(&held)
 	})
 	a.isHeld = r.held != nil
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -85,6 +85,9 @@
 	// hadOtherAnswer reports whether an answer to another request was skipped. Nobody knows what
 	// else will come on the connection then, so that it is not used again.
 	hadOtherAnswer bool
+	// sentBytes is the length of the request. receivedBefore is the number of bytes that the connection had
+	// received before, and receivedBytes the number received since, valid once the exchange is done.
+	sentBytes, receivedBefore, receivedBytes int64
 }
 
 // maxInlineWriteBytes is the largest request that is written before its response is read. It
@@ -106,7 +109,7 @@
 		p.put(address, c)
 		return nil, errNotSent
 	}
-	e := &exchange{conn: c, address: address, writeDone: make(chan struct{})}
+	e := &exchange{conn: c, address: address, writeDone: make(chan struct{}), sentBytes: int64(len(head) + len(body)), receivedBefore: c.received}
 	e.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if len(head)+len(body) <= maxInlineWriteBytes {
 		_, err := c.Write(append(head, body...))
@@ -196,6 +199,7 @@
 		return
 	}
 	e.isDone = true
+	e.receivedBytes = e.conn.received - e.receivedBefore
 	select {
 	case <-e.writeDone:
 	default:
@@ -221,6 +225,7 @@
 		return
 	}
 	e.isDone = true
+	e.receivedBytes = e.conn.received - e.receivedBefore
 	e.closeConn()
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,6 +50,11 @@
 	}
 }
 
+// countDomainBytes counts bytes that went to or came from another failure domain, by cause.
+func (m *gatewayMetrics) countDomainBytes(cause string, bytes int64) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_domain_bytes_total{cause=%q}", cause)).AddInt64(bytes)
+}
+
 func (m *gatewayMetrics) countRefusal(kind errkind.Kind) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_refused_total{kind=%q}", kind)).Inc()
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -82,6 +82,7 @@
 // attempt is one attempt between the choice of a worker and its end.
 type attempt struct {
 	worker   forward.Worker
+	leftFor  forward.LeavingCause
 	inFlight *forward.InFlight
 	exchange *exchange
 	started  time.Time
@@ -246,6 +247,7 @@
 	model := r.routedModel()
 	p, inFlight, ok := r.gateway.dispatcher.pickWorker(sinceBoot(), forward.WorkerQuery{
 		Service: r.service, Exclude: r.triedWorkers, Model: model, Heavy: r.modelIndex > 0, Prompt: r.inbound.meta.Prompt,
+		Route: r.route.Name, Priority: forward.Priority(r.route, r.customer), TargetLeft: max(r.route.LatencyTarget-time.Since(r.started), 0), Bytes: len(r.inbound.body),
 	}, r.inbound.meta.Session, r.inbound.meta.RequestID, r.workerFailed)
 	if !ok {
 		if r.mayHaveRun {
@@ -261,8 +263,8 @@
 	}
 	r.placement = p
 	return attempt{
-		worker: p.Worker, inFlight: inFlight, started: time.Now(), startedSinceBoot: sinceBoot(), model: model,
-		record: attemptRecord{Load: p.Load, LoadAgeMs: p.LoadAge.Milliseconds(), UncachedTokens: max(r.inbound.meta.PromptTokens-p.CachedTokens, 0), StartMs: time.Since(r.started).Milliseconds(), HeaderMs: -1},
+		worker: p.Worker, leftFor: p.LeftFor, inFlight: inFlight, started: time.Now(), startedSinceBoot: sinceBoot(), model: model,
+		record: attemptRecord{Load: p.Load, LeftFor: string(p.LeftFor), LoadAgeMs: p.LoadAge.Milliseconds(), UncachedTokens: max(r.inbound.meta.PromptTokens-p.CachedTokens, 0), StartMs: time.Since(r.started).Milliseconds(), HeaderMs: -1},
 	}, nil
 }
 
@@ -285,6 +287,7 @@
 	defer func() {
 		if !a.isHeld {
 			r.gateway.dispatcher.releaseWorker(a.inFlight)
+			r.recordBytes(a)
 		}
 	}()
 	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -20,6 +20,8 @@
 	// of its last report, -1 without one.
 	Load      float64 `json:"load"`
 	LoadAgeMs int64   `json:"load_age_ms"`
+	// LeftFor is why the worker is in another failure domain, empty if it is not.
+	LeftFor string `json:"left_for,omitempty"`
 	// UncachedTokens is the estimated number of prompt tokens that the worker had to read.
 	UncachedTokens int `json:"uncached_tokens,omitempty"`
 	// StartMs is the time from the arrival of the request to the start of the attempt.
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -201,6 +201,8 @@
 type versionFilter struct {
 	allowed  func(version string) bool
 	fallback func(version string) bool
+	// isPinned is set if the session of the request has decided.
+	isPinned bool
 }
 
 // chooseVersion decides between the target of a rollout and the other versions. A request without
@@ -230,10 +232,10 @@
 	}
 	if pinned, ok := t.sessions.Get(sessionKey{service, session}); ok && session != "" && now-pinned.lastUsed < t.sessionTimeout {
 		if pinned.version == target {
-			return versionFilter{allowed: isTarget, fallback: isOther}
+			return versionFilter{allowed: isTarget, fallback: isOther, isPinned: true}
 		}
 		if !tracked.progress.SessionsMayMove() {
-			return versionFilter{allowed: isOther}
+			return versionFilter{allowed: isOther, isPinned: true}
 		}
 	}
 	if session == "" {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -13,6 +13,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/schemacheck"
 )
 
@@ -72,6 +73,10 @@
 	// RetryRatio is the number of retries allowed per request, and RetrySlack the number allowed
 	// beyond that ratio within RetryWindow, both over all instances.
 	RetryRatio, RetrySlack float64
+	// LeavingCost is what it costs to send a request to a worker in another failure domain. It is weighed for
+	// all services if LeavingIsSet, and otherwise for those whose workers state how long work takes.
+	LeavingCost  forward.LeavingCost
+	LeavingIsSet bool
 	// CanaryShare is the largest share of the requests of a service that a bad version may get.
 	// The gateway accepts it but does not use it.
 	CanaryShare       float64
@@ -152,6 +157,13 @@
 	if s.Peers != nil {
 		out.PeerAddress, out.Relays = s.Peers.Listen, s.Peers.Relays
 	}
+	if s.Leaving != nil {
+		out.LeavingIsSet = true
+		out.LeavingCost = forward.LeavingCost{
+			PerMegabyte:  time.Duration(s.Leaving.MsPerMegabyte * float64(time.Millisecond)),
+			PerRoundTrip: time.Duration(s.Leaving.MsPerRoundTrip * float64(time.Millisecond)),
+		}
+	}
 	out.RetryRatio, out.RetrySlack, out.CanaryShare = b.RetryRatio, b.RetrySlack, b.CanaryShare
 	if b.RetryRatio == 0 {
 		out.RetryRatio = defaultRetryRatio
