--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -33,7 +33,11 @@
 	if len(p.candidates) == 0 {
 		return nil, math.Inf(1), 0
 	}
-	worker, level := chooseLevel(p.candidates, p.unseenWork(now, q), rng.Float64())
+	work := p.unseenWork(now, q)
+	if q.leaving != nil {
+		work = q.leaving.unseen
+	}
+	worker, level := chooseLevel(p.candidates, work, rng.Float64())
 	return worker, level, len(p.candidates)
 }
 
@@ -53,7 +57,11 @@
 // random in proportion, unless ignoreShare is set.
 func (p *Placer) compare(now Elapsed, q *WorkerQuery, s *workerState, ignoreShare bool, rng *rand.Rand) {
 	if s.eligible(now, q) && (ignoreShare || s.share >= 1 || rng.Float64() < s.share) {
-		p.candidates = append(p.candidates, scoredWorker{s, p.score(now, s, q) + rng.Float64()*tieBreakNoise})
+		score := p.score(now, s, q)
+		if q.leaving != nil && s.FailureDomain == p.opts.FailureDomain {
+			q.leaving.leastAtHome = min(q.leaving.leastAtHome, score)
+		}
+		p.candidates = append(p.candidates, scoredWorker{s, score + rng.Float64()*tieBreakNoise})
 	}
 }
 
@@ -62,7 +70,7 @@
 // some ten milliseconds, such a load is gone before it is known, and the reports in the answers
 // of the workers say more.
 func (p *Placer) usesPeerLoads(stats *poolStats, pool int) bool {
-	return stats.meanWait[pool] >= p.peerInterval
+	return p.expectedWait(stats, pool) >= p.peerInterval
 }
 
 // scoredWorker is a candidate with its score.
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -123,6 +123,7 @@
 	for id, s := range p.workers {
 		s.peerLoad, s.peerLoadAt, s.hasPeerLoad = loads(id), now, true
 	}
+	p.updateStatedLoads()
 }
 
 // OwnLoads calls report for each worker at which this process causes a load.
