Try slow workers again with a small share of the requests

Cause: at a load at which all workers are idle, a worker whose estimate is a little above another's gets nothing until the estimates have faded, and a worker that is not known yet may get nothing at all. In a test of a gateway, 3 to 6 of 90 calls in a row reached a slow worker, with its estimate still at 1.00 to 1.15. With long prompts and two models, an estimate could reach 1.90 by the queue alone.

Change: where the pace is stated, 0.33% of the requests go to any worker with room, so that 99% of the answers are not affected. Answers that waited for other work weigh less, by the square.

--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -33,6 +33,9 @@
 	if len(p.candidates) == 0 {
 		return nil, math.Inf(1), 0
 	}
+	if s := p.trial(rng); s != nil {
+		return s, math.Inf(-1), len(p.candidates)
+	}
 	worker, level := chooseLevel(p.candidates, p.unseenWork(now, q), rng.Float64())
 	return worker, level, len(p.candidates)
 }
@@ -57,6 +60,23 @@
 	}
 }
 
+// trialShare is the share of the requests that go to any worker with room, where workers are chosen by their
+// speed. A worker that is or was slow then gets some requests at any load, and its recovery is noticed. It is
+// a third of the 1% of the answers that may be late when callers judge by the 99th percentile.
+const trialShare = 0.0033
+
+// trial returns the worker for a request that is sent to any candidate with room, or nil.
+func (p *Placer) trial(rng *rand.Rand) *workerState {
+	if !p.candidates[0].worker.stats.reportsPace || rng.Float64() >= trialShare {
+		return nil
+	}
+	c := p.candidates[rng.IntN(len(p.candidates))]
+	if c.score >= overCapacityPenalty {
+		return nil
+	}
+	return c.worker
+}
+
 // usesPeerLoads reports whether the loads that other processes state are used for a pool: if its
 // requests wait longer for their answers than a stated load is old. Where answers start within
 // some ten milliseconds, such a load is gone before it is known, and the reports in the answers
--- a/internal/forward/speed.go
+++ b/internal/forward/speed.go
@@ -194,13 +194,15 @@
 	return max(f.load/float64(slots), 1)
 }
 
-// speedWeight returns the weight of the answer in the estimate of the worker's speed: the part of its time
-// that is not spent on requests before it. How long those take is known less well.
+// speedWeight returns the weight of the answer in the estimate of the worker's speed. The more of its time
+// was spent on requests before it, whose models and sizes are not known, the less it says; the weight is
+// the inverse of the variance, which grows with the square.
 func (f *InFlight) speedWeight() float64 {
+	own := 1 / f.demand()
 	if f.readsPrompt {
-		return min(f.work/max(f.load, minPromptWork), 1)
+		own = min(f.work/max(f.load, minPromptWork), 1)
 	}
-	return 1 / f.demand()
+	return own * own
 }
 
 // SpeedChange is a change of what is reported about the speed of a worker.
--- a/internal/forward/uneven_test.go
+++ b/internal/forward/uneven_test.go
@@ -292,3 +292,20 @@
 		assert.Assert(t, slices.Min(counts) > 0, "a worker got nothing")
 	}
 }
+
+// Guards against a worker that never gets a request at a load at which the others are idle: each of the
+// requests finds all workers idle, and one was four times slower than the others for 10 s.
+func TestRecoveryIsNoticedAtLowLoad(t *testing.T) {
+	const recovers, length = 10 * time.Second, 120 * time.Second
+	f := appFleet(10)
+	f.processes, f.length = 1, length
+	f.slowness = func(worker, _ int, now time.Duration) float64 {
+		if worker == 1 && now < recovers {
+			return 4
+		}
+		return 1
+	}
+	waits, counts := f.play().between(length/2, length, f.workers)
+	t.Logf("%v by worker, 99%% within %v", counts, p99(waits))
+	assert.Assert(t, counts[1] >= (counts[0]+counts[1]+counts[2])/6, "%v", counts)
+}
