Weigh reading a prompt part by the requests that it delays

With homes of prompt parts in each domain, as much as a third more of the shared tokens was read again, and urgent requests were late behind them: the pressure was measured by the target of the request whose part is read, and did not count the requests that wait. It now counts those that wait, as far as the most urgent of them come near their target, and rises faster than it falls.

--- a/internal/forward/leaving.go
+++ b/internal/forward/leaving.go
@@ -209,28 +209,43 @@
 	return score - p.leavingCost(now, s, q) + float64(t.costTime)/float64(t.unit) + t.unseenPerWorker
 }
 
-// readTime returns what reading tokens at home costs callers. While the workers at home have room, it
-// delays nobody; at the load up to which answers begin in time, all of it does.
+// readTime returns what reading tokens at home costs callers: the time that it takes, for each request that it
+// delays. While the workers at home have room, it delays nobody.
 func (t *leavingTerms) readTime(tokens, tokensPerWork float64) time.Duration {
 	return time.Duration(t.pressure * tokens / tokensPerWork * float64(t.unit))
 }
 
-// pressureTime is the time over which the pressure on the workers at home is averaged. Where the requests
-// with a shared part go should not change with each request, as the part is read again at each change.
-const pressureTime = 5 * time.Second
+const (
+	// pressureRise and pressureFall are the times over which the pressure on the workers at home is averaged
+	// while it rises and falls. Where the requests with a shared part go should not change with each wave of
+	// load, as the part is read again at each change.
+	pressureRise = 500 * time.Millisecond
+	pressureFall = 5 * time.Second
+	// maxPressure bounds the pressure where no worker at home is left.
+	maxPressure = 100
+)
 
-// recordPressure records how near the workers at home are to the load up to which answers begin in time,
-// from 0 to 1.
+// recordPressure records how many requests are delayed in earnest by what one has read at home: those that
+// wait at the worker, as far as their wait is near the one up to which answers begin in time. The most urgent
+// requests count, since they wait at the same workers.
 func (p *Placer) recordPressure(now Elapsed, q *WorkerQuery) {
 	t, stats := q.leaving, p.statsFor(q.Service)
 	if t == nil {
 		return
 	}
-	pressure := 1.0
-	if t.timely > 0 {
-		pressure = min(t.leastAtHome/t.timely, 1)
+	timely := t.timely
+	if u, ok := p.urgent[q.Service]; ok {
+		timely = min(timely, timelyShare*float64(u.Target)/float64(t.unit))
+	}
+	pressure := min(t.leastAtHome, maxPressure)
+	if timely > 0 {
+		pressure *= min(t.leastAtHome/timely, 1)
+	}
+	over := pressureFall
+	if pressure > stats.pressure {
+		over = pressureRise
 	}
-	stats.pressure += (pressure - stats.pressure) * (1 - math.Exp(-float64(now-stats.pressureAt)/float64(pressureTime)))
+	stats.pressure += (pressure - stats.pressure) * (1 - math.Exp(-float64(now-stats.pressureAt)/float64(over)))
 	stats.pressureAt = now
 	t.pressure = stats.pressure
 }
