--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -175,11 +175,6 @@
 		c = &news.QuarantineCursor{}
 		q.cursors[address] = c
 	}
-	if c.Run == 0 {
-		// What others saw, a relay that is new to this gateway has from the other relays.
-		records, sent = q.tracker.OwnChanges(c.Sent, news.MaxQuarantineRecords)
-		return records, sent, c.Read
-	}
 	records, sent = q.tracker.Changes(c.Sent, news.MaxQuarantineRecords, quarantine.Source(c.Run)) //nolint:gosec // identifies the run
 	return records, sent, c.Read
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -298,17 +298,12 @@
 // ChangedSince returns at most limit records that changed after a version, the oldest changes first,
 // and the version up to which they reach. Those that came from the reader are left out.
 func (l *Ledger) ChangedSince(version int64, limit int, reader Source) ([]Record, int64) {
-	return l.changedSince(version, limit, func(from Source) bool { return reader == NoSource || from != reader })
-}
-
-// changedSince returns the records from wanted sources as ChangedSince does.
-func (l *Ledger) changedSince(version int64, limit int, wanted func(from Source) bool) ([]Record, int64) {
 	if version >= l.version {
 		return nil, l.version
 	}
 	var changed []versioned[Record]
 	add := func(at int64, from Source, r Record) {
-		if at > version && wanted(from) {
+		if at > version && (from != reader || reader == NoSource) {
 			changed = append(changed, versioned[Record]{value: r, version: at})
 		}
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -305,11 +305,6 @@
 	return t.ledger.ChangedSince(version, limit, reader)
 }
 
-// OwnChanges returns what changed after a version by what this gateway saw itself.
-func (t *Tracker) OwnChanges(version int64, limit int) ([]Record, int64) {
-	return t.ledger.changedSince(version, limit, func(from Source) bool { return from == NoSource })
-}
-
 // Tick removes what is out of date. It returns the parts that are condemned by ends that have been known
 // for long enough now.
 func (t *Tracker) Tick(now Elapsed) []Verdict {
