Keep two delayed requests and free slots in the decision to leave

A part that is read counted as a delay of all that wait; an engine reads prompts by turns, so that two count at most.

--- a/internal/forward/leaving.go
+++ b/internal/forward/leaving.go
@@ -79,8 +79,8 @@
 	// timely and blind are the loads at which the answer takes timelyShare and blindShare of the time
 	// left to begin. urgent is the load up to which more urgent requests begin in time, 0 if there are none.
 	timely, blind, urgent float64
-	// unseen is the work that the gateways of one failure domain have placed since the last exchange, and
-	// unseenPerWorker its part for each worker.
+	// unseen is the work that the other gateways of the failure domain have placed since the last exchange, and
+	// unseenPerWorker the work that all gateways have placed since then on each worker in the mean.
 	unseen, unseenPerWorker float64
 	// leastAtHome is the least score of the workers at home, and pressure what follows from it.
 	leastAtHome, pressure float64
@@ -115,17 +115,17 @@
 		return
 	}
 	domains := float64(max(p.statsFor(q.Service).domains, 1))
-	home, elsewhere := 1.0, 1.0 // in multiples of the rate of this gateway
+	home, all := 1.0, 1.0 // the rates of other gateways, in multiples of that of this one
 	if d := p.demandFor(q.Service); d.peers > 0 && now-p.gatewaysAt <= p.opts.PeerLoadTTL {
 		own := d.rate(now)
 		samples := own * demandTime.Seconds()
 		mean := d.peers / float64(p.peers-1) / own
-		home, elsewhere = (samples+rateSamples*mean)/(samples+rateSamples), mean
+		home, all = (samples+rateSamples*mean)/(samples+rateSamples), mean
 	}
 	// How many gateways each domain has is not known. One too few makes the amount swing.
 	others := math.Ceil(float64(p.peers)/domains) - 1
 	t.unseen = work * home * others / float64(p.peers-1)
-	t.unseenPerWorker = work * elsewhere / float64(max(len(p.services[q.Service]), 1))
+	t.unseenPerWorker = work * all / float64(max(len(p.services[q.Service]), 1))
 }
 
 // leavingCost returns what it costs to send a request to a worker in another failure domain, in requests.
@@ -141,9 +141,14 @@
 	if t == nil {
 		return p.opts.DomainPenalty
 	}
-	load := p.estimatedLoad(now, s)*p.slowness(now, s) + t.unseenPerWorker
-	cost := float64(t.costTime)/float64(t.unit) + t.unseenPerWorker
-	if t.urgent > 0 && load > t.urgent {
+	load, unseen := p.estimatedLoad(now, s)*p.slowness(now, s), t.unseenPerWorker
+	hasFreeSlots := p.hasFreeSlots(s, load)
+	if hasFreeSlots {
+		unseen = 0 // it ends what its domain sends before the next exchange
+	}
+	load += unseen
+	cost := float64(t.costTime)/float64(t.unit) + unseen
+	if t.urgent > 0 && load > t.urgent && !hasFreeSlots {
 		cost += noRoom
 	}
 	floor := t.timely + (t.blind-t.timely)*p.staleness(now, s)
@@ -183,6 +188,12 @@
 // as many, so that any other one is preferred.
 const noRoom = 1000
 
+// hasFreeSlots reports whether a plain worker can start one more request at once. The time per request is
+// learned from answers at home, and says little of a worker with free slots while home is overloaded.
+func (p *Placer) hasFreeSlots(s *workerState, load float64) bool {
+	return !p.statsFor(s.Service).hasCascades && load+1 <= float64(max(s.load.Slots, s.Slots))
+}
+
 // staleness returns how little is known of the load of a worker, from 0 for a load that is just stated to 1.
 func (p *Placer) staleness(now Elapsed, s *workerState) float64 {
 	age := p.opts.PeerLoadTTL
@@ -206,7 +217,7 @@
 	if t == nil || !worthLeaving || s.FailureDomain == p.opts.FailureDomain || p.staleness(now, s) >= 1 {
 		return score
 	}
-	return score - p.leavingCost(now, s, q) + float64(t.costTime)/float64(t.unit) + t.unseenPerWorker
+	return score - p.leavingCost(now, s, q) + float64(t.costTime)/float64(t.unit)
 }
 
 // readTime returns what reading tokens at home costs callers: the time that it takes, for each request that it
@@ -221,8 +232,9 @@
 	// load, as the part is read again at each change.
 	pressureRise = 500 * time.Millisecond
 	pressureFall = 5 * time.Second
-	// maxPressure bounds the pressure where no worker at home is left.
-	maxPressure = 100
+	// maxPressure bounds the pressure. An engine reads prompts in chunks by turns, so that few requests are
+	// delayed by all of what one has read.
+	maxPressure = 2
 )
 
 // recordPressure records how many requests are delayed in earnest by what one has read at home: those that
