--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -4,11 +4,12 @@
 	"errors"
 	"net"
 	"net/http"
-	"runtime/metrics"
+	rtmetrics "runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/internal/errkind"
@@ -28,7 +29,8 @@
 	sentBytes atomic.Int64
 	// callers and workers are the open connections.
 	callers, workers atomic.Int64
-	closed           atomic.Int64
+	// closed counts the connections that were closed unread.
+	closed *metrics.Counter
 
 	mu        sync.Mutex
 	guard     *overload.Guard
@@ -48,7 +50,7 @@
 	gauge("borageflow_gateway_link_delay_seconds", func(l overload.Load) float64 { return l.LinkDelay.Seconds() })
 	gauge("borageflow_gateway_request_memory_share", func(l overload.Load) float64 { return l.MemoryShare })
 	m.set.NewGauge("borageflow_gateway_caller_connections", func() float64 { return float64(g.callers.Load()) })
-	m.set.NewGauge("borageflow_gateway_closed_connections", func() float64 { return float64(g.closed.Load()) })
+	g.closed = m.set.NewCounter("borageflow_gateway_closed_connections_total")
 	return g
 }
 
@@ -136,9 +138,9 @@
 
 // usedMemory returns the memory that the runtime has from the system.
 func usedMemory() int64 {
-	samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
-	metrics.Read(samples)
-	if samples[0].Value.Kind() != metrics.KindUint64 || samples[1].Value.Kind() != metrics.KindUint64 {
+	samples := []rtmetrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	rtmetrics.Read(samples)
+	if samples[0].Value.Kind() != rtmetrics.KindUint64 || samples[1].Value.Kind() != rtmetrics.KindUint64 {
 		return 0
 	}
 	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
@@ -171,7 +173,7 @@
 			return c, nil
 		}
 		if most := l.guard.bounds.Callers; most > 0 && l.guard.callers.Load() >= int64(most) {
-			l.guard.closed.Add(1)
+			l.guard.closed.Inc()
 			_ = c.Close() // nothing was read or written
 			continue
 		}
