--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -84,10 +84,10 @@
 	}
 	assert.Assert(t, admitted >= 20 && admitted <= 30, "%d of 100 are admitted", admitted)
 	assert.Equal(t, g.Admit(0, patient).Reason, Admitted)
-	verdict := NewGuard(small())
-	verdict.Observe(0, Sample{Lag: 2 * time.Second})
-	verdict.Observe(0, Sample{Lag: 2 * time.Second})
-	assert.Assert(t, verdict.Admit(0, impatient).RetryAfter <= maxRetryAfter)
+	fresh := NewGuard(small())
+	fresh.Observe(0, Sample{Lag: 2 * time.Second})
+	fresh.Observe(0, Sample{Lag: 2 * time.Second})
+	assert.Assert(t, fresh.Admit(0, impatient).RetryAfter <= maxRetryAfter)
 }
 
 // Guards against refusals after a single late sample: a machine that was suspended has no queue.
