Give the fair queue ten classes and an order by the first try

Gateways have up to ten priorities and callers that return after a refusal, the fair queue had lookups and drafts. Classes count from 0, the last, to 9; lookups are class 1 and drafts class 0, so that the sidecar is served as before. Lead counts for each class, the guaranteed rate of an item leaves out customers whose items are all of lower classes, a full queue drops a lower class of the same customer first, and the quantile of the margins is an option.

go test ./internal/limits: ok.

--- a/internal/limits/customerqueue.go
+++ b/internal/limits/customerqueue.go
@@ -21,8 +21,8 @@
 	classes    [classCount]classQueue
 }
 
-// classQueue is the FIFO queue of one class of a customer. Of a customer's two
-// classes, the one with the lower virtual time is served first.
+// classQueue is the FIFO queue of one class of a customer. Of a customer's
+// classes, the one with the lowest virtual time is served first.
 type classQueue struct {
 	virtualTime float64
 	// totalCost is the sum of the costs of items, in tokens.
@@ -33,17 +33,34 @@
 }
 
 func (c *customerQueue) len() int {
-	return len(c.classes[classShort].items) + len(c.classes[classLong].items)
+	n := 0
+	for class := range c.classes {
+		n += len(c.classes[class].items)
+	}
+	return n
+}
+
+// waitsFrom reports whether an item of a class or a higher one waits.
+func (c *customerQueue) waitsFrom(class int) bool {
+	for ; class <= MaxClass; class++ {
+		if len(c.classes[class].items) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// nextClass returns the class from which the customer is served next. Lookups win
-// a tie. The queue must not be empty.
+// nextClass returns the class from which the customer is served next. The higher
+// class wins a tie. The queue must not be empty.
 func (c *customerQueue) nextClass() int {
-	short, long := &c.classes[classShort], &c.classes[classLong]
-	if len(long.items) == 0 || (len(short.items) > 0 && short.virtualTime <= long.virtualTime) {
-		return classShort
+	next := -1
+	for class := MaxClass; class >= 0; class-- {
+		queue := &c.classes[class]
+		if len(queue.items) > 0 && (next < 0 || queue.virtualTime < c.classes[next].virtualTime) {
+			next = class
+		}
 	}
-	return classLong
+	return next
 }
 
 func (c *customerQueue) push(e *queuedItem) {
@@ -51,7 +68,11 @@
 	if len(queue.items) == 0 {
 		queue.virtualTime = math.Max(queue.virtualTime, c.classVirtualTime)
 	}
-	queue.items = append(queue.items, e)
+	at := len(queue.items)
+	for at > 0 && e.since().Before(queue.items[at-1].since()) {
+		at--
+	}
+	queue.items = slices.Insert(queue.items, at, e)
 	queue.totalCost += e.Cost
 }
 
@@ -75,29 +96,39 @@
 }
 
 // workAhead returns the customer's own work, in tokens, that is served before a new
-// item of a class: all work queued in that class, and the work of the other class
+// item of a class: all work queued in that class, and the work of the other classes
 // that the class weights let run in the same time.
 func (c *customerQueue) workAhead(class int, shortWeight float64) float64 {
-	ownQueue, otherQueue := &c.classes[class], &c.classes[1-class]
-	ownEnd := math.Max(ownQueue.virtualTime, c.classVirtualTime) + ownQueue.totalCost/classWeight(class, shortWeight)
-	otherWork := (ownEnd - math.Max(otherQueue.virtualTime, c.classVirtualTime)) * classWeight(1-class, shortWeight)
-	return ownQueue.totalCost + math.Min(math.Max(otherWork, 0), otherQueue.totalCost)
+	own := &c.classes[class]
+	end := math.Max(own.virtualTime, c.classVirtualTime) + own.totalCost/classWeight(class, shortWeight)
+	total := own.totalCost
+	for i := range c.classes {
+		other := &c.classes[i]
+		if i == class || other.totalCost == 0 {
+			continue
+		}
+		work := (end - math.Max(other.virtualTime, c.classVirtualTime)) * classWeight(i, shortWeight)
+		if i > class && work <= 0 {
+			work = other.items[0].Cost // the higher class wins a tie
+		}
+		total += math.Min(math.Max(work, 0), other.totalCost)
+	}
+	return total
 }
 
 // workServedBefore returns the customer's waiting work, in tokens, that is served
-// before the fair queue's virtual time reaches limit. Lookups are served as if
-// their start tag were lower by lead.
+// before the fair queue's virtual time reaches limit. The start tags of each class
+// count as lower by lead than those of the class below it.
 func (c *customerQueue) workServedBefore(limit, lead float64) float64 {
 	work, virtualTime := 0.0, c.virtualTime
-	for _, class := range []int{classShort, classLong} {
+	for class := MaxClass; class >= 0; class-- {
 		for _, e := range c.classes[class].items {
-			if virtualTime-lead > limit {
+			if virtualTime-lead*float64(class) > limit {
 				return work
 			}
 			work += e.Cost
 			virtualTime += e.Cost / c.weight
 		}
-		lead = 0
 	}
 	return work
 }
--- a/internal/limits/fairqueue.go
+++ b/internal/limits/fairqueue.go
@@ -18,6 +18,13 @@
 	// Short marks a lookup, a short request that is served before drafts, which
 	// are long.
 	Short bool
+	// Class orders requests that are not Short, from 0, which is served last, to
+	// MaxClass. Drafts have class 0; lookups count as class 1.
+	Class int
+	// Since is the time from which the item counts as waiting within its customer
+	// and class, for example the first try of a caller that returns; zero means the
+	// time of the push.
+	Since time.Time
 	// Cost is the expected work in tokens. Values below 1 count as 1.
 	Cost float64
 	// Deadline is the time at which the caller stops waiting; zero means none.
@@ -37,12 +44,13 @@
 type FairQueueOptions struct {
 	// Bound is the maximum number of waiting items. The default is 256.
 	Bound int
-	// ShortWeight is the ratio of lookup work to draft work that is served while
-	// a customer has both waiting. The default is 4.
+	// ShortWeight is the ratio of the work of a class to that of the class below it
+	// that is served while a customer has both waiting, for example of lookups to
+	// drafts. The default is 4.
 	ShortWeight float64
-	// Lead is the work, in tokens per unit of weight, by which a customer's lookups
-	// may run ahead of other customers' drafts. The default of 2,000 is more than
-	// a long draft usually takes.
+	// Lead is the work, in tokens per unit of weight, by which a customer's requests
+	// may run ahead of those of other customers for each class that they are above.
+	// The default of 2,000 is more than a long draft usually takes.
 	Lead float64
 	// Credit is the work, in tokens per unit of weight, by which a customer that
 	// used less than its share may be served ahead of the others. The default
@@ -51,12 +59,18 @@
 	// Rate is the assumed service rate, in tokens/s, until one has been measured.
 	// With the default of 0, no item is refused for its expected wait until then.
 	Rate float64
+	// Quantile is the fraction of the predicted waits and run times that must not be too
+	// low. The default is 0.95.
+	Quantile float64
 }
 
+// MaxClass is the highest class of an Item. Ten classes hold the ten priorities of an engine.
+const MaxClass = classCount - 1
+
 const (
 	classLong  = 0
 	classShort = 1
-	classCount = 2
+	classCount = 10
 
 	defaultBound       = 256
 	defaultShortWeight = 4
@@ -67,10 +81,10 @@
 // FairQueue holds the requests that wait for a backend server. It is a start-time
 // fair queue (SFQ) between customers: serving an item increases its customer's
 // start tag by cost/weight, and the customer with the lowest start tag is served
-// next. The start tag counts as lower by Lead while the customer's next item is a
-// lookup, so lookups run before drafts unless their customer exceeds its share by
-// that much. A second fair queue within each customer divides the service between
-// lookups and drafts, so that neither starves.
+// next. The start tag counts as lower by Lead for each class that the customer's
+// next item is above the lowest, so lookups run before drafts unless their customer
+// exceeds its share by that much. A second fair queue within each customer divides
+// the service between the classes, so that none starves.
 type FairQueue struct {
 	pushCount uint64
 	opts      FairQueueOptions
@@ -120,11 +134,21 @@
 	if opts.Credit <= 0 {
 		opts.Credit = defaultCredit
 	}
+	if opts.Quantile <= 0 {
+		opts.Quantile = marginQuantile
+	}
 	q := &FairQueue{opts: opts, items: map[string]*queuedItem{}, running: map[string]runningItem{}}
 	q.serviceRate.tokensPerSecond = opts.Rate
 	return q
 }
 
+func (e *queuedItem) since() time.Time {
+	if e.Since.IsZero() {
+		return e.pushedAt
+	}
+	return e.Since
+}
+
 // Len returns the number of waiting items.
 func (q *FairQueue) Len() int { return len(q.items) }
 
@@ -132,14 +156,16 @@
 	if item.Short {
 		return classShort
 	}
-	return classLong
+	return min(max(item.Class, classLong), MaxClass)
 }
 
+// classWeight returns the weight of a class in the fair queue of a customer.
 func classWeight(class int, shortWeight float64) float64 {
-	if class == classShort {
-		return shortWeight
+	weight := 1.0
+	for range class {
+		weight *= shortWeight
 	}
-	return 1
+	return weight
 }
 
 // normalize applies the lower bounds of an item's weight and cost.
@@ -151,8 +177,8 @@
 // Push adds an item. It refuses the item with duplicate_in_progress if its ID
 // already waits, with deadline_hopeless if the item is not expected to finish
 // before its deadline, and with overloaded if the queue is full and the item's
-// customer exceeds its share the most. If another customer does, that customer's
-// newest item is dropped instead and returned by the next call of TakeDropped, Pop
+// customer exceeds its share the most and nothing less urgent of it waits. If another
+// customer does, or something less urgent waits, the newest such item is dropped instead and returned by the next call of TakeDropped, Pop
 // or Expire. Call TakeDropped after each Push to avoid delaying that refusal.
 func (q *FairQueue) Push(now time.Time, item Item) *errkind.Error {
 	normalize(&item)
@@ -165,7 +191,7 @@
 	}
 	if len(q.items) >= q.opts.Bound {
 		victim := q.customerMostOverShare(&item)
-		if victim == item.Customer {
+		if victim == item.Customer && !q.waitsBelow(&item) {
 			return q.overloadedError(now, &item)
 		}
 		q.shedNewest(now, victim)
@@ -192,7 +218,7 @@
 		class := c.nextClass()
 		e := c.classes[class].items[0]
 		q.dequeue(e)
-		c.classes[class].waitMargin.observe(now, now.Sub(e.pushedAt), e.predictedWait)
+		c.classes[class].waitMargin.observe(now, now.Sub(e.pushedAt), e.predictedWait, q.opts.Quantile)
 		if missesDeadline(now, &e.Item) {
 			q.drop(now, e.Item, errkind.DeadlineHopeless, "the deadline cannot be met")
 			continue
@@ -207,6 +233,15 @@
 	return Item{}, q.TakeDropped(), false
 }
 
+// Next returns the item that Pop would start next, or false if none waits.
+func (q *FairQueue) Next() (Item, bool) {
+	if len(q.items) == 0 {
+		return Item{}, false
+	}
+	c := q.nextCustomer()
+	return c.classes[c.nextClass()].items[0].Item, true
+}
+
 // nextCustomer returns the customer to serve next; ties are broken by name. The
 // queue must not be empty.
 func (q *FairQueue) nextCustomer() *customerQueue {
@@ -216,10 +251,7 @@
 		if c.len() == 0 {
 			continue
 		}
-		tag := c.virtualTime
-		if c.nextClass() == classShort {
-			tag -= q.opts.Lead
-		}
+		tag := c.virtualTime - float64(c.nextClass())*q.opts.Lead
 		if best == nil || tag < lowest {
 			best, lowest = c, tag
 		}
@@ -246,7 +278,7 @@
 			for _, e := range slices.Clone(c.classes[class].items) {
 				if missesDeadline(now, &e.Item) {
 					q.dequeue(e)
-					c.classes[class].waitMargin.observe(now, now.Sub(e.pushedAt), e.predictedWait)
+					c.classes[class].waitMargin.observe(now, now.Sub(e.pushedAt), e.predictedWait, q.opts.Quantile)
 					q.drop(now, e.Item, errkind.DeadlineHopeless, "the deadline cannot be met")
 				}
 			}
@@ -276,7 +308,7 @@
 		q.recheckDeadlines(now)
 	}
 	class := classOf(&run.item)
-	q.runMargins[class].observe(now, now.Sub(run.startedAt), run.item.Expected)
+	q.runMargins[class].observe(now, now.Sub(run.startedAt), run.item.Expected, q.opts.Quantile)
 	if c := q.customers.find(run.item.Customer); c != nil {
 		c.virtualTime = math.Max(c.virtualTime+(tokens-run.item.Cost)/run.item.Weight, q.virtualTime-q.opts.Credit)
 	}
--- a/internal/limits/margin.go
+++ b/internal/limits/margin.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// marginQuantile is the fraction of predictions that must not be too low.
+	// marginQuantile is the default fraction of predictions that must not be too low.
 	marginQuantile = 0.95
 	// marginStep is the change per observation, relative to the larger of the
 	// actual and the predicted value.
@@ -18,7 +18,7 @@
 )
 
 // marginEstimator estimates the margin to add to predicted times so that a fraction
-// marginQuantile of the actual times does not exceed them. Without a margin,
+// of the actual times, the quantile, does not exceed them. Without a margin,
 // predictions are too low because requests of other customers arrive later and
 // answers are longer than expected.
 type marginEstimator struct {
@@ -37,13 +37,13 @@
 }
 
 // observe moves the margin one step toward the quantile of actual - predicted.
-func (m *marginEstimator) observe(now time.Time, actual, predicted time.Duration) {
+func (m *marginEstimator) observe(now time.Time, actual, predicted time.Duration, quantile float64) {
 	m.value, m.observedAt = m.current(now), now
 	step := marginStep * math.Max(actual.Seconds(), predicted.Seconds())
 	if actual > predicted+m.value {
-		m.value += seconds(step * marginQuantile)
+		m.value += seconds(step * quantile)
 	} else {
-		m.value -= seconds(step * (1 - marginQuantile))
+		m.value -= seconds(step * (1 - quantile))
 	}
 	m.value = min(max(m.value, 0), maxMargin)
 }
--- a/internal/limits/shed.go
+++ b/internal/limits/shed.go
@@ -51,8 +51,21 @@
 	return selected
 }
 
-// shedNewest drops the newest waiting draft of a customer, or its newest lookup if
-// no draft waits.
+// waitsBelow reports whether an item of the same customer waits in a lower class.
+func (q *FairQueue) waitsBelow(item *Item) bool {
+	c := q.customers.find(item.Customer)
+	if c == nil {
+		return false
+	}
+	for class := range classOf(item) {
+		if len(c.classes[class].items) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// shedNewest drops the newest waiting item of a customer's lowest class.
 func (q *FairQueue) shedNewest(now time.Time, customer string) {
 	c := q.customers.find(customer)
 	for class := range c.classes {
@@ -151,11 +164,12 @@
 }
 
 // guaranteedRate returns the item's customer's weighted share of the service rate
-// among the customers with waiting items, in tokens/s.
+// among the customers with waiting items of its class or a higher one, in tokens/s.
+// Lower ones are served later.
 func (q *FairQueue) guaranteedRate(item *Item) float64 {
 	totalWeight := item.Weight
 	for _, c := range q.customers {
-		if c.len() > 0 && c.name != item.Customer {
+		if c.name != item.Customer && c.waitsFrom(classOf(item)) {
 			totalWeight += c.weight
 		}
 	}
@@ -175,9 +189,7 @@
 		work = customer.workAhead(class, q.opts.ShortWeight)
 	}
 	limit += work / item.Weight
-	if class == classShort {
-		limit -= q.opts.Lead
-	}
+	limit -= float64(class) * q.opts.Lead
 	for _, c := range q.customers {
 		if c.name != item.Customer {
 			work += c.workServedBefore(limit, q.opts.Lead)
