State the share, the age of the loads and the wait of slots in the outlook

Work at plain workers waits only for those beyond the slots; with the load as a whole, half empty workers counted as slow. Outlook can be had for services that do not state a pace if the options ask for it, and refused requests count in the demand of a gateway.

go test ./internal/forward: ok.

--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -35,7 +35,7 @@
 	}
 	stats := p.statsFor(s.Service)
 	f := &InFlight{worker: s, work: p.promptWork(prompt, cachedTokens), startedAt: now, stats: stats, pool: s.poolIndex()}
-	f.load = p.estimatedLoad(now, s) + f.work
+	f.load = p.loadAhead(s, p.estimatedLoad(now, s)) + f.work
 	s.unreadWork += f.work
 	p.recordSent(now, s)
 	stats.recordStart(now, f.pool, f.work)
@@ -126,6 +126,7 @@
 	}
 	s.load, s.reportedAt, s.ownLoadAtReport, s.hasReport = load, now, p.ownLoad(s), true
 	stats := p.statsFor(s.Service)
+	stats.reportsPace = stats.reportsPace || load.Pace > 0
 	reported := p.reportedLoad(s)
 	stats.meanLoad[s.poolIndex()] += poolMeanGain * (reported - stats.meanLoad[s.poolIndex()])
 	stats.meanForeignLoad[s.poolIndex()] += poolMeanGain * (max(reported-s.ownLoadAtReport, 0) - stats.meanForeignLoad[s.poolIndex()])
--- a/internal/forward/outlook.go
+++ b/internal/forward/outlook.go
@@ -15,29 +15,60 @@
 	// Work is the expected work until the answer begins, and Load the load at the best worker, in
 	// requests. Eligible is the number of workers that may get the request now.
 	Work, Load float64
-	Eligible   int
+	// MeanLoad is the mean load of the workers of the pool to which the best one belongs.
+	MeanLoad float64
+	Eligible int
+	// Share is this gateway's share of the requests for the service.
+	Share float64
+	// PeersAt is when the loads of the other gateways were learned.
+	PeersAt Elapsed
 }
 
+// ReportsPace reports whether the workers of a service state how long work takes on them.
+func (p *Placer) ReportsPace(service string) bool { return p.reportsPace(service) }
+
+// PromptWork returns the work until the answer to a prompt begins, in requests. It may be called at any
+// time.
+func (p *Placer) PromptWork(prompt []PromptPart) float64 { return p.promptWork(prompt, 0) }
+
 // Outlook returns the outlook for a request. It changes nothing.
 func (p *Placer) Outlook(now Elapsed, q WorkerQuery) Outlook {
 	q.limitShare, q.coldShare = p.limitShare(now, q.Service), p.coldShare(now, q.Service)
-	out := Outlook{Work: p.promptWork(q.Prompt, 0), Load: math.Inf(1)}
-	pool := 0
+	out := Outlook{Work: p.promptWork(q.Prompt, 0), Load: math.Inf(1), Share: q.limitShare, PeersAt: p.peersAt}
+	pool, least := 0, math.Inf(1)
+	var sums, counts [2]float64
 	for _, s := range p.services[q.Service] {
 		if !s.eligible(now, &q) || s.share < 1 {
 			continue
 		}
 		out.Eligible++
-		if load := p.estimatedLoad(now, s) * p.slowness(now, s); load < out.Load {
-			out.Load, pool = load, s.poolIndex()
+		load := p.loadAhead(s, p.estimatedLoad(now, s)) * p.slowness(now, s)
+		sums[s.poolIndex()] += load
+		counts[s.poolIndex()]++
+		score := load
+		if s.pooled && s.heavy != q.Heavy {
+			score += p.opts.PoolPenalty
+		}
+		if score < least {
+			out.Load, least, pool = load, score, s.poolIndex()
 		}
 	}
+	out.MeanLoad = sums[pool] / max(counts[pool], 1)
 	if unit := p.statsFor(q.Service).timePerRequest(pool); out.Eligible > 0 && unit > 0 && p.reportsPace(q.Service) {
 		out.Wait, out.HasWait = time.Duration((out.Load+out.Work)*float64(unit)), true
 	}
 	return out
 }
 
+// loadAhead returns the load that a request waits for at a worker with a load. A worker without cascades
+// serves as many requests at once as it has slots, and begins with the others in rounds.
+func (p *Placer) loadAhead(s *workerState, load float64) float64 {
+	if p.statsFor(s.Service).hasCascades || s.Slots <= 0 {
+		return load
+	}
+	return math.Max(load-float64(s.Slots), 0) / float64(s.Slots)
+}
+
 // timePerRequest returns the time that one request of load adds to the wait in a pool, 0 if unknown.
 func (s *poolStats) timePerRequest(pool int) time.Duration {
 	if s.timedLoad[pool] <= 0 {
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -33,6 +33,9 @@
 	MinGateways int
 	// PeerLoadTTL is how long the load that other processes state is used.
 	PeerLoadTTL time.Duration
+	// EstimateWaits makes Outlook state waits also for services whose workers do not state how long work
+	// takes.
+	EstimateWaits bool
 	// CacheTTL is the time after its last use for which a prompt part is assumed to be
 	// cached.
 	CacheTTL time.Duration
--- a/internal/forward/pools.go
+++ b/internal/forward/pools.go
@@ -30,6 +30,8 @@
 	meanLoad, meanForeignLoad [2]float64
 	// hasCascades is set once a heavy request was placed.
 	hasCascades bool
+	// reportsPace is set once a worker stated how long work takes on it.
+	reportsPace bool
 	// started is the work of the requests that this process started in each pool, decayed as of
 	// startedAt.
 	started   [2]float64
--- a/internal/forward/ratelimit.go
+++ b/internal/forward/ratelimit.go
@@ -170,6 +170,10 @@
 	return d
 }
 
+// RecordRefused counts a request that no worker gets in this gateway's requests for a service. Without
+// it, a gateway that refuses many would lose its share of the room.
+func (p *Placer) RecordRefused(now Elapsed, service string) { p.demandFor(service).add(now) }
+
 // OwnDemand calls report for each service with this gateway's requests a second.
 func (p *Placer) OwnDemand(now Elapsed, report func(service string, perSecond float64)) {
 	for service, d := range p.demands {
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -181,6 +181,9 @@
 // Load is the load that a worker reports in an answer, in requests.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is the time that work takes on the worker at this moment relative to the usual time; 0 if
+	// the worker does not state it.
+	Pace float64
 }
 
 // AttemptMeta holds the values that the router sets on a request to a worker.
