Wait for room at the gateway, and refuse what cannot be served in time

Requests wait on a channel that their context bounds, larger models and repeats of overdue answers yield to waiting requests, and the priority is sent to the engine. In force for services whose workers state their pace and where the setting admission is true.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -725,6 +725,11 @@
 // GatewaySettings configures one borageflowd process with role gateway: it
 // forwards opaque HTTP requests to the workers that the store lists.
 type GatewaySettings struct {
+	// Admission states that requests wait for room, or are refused, when their
+	// service is overloaded, even if its workers do not state how long work takes.
+	// Where they do, it is always so.
+	Admission bool `json:"admission,omitempty,omitzero"`
+
 	// Bounds corresponds to the JSON schema field "bounds".
 	Bounds *GatewayBounds `json:"bounds,omitempty,omitzero"`
 
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -67,7 +67,7 @@
 		log:            log,
 		rng:            rand.New(rand.NewPCG(now, now>>7)), //nolint:gosec // load balancing needs no cryptographic randomness
 		workers:        forward.NewWorkerList(workerGracePeriod),
-		placer:         forward.NewPlacer(forward.PlacerOptions{FailureDomain: s.FailureDomain, MinGateways: s.minGateways()}),
+		placer:         forward.NewPlacer(forward.PlacerOptions{FailureDomain: s.FailureDomain, MinGateways: s.minGateways(), EstimateWaits: s.Admission}),
 		health:         membership.NewHealthTracker(ejectionConfig),
 		usableWorkers:  map[string]forward.Worker{},
 		evacuations:    forward.NewEvacuations(workerGracePeriod),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,7 @@
 	dispatcher *dispatcher
 	relayPeer  *relayPeer
 	quarantine *quarantineGuard
+	admission  *admissionGuard
 	store      forward.Store
 	headers    HeaderCodec
 	reload     func() (Settings, error)
@@ -105,6 +106,7 @@
 	g.relayPeer, g.store = newRelayPeer(s, deps.Store, time.Now(), log)
 	g.quarantine = newQuarantineGuard(g.origin, s.isRelay(), m, observe.ComponentLogger(log, "quarantine"))
 	g.dispatcher = newDispatcher(s, observe.ComponentLogger(log, "state"))
+	g.admission = newAdmissionGuard(g.dispatcher, m, observe.ComponentLogger(log, "admission"))
 	g.dispatcher.onWorkers = g.quarantine.setWorkers
 	m.set.NewGauge("borageflow_gateway_active_requests", func() float64 { return float64(g.activeRequests.Load()) })
 	m.set.NewGauge("borageflow_gateway_config_age_seconds", func() float64 {
@@ -131,6 +133,7 @@
 	}
 	g.startPeerExchange()
 	g.goroutines.Go(g.runTicker)
+	g.goroutines.Go(g.runAdmission)
 	g.goroutines.Go(g.reloadOnSignal)
 	g.log.Info("gateway has started", zap.String("callers", g.settings.CallerAddress), zap.String("failure_domain", g.settings.FailureDomain))
 	return nil
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -35,7 +35,8 @@
 	Urgency string
 	// NotRun states in a response that the worker did not run the request.
 	NotRun string
-	// Load is the load of the worker in a response: running, waiting, slots.
+	// Load is the load of the worker in a response: running, waiting, slots and, if the worker states
+	// it, how long work takes on it at this moment, in percent of the usual time.
 	Load string
 	// RateLimit is the number of requests a second, a decimal number, that the worker takes from
 	// all gateways together.
@@ -161,12 +162,15 @@
 	}
 	a.Leaving = h.Get(n.Leaving) == "1"
 	a.RateLimit, a.HasRateLimit = parseNumber(h.Get(n.RateLimit))
-	if fields := strings.Split(h.Get(n.Load), ","); len(fields) == 3 {
+	if fields := strings.Split(h.Get(n.Load), ","); len(fields) == 3 || len(fields) == 4 {
 		running, err1 := strconv.Atoi(strings.TrimSpace(fields[0]))
 		waiting, err2 := strconv.Atoi(strings.TrimSpace(fields[1]))
 		slots, err3 := strconv.Atoi(strings.TrimSpace(fields[2]))
 		if err1 == nil && err2 == nil && err3 == nil {
 			a.Load, a.HasLoad = forward.Load{Running: running, Waiting: waiting, Slots: slots}, true
+			if percent, ok := parseNumber(strings.TrimSpace(fields[len(fields)-1])); ok && len(fields) == 4 {
+				a.Load.Pace = percent / 100
+			}
 		}
 	}
 	return a
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -8,8 +8,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/borageflow/borageflow/internal/admission"
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/framing"
+	"github.com/borageflow/borageflow/internal/limits"
 )
 
 // gatewayMetrics holds the counters and histograms of a gateway.
@@ -54,6 +56,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_refused_total{kind=%q}", kind)).Inc()
 }
 
+// observeAdmission counts a request that waited for room or was refused.
+func (m *gatewayMetrics) observeAdmission(priority int, d admission.Decision) {
+	priority = min(max(priority, 0), limits.MaxClass)
+	if d.Waited > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("borageflow_gateway_admission_wait_seconds{priority=\"%d\",outcome=%q}", priority, d.Action)).Update(d.Waited.Seconds())
+	}
+	if d.Action == admission.Refuse {
+		m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_admission_refused_total{priority=\"%d\",reason=%q}", priority, d.Reason)).Inc()
+	}
+}
+
 // countPanic counts an unexpected error that was contained.
 func (m *gatewayMetrics) countPanic(duty string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_panics_total{duty=%q}", duty)).Inc()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,6 +13,7 @@
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/framing"
+	"github.com/borageflow/borageflow/internal/limits"
 	"github.com/borageflow/borageflow/internal/membership"
 	"github.com/borageflow/borageflow/internal/quarantine"
 	"github.com/borageflow/borageflow/internal/rollout"
@@ -57,6 +58,8 @@
 	endedWorkers atomic.Int32
 	// turn is the turn that the request has taken because it is suspected; see turnOf.
 	turn *quarantine.Part
+	// ticket is the room that the present attempt takes.
+	ticket admissionTicket
 
 	headerSent bool
 	// aborted reports whether the caller's connection must be closed.
@@ -148,11 +151,21 @@
 		if refusal := r.awaitClearance(ctx); refusal != nil {
 			return refusal, outcomeOfRefusal(refusal)
 		}
+		ticket, refusal := r.admit(ctx)
+		if refusal != nil {
+			if err, outcome := r.contextError(ctx); err != nil {
+				return refusal, outcome
+			}
+			return refusal, outcomeOfRefusal(refusal)
+		}
+		r.ticket = ticket
 		a, refusal := r.pickWorker()
 		if refusal != nil {
+			r.gateway.admission.begun(r.ticket)
 			return refusal, "refused"
 		}
 		outcome, done := r.runAttempt(ctx, &a)
+		r.gateway.admission.begun(r.ticket)
 		r.recordAttempt(&a, outcome.String())
 		if done {
 			return nil, r.deliveredOutcome()
@@ -274,6 +287,14 @@
 	return r.route.Models[r.modelIndex]
 }
 
+// urgency returns the priority at the engine, or -1 to state none.
+func (r *request) urgency() int {
+	if !r.gateway.admission.isActive(r.service) {
+		return -1
+	}
+	return min(max(forward.Priority(r.route, r.customer), 0), limits.MaxClass)
+}
+
 // maxUnsafeIdle bounds the idle time of a connection that carries an unsafe request. If the
 // worker has closed the connection, the request is reset and counts as one that may have run.
 const maxUnsafeIdle = 2 * time.Second
@@ -290,7 +311,7 @@
 	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
 	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds only buffers
 	defer bufferPool.Put(buf)
-	meta := forward.AttemptMeta{Worker: a.worker, Customer: r.customer.Name, Remaining: r.remaining(), Model: a.model, Urgency: -1}
+	meta := forward.AttemptMeta{Worker: a.worker, Customer: r.customer.Name, Remaining: r.remaining(), Model: a.model, Urgency: r.urgency()}
 	if r.lastEventID >= 0 && r.headerSent {
 		meta.LastEventID = strconv.FormatInt(r.lastEventID, 10)
 	}
@@ -334,6 +355,7 @@
 	a.record.HeaderMs = time.Since(a.started).Milliseconds()
 	a.record.Framing = framing.Of(ex.resp).String()
 	r.gateway.dispatcher.recordFirstByte(a.inFlight)
+	r.gateway.admission.begun(r.ticket)
 	return r.handleHeader(ctx, a)
 }
 
@@ -371,7 +393,7 @@
 	if r.remaining() <= 0 || r.isOverdue() {
 		return time.Time{}
 	}
-	if r.gateway.dispatcher.takeRetryBudget(r.service) {
+	if r.gateway.admission.hasSpareRoom(r.service) && r.gateway.dispatcher.takeRetryBudget(r.service) {
 		r.retryReserved = true
 		return time.Time{}
 	}
