Order requests by the priority of the customer, then of the route

All kinds of one customer had the same class, because the priority of a customer stands before that of the route. In the model, cut-off gateways know the loads that workers state in answers.

--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -58,14 +58,16 @@
 	// sent is the work at the workers by gateway, now and at the last exchange.
 	sent, sentAtExchange []float64
 	loads                []float64
-	workers              [][]*modelRequest
-	reported             float64 // mean load of a worker at the last exchange
-	exchangedAt          time.Time
-	returns              []*modelRequest
-	results              map[string]*modelResult
-	demand               []float64 // share of the arrivals by gateway
-	queued               map[queuedKey]*modelRequest
-	mean                 float64
+	// heard is the mean load that workers stated in their answers, by gateway.
+	heard       []float64
+	workers     [][]*modelRequest
+	reported    float64 // mean load of a worker at the last exchange
+	exchangedAt time.Time
+	returns     []*modelRequest
+	results     map[string]*modelResult
+	demand      []float64 // share of the arrivals by gateway
+	queued      map[queuedKey]*modelRequest
+	mean        float64
 	// largeWork is the work from which a request counts among the largest.
 	largeWork float64
 }
@@ -124,6 +126,7 @@
 	m.rng = rand.New(rand.NewPCG(7, 11)) //nolint:gosec // a fixed seed
 	m.queued = map[queuedKey]*modelRequest{}
 	m.results, m.workers = map[string]*modelResult{}, make([][]*modelRequest, modelWorkers)
+	m.heard = make([]float64, m.gateways)
 	m.sentAtExchange = make([]float64, m.gateways)
 	m.loads, m.sent, m.demand = make([]float64, modelWorkers), make([]float64, m.gateways), make([]float64, m.gateways)
 	total := 0.0
@@ -184,13 +187,16 @@
 	copy(m.sentAtExchange, m.sent)
 }
 
-// room returns what a gateway knows: the loads of the last exchange, or its own alone.
+// heardGain is the weight of one stated load.
+const heardGain = 0.2
+
+// room returns what a gateway knows: the loads of the last exchange, or those that workers stated in answers.
 func (m *model) room(now time.Time, g int) Room {
 	perRequest := time.Duration(float64(time.Second) / workerSpeed)
 	load, share := m.reported+(m.sent[g]-m.sentAtExchange[g])/modelWorkers, m.demand[g]
 	if m.cutOff && g%2 == 1 && now.After(modelStart.Add(modelWarmUp)) {
 		share = min(share, 1/float64(m.gateways))
-		load = m.sent[g] / modelWorkers / share
+		load = m.heard[g]
 	}
 	return Room{At: now, Wait: time.Duration(load * float64(perRequest)), PerRequest: perRequest, Workers: modelWorkers, Share: share, OthersAt: m.exchangedAt}
 }
@@ -351,51 +357,3 @@
 		}
 	}
 }
-
-// send puts a request at the less loaded of two workers.
-func (m *model) send(r *modelRequest) {
-	a, b := m.rng.IntN(modelWorkers), m.rng.IntN(modelWorkers)
-	if m.loads[b] < m.loads[a] {
-		a = b
-	}
-	r.remaining = r.Work
-	m.workers[a] = append(m.workers[a], r)
-	m.loads[a] += r.Work
-	m.sent[r.gateway] += r.Work
-}
-
-// work lets the workers work for a step.
-func (m *model) work(now time.Time) {
-	for w := range m.workers {
-		budget := workerSpeed * modelStep.Seconds()
-		for budget > 0 && len(m.workers[w]) > 0 {
-			r := m.workers[w][0]
-			done := min(budget, r.remaining)
-			r.remaining -= done
-			budget -= done
-			m.loads[w] -= done
-			if r.remaining <= 1e-9 {
-				m.workers[w] = m.workers[w][1:]
-				m.sent[r.gateway] -= r.Work
-				m.queues[r.gateway].Begun(now, r.id)
-				m.answer(now, r)
-			}
-		}
-	}
-}
-
-func (m *model) answer(now time.Time, r *modelRequest) {
-	took := now.Sub(r.first)
-	if !m.counts(r) || took > m.limitOf(r) {
-		return
-	}
-	for _, g := range r.groups() {
-		result := m.result(g)
-		if took <= r.Target {
-			result.inAim++
-			result.workInAim += r.Work
-		} else {
-			result.late++
-		}
-	}
-}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -17,8 +17,9 @@
 	Customer string
 	// Kind names the requests that have the target and the time limit in common: the route.
 	Kind string
-	// Priority is 0 for the most urgent requests, 9 for the least urgent ones.
-	Priority int
+	// Priority is 0 for the most urgent requests, 9 for the least urgent ones. KindPriority orders the
+	// requests of one Priority: that of the kind, where Priority is that of the customer.
+	Priority, KindPriority int
 	// Work is the expected work until the answer begins, in requests.
 	Work float64
 	// Arrived is when this gateway got the request.
@@ -101,6 +102,8 @@
 	Reason Reason
 	// Err is the refusal to return, with the time after which there should be room.
 	Err *errkind.Error
+	// Class is the class of the request in the queue, limits.MaxClass for the most urgent ones.
+	Class int
 	// Late is set if the answer is expected after the target: the request gets only room that no other
 	// one asks for.
 	Late bool
@@ -114,8 +117,6 @@
 const (
 	// workScale converts work in requests to the units of limits.FairQueue, which are at least 1.
 	workScale = 1000
-	// classRatio makes the order of the classes of a customer strict.
-	classRatio = 1000
 	// leadPerClass is how far, in seconds of its usual use, a customer may be ahead of the others with
 	// requests of a higher class. With a few seconds, the spread of the customers' own requests inverted
 	// the order of the kinds within ten seconds of overload.
@@ -171,7 +172,7 @@
 // NewQueue returns an empty queue. draw returns random numbers in [0, 1).
 func NewQueue(draw func() float64) *Queue {
 	return &Queue{
-		fair:   limits.NewFairQueue(limits.FairQueueOptions{Bound: maxWaiting, ShortWeight: classRatio, Lead: leadPerClass, Credit: credit, Quantile: expectedQuantile}),
+		fair:   limits.NewFairQueue(limits.FairQueueOptions{Bound: maxWaiting, Strict: true, Lead: leadPerClass, Credit: credit, Quantile: expectedQuantile}),
 		shares: newShares(), kinds: newKinds(), waiting: map[string]*waitingRequest{}, running: map[string]float64{}, draw: draw,
 	}
 }
@@ -199,6 +200,7 @@
 	id := strconv.FormatUint(q.lastID, 36)
 	w := &waitingRequest{Request: r, since: since, queuedAt: now}
 	d := q.decision(now, id)
+	d.Class = q.kinds.class(&r)
 	if err := q.push(now, id, w); err != nil {
 		d.Action, d.Err, d.Late, d.Reason = Refuse, err, w.late, AtArrival
 		return d
@@ -282,6 +284,12 @@
 	return q.roomWait(now) <= q.kinds.usefulWait(item.Class) || len(q.running) == 0 && now.Sub(q.startedAt) >= probeInterval
 }
 
+// HasSpareRoom reports whether a request that has an answer already may take more room: no first answer waits, or
+// the workers that it needs begin with it in the time that requests of its class can use.
+func (q *Queue) HasSpareRoom(class int, wait time.Duration) bool {
+	return len(q.waiting) == 0 || wait <= q.kinds.usefulWait(class)
+}
+
 // Next returns the next waiting request that runs now, or false if there is no room or none waits.
 func (q *Queue) Next(now time.Time) (Decision, bool) {
 	next, ok := q.fair.Next()
