--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -10,6 +10,7 @@
 	"github.com/borageflow/borageflow/internal/admission"
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/limits"
 )
 
 const (
@@ -97,15 +98,7 @@
 	return d.placer.Outlook(sinceBoot(), q)
 }
 
-// isActive reports whether requests for a service are held back when there is no room.
-func (g *admissionGuard) isActive(service string) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.services[service] != nil
-}
-
-// hasSpareRoom reports whether the workers have room for larger models and for repeats of overdue requests:
-// they yield to first answers, of which none waits.
+// hasSpareRoom reports whether the workers have room for repeats of overdue requests: they yield to first answers, of which none waits.
 func (g *admissionGuard) hasSpareRoom(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -116,6 +109,20 @@
 	return s.queue.Len() == 0
 }
 
+// mayEscalate reports whether a larger model may be asked: no first answer waits, or the workers of the larger
+// models have room all the same.
+func (r *request) mayEscalate() bool {
+	g := r.gateway.admission
+	if g.hasSpareRoom(r.service) {
+		return true
+	}
+	o := g.dispatcher.outlook(forward.WorkerQuery{Service: r.service, Heavy: true})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.services[r.service]
+	return s == nil || s.queue.HasSpareRoom(limits.MaxClass-r.urgency, roomOf(time.Now(), o).Wait)
+}
+
 // admit waits until the request may be sent, and returns its ticket. It returns the refusal if the request is not
 // sent. A stream of which the caller has a part, and a request for a larger model, are always sent.
 func (r *request) admit(ctx context.Context) (admissionTicket, *errkind.Error) {
@@ -131,6 +138,7 @@
 		return admissionTicket{}, nil
 	}
 	d := s.queue.Arrive(now, r.admissionRequest())
+	r.urgency = limits.MaxClass - d.Class
 	var admitted chan admission.Decision
 	if d.Action == admission.Wait {
 		admitted = make(chan admission.Decision, 1)
@@ -151,7 +159,7 @@
 // admissionRequest returns what the decision about the request needs.
 func (r *request) admissionRequest() admission.Request {
 	return admission.Request{
-		Customer: r.customer.Name, Kind: r.route.Name, Priority: forward.Priority(r.route, r.customer), Work: r.gateway.dispatcher.promptWork(r.inbound.meta.Prompt),
+		Customer: r.customer.Name, Kind: r.route.Name, Priority: forward.Priority(r.route, r.customer), KindPriority: r.route.Priority, Work: r.gateway.dispatcher.promptWork(r.inbound.meta.Prompt),
 		Arrived: r.started, Target: r.route.LatencyTarget, TimeLimit: r.deadline.Sub(r.started), IsRepeat: r.mayHaveRun,
 	}
 }
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -83,7 +83,7 @@
 		return
 	}
 	r := &request{
-		gateway: g, writer: w, route: route, customer: customer, apiKey: key, started: started, lastEventID: -1,
+		gateway: g, writer: w, route: route, customer: customer, apiKey: key, started: started, lastEventID: -1, urgency: -1,
 		inbound: inboundRequest{
 			method: req.Method, target: requestTarget(req), host: req.Host, header: endToEndHeaders(req.Header), body: body,
 			hasBody: req.ContentLength != 0, meta: meta,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -13,7 +13,6 @@
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/framing"
-	"github.com/borageflow/borageflow/internal/limits"
 	"github.com/borageflow/borageflow/internal/membership"
 	"github.com/borageflow/borageflow/internal/quarantine"
 	"github.com/borageflow/borageflow/internal/rollout"
@@ -60,6 +59,8 @@
 	turn *quarantine.Part
 	// ticket is the room that the present attempt takes.
 	ticket admissionTicket
+	// urgency is the priority at the engine, from 0 (first) to 9; -1 states none.
+	urgency int
 
 	headerSent bool
 	// aborted reports whether the caller's connection must be closed.
@@ -287,14 +288,6 @@
 	return r.route.Models[r.modelIndex]
 }
 
-// urgency returns the priority at the engine, or -1 to state none.
-func (r *request) urgency() int {
-	if !r.gateway.admission.isActive(r.service) {
-		return -1
-	}
-	return min(max(forward.Priority(r.route, r.customer), 0), limits.MaxClass)
-}
-
 // maxUnsafeIdle bounds the idle time of a connection that carries an unsafe request. If the
 // worker has closed the connection, the request is reset and counts as one that may have run.
 const maxUnsafeIdle = 2 * time.Second
@@ -311,7 +304,7 @@
 	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
 	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds only buffers
 	defer bufferPool.Put(buf)
-	meta := forward.AttemptMeta{Worker: a.worker, Customer: r.customer.Name, Remaining: r.remaining(), Model: a.model, Urgency: r.urgency()}
+	meta := forward.AttemptMeta{Worker: a.worker, Customer: r.customer.Name, Remaining: r.remaining(), Model: a.model, Urgency: r.urgency}
 	if r.lastEventID >= 0 && r.headerSent {
 		meta.LastEventID = strconv.FormatInt(r.lastEventID, 10)
 	}
