--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -35,7 +35,8 @@
 	}
 	stats := p.statsFor(s.Service)
 	f := &InFlight{worker: s, work: p.promptWork(prompt, cachedTokens), startedAt: now, stats: stats, pool: s.poolIndex()}
-	f.load = p.estimatedLoad(now, s) + f.work
+	load := p.estimatedLoad(now, s)
+	f.load, f.ahead = load+f.work, p.loadAhead(s, load)+f.work
 	f.model, f.readsPrompt, f.wasNearlyFull = model, len(prompt) > 0, s.isNearlyFull()
 	f.tokens = heldTokens(prompt, cachedTokens)
 	stats.recordTokens(f.tokens)
@@ -72,10 +73,11 @@
 type InFlight struct {
 	worker *workerState
 	work   float64
-	// load is the estimated load of the worker with this request, when it was placed.
-	load      float64
-	answering bool
-	startedAt Elapsed
+	// load is the estimated load of the worker with this request, when it was placed, and ahead the part of
+	// it that the request waited for.
+	load, ahead float64
+	answering   bool
+	startedAt   Elapsed
 	// wait is the time until the answer started. wasNearlyFull reports whether the worker was nearly full
 	// when the request was placed.
 	wait          time.Duration
@@ -94,7 +96,7 @@
 		return
 	}
 	f.stats.recordWait(f.pool, now-f.startedAt)
-	f.stats.recordTimed(f.pool, now-f.startedAt, f.load)
+	f.stats.recordTimed(f.pool, now-f.startedAt, f.load, f.ahead)
 	f.answering, f.wait = true, now-f.startedAt
 	f.worker.unreadWork = max(f.worker.unreadWork-f.work, 0)
 	f.worker.answering++
--- a/internal/forward/pools.go
+++ b/internal/forward/pools.go
@@ -48,6 +48,8 @@
 	// in requests, at which they were placed.
 	timedWait [2]time.Duration
 	timedLoad [2]float64
+	// timedAhead is the sum of the parts of these loads that the requests waited for.
+	timedAhead [2]float64
 	// statedLoad is the mean load that other processes state of the workers at home.
 	statedLoad [2]float64
 	// pressure is the mean pressure on the workers at home, see recordPressure, as of pressureAt.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,7 @@
 	dispatcher *dispatcher
 	relayPeer  *relayPeer
 	quarantine *quarantineGuard
+	admission  *admissionGuard
 	store      forward.Store
 	// directStore is the store itself, without relays.
 	directStore forward.Store
@@ -111,6 +112,7 @@
 	g.relayPeer, g.store = newRelayPeer(s, deps.Store, time.Now(), m, log)
 	g.quarantine = newQuarantineGuard(g.origin, s.isRelay(), m, observe.ComponentLogger(log, "quarantine"))
 	g.dispatcher = newDispatcher(s, observe.ComponentLogger(log, "state"))
+	g.admission = newAdmissionGuard(g.dispatcher, m, observe.ComponentLogger(log, "admission"))
 	g.dispatcher.onWorkers = g.quarantine.setWorkers
 	if counted, ok := deps.Store.(interface{ Bytes() int64 }); ok {
 		// Where the store lies is not known.
@@ -145,6 +147,7 @@
 	}
 	g.startPeerExchange()
 	g.goroutines.Go(g.runTicker)
+	g.goroutines.Go(g.runAdmission)
 	g.goroutines.Go(g.reloadOnSignal)
 	g.log.Info("gateway has started", zap.String("callers", g.settings.CallerAddress), zap.String("failure_domain", g.settings.FailureDomain))
 	return nil
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,6 +57,10 @@
 	endedWorkers atomic.Int32
 	// turn is the turn that the request has taken because it is suspected; see turnOf.
 	turn *quarantine.Part
+	// ticket is the room that the present attempt takes.
+	ticket admissionTicket
+	// urgency is the priority at the engine, from 0 (first) to 9; -1 states none.
+	urgency int
 
 	headerSent bool
 	// aborted reports whether the caller's connection must be closed.
@@ -149,11 +153,21 @@
 		if refusal := r.awaitClearance(ctx); refusal != nil {
 			return refusal, outcomeOfRefusal(refusal)
 		}
+		ticket, refusal := r.admit(ctx)
+		if refusal != nil {
+			if err, outcome := r.contextError(ctx); err != nil {
+				return refusal, outcome
+			}
+			return refusal, outcomeOfRefusal(refusal)
+		}
+		r.ticket = ticket
 		a, refusal := r.pickWorker()
 		if refusal != nil {
+			r.gateway.admission.begun(r.ticket)
 			return refusal, "refused"
 		}
 		outcome, done := r.runAttempt(ctx, &a)
+		r.gateway.admission.begun(r.ticket)
 		r.recordAttempt(&a, outcome.String())
 		if done {
 			return nil, r.deliveredOutcome()
@@ -293,7 +307,7 @@
 	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
 	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds only buffers
 	defer bufferPool.Put(buf)
-	meta := forward.AttemptMeta{Worker: a.worker, Customer: r.customer.Name, Remaining: r.remaining(), Model: a.model, Urgency: -1}
+	meta := forward.AttemptMeta{Worker: a.worker, Customer: r.customer.Name, Remaining: r.remaining(), Model: a.model, Urgency: r.urgency}
 	if r.lastEventID >= 0 && r.headerSent {
 		meta.LastEventID = strconv.FormatInt(r.lastEventID, 10)
 	}
@@ -337,6 +351,7 @@
 	a.record.HeaderMs = time.Since(a.started).Milliseconds()
 	a.record.Framing = framing.Of(ex.resp).String()
 	r.gateway.dispatcher.recordFirstByte(a.inFlight)
+	r.gateway.admission.begun(r.ticket)
 	return r.handleHeader(ctx, a)
 }
 
@@ -374,7 +389,7 @@
 	if r.remaining() <= 0 || r.isOverdue() {
 		return time.Time{}
 	}
-	if r.gateway.dispatcher.takeRetryBudget(r.service) {
+	if r.gateway.admission.hasSpareRoom(r.service) && r.gateway.dispatcher.takeRetryBudget(r.service) {
 		r.retryReserved = true
 		return time.Time{}
 	}
