Switch admission and the cost of leaving on by the terms of a deployment

Change: the settings take the names of the platform's terms, and the adapter turns the two that it knows into the settings admission and leaving. Admission needs its setting.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -757,8 +757,7 @@
 // forwards opaque HTTP requests to the workers that the store lists.
 type GatewaySettings struct {
 	// Admission states that requests wait for room, or are refused, when their
-	// service is overloaded, even if its workers do not state how long work takes.
-	// Where they do, it is always so.
+	// service is overloaded.
 	Admission bool `json:"admission,omitempty,omitzero"`
 
 	// Bounds corresponds to the JSON schema field "bounds".
@@ -790,6 +789,10 @@
 
 	// Store corresponds to the JSON schema field "store".
 	Store GatewayStore `json:"store"`
+
+	// Terms are the names of the platform's terms that are in force. The adapter to
+	// the platform turns those that it knows into settings; others are ignored.
+	Terms []string `json:"terms,omitempty,omitzero"`
 }
 
 type GatewaySettingsRole string
--- a/cmd/borageflowd/gateway.go
+++ b/cmd/borageflowd/gateway.go
@@ -35,7 +35,7 @@
 // runGateway runs a gateway until SIGINT or SIGTERM, or only checks its settings. It
 // returns the exit code.
 func runGateway(file string, check bool) int {
-	settings, err := gateway.ReadSettings(file)
+	settings, err := platform.ReadSettings(file)
 	if err != nil {
 		printFaults(file, err)
 		return exitBadSettings
@@ -48,7 +48,7 @@
 	app, err := gateway.App(settings, gateway.Dependencies{
 		Store:     platform.NewStore(settings.StoreAddress, settings.StoreTimeout),
 		Headers:   platform.Headers,
-		Reload:    func() (gateway.Settings, error) { return gateway.ReadSettings(file) },
+		Reload:    func() (gateway.Settings, error) { return platform.ReadSettings(file) },
 		LogOutput: os.Stdout,
 	})
 	if err != nil {
--- a/internal/forward/outlook.go
+++ b/internal/forward/outlook.go
@@ -24,11 +24,6 @@
 	PeersAt Elapsed
 }
 
-// EstimatesWaits reports whether Outlook states waits for a service.
-func (p *Placer) EstimatesWaits(service string) bool {
-	return p.opts.EstimateWaits || p.reportsPace(service)
-}
-
 // PromptWork returns the work until the answer to a prompt begins, in requests. It may be called at any
 // time.
 func (p *Placer) PromptWork(prompt []PromptPart) float64 { return p.promptWork(prompt, 0) }
@@ -56,7 +51,7 @@
 		}
 	}
 	out.MeanLoad = sums[pool] / max(counts[pool], 1)
-	if unit := p.statsFor(q.Service).timePerAhead(pool); out.Eligible > 0 && unit > 0 && p.EstimatesWaits(q.Service) {
+	if unit := p.statsFor(q.Service).timePerAhead(pool); out.Eligible > 0 && unit > 0 && (p.opts.EstimateWaits || p.reportsPace(q.Service)) {
 		out.Wait, out.HasWait = time.Duration((out.Load+out.Work)*float64(unit)), true
 	}
 	return out
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -20,8 +20,7 @@
 	admissionInterval = 20 * time.Millisecond
 )
 
-// admissionGuard holds the requests that wait for room at the workers. Services whose workers do not
-// state how long work takes have no queue.
+// admissionGuard holds the requests that wait for room at the workers, if the settings ask for it.
 type admissionGuard struct {
 	dispatcher *dispatcher
 	metrics    *gatewayMetrics
@@ -88,11 +87,11 @@
 	return admission.Room{At: now, Wait: time.Duration(o.MeanLoad * float64(perRequest)), PerRequest: perRequest, Workers: o.Eligible, Share: o.Share, OthersAt: time.Unix(0, int64(o.PeersAt))}
 }
 
-// outlook returns the room of a service, without a wait if its workers do not state how long work takes.
+// outlook returns the room of a service, without a wait if requests are not held back.
 func (d *dispatcher) outlook(q forward.WorkerQuery) forward.Outlook {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.placer.EstimatesWaits(q.Service) {
+	if !d.settings.Load().Admission {
 		return forward.Outlook{}
 	}
 	return d.placer.Outlook(sinceBoot(), q)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -11,8 +11,8 @@
 	"github.com/borageflow/borageflow/internal/admission"
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/framing"
-	"github.com/borageflow/borageflow/internal/overload"
 	"github.com/borageflow/borageflow/internal/limits"
+	"github.com/borageflow/borageflow/internal/overload"
 )
 
 // gatewayMetrics holds the counters and histograms of a gateway.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -71,9 +71,10 @@
 	// MaxEvacuateDelay is the delay after which the workers of a failure domain that an operator
 	// evacuates must get no new requests; 0 means that evacuations are not used.
 	MaxEvacuateDelay time.Duration
-	// Admission states that requests wait for room or are refused under overload also if the workers do
-	// not state how long work takes.
+	// Admission states that requests wait for room or are refused under overload.
 	Admission bool
+	// Terms are the names of the platform's terms that are in force. Only the adapter reads them.
+	Terms []string
 	// RetryRatio is the number of retries allowed per request, and RetrySlack the number allowed
 	// beyond that ratio within RetryWindow, both over all instances.
 	RetryRatio, RetrySlack float64
@@ -159,7 +160,7 @@
 	out.RetryWindow = secondsOr(b.RetryWindowSeconds, defaultRetryWindow)
 	out.SessionTimeout = secondsOr(b.SessionSeconds, defaultSessionTimeout)
 	out.MaxDrainDelay, out.MaxApplyDelay = millisecondsOr(b.DrainMs, 0), millisecondsOr(b.ApplyMs, 0)
-	out.Admission = s.Admission
+	out.Admission, out.Terms = s.Admission, s.Terms
 	out.MaxEvacuateDelay = millisecondsOr(b.EvacuateMs, 0)
 	if s.Peers != nil {
 		out.PeerAddress, out.Relays = s.Peers.Listen, s.Peers.Relays
