Explain where a request would go now, without sending it

Cause: an operator could only read logs after the fact to learn why a request goes where it does.

Change: Pick is divided into a choice that records nothing and the records after it. Explain makes the same choice and lists all workers with the parts of their scores, or the rule that leaves them out; both come from the code that decides. A gateway answers /explain on its metrics listener, and borageflow explain prints it. Not looked at: condemned parts, the limits of the gateway itself, and for a request that waits, what else will arrive.

--- a/cmd/borageflow/quarantine.go
+++ b/cmd/borageflow/quarantine.go
@@ -16,8 +16,8 @@
 	"github.com/borageflow/borageflow/internal/gateway"
 )
 
-// maxQuarantineBytes bounds the list of condemned parts, about 200 bytes for each of 256.
-const maxQuarantineBytes = 1 << 20
+// maxAnswerBytes bounds an answer of a gateway: an explanation has about 250 bytes for each of 910 workers.
+const maxAnswerBytes = 1 << 20
 
 // quarantineFlags holds the flags and the actions of the subcommand quarantine.
 type quarantineFlags struct {
@@ -68,23 +68,23 @@
 	return usageError{"quarantine needs one of the actions list, set, lift"}
 }
 
-// call sends a request to the gateway and returns the body of a 2xx response.
-func (f *quarantineFlags) call(ctx context.Context, method, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.address+path, nil)
+// callGateway sends a request to the gateway at an address and returns the body of a 2xx response.
+func callGateway(ctx context.Context, address, method, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil {
-		return nil, usageError{fmt.Sprintf("address %q is not host:port", f.address)}
+		return nil, usageError{fmt.Sprintf("address %q is not host:port", address)}
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, eris.Wrapf(err, "gateway at %s does not answer", f.address)
+		return nil, eris.Wrapf(err, "gateway at %s does not answer", address)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxQuarantineBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
 	switch {
 	case err != nil:
-		return nil, eris.Wrapf(err, "answer of the gateway at %s cannot be read", f.address)
+		return nil, eris.Wrapf(err, "answer of the gateway at %s cannot be read", address)
 	case resp.StatusCode > 299:
-		return nil, eris.Errorf("gateway at %s: %s", f.address, strings.TrimSpace(string(body)))
+		return nil, eris.Errorf("gateway at %s: %s", address, strings.TrimSpace(string(body)))
 	}
 	return body, nil
 }
@@ -97,12 +97,12 @@
 	if f.lifetime != 0 {
 		query.Set("for", f.lifetime.String())
 	}
-	_, err := f.call(ctx, method, "/quarantine/"+url.PathEscape(f.part)+"?"+query.Encode())
+	_, err := callGateway(ctx, f.address, method, "/quarantine/"+url.PathEscape(f.part)+"?"+query.Encode())
 	return err
 }
 
 func (f *quarantineFlags) printList(ctx context.Context, s streams) error {
-	body, err := f.call(ctx, http.MethodGet, "/quarantine")
+	body, err := callGateway(ctx, f.address, http.MethodGet, "/quarantine")
 	if err != nil {
 		return err
 	}
--- a/cmd/borageflow/subcommands.go
+++ b/cmd/borageflow/subcommands.go
@@ -19,6 +19,7 @@
 	newStatus,
 	newGateway,
 	newQuarantine,
+	newExplain,
 	newUsage,
 	newClaims,
 	newLoad,
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -317,3 +317,15 @@
 	d.Action, d.Waited, d.Late = Run, now.Sub(w.queuedAt), w.late
 	return d, true
 }
+
+// Foresee returns what would be decided about a request that arrived now, and from what. A request that does not
+// run at once waits or is refused, which depends on what arrives before there is room: its action is Wait. Foresee
+// changes nothing.
+func (q *Queue) Foresee(now time.Time, r Request) Decision {
+	d := q.decision(now, "")
+	d.Class, d.Action = q.kinds.class(&r), Wait
+	if len(q.waiting) == 0 && q.hasRoom(now, limits.Item{Class: d.Class}) {
+		d.Action = Run
+	}
+	return d
+}
--- a/internal/forward/cache.go
+++ b/internal/forward/cache.go
@@ -64,7 +64,7 @@
 func (p *Placer) cachedPrefixes(now Elapsed, q *WorkerQuery) []cachedPrefix {
 	var found []cachedPrefix
 	for depth, part := range q.Prompt {
-		holders, ok := p.cache.Get(partKey{part.ID, q.Model})
+		holders, ok := p.holdersOf(q, part)
 		if !ok {
 			break
 		}
@@ -91,6 +91,15 @@
 	return found
 }
 
+// holdersOf returns the workers that are expected to have cached a part.
+func (p *Placer) holdersOf(q *WorkerQuery, part PromptPart) (*[maxHoldersPerPart]partHolder, bool) {
+	key := partKey{part.ID, q.Model}
+	if q.isQuestion {
+		return p.cache.Peek(key)
+	}
+	return p.cache.Get(key)
+}
+
 // recordCached records that worker s caches a prompt part. If the list of holders is full,
 // the least recently used one is replaced.
 func (p *Placer) recordCached(now Elapsed, key partKey, s *workerState) {
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -150,24 +150,51 @@
 const tieBreakNoise = 0.1
 
 // matches reports whether a request may go to a worker by its version and earlier attempts.
-func (s *workerState) matches(q *WorkerQuery) bool {
-	return (q.Allowed == nil || q.Allowed(s.Version)) && !slices.Contains(q.Exclude, s.ID)
+func (s *workerState) matches(q *WorkerQuery) bool { return s.mismatch(q) == NotExcluded }
+
+// mismatch returns the rule by which a request may not go to a worker for its version or earlier attempts.
+func (s *workerState) mismatch(q *WorkerQuery) Exclusion {
+	switch {
+	case q.Allowed != nil && !q.Allowed(s.Version):
+		return ExcludedVersion
+	case slices.Contains(q.Exclude, s.ID):
+		return ExcludedTried
+	}
+	return NotExcluded
 }
 
 // eligible reports whether a request may go to a worker now.
 func (s *workerState) eligible(now Elapsed, q *WorkerQuery) bool {
-	return s.matches(q) && s.mayGet(now, q)
+	return s.exclusion(now, q) == NotExcluded
+}
+
+// exclusion returns the rule by which a request may not go to a worker now.
+func (s *workerState) exclusion(now Elapsed, q *WorkerQuery) Exclusion {
+	if rule := s.mismatch(q); rule != NotExcluded {
+		return rule
+	}
+	return s.withheld(now, q)
 }
 
 // score returns the estimated load of a worker, as a usual worker of the service would feel it, with the
 // penalties for failures, for another pool and for leaving the failure domain. Lower is better.
 func (p *Placer) score(now Elapsed, s *workerState, q *WorkerQuery) float64 {
-	score := p.estimatedLoad(now, s) + failurePenalty*s.recentFailures(now) + peerFailurePenalty*decayed(s.peerFailures, now-s.peerFailuresAt)
+	terms := p.scoreTerms(now, s, q)
+	return terms.Total()
+}
+
+// scoreTerms returns the parts of the score.
+func (p *Placer) scoreTerms(now Elapsed, s *workerState, q *WorkerQuery) ScoreTerms {
+	terms := ScoreTerms{
+		Load: p.estimatedLoad(now, s), Failures: failurePenalty * s.recentFailures(now),
+		PeerFailures: peerFailurePenalty * decayed(s.peerFailures, now-s.peerFailuresAt), Leaving: p.leavingCost(now, s, q),
+	}
 	if s.pooled && s.heavy != q.Heavy {
-		score += p.opts.PoolPenalty
+		terms.OtherPool = p.opts.PoolPenalty
 	}
-	if !s.stats.reportsPace {
-		return score + p.leavingCost(now, s, q)
+	if s.stats.reportsPace {
+		terms.StatesPace = true
+		terms.Work, terms.Slowness, terms.Capacity = q.work, p.slowness(now, s), s.capacityCost(now, q.tokens)
 	}
-	return (score+q.work)*p.slowness(now, s) + s.capacityCost(now, q.tokens) + p.leavingCost(now, s, q)
+	return terms
 }
--- a/internal/forward/leaving.go
+++ b/internal/forward/leaving.go
@@ -236,10 +236,10 @@
 	maxPressure = 2
 )
 
-// recordPressure records how many requests are delayed in earnest by what one has read at home: those that
+// setPressure sets the pressure for a request: how many requests are delayed in earnest by what one has read at home: those that
 // wait at the worker, as far as their wait is near the one up to which answers begin in time. The most urgent
 // requests count, since they wait at the same workers.
-func (p *Placer) recordPressure(now Elapsed, q *WorkerQuery) {
+func (p *Placer) setPressure(now Elapsed, q *WorkerQuery) {
 	t, stats := q.leaving, p.statsFor(q.Service)
 	if t == nil {
 		return
@@ -256,7 +256,13 @@
 	if pressure > stats.pressure {
 		over = pressureRise
 	}
-	stats.pressure += (pressure - stats.pressure) * (1 - math.Exp(-float64(now-stats.pressureAt)/float64(over)))
-	stats.pressureAt = now
-	t.pressure = stats.pressure
+	t.pressure = stats.pressure + (pressure-stats.pressure)*(1-math.Exp(-float64(now-stats.pressureAt)/float64(over)))
+}
+
+// recordPressure records the pressure that was set for a request.
+func (p *Placer) recordPressure(now Elapsed, q *WorkerQuery) {
+	if q.leaving != nil {
+		stats := p.statsFor(q.Service)
+		stats.pressure, stats.pressureAt = q.leaving.pressure, now
+	}
 }
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -145,18 +145,30 @@
 // mayGet reports whether a worker may get a request now: its failure domain is not evacuated, and what
 // the worker asked for and its cold time leave room. Every attempt passes here.
 func (s *workerState) mayGet(now Elapsed, q *WorkerQuery) bool {
+	return s.withheld(now, q) == NotExcluded
+}
+
+// withheld returns the rule by which a worker gets no request now.
+func (s *workerState) withheld(now Elapsed, q *WorkerQuery) Exclusion {
 	if s.evacuated {
-		return false
+		return ExcludedEvacuated
 	}
 	n := s.notice
 	if n == nil {
-		return true
+		return NotExcluded
 	}
-	if n.leaving || now < n.pauseUntil || n.limit != nil && !n.limit.allows(now, q.limitShare) {
-		return false
+	switch {
+	case n.leaving:
+		return ExcludedLeaving
+	case now < n.pauseUntil:
+		return ExcludedPausing
+	case n.limit != nil && !n.limit.allows(now, q.limitShare):
+		return ExcludedLimited
+	}
+	if cold := n.coldLimit(now); cold != nil && !cold.allows(now, q.coldShare) {
+		return ExcludedCold
 	}
-	cold := n.coldLimit(now)
-	return cold == nil || cold.allows(now, q.coldShare)
+	return NotExcluded
 }
 
 // recordSent records that a worker gets a request.
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -224,6 +224,8 @@
 	// limitShare is this gateway's share of the limits of the service's workers, and coldShare that of
 	// the rates of cold ones. The Placer sets them.
 	limitShare, coldShare float64
+	// isQuestion is set for a request that is only explained: the caches keep their order.
+	isQuestion bool
 	// work is the work of the request beyond its shared parts, and tokens those that it holds at a worker.
 	// The Placer sets them.
 	work, tokens float64
@@ -256,30 +258,54 @@
 		p.markCascading(q.Service)
 	}
 	p.demandFor(q.Service).add(now)
+	c := p.choose(now, &q, rng)
+	if c.worker == nil {
+		return Placement{}, false
+	}
+	p.recordPressure(now, &q)
+	if len(q.Prompt) > 0 {
+		p.recordReuse(now, &q)
+	}
+	return p.placement(now, &c), true
+}
+
+// choice is a chosen worker, nil if there is none, and what it was chosen for.
+type choice struct {
+	worker       *workerState
+	cachedTokens int
+	candidates   int
+	leftFor      LeavingCause
+}
+
+// choose chooses the worker for a request. It records nothing.
+func (p *Placer) choose(now Elapsed, q *WorkerQuery, rng *rand.Rand) choice {
 	q.limitShare, q.coldShare = p.limitShare(now, q.Service), p.coldShare(now, q.Service)
 	if p.reportsPace(q.Service) {
 		q.setSize(p)
 	}
-	q.leaving = p.termsOfLeaving(now, &q)
-	best, leastScore, candidates := p.leastLoaded(now, &q, rng)
+	q.leaving = p.termsOfLeaving(now, q)
+	best, leastScore, candidates := p.leastLoaded(now, q, rng)
 	if best == nil {
-		return Placement{}, false
+		return choice{}
 	}
-	p.recordPressure(now, &q)
-	cached, cause := 0, p.causeOfLeast(now, best, &q)
+	p.setPressure(now, q)
+	out := choice{worker: best, candidates: candidates, leftFor: p.causeOfLeast(now, best, q)}
 	if len(q.Prompt) > 0 {
 		allowance := float64(sharedTokens(q.Prompt)) / p.opts.TokensPerRequest
-		if s, tokens := p.pickByAffinity(now, &q, best, leastScore+allowance); s != nil {
-			if s != best && cause.isChosen() {
-				cause = p.causeOfAffinity(s, tokens)
+		if s, tokens := p.pickByAffinity(now, q, best, leastScore+allowance); s != nil {
+			if s != best && out.leftFor.isChosen() {
+				out.leftFor = p.causeOfAffinity(s, tokens)
 			}
-			best, cached = s, tokens
+			out.worker, out.cachedTokens = s, tokens
 		}
-		p.recordReuse(now, &q)
 	}
-	out := Placement{Worker: best.Worker, Load: p.estimatedLoad(now, best), LoadAge: -1, CachedTokens: cached, Candidates: candidates, LeftFor: cause}
-	if best.hasReport {
-		out.LoadAge = now - best.reportedAt
+	return out
+}
+
+func (p *Placer) placement(now Elapsed, c *choice) Placement {
+	out := Placement{Worker: c.worker.Worker, Load: p.estimatedLoad(now, c.worker), LoadAge: -1, CachedTokens: c.cachedTokens, Candidates: c.candidates, LeftFor: c.leftFor}
+	if c.worker.hasReport {
+		out.LoadAge = now - c.worker.reportedAt
 	}
-	return out, true
+	return out
 }
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -23,6 +23,9 @@
 	}
 	router.HandleFunc("/state", g.serveState)
 	g.addQuarantineRoutes(router, isForOperators)
+	if isForOperators {
+		router.HandleFunc("/explain", g.serveExplain).Methods(http.MethodGet)
+	}
 	router.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	router.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		g.metrics.set.WritePrometheus(w)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -259,10 +259,7 @@
 // if none is left.
 func (r *request) pickWorker() (attempt, *errkind.Error) {
 	model := r.routedModel()
-	p, inFlight, ok := r.gateway.dispatcher.pickWorker(sinceBoot(), forward.WorkerQuery{
-		Service: r.service, Exclude: r.triedWorkers, Model: model, Heavy: r.modelIndex > 0, Prompt: r.inbound.meta.Prompt,
-		Route: r.route.Name, Priority: forward.Priority(r.route, r.customer), TargetLeft: max(r.route.LatencyTarget-time.Since(r.started), 0), Bytes: len(r.inbound.body),
-	}, r.inbound.meta.Session, r.inbound.meta.RequestID, r.workerFailed)
+	p, inFlight, ok := r.gateway.dispatcher.pickWorker(sinceBoot(), r.workerQuery(), r.inbound.meta.Session, r.inbound.meta.RequestID, r.workerFailed)
 	if !ok {
 		if r.mayHaveRun {
 			return attempt{}, errkind.New(errkind.UpstreamFailed, "no other worker of the service is left")
@@ -282,6 +279,14 @@
 	}, nil
 }
 
+// workerQuery returns the query for the worker of the next attempt.
+func (r *request) workerQuery() forward.WorkerQuery {
+	return forward.WorkerQuery{
+		Service: r.service, Exclude: r.triedWorkers, Model: r.routedModel(), Heavy: r.modelIndex > 0, Prompt: r.inbound.meta.Prompt,
+		Route: r.route.Name, Priority: forward.Priority(r.route, r.customer), TargetLeft: max(r.route.LatencyTarget-time.Since(r.started), 0), Bytes: len(r.inbound.body),
+	}
+}
+
 // routedModel returns the model that the router chooses, or "" to keep the caller's.
 func (r *request) routedModel() string {
 	if !r.routerPicksModel || len(r.route.Models) == 0 {
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -230,7 +230,7 @@
 	if avoidTarget {
 		return versionFilter{allowed: isOther, fallback: isTarget}
 	}
-	if pinned, ok := t.sessions.Get(sessionKey{service, session}); ok && session != "" && now-pinned.lastUsed < t.sessionTimeout {
+	if pinned, ok := t.sessions.Peek(sessionKey{service, session}); ok && session != "" && now-pinned.lastUsed < t.sessionTimeout {
 		if pinned.version == target {
 			return versionFilter{allowed: isTarget, fallback: isOther, isPinned: true}
 		}
