--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -211,50 +211,6 @@
 	return nil
 }
 
-// outcomeCallerLeft is the outcome of a request whose caller closed its connection. Nobody
-// receives its error.
-const outcomeCallerLeft = "caller left"
-
-// outcomeOfRefusal returns the outcome of a request that is not sent: it failed if it may have run.
-func outcomeOfRefusal(refusal *errkind.Error) string {
-	if refusal.Kind == errkind.UpstreamFailed {
-		return "failed"
-	}
-	return "refused"
-}
-
-// contextError returns why the request must end, because its time is over or the caller
-// disconnected, and the outcome; or nil.
-func (r *request) contextError(ctx context.Context) (*errkind.Error, string) {
-	err := ctx.Err()
-	switch {
-	case err == nil:
-		return nil, ""
-	case errors.Is(err, context.DeadlineExceeded):
-		return errkind.New(errkind.DeadlineExceeded, "no response within the time limit of the request"), "given up"
-	}
-	return errkind.New(errkind.DeadlineExceeded, "caller closed its connection"), outcomeCallerLeft
-}
-
-// finalError returns the error for the caller after the last attempt.
-func (r *request) finalError(o forward.Outcome) *errkind.Error {
-	if !r.mayHaveRun {
-		wait, ok := r.nextTurn()
-		if !ok {
-			wait = defaultRetryAfter
-		}
-		return errkind.New(errkind.Overloaded, "no worker accepted the request").WithRetryAfter(wait)
-	}
-	if o == forward.Broken && r.remaining() <= 0 {
-		return errkind.New(errkind.DeadlineExceeded, "no response within the time limit of the request")
-	}
-	return errkind.New(errkind.UpstreamFailed, "worker broke off its answer")
-}
-
-// defaultRetryAfter is the advised pause after an error: a few times as long as the queue of a
-// full worker takes to advance.
-const defaultRetryAfter = 300 * time.Millisecond
-
 // pickWorker chooses the worker of the next attempt. It returns upstream_failed or no_candidate
 // if none is left.
 func (r *request) pickWorker() (attempt, *errkind.Error) {
@@ -379,60 +335,6 @@
 	}
 }
 
-// awaitHeader reads the header of the response. An overdue one, also one that stalls inside its
-// header, is given up only if a retry is left in the budget, or if there is an answer to deliver
-// instead. Otherwise the wait continues until the deadline of the request.
-func (r *request) awaitHeader(ex *exchange) error {
-	ex.conn.onReadTimeout = r.extendHeaderDeadline
-	defer func() { ex.conn.onReadTimeout = nil }()
-	return ex.readHeader(r.gateway.headers, r.inbound.method, r.inbound.meta.RequestID, r.headerDeadline())
-}
-
-// extendHeaderDeadline returns the next deadline of an overdue header, or the zero time to give it
-// up. It takes the retry that follows.
-func (r *request) extendHeaderDeadline() time.Time {
-	if r.remaining() <= 0 || r.isOverdue() {
-		return time.Time{}
-	}
-	if r.gateway.admission.hasSpareRoom(r.service) && r.gateway.dispatcher.takeRetryBudget(r.service) {
-		r.retryReserved = true
-		return time.Time{}
-	}
-	return r.headerDeadline()
-}
-
-// takeRetryBudget takes a retry from the budget, unless extendHeaderDeadline has already taken it. It
-// reports whether a retry was left.
-func (r *request) takeRetryBudget() bool {
-	if r.retryReserved {
-		r.retryReserved = false
-		return true
-	}
-	return r.gateway.dispatcher.takeRetryBudget(r.service)
-}
-
-// headerDeadline returns when the header of a response is overdue. This is the deadline of
-// the request unless the request may run again at another worker, or may fall back to an answer
-// that was set aside.
-func (r *request) headerDeadline() time.Time {
-	deadline := r.deadline
-	if r.route.Idempotent() && r.runCount+1 < r.maxRuns() {
-		timeout := r.gateway.dispatcher.headerTimeout(r.route, r.modelIndex > 0, r.inbound.meta.PromptTokens)
-		deadline = earlier(deadline, time.Now().Add(timeout))
-	}
-	if r.fallback != nil && r.modelIndex > 0 && time.Now().Before(r.fallbackAt) {
-		deadline = earlier(deadline, r.fallbackAt)
-	}
-	return deadline
-}
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // handleHeader decides by the header of a response whether to send the response to the caller or
 // to make another attempt. The results are those of runAttempt.
 func (r *request) handleHeader(ctx context.Context, a *attempt) (forward.Outcome, bool) {
