Drop no more urgent request for a less urgent one in a full queue

Cause (found in review): the victim of a full queue was the customer most over its share, whatever waited there, so that a late request displaced a most urgent one of another customer. Two rules meant for the strict queue also changed the sidecar's.

Change: in a strict queue the victim is the customer with the lowest class, and within the class of the new item one that is more over its share. The sidecar's queue is as before.

--- a/internal/limits/customerqueue.go
+++ b/internal/limits/customerqueue.go
@@ -42,6 +42,16 @@
 	return n
 }
 
+// lowestClass returns the lowest class with waiting items, -1 without any.
+func (c *customerQueue) lowestClass() int {
+	for class := range c.classes {
+		if len(c.classes[class].items) > 0 {
+			return class
+		}
+	}
+	return -1
+}
+
 // waitsFrom reports whether an item of a class or a higher one waits.
 func (c *customerQueue) waitsFrom(class int) bool {
 	for ; class <= MaxClass; class++ {
--- a/internal/limits/fairqueue.go
+++ b/internal/limits/fairqueue.go
@@ -179,10 +179,11 @@
 
 // Push adds an item. It refuses the item with duplicate_in_progress if its ID
 // already waits, with deadline_hopeless if the item is not expected to finish
-// before its deadline, and with overloaded if the queue is full and the item's
-// customer exceeds its share the most and nothing less urgent of it waits. If another
-// customer does, or something less urgent waits, the newest such item is dropped instead and returned by the next call of TakeDropped, Pop
-// or Expire. Call TakeDropped after each Push to avoid delaying that refusal.
+// before its deadline, and with overloaded if the queue is full and no other item gives
+// way to it: one of the customer that exceeds its share the most or, in a strict queue,
+// one of the lowest class. The newest such item is dropped instead and returned by the
+// next call of TakeDropped, Pop or Expire. Call TakeDropped after each Push to avoid
+// delaying that refusal.
 func (q *FairQueue) Push(now time.Time, item Item) *errkind.Error {
 	normalize(&item)
 	if _, ok := q.items[item.ID]; ok {
@@ -193,8 +194,8 @@
 		return err
 	}
 	if len(q.items) >= q.opts.Bound {
-		victim := q.customerMostOverShare(&item)
-		if victim == item.Customer && !q.waitsBelow(&item) {
+		victim, ok := q.victimFor(&item)
+		if !ok {
 			return q.overloadedError(now, &item)
 		}
 		q.shedNewest(now, victim)
--- a/internal/limits/shed.go
+++ b/internal/limits/shed.go
@@ -51,18 +51,38 @@
 	return selected
 }
 
-// waitsBelow reports whether an item of the same customer waits in a lower class.
-func (q *FairQueue) waitsBelow(item *Item) bool {
-	c := q.customers.find(item.Customer)
-	if c == nil {
-		return false
-	}
-	for class := range classOf(item) {
-		if len(c.classes[class].items) > 0 {
-			return true
+// victimFor returns the customer of which an item is dropped for a new one in a full queue, or false if the new
+// item is refused. In a strict queue no item is dropped for one of a lower class.
+func (q *FairQueue) victimFor(item *Item) (string, bool) {
+	if !q.opts.Strict {
+		victim := q.customerMostOverShare(item)
+		return victim, victim != item.Customer
+	}
+	selected, lowest, highest := "", classOf(item), 0.0
+	for _, c := range q.customers {
+		class, waiting := c.lowestClass(), float64(c.len())/c.weight
+		if class < 0 || class > lowest {
+			continue
+		}
+		if class == classOf(item) {
+			if c.name == item.Customer || waiting <= q.waitingWith(item) {
+				continue // within a class, only customers that are more over their share give way
+			}
+		}
+		if class < lowest || selected == "" || waiting > highest {
+			selected, lowest, highest = c.name, class, waiting
 		}
 	}
-	return false
+	return selected, selected != ""
+}
+
+// waitingWith returns the waiting items per unit of weight of the item's customer, including the item.
+func (q *FairQueue) waitingWith(item *Item) float64 {
+	n := 1
+	if c := q.customers.find(item.Customer); c != nil {
+		n += c.len()
+	}
+	return float64(n) / item.Weight
 }
 
 // shedNewest drops the newest waiting item of a customer's lowest class.
@@ -164,12 +184,12 @@
 }
 
 // guaranteedRate returns the item's customer's weighted share of the service rate
-// among the customers with waiting items of its class or a higher one, in tokens/s.
-// Lower ones are served later.
+// among the customers with waiting items, in tokens/s. In a strict queue only those with items of its
+// class or a higher one count, because lower ones are served later.
 func (q *FairQueue) guaranteedRate(item *Item) float64 {
 	totalWeight := item.Weight
 	for _, c := range q.customers {
-		if c.name != item.Customer && c.waitsFrom(classOf(item)) {
+		if c.name != item.Customer && c.len() > 0 && (!q.opts.Strict || c.waitsFrom(classOf(item))) {
 			totalWeight += c.weight
 		}
 	}
