Keep refusals of waiting requests true, and let go of queues without a known room

Change: such a repeat is answered upstream_failed; requests are not held back where the room is not known, and those that wait are let go; locks and tickets are returned by defer; a caller that returns does not set the target of its kind; keys and parts are checked after the wait.

Result: TestRepeatThatWaitsInVainMayHaveRun, TestReloadSwitchesAdmissionOff, TestShortDeadlineShrinksNobodysWait, TestDrainLetsAllRun pass; not run on the code before.

--- a/internal/admission/kinds.go
+++ b/internal/admission/kinds.go
@@ -85,11 +85,15 @@
 		e = &kind{}
 		k.byName[key] = e
 	}
-	changed := e.target != r.Target || now.Sub(e.lastAt) > kindLife
-	e.target, e.lastAt = r.Target, now
 	if !r.IsRepeat {
 		e.longest = max(e.longest, r.TimeLimit)
 	}
+	target := r.Target
+	if returns := float64(r.TimeLimit) < returnShare*float64(e.longest); returns && e.target > 0 {
+		target = e.target // a caller with little time left says nothing of what the others need
+	}
+	changed := e.target != target || now.Sub(e.lastAt) > kindLife
+	e.target, e.lastAt = target, now
 	if changed || now.Sub(k.computedAt) > kindLife {
 		k.compute(now)
 	}
--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -332,7 +332,7 @@
 }
 
 func (m *model) takeRefused(now time.Time, g int) {
-	for _, refused := range m.queues[g].TakeRefused() {
+	for _, refused := range m.queues[g].TakeRefused(now) {
 		if r := m.find(refused.ID, g); r != nil {
 			m.refuse(now, r, refused.Decision)
 		}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -318,6 +318,19 @@
 	return d, true
 }
 
+// Drain lets all waiting requests run, for a service whose room is not known any more.
+func (q *Queue) Drain(now time.Time) []Decision {
+	var out []Decision
+	for len(q.waiting) > 0 {
+		d, ok := q.pop(now)
+		if !ok {
+			return out
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
 // Foresee returns what would be decided about a request that arrived now, and from what. A request that does not
 // run at once waits or is refused, which depends on what arrives before there is room: its action is Wait. Foresee
 // changes nothing.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/borageflow/borageflow/internal/limits"
 )
 
 // Guards against goodput that falls with the load, a more urgent kind that is served less than another,
@@ -148,7 +150,7 @@
 	for d, ok := q.Next(now); ok; d, ok = q.Next(now) {
 		q.Begun(now, d.ID)
 	}
-	q.TakeRefused()
+	q.TakeRefused(now)
 }
 
 // busyQueue returns a queue of a service with 910 workers and 24 customers under overload.
@@ -194,3 +196,30 @@
 		assert.Assert(t, result.NsPerOp() < 5000, "%v", result)
 	}
 }
+
+// Guards against one caller with little time left, such as one that returns after a refusal, that shortens the
+// useful wait of all others and so has them refused.
+func TestShortDeadlineShrinksNobodysWait(t *testing.T) {
+	q, now := NewQueue(func() float64 { return 0.5 }), modelStart
+	r := Request{Customer: "c", Kind: "appeal", Work: 1, Arrived: now, Target: 1500 * time.Millisecond, TimeLimit: 5 * time.Second}
+	q.Arrive(now, r)
+	before := q.kinds.usefulWait(limits.MaxClass)
+	r.TimeLimit = 60 * time.Millisecond
+	q.Arrive(now, r)
+	assert.Equal(t, q.kinds.usefulWait(limits.MaxClass), before)
+}
+
+// Guards against requests that stay in the queue of a service whose room is not known any more.
+func TestDrainLetsAllRun(t *testing.T) {
+	q, now := NewQueue(func() float64 { return 0.5 }), modelStart
+	q.SetRoom(Room{At: now, Wait: 3 * time.Second, PerRequest: 20 * time.Millisecond, Workers: 3, Share: 1, OthersAt: now})
+	waiting := 0
+	for range 20 {
+		if d := q.Arrive(now, Request{Customer: "c", Kind: "k", Work: 1, Arrived: now, Target: 5 * time.Second, TimeLimit: 10 * time.Second}); d.Action == Wait {
+			waiting++
+		}
+	}
+	assert.Check(t, waiting > 0)
+	assert.Equal(t, len(q.Drain(now)), waiting)
+	assert.Equal(t, q.Len(), 0)
+}
--- a/internal/admission/refuse.go
+++ b/internal/admission/refuse.go
@@ -30,8 +30,8 @@
 func (q *Queue) Expire(now time.Time) { q.handleDropped(now, q.fair.Expire(now)) }
 
 // TakeRefused returns the requests that were refused since the last call after they had waited.
-func (q *Queue) TakeRefused() []Refused {
-	q.handleDropped(q.room.At, q.fair.TakeDropped())
+func (q *Queue) TakeRefused(now time.Time) []Refused {
+	q.handleDropped(now, q.fair.TakeDropped())
 	out := q.refused
 	q.refused = nil
 	return out
--- a/internal/forward/outlook.go
+++ b/internal/forward/outlook.go
@@ -24,6 +24,9 @@
 	PeersAt Elapsed
 }
 
+// SetEstimateWaits sets whether Outlook states waits for all services.
+func (p *Placer) SetEstimateWaits(estimate bool) { p.opts.EstimateWaits = estimate }
+
 // PromptWork returns the work until the answer to a prompt begins, in requests. It may be called at any
 // time.
 func (p *Placer) PromptWork(prompt []PromptPart) float64 { return p.promptWork(prompt, 0) }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -62,7 +62,8 @@
 }
 
 // serviceFor returns the queue of a service with its present room, or nil if requests for the service are
-// not held back. The caller holds the lock.
+// not held back: the settings do not ask for it, or nothing is known of the room, as when no worker may get
+// requests. Those that wait are then let go. The caller holds the lock.
 func (g *admissionGuard) serviceFor(now time.Time, service string) *admittedService {
 	s := g.services[service]
 	if s != nil && now.Sub(s.queue.RoomAt()) < roomMaxAge {
@@ -70,7 +71,10 @@
 	}
 	outlook := g.dispatcher.outlook(forward.WorkerQuery{Service: service})
 	if !outlook.HasWait {
-		return s // what is known of the room stays; waiting requests end by their deadlines
+		if s != nil {
+			s.letAllGo(now)
+		}
+		return nil
 	}
 	if s == nil {
 		s = &admittedService{queue: admission.NewQueue(g.dispatcher.randomFloat), waiters: map[string]chan admission.Decision{}}
@@ -128,13 +132,29 @@
 	if r.headerSent || r.modelIndex > 0 {
 		return admissionTicket{}, nil
 	}
+	s, d, admitted := r.arrive(time.Now())
+	if s == nil {
+		return admissionTicket{}, nil
+	}
+	if d.Action == admission.Wait {
+		r.gateway.admission.wakeUp()
+		var left *errkind.Error
+		if d, left = r.awaitRoom(ctx, s, d, admitted); left != nil {
+			return admissionTicket{}, left
+		}
+	}
+	return r.applyDecision(d)
+}
+
+// arrive returns the queue of the service, the decision about the request and, if it waits, the channel of the
+// decision that follows. The queue is nil if requests are not held back.
+func (r *request) arrive(now time.Time) (*admittedService, admission.Decision, chan admission.Decision) {
 	g := r.gateway.admission
-	now := time.Now()
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	s := g.serviceFor(now, r.service)
 	if s == nil {
-		g.mu.Unlock()
-		return admissionTicket{}, nil
+		return nil, admission.Decision{}, nil
 	}
 	d := s.queue.Arrive(now, r.admissionRequest())
 	r.urgency = limits.MaxClass - d.Class
@@ -143,16 +163,8 @@
 		admitted = make(chan admission.Decision, 1)
 		s.waiters[d.ID] = admitted
 	}
-	s.deliverRefused()
-	g.mu.Unlock()
-	if d.Action == admission.Wait {
-		g.wakeUp()
-		var left *errkind.Error
-		if d, left = r.awaitRoom(ctx, s, d, admitted); left != nil {
-			return admissionTicket{}, left
-		}
-	}
-	return r.applyDecision(d)
+	s.deliverRefused(now)
+	return s, d, admitted
 }
 
 // admissionRequest returns what the decision about the request needs.
@@ -165,7 +177,9 @@
 
 // promptWork returns the work until the answer to a prompt begins, in requests.
 func (d *dispatcher) promptWork(prompt []forward.PromptPart) float64 {
-	return d.placer.PromptWork(prompt) // uses only options, which do not change
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.PromptWork(prompt)
 }
 
 // awaitRoom waits for the decision about a request in the queue. A caller that leaves is dropped from it.
@@ -181,7 +195,7 @@
 	delete(s.waiters, d.ID)
 	s.queue.Leave(d.ID)
 	s.queue.Begun(time.Now(), d.ID)
-	return d, errkind.New(errkind.Overloaded, "request ended while it waited for room").WithRetryAfter(defaultRetryAfter)
+	return d, r.notSentAgain(errkind.New(errkind.Overloaded, "request ended while it waited for room").WithRetryAfter(defaultRetryAfter))
 }
 
 // applyDecision logs and counts a decision on which the request waited or is refused.
@@ -201,7 +215,7 @@
 		return ticket, nil
 	}
 	g.dispatcher.recordRefused(r.service)
-	return admissionTicket{}, r.quarantineRefusal(d.Err)
+	return admissionTicket{}, r.notSentAgain(d.Err)
 }
 
 // recordRefused counts a refused request in this gateway's demand.
@@ -231,16 +245,26 @@
 	if len(s.waiters) == 0 {
 		return
 	}
-	g.serviceFor(now, service)
+	if g.serviceFor(now, service) == nil {
+		return
+	}
 	s.queue.Expire(now)
 	for d, ok := s.queue.Next(now); ok; d, ok = s.queue.Next(now) {
 		s.deliver(d)
 	}
-	s.deliverRefused()
+	s.deliverRefused(now)
+}
+
+// letAllGo ends the wait of all requests.
+func (s *admittedService) letAllGo(now time.Time) {
+	for _, d := range s.queue.Drain(now) {
+		s.deliver(d)
+	}
+	s.deliverRefused(now)
 }
 
-func (s *admittedService) deliverRefused() {
-	for _, refused := range s.queue.TakeRefused() {
+func (s *admittedService) deliverRefused(now time.Time) {
+	for _, refused := range s.queue.TakeRefused(now) {
 		s.deliver(refused.Decision)
 	}
 }
--- a/internal/gateway/admission_test.go
+++ b/internal/gateway/admission_test.go
@@ -11,6 +11,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/borageflow/borageflow/internal/admission"
+	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/standin/forwarding"
 )
 
@@ -115,3 +117,34 @@
 	assert.Equal(t, len(gw.gateway.admission.services), 0)
 	assert.Equal(t, w.requests()[0].request.Header.Get(DefaultHeaderNames.Urgency), "")
 }
+
+// Guards against a request that may have run and is refused as one that has not, because its time ended while it
+// waited for room for a repeat.
+func TestRepeatThatWaitsInVainMayHaveRun(t *testing.T) {
+	w := startWorker(t, "w1", answerOK)
+	gw := startGateway(t, w)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for mayHaveRun, want := range map[bool]errkind.Kind{true: errkind.UpstreamFailed, false: errkind.Overloaded} {
+		r := &request{gateway: gw.gateway, mayHaveRun: mayHaveRun}
+		s := &admittedService{queue: admission.NewQueue(func() float64 { return 0 }), waiters: map[string]chan admission.Decision{}}
+		_, refusal := r.awaitRoom(ended, s, admission.Decision{ID: "1"}, make(chan admission.Decision))
+		assert.Equal(t, refusal.Kind, want)
+	}
+}
+
+// Guards against requests that go on to be held back after a reload has switched admission off.
+func TestReloadSwitchesAdmissionOff(t *testing.T) {
+	gw, _ := startAdmittingGateway(t)
+	assert.Equal(t, gw.call("POST", "/unsafe/a", "x").status, http.StatusOK)
+	off := *gw.gateway.dispatcher.settings.Load()
+	off.Admission = false
+	gw.gateway.dispatcher.applySettings(off)
+	for range 5 {
+		assert.Equal(t, gw.call("POST", "/unsafe/a", "x").status, http.StatusOK)
+	}
+	time.Sleep(2 * roomMaxAge)
+	gw.gateway.admission.mu.Lock()
+	defer gw.gateway.admission.mu.Unlock()
+	assert.Check(t, gw.gateway.admission.serviceFor(time.Now(), "svc") == nil)
+}
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -346,6 +346,7 @@
 	d.settings.Store(&s)
 	d.rollouts.sessionTimeout = s.SessionTimeout
 	d.placer.SetLeavingCost(s.LeavingCost, s.LeavingIsSet)
+	d.placer.SetEstimateWaits(s.Admission)
 	for _, b := range d.retryBudgets {
 		b.SetOptions(retryOptions(&s))
 	}
--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -86,24 +86,24 @@
 			r.turn = &turn
 			return nil
 		case d.OnProbation || now.After(until):
-			return r.quarantineRefusal(errkind.New(errkind.Overloaded, "requests like this are sent one at a time: workers have ended under them").WithRetryAfter(maxAloneWait))
+			return r.notSentAgain(errkind.New(errkind.Overloaded, "requests like this are sent one at a time: workers have ended under them").WithRetryAfter(maxAloneWait))
 		}
 		timer := time.NewTimer(alonePoll)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			return r.quarantineRefusal(errkind.New(errkind.DeadlineExceeded, "request ended while it waited for others like it"))
+			return r.notSentAgain(errkind.New(errkind.DeadlineExceeded, "request ended while it waited for others like it"))
 		case <-timer.C:
 		}
 	}
 	if d.Action == quarantine.Refuse {
-		return r.quarantineRefusal(errkind.New(errkind.Quarantined, "part "+formatPart(d.Part.ID)+" of the request is condemned: workers ended while they answered requests with it"))
+		return r.notSentAgain(errkind.New(errkind.Quarantined, "part "+formatPart(d.Part.ID)+" of the request is condemned: workers ended while they answered requests with it"))
 	}
 	return nil
 }
 
-// quarantineRefusal returns a refusal, or upstream_failed if the request may have run.
-func (r *request) quarantineRefusal(refusal *errkind.Error) *errkind.Error {
+// notSentAgain returns a refusal, or upstream_failed if the request may have run.
+func (r *request) notSentAgain(refusal *errkind.Error) *errkind.Error {
 	if r.mayHaveRun {
 		return errkind.New(errkind.UpstreamFailed, "request is not sent again: "+refusal.Message)
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -118,6 +118,7 @@
 	r.gateway.dispatcher.recordFirstAttempt(r.service)
 	r.parts = r.partIDs()
 	defer r.releaseAlone()
+	defer func() { r.gateway.admission.begun(r.ticket) }() // does nothing for a ticket that was returned
 	for {
 		refusal, outcome := r.runAttempts(ctx)
 		if refusal != nil {
@@ -147,12 +148,6 @@
 // serve.
 func (r *request) runAttempts(ctx context.Context) (*errkind.Error, string) {
 	for {
-		if refusal := r.authorize(); refusal != nil {
-			return refusal, "refused"
-		}
-		if refusal := r.awaitClearance(ctx); refusal != nil {
-			return refusal, outcomeOfRefusal(refusal)
-		}
 		ticket, refusal := r.admit(ctx)
 		if refusal != nil {
 			if err, outcome := r.contextError(ctx); err != nil {
@@ -161,9 +156,15 @@
 			return refusal, outcomeOfRefusal(refusal)
 		}
 		r.ticket = ticket
+		// A key may be withdrawn and a part condemned while the request waits for room.
+		if refusal := r.authorize(); refusal != nil {
+			return refusal, "refused"
+		}
+		if refusal := r.awaitClearance(ctx); refusal != nil {
+			return refusal, outcomeOfRefusal(refusal)
+		}
 		a, refusal := r.pickWorker()
 		if refusal != nil {
-			r.gateway.admission.begun(r.ticket)
 			return refusal, "refused"
 		}
 		outcome, done := r.runAttempt(ctx, &a)
