Take the serving versions from the whole list of workers only

Cause (found in review): the versions that serve before any rollout were taken from the first page of the list, so that one that the page lacked counted as new for good.

Change: they are recorded once the whole list is known.

Result: TestPageDoesNotSayWhichVersionsServe, which fails on the code before.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -177,7 +177,9 @@
 	for id := range d.usableWorkers {
 		d.placer.SetShare(id, d.health.Share(id))
 	}
-	d.rollouts.recordBaseline(usable)
+	if d.workersListed { // the pages of a first list may lack a version
+		d.rollouts.recordBaseline(usable)
+	}
 	if d.onWorkers != nil {
 		d.onWorkers(usable)
 	}
--- a/internal/gateway/workerlist_test.go
+++ b/internal/gateway/workerlist_test.go
@@ -84,3 +84,12 @@
 		d.applyWorkers(time.Duration(2+n)*time.Second, u)
 	}
 }
+
+// Guards against a version that is taken for a new one for good because the first page of the list lacked it.
+func TestPageDoesNotSayWhichVersionsServe(t *testing.T) {
+	d := newDispatcher(testSettings(t), newNopLogger())
+	first, second := forward.WorkerChange{Worker: forward.Worker{ID: "a", Service: "svc", Version: "v1"}}, forward.WorkerChange{Worker: forward.Worker{ID: "b", Service: "svc", Version: "v2"}}
+	d.applyWorkerPage(0, &forward.Update{Workers: []forward.WorkerChange{first}})
+	d.applyWorkers(0, &forward.Update{Full: true, Revision: 5, Workers: []forward.WorkerChange{first, second}})
+	assert.DeepEqual(t, d.rollouts.baselineVersions["svc"], map[string]bool{"v1": true, "v2": true})
+}
