--- a/internal/admission/model_test.go
+++ b/internal/admission/model_test.go
@@ -89,15 +89,17 @@
 
 // modelResult counts what the callers of a group got.
 type modelResult struct {
-	offered, inAim, late, refused, refusedLate int
-	workInAim                                  float64
+	offered, withinTarget, late, refused, refusedLate int
+	workWithinTarget                                  float64
 }
 
 func (r *modelResult) served() float64 {
-	return float64(r.inAim+r.late) / math.Max(float64(r.offered), 1)
+	return float64(r.withinTarget+r.late) / math.Max(float64(r.offered), 1)
 }
 
-func (r *modelResult) aimShare() float64 { return float64(r.inAim) / math.Max(float64(r.offered), 1) }
+func (r *modelResult) withinTargetShare() float64 {
+	return float64(r.withinTarget) / math.Max(float64(r.offered), 1)
+}
 
 func (m *model) result(group string) *modelResult {
 	if m.results[group] == nil {
@@ -153,7 +155,7 @@
 	for _, k := range m.kinds {
 		r := m.result("kind " + k.name)
 		share := func(n int) float64 { return float64(n) / math.Max(float64(r.offered), 1) }
-		t.Logf("load %.1f %-7s offered %5d in aim %.3f late %.3f refused %.3f", m.load, k.name, r.offered, r.aimShare(), share(r.late), share(r.refused))
+		t.Logf("load %.1f %-7s offered %5d within target %.3f late %.3f refused %.3f", m.load, k.name, r.offered, r.withinTargetShare(), share(r.late), share(r.refused))
 	}
 }
 
--- a/internal/admission/modelworkers_test.go
+++ b/internal/admission/modelworkers_test.go
@@ -45,8 +45,8 @@
 	for _, g := range r.groups() {
 		result := m.result(g)
 		if took <= r.Target {
-			result.inAim++
-			result.workInAim += r.Work
+			result.withinTarget++
+			result.workWithinTarget += r.Work
 		} else {
 			result.late++
 		}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -118,8 +118,8 @@
 	// workScale converts work in requests to the units of limits.FairQueue, which are at least 1.
 	workScale = 1000
 	// leadPerClass is how far, in seconds of its usual use, a customer may be ahead of the others with
-	// requests of a higher class. With a few seconds, the spread of the customers' own requests inverted
-	// the order of the kinds within ten seconds of overload.
+	// requests of a higher class. It is far more than customers differ in an overload of some seconds:
+	// a lead of a few seconds inverted the order of the kinds.
 	leadPerClass = 60
 	// credit is how much of its usual use a customer that used less is served ahead of the others. It
 	// covers clumps of some requests.
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -15,15 +15,15 @@
 // Guards against goodput that falls with the load, a more urgent kind that is served less than another,
 // and refusals of requests that can be served.
 func TestLoadsAboveCapacity(t *testing.T) {
-	atCapacity := newModel(1).run(t).result("all").workInAim
+	atCapacity := newModel(1).run(t).result("all").workWithinTarget
 	for _, load := range []float64{0.5, 1, 1.3, 2, 5} {
 		m := newModel(load).run(t)
 		all := m.result("all")
 		if load <= 0.5 {
-			assert.Assert(t, all.aimShare() > 0.99 && all.refused == 0, "load %v: %+v", load, all)
+			assert.Assert(t, all.withinTargetShare() > 0.99 && all.refused == 0, "load %v: %+v", load, all)
 		}
 		if load >= 1 {
-			assert.Assert(t, all.workInAim >= 0.9*atCapacity, "load %v: goodput %.2f of that at capacity", load, all.workInAim/atCapacity)
+			assert.Assert(t, all.workWithinTarget >= 0.9*atCapacity, "load %v: goodput %.2f of that at capacity", load, all.workWithinTarget/atCapacity)
 		}
 		assertOrder(t, m)
 	}
@@ -81,7 +81,7 @@
 	burst.run(t)
 	assertOrder(t, burst)
 	for _, kind := range []string{"kind appeal", "kind chat"} {
-		assert.Assert(t, burst.result(kind).aimShare() >= 0.9*usual.result(kind).aimShare(), "%s: %.3f in aim, %.3f without the burst", kind, burst.result(kind).aimShare(), usual.result(kind).aimShare())
+		assert.Assert(t, burst.result(kind).withinTargetShare() >= 0.9*usual.result(kind).withinTargetShare(), "%s: %.3f within target, %.3f without the burst", kind, burst.result(kind).withinTargetShare(), usual.result(kind).withinTargetShare())
 	}
 }
 
@@ -132,7 +132,7 @@
 				m.cutOff, m.restarted = trouble && gateways > 1, trouble
 				m.run(t)
 			}
-			goodput := models[1].result("all").workInAim / models[0].result("all").workInAim
+			goodput := models[1].result("all").workWithinTarget / models[0].result("all").workWithinTarget
 			assert.Assert(t, goodput >= 0.9, "goodput at twice the capacity is %.2f of that at capacity", goodput)
 			assertOrder(t, models[1])
 		})
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -101,7 +101,8 @@
 	return d.placer.Outlook(sinceBoot(), q)
 }
 
-// hasSpareRoom reports whether the workers have room for repeats of overdue requests: they yield to first answers, of which none waits.
+// hasSpareRoom reports whether the workers have room for repeats of overdue requests, which yield to first
+// answers: none of these waits.
 func (g *admissionGuard) hasSpareRoom(service string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/limits/customerqueue.go
+++ b/internal/limits/customerqueue.go
@@ -16,7 +16,7 @@
 	// for it, in tokens per unit of weight.
 	virtualTime float64
 	// classVirtualTime is the virtual time of the fair queue between the customer's
-	// two classes.
+	// classes.
 	classVirtualTime float64
 	// servedRate estimates the work started for the customer, in tokens/s.
 	servedRate rateEstimator
@@ -24,7 +24,8 @@
 }
 
 // classQueue is the FIFO queue of one class of a customer. Of a customer's
-// classes, the one with the lowest virtual time is served first.
+// classes, the one with the lowest virtual time is served first, in a strict queue
+// the highest one.
 type classQueue struct {
 	virtualTime float64
 	// totalCost is the sum of the costs of items, in tokens.
