Let a listener be closed twice

The stop closes the listener and then the server, which closes the listener as well if its goroutine has not returned from Serve yet. A gateway then logs that the grace period is over although all requests have ended.

Change: the listener keeps the result of its first Close.

Result: TestListenerMayBeClosedTwice, which fails before; go test -race ./internal/httpdrain passes.

--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -36,6 +36,8 @@
 	// accepted is closed when Accept has returned its last connection.
 	accepted     chan struct{}
 	acceptedOnce sync.Once
+	closeOnce    sync.Once
+	closeErr     error
 
 	mu sync.Mutex
 	// open holds the open connections by the address of the caller.
@@ -80,6 +82,13 @@
 	return c, nil
 }
 
+// Close implements net.Listener. Further calls return what the first one did: the server closes the listener too
+// if it has not noticed yet that a stop has closed it.
+func (l *Listener) Close() error {
+	l.closeOnce.Do(func() { l.closeErr = l.Listener.Close() })
+	return l.closeErr
+}
+
 func (l *Listener) setState(c net.Conn, state http.ConnState) {
 	own, ok := c.(*conn)
 	if !ok { // wrapped by another listener
--- a/internal/httpdrain/httpdrain_test.go
+++ b/internal/httpdrain/httpdrain_test.go
@@ -141,3 +141,11 @@
 	assert.NilError(t, l.Shutdown(t.Context(), server))
 	assert.Assert(t, time.Since(started) < time.Second, "took %v", time.Since(started))
 }
+
+// Guards against a stop that reports an error because the server, whose goroutine had not noticed yet that the
+// listener is closed, closes it a second time. Seen beside load.
+func TestListenerMayBeClosedTwice(t *testing.T) {
+	_, l := startServer(t)
+	assert.NilError(t, l.Close())
+	assert.NilError(t, l.Close())
+}
