Restore the bound on the use of cold workers

A bound must not follow the measured figure.

Result: it fails in the case of 29 gateways and 3 workers (17 of 51).

--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -202,7 +202,7 @@
 		at := f.now
 		f.run(testColdTime, rate)
 		got := float64(len(f.sent["w0"])) - float64(count(f.sent["w0"], 0, at))
-		assert.Check(t, got >= 0.25*testColdRate*testColdTime.Seconds(), "%v: cold worker got %.0f of %.0f requests, must be a quarter at least", fleet, got, testColdRate*testColdTime.Seconds())
+		assert.Check(t, got >= 0.5*testColdRate*testColdTime.Seconds(), "%v: cold worker got %.0f of %.0f requests, must be half at least", fleet, got, testColdRate*testColdTime.Seconds())
 		at = f.now
 		f.run(2*time.Second, rate)
 		assert.Check(t, count(f.sent["w0"], at, f.now) > 35, "%v: warm worker got %d requests in 2 s", fleet, count(f.sent["w0"], at, f.now))
