Keep an evacuation behind a relay when the store comes back from an older copy

Cause (found in review): a relay passes the list of a restored store on as the difference to what it knew, so that a gateway behind it saw the order removed and sent to the evacuated failure domain until the operator's order was written again. Only whole lists kept it for the grace period.

Change: a removal in an update of a newer era starts the grace period too.

Result: TestRestoredStoreEndsNoOrderBehindARelay, which fails before (ended [a]).

--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -50,7 +50,10 @@
 				began = append(began, domain)
 			}
 			e.domains[domain] = 0
-		case e.Contains(domain):
+		case !e.Contains(domain):
+		case restored:
+			e.retain(now, domain) // a relay passes the list of a restored store on as removals
+		default:
 			delete(e.domains, domain)
 			ended = append(ended, domain)
 		}
@@ -61,8 +64,8 @@
 	for domain, until := range e.domains {
 		switch {
 		case listed[domain]:
-		case restored && until == 0:
-			e.domains[domain] = now + e.gracePeriod
+		case restored:
+			e.retain(now, domain)
 		case until == 0 || now >= until:
 			delete(e.domains, domain)
 			ended = append(ended, domain)
@@ -72,6 +75,13 @@
 	return began, ended
 }
 
+// retain keeps an order that a restored store lacks for the grace period.
+func (e *Evacuations) retain(now Elapsed, domain string) {
+	if e.domains[domain] == 0 {
+		e.domains[domain] = now + e.gracePeriod
+	}
+}
+
 // Expire ends the evacuations whose grace period has passed and returns their failure domains.
 func (e *Evacuations) Expire(now Elapsed) (ended []string) {
 	for domain, until := range e.domains {
--- a/internal/forward/evacuation_test.go
+++ b/internal/forward/evacuation_test.go
@@ -81,3 +81,18 @@
 	_, ok = p.Pick(0, WorkerQuery{Service: "svc"}, rng)
 	assert.Check(t, ok && !p.AllEvacuated("svc"))
 }
+
+// Guards against an order that ends at once at a gateway behind a relay when the store comes back from a copy
+// without it: the relay passes the list on as a removal.
+func TestRestoredStoreEndsNoOrderBehindARelay(t *testing.T) {
+	e := NewEvacuations(2 * time.Second)
+	e.Apply(0, evacuationUpdate(10, true, "a"))
+	removal := &Update{Revision: EraRevision(1, 5), Evacuations: []EvacuationChange{{FailureDomain: "a", Removed: true}}}
+	_, ended := e.Apply(time.Second, removal)
+	assert.Check(t, ended == nil && e.Contains("a"), "ended %v", ended)
+	e.Apply(2*time.Second, evacuationUpdate(EraRevision(1, 6), false, "a"))
+	assert.Check(t, e.Expire(10*time.Second) == nil, "an order that is written again ended")
+	removal.Revision = EraRevision(1, 7)
+	_, ended = e.Apply(11*time.Second, removal)
+	assert.DeepEqual(t, ended, []string{"a"})
+}
