Use the other version where the workers of a rollout's target are cold

Cause (found in review): a request whose version had only cold workers without a permit counted as one that must wait, as for limits that workers name, so that the other version was not tried; the refusal then said that no usable worker is known.

Change: for a request without a session, cold workers do not keep it from the other version. One of a session still waits: its earlier requests may have run on the target.

Result: TestColdTargetLeavesTheOtherVersion, which fails before.

--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -197,6 +197,8 @@
 			continue
 		case s.mayGet(now, &q):
 			return 0, false
+		case q.IgnoreCold && s.withheld(now, &q) == ExcludedCold:
+			continue
 		}
 		if wait, ok := s.notice.wait(now, &q); ok && (!found || wait < shortest) {
 			shortest, found = wait, true
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -219,6 +219,8 @@
 	Bytes int
 	// IsPinned is set if Allowed keeps the request to the version of its session.
 	IsPinned bool
+	// IgnoreCold makes NextTurn pass over workers that get no request because they are cold.
+	IgnoreCold bool
 	// leaving holds the terms for leaving the failure domain; nil where it is not weighed.
 	leaving *leavingTerms
 	// limitShare is this gateway's share of the limits of the service's workers, and coldShare that of
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -268,7 +268,7 @@
 	q.Bytes += int(d.extraBytes[q.Route])
 	q.Allowed, q.IsPinned = filter.allowed, filter.isPinned
 	p, ok := d.placer.Pick(now, q, d.rng)
-	if !ok && filter.fallback != nil && !d.mustWait(now, q) {
+	if !ok && filter.fallback != nil && !d.mustWait(now, q, session) {
 		q.Allowed = filter.fallback
 		p, ok = d.placer.Pick(now, q, d.rng)
 	}
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -173,7 +173,7 @@
 	q.Bytes += int(d.extraBytes[q.Route])
 	q.Allowed, q.IsPinned = filter.allowed, filter.isPinned
 	e := d.placer.Explain(now, q, rng)
-	if !e.Found && filter.fallback != nil && !d.mustWait(now, q) {
+	if !e.Found && filter.fallback != nil && !d.mustWait(now, q, session) {
 		q.Allowed = filter.fallback
 		e = d.placer.Explain(now, q, rng)
 	}
--- a/internal/gateway/notices.go
+++ b/internal/gateway/notices.go
@@ -44,9 +44,11 @@
 	return d.placer.NoticeCounts(sinceBoot())
 }
 
-// mustWait reports whether a worker would get the request if it had not asked for fewer. The caller
-// holds the lock.
-func (d *dispatcher) mustWait(now time.Duration, q forward.WorkerQuery) bool {
+// mustWait reports whether a worker would get the request if it had not asked for fewer, or, for a request of a
+// session, if it were warm. A cold worker asked for nothing, and without a session another version may serve.
+// The caller holds the lock.
+func (d *dispatcher) mustWait(now time.Duration, q forward.WorkerQuery, session string) bool {
+	q.IgnoreCold = session == ""
 	_, ok := d.placer.NextTurn(now, q)
 	return ok
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -212,3 +212,27 @@
 	tracker.upsert(0, order, newNopLogger())
 	assert.Equal(t, tracker.byService["svc"].state(), forward.RolloutState(""))
 }
+
+// Guards against a request without a session that is refused because the workers of a rollout's target are cold,
+// while warm workers of the other version are free. One of a session waits for its version.
+func TestColdTargetLeavesTheOtherVersion(t *testing.T) {
+	d := newDispatcher(testSettings(t), newNopLogger())
+	config := testConfig(1)
+	config.Services["svc"] = forward.Service{Name: "svc", ColdStart: time.Minute, ColdPerSecond: 1}
+	d.applyConfig(config)
+	now := sinceBoot()
+	worker := func(id, version string, coldFor time.Duration) forward.WorkerChange {
+		return forward.WorkerChange{Worker: forward.Worker{ID: id, Service: "svc", Version: version, FailureDomain: "a"}, ColdFor: coldFor}
+	}
+	d.applyWorkers(now, &forward.Update{Full: true, Revision: 5, Workers: []forward.WorkerChange{worker("old", "v1", 0), worker("new", "v2", time.Minute)}})
+	d.applyRollouts(now, &forward.Update{Full: true, Revision: 6, Rollouts: []forward.RolloutChange{{Rollout: forward.Rollout{
+		Service: "svc", TargetVersion: "v2", Duration: time.Minute, State: forward.RolloutCompleted, StatusTarget: "v2", Revision: 6, CreatedRevision: 6,
+	}}}})
+	for d.placer.Explain(now, forward.WorkerQuery{Service: "svc", Exclude: []string{"old"}}, d.rng).Found {
+		d.placer.RecordStart(now, "new", "", nil, 0) // uses the permits of the cold worker
+	}
+	got, _, ok := d.pickWorker(now, forward.WorkerQuery{Service: "svc"}, "", "request", false)
+	assert.Check(t, ok && got.Worker.ID == "old", "placed: %v at %q", ok, got.Worker.ID)
+	_, _, ok = d.pickWorker(now, forward.WorkerQuery{Service: "svc"}, "session", "request", false)
+	assert.Check(t, !ok, "a request of a session ran on the other version")
+}
