Bound the stated length of a part of a prompt

Cause (found in review): a caller's header may state any length.

Change: a part of more than 2^20 tokens counts as one that cannot be parsed, and a worker without requests holds no tokens.

Result: TestImpossiblePromptSizesAreNotUsed and TestIdleWorkerHoldsNoTokens, which fail before.

--- a/internal/forward/capacity_test.go
+++ b/internal/forward/capacity_test.go
@@ -74,3 +74,13 @@
 	got, _ := p.Pick(0, WorkerQuery{Service: "s"}, rand.New(rand.NewPCG(1, 1)))
 	assert.Equal(t, got.Worker.ID, "w1")
 }
+
+// Guards against rounding errors that add up until a worker without requests counts as full.
+func TestIdleWorkerHoldsNoTokens(t *testing.T) {
+	p := capacityPlacer()
+	large, small := occupy(p, 1, 1<<62), occupy(p, 100, 600)
+	for _, f := range append(large, small...) {
+		f.End()
+	}
+	assert.Equal(t, p.workers["w1"].tokens, 0.0)
+}
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -108,7 +108,9 @@
 		return
 	}
 	f.worker.inFlight--
-	f.worker.tokens = max(f.worker.tokens-f.tokens, 0)
+	if f.worker.tokens = max(f.worker.tokens-f.tokens, 0); f.worker.inFlight == 0 {
+		f.worker.tokens = 0 // discards rounding errors
+	}
 	switch {
 	case f.answering:
 		f.worker.answering--
--- a/internal/gateway/decode_test.go
+++ b/internal/gateway/decode_test.go
@@ -141,3 +141,11 @@
 		assert.Equal(t, meta.Load, want, "%q", value)
 	}
 }
+
+// Guards against a size in a caller's header that no engine can hold and that spoils the times and loads that are
+// learned from its answer.
+func TestImpossiblePromptSizesAreNotUsed(t *testing.T) {
+	for header, parts := range map[string]int{"1:1000,2:9000000000000000000": 1, "1:-5,2:10": 0, "1:1000,2:40000": 2} {
+		assert.Equal(t, len(parsePromptParts(header)), parts, header)
+	}
+}
--- a/internal/gateway/headers.go
+++ b/internal/gateway/headers.go
@@ -98,7 +98,7 @@
 			return parts
 		}
 		n, err := strconv.Atoi(tokens)
-		if err != nil {
+		if err != nil || n < 0 || n > maxPartTokens {
 			return parts
 		}
 		parts = append(parts, forward.PromptPart{ID: number, Tokens: n})
@@ -106,6 +106,10 @@
 	return parts
 }
 
+// maxPartTokens bounds the stated length of a part of a prompt. It is more than an engine holds; a caller that
+// states more would spoil the loads and times that are learned from its request.
+const maxPartTokens = 1 << 20
+
 // APIKey returns the API key of a request, or "" if it carries no bearer token.
 func (n *HeaderNames) APIKey(h http.Header) string {
 	scheme, key, ok := strings.Cut(h.Get(n.Authorization), " ")
