Spread the first permits of cold workers after a configuration

Cause (found in review): a configuration that names or changes the rate of cold workers gave each gateway its first permit at the same moment.

Change: the first permits are drawn, as they are for the entries of workers.

--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -27,12 +27,12 @@
 }
 
 // SetColdStarts sets the behavior of cold workers by service. Workers may be known to be cold before the
-// configuration is known.
-func (p *Placer) SetColdStarts(now Elapsed, byService map[string]ColdStart) {
+// configuration is known. draw returns random numbers in [0, 1) that spread the first permits of the gateways.
+func (p *Placer) SetColdStarts(now Elapsed, byService map[string]ColdStart, draw func() float64) {
 	p.coldStarts = byService
 	for _, s := range p.workers {
 		if s.notice.isCold(now) {
-			p.limitCold(now, s, 0)
+			p.limitCold(now, s, draw())
 		}
 	}
 }
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -56,7 +56,7 @@
 func (f *coldFleet) newGateway(i, gateways int, rate float64) *Placer {
 	p := NewPlacer(PlacerOptions{MinGateways: min(gateways, 4), FailureDomain: string(rune('a' + i%3))})
 	p.SetWorkers(append([]Worker(nil), f.workers...))
-	p.SetColdStarts(f.now, map[string]ColdStart{"svc": {Duration: testColdTime, PerSecond: rate}})
+	p.SetColdStarts(f.now, map[string]ColdStart{"svc": {Duration: testColdTime, PerSecond: rate}}, f.rng.Float64)
 	return p
 }
 
@@ -231,7 +231,7 @@
 func TestWorkersCountAsColdAfterAnEvacuation(t *testing.T) {
 	p := NewPlacer(PlacerOptions{})
 	p.SetWorkers([]Worker{{ID: "w", Service: "svc", FailureDomain: "a", StartUnixMs: 1}, {ID: "x", Service: "svc", FailureDomain: "b"}})
-	p.SetColdStarts(0, map[string]ColdStart{"svc": {Duration: testColdTime, PerSecond: testColdRate}})
+	p.SetColdStarts(0, map[string]ColdStart{"svc": {Duration: testColdTime, PerSecond: testColdRate}}, func() float64 { return 0 })
 	p.AssumeCold(0, "a", func() float64 { return 0 })
 	p.RecordCold(time.Millisecond, "w", 0, 0)
 	assert.Check(t, p.workers["w"].notice.coldLimit(2*time.Second) != nil, "an entry from before the end of the evacuation ended the limit")
@@ -249,8 +249,30 @@
 	p.SetWorkers([]Worker{{ID: "w", Service: "svc"}})
 	p.RecordCold(0, "w", testColdTime, 0)
 	assert.Check(t, p.workers["w"].notice.coldLimit(0) == nil)
-	p.SetColdStarts(0, map[string]ColdStart{"svc": {Duration: testColdTime, PerSecond: testColdRate}})
+	p.SetColdStarts(0, map[string]ColdStart{"svc": {Duration: testColdTime, PerSecond: testColdRate}}, func() float64 { return 0 })
 	assert.Check(t, p.workers["w"].notice.coldLimit(0) != nil)
 	wait, ok := p.NextTurn(0, WorkerQuery{Service: "svc"})
 	assert.Check(t, ok && wait > 0 && wait < testColdTime, "next turn after %v", wait)
 }
+
+// Guards against gateways that all get their first permits for a cold worker at the same moment, because a
+// configuration that names or changes the rate reaches them together.
+func TestConfigurationSpreadsTheFirstPermits(t *testing.T) {
+	for _, rate := range []float64{4, 8, 17} {
+		for _, gateways := range []int{29, 50} {
+			for seed := range uint64(6) {
+				f := newColdFleet(gateways, 3, 0, seed)
+				busy := func(int) float64 { return 600 / float64(gateways) }
+				f.run(3*time.Second, busy)
+				for _, p := range f.gateways {
+					p.RecordCold(f.now, "w0", 20*time.Second, 0)
+					p.SetColdStarts(f.now, map[string]ColdStart{"svc": {Duration: testColdTime, PerSecond: rate}}, f.rng.Float64)
+				}
+				at := f.now
+				f.run(15*time.Second, busy)
+				most := f.mostInASecond(at, "w0")
+				assert.Check(t, float64(most) <= maxColdPerSecond(rate), "rate %v, %d gateways, seed %d: %d in a second", rate, gateways, seed, most)
+			}
+		}
+	}
+}
--- a/internal/forward/explain_test.go
+++ b/internal/forward/explain_test.go
@@ -24,7 +24,7 @@
 		list = append(list, Worker{ID: fmt.Sprintf("w%d", i), Service: "s", Version: fmt.Sprintf("v%d", d.rng.IntN(2)), FailureDomain: string(rune('a' + d.rng.IntN(3))), Slots: 8})
 	}
 	d.SetWorkers(list)
-	d.SetColdStarts(0, map[string]ColdStart{"s": {Duration: time.Second, PerSecond: 17}})
+	d.SetColdStarts(0, map[string]ColdStart{"s": {Duration: time.Second, PerSecond: 17}}, d.rng.Float64)
 	d.SetUrgentRequests(map[string]UrgentRequests{"s": {Priority: 0, Target: time.Second}})
 	if d.rng.IntN(2) == 0 {
 		d.markCascading("s")
@@ -125,7 +125,7 @@
 		{ID: "version", Service: "s", Version: "v2"},
 		{ID: "free", Service: "s"},
 	})
-	p.SetColdStarts(0, map[string]ColdStart{"s": {Duration: time.Second, PerSecond: 1}})
+	p.SetColdStarts(0, map[string]ColdStart{"s": {Duration: time.Second, PerSecond: 1}}, func() float64 { return 0 })
 	p.SetEvacuated([]string{"b"})
 	p.RecordCold(0, "cold", time.Second, 0)
 	p.RecordLeaving(0, "leaving")
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -101,7 +101,7 @@
 	d.snapshot.Store(&configSnapshot{config: config, routes: forward.NewRouteTable(config.Routes)})
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.placer.SetColdStarts(sinceBoot(), config.ColdStarts())
+	d.placer.SetColdStarts(sinceBoot(), config.ColdStarts(), d.rng.Float64)
 	d.placer.SetCapacities(config.Capacities())
 	d.placer.SetUrgentRequests(config.UrgentRequests())
 	return true
