Learn no waits from refusals

Cause (found in review): the header of a refusal, which comes within a millisecond, counted as an answer that had begun at the load of a full worker. The expected wait fell while workers refused, and admission let more in.

Change: refusals and failures are left out of the time for a request of load.

Result: TestRefusalsSayNothingOfTheWait; with AnswerStarted in its place it fails.

--- a/internal/forward/capacity_test.go
+++ b/internal/forward/capacity_test.go
@@ -84,3 +84,19 @@
 	}
 	assert.Equal(t, p.workers["w1"].tokens, 0.0)
 }
+
+// Guards against refusals, which come at once, that are taken for answers that begin quickly, so that a full worker
+// seems to have room.
+func TestRefusalsSayNothingOfTheWait(t *testing.T) {
+	p := capacityPlacer()
+	for range 20 {
+		p.RecordStart(0, "w1", "", nil, 0).AnswerStarted(200 * time.Millisecond)
+	}
+	before := p.statsFor("s").timePerRequest(0)
+	for range 100 {
+		f := p.RecordStart(time.Second, "w1", "", nil, 0)
+		f.RefusalStarted(time.Second + time.Millisecond)
+		f.End()
+	}
+	assert.Equal(t, p.statsFor("s").timePerRequest(0), before)
+}
--- a/internal/forward/load.go
+++ b/internal/forward/load.go
@@ -95,8 +95,17 @@
 	if f == nil || f.answering {
 		return
 	}
-	f.stats.recordWait(f.pool, now-f.startedAt)
 	f.stats.recordTimed(f.pool, now-f.startedAt, f.load, f.ahead)
+	f.RefusalStarted(now)
+}
+
+// RefusalStarted records that the worker has refused the request or failed it. That comes at once and says nothing of
+// how long a request waits at its load.
+func (f *InFlight) RefusalStarted(now Elapsed) {
+	if f == nil || f.answering {
+		return
+	}
+	f.stats.recordWait(f.pool, now-f.startedAt)
 	f.answering, f.wait = true, now-f.startedAt
 	f.worker.unreadWork = max(f.worker.unreadWork-f.work, 0)
 	f.worker.answering++
--- a/internal/gateway/peerexchange.go
+++ b/internal/gateway/peerexchange.go
@@ -158,9 +158,13 @@
 	f.End()
 }
 
-// recordFirstByte records that a worker's response began.
-func (d *dispatcher) recordFirstByte(f *forward.InFlight) {
+// recordFirstByte records that a worker's response began, and whether it is a refusal or a failure.
+func (d *dispatcher) recordFirstByte(f *forward.InFlight, isRefusal bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if isRefusal {
+		f.RefusalStarted(sinceBoot())
+		return
+	}
 	f.AnswerStarted(sinceBoot())
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -312,7 +312,7 @@
 	}
 	a.record.HeaderMs = time.Since(a.started).Milliseconds()
 	a.record.Framing = framing.Of(ex.resp).String()
-	r.gateway.dispatcher.recordFirstByte(a.inFlight)
+	r.gateway.dispatcher.recordFirstByte(a.inFlight, ex.meta.NotRun || ex.resp.StatusCode >= http.StatusBadRequest)
 	r.gateway.admission.begun(r.ticket)
 	return r.handleHeader(ctx, a)
 }
