Bound the stated pace where the usual time is learned

Cause (found in review): the pace was bounded where it is used and not where it is learned; one absurd value moved the usual time of a kind for all workers.

Change: the same bound in both places, and no single answer moves a known usual time by more than the largest slowness.

--- a/internal/forward/speed.go
+++ b/internal/forward/speed.go
@@ -118,10 +118,13 @@
 	s.logPace = 0
 	if pace > 0 {
 		s.stats.reportsPace = true
-		s.logPace = math.Log(min(max(pace, 1/maxSlowness), maxSlowness))
+		s.logPace = logOfPace(pace)
 	}
 }
 
+// logOfPace returns the logarithm of a stated pace within bounds.
+func logOfPace(pace float64) float64 { return math.Log(min(max(pace, 1/maxSlowness), maxSlowness)) }
+
 // isNearlyFull reports whether most slots of a worker are in use: by its last report, and by what this
 // process has sent and ended since.
 func (s *workerState) isNearlyFull() bool {
@@ -174,10 +177,12 @@
 // the usual is not known.
 func (u *usualTime) record(value float64) (float64, bool) {
 	excess, known := value-u.mean, u.answers >= minUsualAnswers
+	if limit := math.Log(maxSlowness); known {
+		excess = min(max(excess, -limit), limit)
+	}
 	u.answers++
 	u.mean += max(1/float64(u.answers), usualGain) * excess
-	limit := math.Log(maxSlowness)
-	return min(max(excess, -limit), limit), known
+	return excess, known
 }
 
 // sizeClass returns the class of a request by its own work. Each class is four times as wide as the one
@@ -240,7 +245,7 @@
 	value := math.Log(f.wait.Seconds() / f.demand())
 	if pace > 0 {
 		// The pace was the same for the last part of a long wait only.
-		value -= math.Log(pace) * min(float64(paceLife)/float64(f.wait), 1)
+		value -= logOfPace(pace) * min(float64(paceLife)/float64(f.wait), 1)
 	}
 	excess, known := usual.record(value)
 	if !known {
--- a/internal/forward/speed_test.go
+++ b/internal/forward/speed_test.go
@@ -116,3 +116,15 @@
 	}
 	assert.Assert(t, reports <= 5, "%d reports in 10 s", reports)
 }
+
+// Guards against one worker that states an absurd pace and so moves the usual time of all others.
+func TestAbsurdPaceMovesNobodyElse(t *testing.T) {
+	p := speedPlacer()
+	before, _ := p.SpeedEstimate(2*time.Second, "w2")
+	serve(p, 2*time.Second, 30*time.Millisecond, "w3", 1e300)
+	for i := range 9 {
+		serve(p, 2*time.Second+time.Duration(i)*time.Millisecond, 30*time.Millisecond, "w2", 1)
+	}
+	after, _ := p.SpeedEstimate(2*time.Second, "w2")
+	assert.Check(t, after.Learned < 1.2*before.Learned && after.Learned > before.Learned/1.2, "%.2f before, %.2f after", before.Learned, after.Learned)
+}
