State all parts of a score and the request's ID in an explanation

Cause (found in review): where workers state their pace, the work of the request was missing among the parts, so that they did not add up; and without a session a rollout chooses by the ID of the request, which could not be stated.

--- a/cmd/borageflow/explain.go
+++ b/cmd/borageflow/explain.go
@@ -16,8 +16,8 @@
 
 // explainFlags holds the flags of the subcommand explain.
 type explainFlags struct {
-	address, output                                            string
-	route, customer, service, model, prompt, session, deadline string
+	address, output                                                     string
+	route, customer, service, model, prompt, session, request, deadline string
 }
 
 func newExplain() command {
@@ -32,6 +32,7 @@
 	c.sub.String(&f.model, "m", "model", "Model that the caller names; without it the router chooses.")
 	c.sub.String(&f.prompt, "p", "prompt", "Parts of the prompt as ID:TOKENS, separated by commas; IDs in hexadecimal.")
 	c.sub.String(&f.session, "e", "session", "Session of the request.")
+	c.sub.String(&f.request, "i", "request", "ID of the request, by which a rollout chooses the version without a session.")
 	c.sub.String(&f.deadline, "d", "deadline", "Time that the caller waits, such as 5s.")
 	return c
 }
@@ -44,7 +45,7 @@
 		return usageError{fmt.Sprintf("--output is %q, must be table or json", f.output)}
 	}
 	query := url.Values{"route": {f.route}}
-	for name, value := range map[string]string{"customer": f.customer, "service": f.service, "model": f.model, "prompt": f.prompt, "session": f.session, "deadline": f.deadline} {
+	for name, value := range map[string]string{"customer": f.customer, "service": f.service, "model": f.model, "prompt": f.prompt, "session": f.session, "request": f.request, "deadline": f.deadline} {
 		if value != "" {
 			query.Set(name, value)
 		}
@@ -92,9 +93,9 @@
 	}
 	if len(e.Candidates) > 0 {
 		fmt.Fprintln(s.out)
-		t = newTable(s.out, "WORKER", "DOMAIN", "VERSION", "SCORE", "LOAD", "AGE MS", "FAILURES", "POOL", "SLOWNESS", "CAPACITY", "LEAVING", "SHARE", "CACHED")
+		t = newTable(s.out, "WORKER", "DOMAIN", "VERSION", "SCORE", "LOAD", "AGE MS", "FAILURES", "POOL", "WORK", "SLOWNESS", "CAPACITY", "LEAVING", "SHARE", "CACHED")
 		for _, c := range e.Candidates {
-			t.row(c.Worker, c.FailureDomain, c.Version, number(c.Score), number(c.Load), c.LoadAgeMs, number(c.Failures), number(c.OtherPool), number(c.Slowness), number(c.Capacity), number(c.Leaving), number(c.Share), c.CachedTokens)
+			t.row(c.Worker, c.FailureDomain, c.Version, number(c.Score), number(c.Load), c.LoadAgeMs, number(c.Failures), number(c.OtherPool), number(c.Work), number(c.Slowness), number(c.Capacity), number(c.Leaving), number(c.Share), c.CachedTokens)
 		}
 		if err := t.w.Flush(); err != nil {
 			return err
--- a/internal/forward/choice.go
+++ b/internal/forward/choice.go
@@ -52,7 +52,7 @@
 func (p *Placer) compareSample(now Elapsed, q *WorkerQuery, list []*workerState, rng *rand.Rand) {
 	step, at := float64(len(list))/maxCompared, rng.Float64()
 	for i := range maxCompared {
-		p.compare(now, q, list[int((float64(i)+at)*step)], false, rng)
+		p.compare(now, q, list[min(int((float64(i)+at)*step), len(list)-1)], false, rng)
 	}
 }
 
--- a/internal/gateway/explain.go
+++ b/internal/gateway/explain.go
@@ -60,9 +60,11 @@
 	Score         float64 `json:"score"`
 	Load          float64 `json:"load"`
 	// LoadAgeMs is negative without a report.
-	LoadAgeMs    int64   `json:"loadAgeMs"`
-	Failures     float64 `json:"failures"`
-	OtherPool    float64 `json:"otherPool"`
+	LoadAgeMs int64   `json:"loadAgeMs"`
+	Failures  float64 `json:"failures"`
+	OtherPool float64 `json:"otherPool"`
+	// Work is the work of the request; it counts only where workers state their pace.
+	Work         float64 `json:"work,omitempty"`
 	Slowness     float64 `json:"slowness,omitempty"`
 	Capacity     float64 `json:"capacity"`
 	Leaving      float64 `json:"leaving"`
@@ -115,7 +117,7 @@
 		return nil, "deadline is not a duration such as 5s"
 	}
 	r.deadline = r.started.Add(requestTimeout(limit, r.route.Timeout))
-	r.inbound.meta = forward.RequestMeta{Session: query.Get("session"), Prompt: parsePromptParts(query.Get("prompt"))}
+	r.inbound.meta = forward.RequestMeta{RequestID: query.Get("request"), Session: query.Get("session"), Prompt: parsePromptParts(query.Get("prompt"))}
 	if r.routerPicksModel = query.Get("model") == ""; !r.routerPicksModel {
 		r.inbound.meta.Model = query.Get("model")
 	}
@@ -142,7 +144,7 @@
 	if d, ok := g.admission.foresee(r); ok {
 		out.Admission = &ExplainedAdmission{d.Action.String(), d.RoomWait.Milliseconds(), d.RoomAge.Milliseconds(), d.Queued}
 	}
-	e := g.dispatcher.explain(sinceBoot(), r.workerQuery(), r.inbound.meta.Session)
+	e := g.dispatcher.explain(sinceBoot(), r.workerQuery(), r.inbound.meta.Session, r.inbound.meta.RequestID)
 	if e.Found {
 		out.Worker, out.CachedTokens, out.LeftFor = e.Worker.ID, e.CachedTokens, string(e.LeftFor)
 	} else {
@@ -151,7 +153,7 @@
 	for i := range e.Candidates {
 		c := &e.Candidates[i]
 		out.Candidates = append(out.Candidates, ExplainedWorker{
-			c.Worker.ID, c.Worker.FailureDomain, c.Worker.Version, c.Total(), c.Load, c.LoadAge.Milliseconds(), c.Failures + c.PeerFailures, c.OtherPool,
+			c.Worker.ID, c.Worker.FailureDomain, c.Worker.Version, c.Total(), c.Load, c.LoadAge.Milliseconds(), c.Failures + c.PeerFailures, c.OtherPool, c.Work,
 			c.Slowness, c.Capacity, c.Leaving, c.Share, c.CachedTokens,
 		})
 	}
@@ -165,11 +167,11 @@
 }
 
 // explain returns the explanation of a choice as pickWorker makes it.
-func (d *dispatcher) explain(now time.Duration, q forward.WorkerQuery, session string) forward.Explanation {
+func (d *dispatcher) explain(now time.Duration, q forward.WorkerQuery, session, requestID string) forward.Explanation {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	rng := rand.New(rand.NewPCG(uint64(now), 1)) //nolint:gosec // the questions must not change the random numbers of the requests
-	filter := d.rollouts.chooseVersion(now, q.Service, session, "", false)
+	filter := d.rollouts.chooseVersion(now, q.Service, session, requestID, false)
 	q.Bytes += int(d.extraBytes[q.Route])
 	q.Allowed, q.IsPinned = filter.allowed, filter.isPinned
 	e := d.placer.Explain(now, q, rng)
--- a/internal/gateway/explain_test.go
+++ b/internal/gateway/explain_test.go
@@ -50,6 +50,8 @@
 	assert.Equal(t, e.Service, "svc")
 	assert.Equal(t, e.NextModel, "medium")
 	assert.Equal(t, len(e.Candidates), 1)
+	c := e.Candidates[0]
+	assert.Equal(t, c.Score, c.Load+c.Failures+c.OtherPool+c.Leaving, "the parts do not add up")
 	assert.DeepEqual(t, e.Excluded, map[string]forward.Exclusion{"b": forward.ExcludedEvacuated})
 	assert.Equal(t, len(a.requests())+len(b.requests()), 0)
 	assert.Equal(t, gw.gateway.metrics.requests.Get(), uint64(0))
