Keep the cold rate when the exchange splits

Cause: a gateway divides the rate of a cold worker among the gateways it hears of. When the exchange splits, each half divides the whole rate, so that the worker may get up to twice as much.

Change: for ten seconds after gateways are not heard of any more, the rate is divided as if they still sent. A split that lasts longer than that before a worker turns cold is not covered.

--- a/internal/forward/cold.go
+++ b/internal/forward/cold.go
@@ -15,6 +15,10 @@
 	// fleetSettleTime is the time after the first exchange from which the number of gateways is
 	// taken to be known. In it each gateway has reported to a relay that has just started.
 	fleetSettleTime = time.Second
+	// mostGatewaysTime is how long gateways that are not heard of any more keep their part of the rates of
+	// cold workers. It covers the time until a fleet whose exchange has split hears of all again, or its
+	// workers are warm.
+	mostGatewaysTime = 10 * time.Second
 )
 
 // ColdStart is how a service's workers behave while they are cold.
@@ -99,10 +103,14 @@
 }
 
 // coldShare returns this gateway's share of the rates of a service's cold workers. A gateway whose
-// number of peers is not known reckons with assumedGateways.
+// number of peers is not known reckons with assumedGateways. Gateways that were heard of until lately
+// keep their part, as they may still send where the exchange has split.
 func (p *Placer) coldShare(now Elapsed, service string) float64 {
 	share := p.limitShare(now, service)
 	if p.opts.MinGateways <= 1 || p.gateways > 0 && now-p.firstExchangeAt >= fleetSettleTime {
+		if p.gateways > 0 && p.gateways < p.mostGateways {
+			share *= float64(p.gateways) / float64(p.mostGateways)
+		}
 		return share
 	}
 	return min(share, 1.0/assumedGateways)
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -22,6 +22,8 @@
 	running map[string]int
 	// cutOff are the gateways that exchange nothing.
 	cutOff map[int]bool
+	// isSplit is set if the gateways with even and odd numbers exchange nothing with each other.
+	isSplit bool
 }
 
 type flight struct {
@@ -60,17 +62,29 @@
 	return p
 }
 
+// exchange tells each gateway what the others of its half state if the exchange is split in two.
 func (f *coldFleet) exchange() {
+	if f.isSplit {
+		f.exchangeAmong(0)
+		f.exchangeAmong(1)
+		return
+	}
+	f.exchangeAmong(-1)
+}
+
+// exchangeAmong exchanges among the gateways of a half, or among all for -1.
+func (f *coldFleet) exchangeAmong(half int) {
+	among := func(i int) bool { return !f.cutOff[i] && (half < 0 || i%2 == half) }
 	own, total, known := make([]float64, len(f.gateways)), 0.0, 0
 	for i, p := range f.gateways {
-		if !f.cutOff[i] {
+		if among(i) {
 			p.OwnDemand(f.now, func(_ string, perSecond float64) { own[i] = perSecond })
 			total += own[i]
 			known++
 		}
 	}
 	for i, p := range f.gateways {
-		if !f.cutOff[i] {
+		if among(i) {
 			p.SetPeerDemand(f.now, known, func(string) float64 { return total - own[i] })
 		}
 	}
@@ -276,3 +290,21 @@
 		}
 	}
 }
+
+// Guards against two halves of a fleet that lose each other and then each use the whole rate of a cold worker.
+func TestSplitFleetKeepsWithinColdRate(t *testing.T) {
+	for _, gateways := range []int{4, 28, 50, 102} {
+		for seed := range uint64(6) {
+			f := newColdFleet(gateways, 3, testColdRate, seed)
+			busy := func(int) float64 { return 600 / float64(gateways) }
+			f.run(5*time.Second, busy)
+			f.isSplit = true
+			f.run(4*time.Second, busy)
+			f.turnCold("w0", "w1")
+			at := f.now
+			f.run(testColdTime, busy)
+			most := f.mostInASecond(at, "w0", "w1")
+			assert.Check(t, float64(most) <= maxColdPerSecond(testColdRate), "%d gateways, seed %d: %d in a second", gateways, seed, most)
+		}
+	}
+}
--- a/internal/forward/ratelimit.go
+++ b/internal/forward/ratelimit.go
@@ -193,6 +193,9 @@
 		p.firstExchangeAt = now
 	}
 	p.gateways, p.gatewaysAt = gateways, now
+	if gateways >= p.mostGateways || now-p.mostGatewaysAt > mostGatewaysTime {
+		p.mostGateways, p.mostGatewaysAt = gateways, now
+	}
 	for service := range p.services {
 		p.demandFor(service).updateShare(now, gateways, perSecond(service))
 	}
