Refuse for good only by a configuration that cannot be outdated

Callers saw: 404 or 401, which are final, for a route or key that a newer configuration held, acknowledged for longer than it may take to be in force. In between a gateway spoke for a version that may have been replaced. The class of fault is a definite answer from data whose age allows only 'unknown'. Change: AgeBounds has two ages. Known keys are accepted as before; unknown routes and keys are refused for good only within min(0.78 revokeMs, applyMs), and get store_unavailable with Retry-After beyond. A retry refused for the same reason states Retry-After now, too. Why it works: a configuration that was the newest one at C refuses until C + applyMs at the latest. A version that it does not know was acknowledged after C, so that a request refused for good was sent less than applyMs after the acknowledgement. Without applyMs in the settings nothing changes.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -43,15 +43,20 @@
 	c := &Config{HasCustomers: true, Customers: map[string]Customer{"k": {Name: "ada"}}}
 	confirmed := ConfirmedConfig{Config: c, ConfirmedAt: 10 * time.Second}
 	route := &Route{}
-	customer, refusal := Authorize(confirmed, route, "k", 12*time.Second, 3*time.Second)
+	bounds := AgeBounds{Accept: 3 * time.Second, Refuse: 2 * time.Second}
+	customer, refusal := Authorize(confirmed, route, "k", 13*time.Second, bounds)
 	assert.Assert(t, refusal == nil)
 	assert.Equal(t, customer.Name, "ada")
-	_, refusal = Authorize(confirmed, route, "other", 12*time.Second, 3*time.Second)
+	_, refusal = Authorize(confirmed, route, "other", 12*time.Second, bounds)
 	assert.Equal(t, refusal.Kind, errkind.Unauthenticated)
-	_, refusal = Authorize(confirmed, route, "k", 14*time.Second, 3*time.Second)
+	_, refusal = Authorize(confirmed, route, "other", 12*time.Second+1, bounds)
 	assert.Equal(t, refusal.Kind, errkind.StoreUnavailable)
-	_, refusal = Authorize(confirmed, &Route{Anonymous: true}, "", time.Hour, 3*time.Second)
+	_, refusal = Authorize(confirmed, route, "k", 14*time.Second, bounds)
+	assert.Equal(t, refusal.Kind, errkind.StoreUnavailable)
+	_, refusal = Authorize(confirmed, &Route{Anonymous: true}, "", time.Hour, bounds)
 	assert.Assert(t, refusal == nil)
+	assert.Equal(t, RefuseUnknownRoute(confirmed, 12*time.Second, bounds).Kind, errkind.UnknownRoute)
+	assert.Equal(t, RefuseUnknownRoute(confirmed, 12*time.Second+1, bounds).Kind, errkind.StoreUnavailable)
 }
 
 // Guards against workers that are dropped because their entries expire while the store does
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -231,7 +231,7 @@
 		return false, reason
 	}
 	snapshot := d.snapshot.Load()
-	if snapshot.config.HasCustomers && d.confirmedConfig(snapshot).Age(now) > d.maxKeyAge() {
+	if snapshot.config.HasCustomers && d.confirmedConfig(snapshot).Age(now) > d.ageBounds().Accept {
 		return false, "API keys cannot be checked: the store has not answered recently"
 	}
 	return true, ""
@@ -242,9 +242,16 @@
 // request takes to reach the worker.
 const maxKeyAgeFraction = 0.78
 
-// maxKeyAge returns the age from which the API keys are too old to accept a request.
-func (d *dispatcher) maxKeyAge() time.Duration {
-	return time.Duration(maxKeyAgeFraction * float64(d.settings.Load().MaxRevokeDelay))
+// ageBounds returns the ages from which the configuration is too old to accept a request and to
+// refuse one for good. A configuration that was the newest one less than MaxApplyDelay ago cannot
+// have been replaced for longer.
+func (d *dispatcher) ageBounds() forward.AgeBounds {
+	s := d.settings.Load()
+	accept := time.Duration(maxKeyAgeFraction * float64(s.MaxRevokeDelay))
+	if s.MaxApplyDelay == 0 {
+		return forward.AgeBounds{Accept: accept, Refuse: accept}
+	}
+	return forward.AgeBounds{Accept: accept, Refuse: min(accept, s.MaxApplyDelay)}
 }
 
 // usableAddresses returns the set of addresses of usable workers.
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -60,7 +60,7 @@
 	confirmed := g.dispatcher.confirmedConfig(snapshot)
 	route := snapshot.routes.Match(req.Host, req.RequestURI)
 	if route == nil {
-		g.writeError(w, meta, snapshot, g.routeNotFound(confirmed, now))
+		g.writeError(w, meta, snapshot, withStoreRetryAfter(forward.RefuseUnknownRoute(confirmed, now, g.dispatcher.ageBounds())))
 		return
 	}
 	if route.Kind == forward.Stream && g.rejectsNewStreams() {
@@ -68,12 +68,9 @@
 		return
 	}
 	key := g.headers.APIKey(req.Header)
-	customer, refusal := forward.Authorize(confirmed, route, key, now, g.dispatcher.maxKeyAge())
+	customer, refusal := forward.Authorize(confirmed, route, key, now, g.dispatcher.ageBounds())
 	if refusal != nil {
-		if refusal.Kind == errkind.StoreUnavailable {
-			refusal = refusal.WithRetryAfter(defaultRetryAfter)
-		}
-		g.writeError(w, meta, snapshot, refusal)
+		g.writeError(w, meta, snapshot, withStoreRetryAfter(refusal))
 		return
 	}
 	timeLimit := requestTimeout(meta.TimeLimit, route.Timeout)
@@ -111,13 +108,12 @@
 	}
 }
 
-// routeNotFound returns the error for a request that no route matches: unknown_route, or
-// store_unavailable while the configuration may be outdated.
-func (g *Gateway) routeNotFound(confirmed forward.ConfirmedConfig, now time.Duration) *errkind.Error {
-	if confirmed.Age(now) > g.dispatcher.maxKeyAge() {
-		return errkind.New(errkind.StoreUnavailable, "routes may be outdated: the store has not answered recently").WithRetryAfter(defaultRetryAfter)
+// withStoreRetryAfter adds the advised pause to an error that ends once the store answers.
+func withStoreRetryAfter(e *errkind.Error) *errkind.Error {
+	if e.Kind == errkind.StoreUnavailable {
+		return e.WithRetryAfter(defaultRetryAfter)
 	}
-	return errkind.New(errkind.UnknownRoute, "no route matches this host and path")
+	return e
 }
 
 // requestTimeout returns the lower of the caller's and the route's time limit, where 0 means
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -119,13 +119,21 @@
 // startGatewayWith starts a gateway with the given settings and store and waits until it is
 // ready.
 func startGatewayWith(t testing.TB, s Settings, store *forwarding.Store) *gatewayHarness {
+	t.Helper()
+	gw := startGatewayOn(t, s, store)
+	gw.store = store
+	return gw
+}
+
+// startGatewayOn is startGatewayWith for a store that is wrapped.
+func startGatewayOn(t testing.TB, s Settings, store forward.Store) *gatewayHarness {
 	t.Helper()
 	out := &lockedBuffer{}
 	log, lines, err := newLogger(s, out)
 	assert.NilError(t, err)
 	g := newGateway(s, Dependencies{Store: store, Headers: DefaultHeaderNames, LogOutput: out}, log, lines)
 	assert.NilError(t, g.start(context.Background()))
-	gw := &gatewayHarness{t: t, store: store, gateway: g, log: out, url: "http://" + s.CallerAddress, health: "http://" + s.HealthAddress}
+	gw := &gatewayHarness{t: t, gateway: g, log: out, url: "http://" + s.CallerAddress, health: "http://" + s.HealthAddress}
 	t.Cleanup(func() {
 		g.stopBackground()
 		_ = g.callerServer.Close()
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -202,12 +202,13 @@
 // attempt.
 func (r *request) authorize() *errkind.Error {
 	snapshot := r.gateway.dispatcher.snapshot.Load()
-	if _, refusal := forward.Authorize(r.gateway.dispatcher.confirmedConfig(snapshot), r.route, r.apiKey, sinceBoot(), r.gateway.dispatcher.maxKeyAge()); refusal != nil {
-		r.keyWithdrawn = refusal.Kind == errkind.Unauthenticated
+	if _, refusal := forward.Authorize(r.gateway.dispatcher.confirmedConfig(snapshot), r.route, r.apiKey, sinceBoot(), r.gateway.dispatcher.ageBounds()); refusal != nil {
+		_, known := snapshot.config.Customers[r.apiKey]
+		r.keyWithdrawn = !known
 		if r.mayHaveRun {
 			return errkind.New(errkind.UpstreamFailed, "request cannot be retried: "+refusal.Message)
 		}
-		return refusal
+		return withStoreRetryAfter(refusal)
 	}
 	return nil
 }
