Learn of a configuration in time though a watch gets no answer

Cause: without relays, a watch on the configuration waits 1.5 s and is given up 0.7 s later. If its answer is lost, a change stays unknown for 2.2 s and the pause before the next call; applyMs is 2 s. After a change the age grew further: the watch that brought it counts from its sending, and the next one began 0.4 s later. Evidence: TestConfigurationIsInForceInTimeAfterLostWatch failed before: in force after 2.30 s of 2 s. Suspected only as a cause of the users' report. Change: the wait follows from the age of the state, the bound and the time after which a call is given up (forward.WatchWait, pure): 1.1 s with a bound of 2 s, less after a change. Relays leave the others time for a watch of theirs. Without applyMs nothing changes. Why it works: age, wait, timeout, pause and the list that follows add up to the bound.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -167,7 +167,7 @@
 	ignoreLoss := func() {}
 	relists := newRelistCoordinator()
 	watchers := []*topicWatcher{
-		{topic: forward.ConfigTopic, store: g.store, watchTimeout: g.settings.configWatchTimeout(), minBackoff: initialBackoff, maxBackoff: maxBackoff, batchDelay: configBatchDelay, apply: g.applyConfig, onStoreLost: ignoreLoss, onCall: g.metrics.countStoreCall, relists: relists, log: log},
+		{topic: forward.ConfigTopic, store: g.store, watchTimeout: g.settings.configWatchTimeout(), applyDelay: g.settings.watchApplyDelay(), callTimeout: g.settings.StoreTimeout, minBackoff: initialBackoff, maxBackoff: maxBackoff, batchDelay: configBatchDelay, apply: g.applyConfig, onStoreLost: ignoreLoss, onCall: g.metrics.countStoreCall, relists: relists, log: log},
 		{topic: forward.WorkerTopic, store: g.store, watchTimeout: g.settings.LongWatchTimeout, minBackoff: initialBackoff, maxBackoff: maxLongWatchBackoff, batchDelay: workerBatchDelay, apply: func(u *forward.Update, _ time.Duration) {
 			g.dispatcher.applyWorkers(sinceBoot(), u)
 		}, onStoreLost: g.dispatcher.storeLost, onCall: g.metrics.countStoreCall, relists: relists, log: log},
--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -69,6 +69,19 @@
 	return s.WatchTimeout
 }
 
+// watchApplyDelay returns the delay within which this gateway must learn of a configuration from the
+// store, 0 for no bound of its own. A relay leaves the others time for a watch of theirs; what these get
+// is as old as the relay's, whatever the wait.
+func (s *Settings) watchApplyDelay() time.Duration {
+	switch {
+	case !s.usesRelays():
+		return s.MaxApplyDelay
+	case s.isRelay():
+		return s.MaxApplyDelay - relayWatchTimeout
+	}
+	return 0
+}
+
 // newRelayPeer returns the relay connection of this gateway and the store to watch: the store
 // itself on a relay and where the bounds do not allow relays, and a store that asks the relays
 // first elsewhere. The relay connection is nil where no relays are configured.
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -29,6 +29,9 @@
 	topic        forward.Topic
 	store        forward.Store
 	watchTimeout time.Duration
+	// applyDelay is the delay after which a change must be in force, 0 without a bound, and callTimeout
+	// the time after which a watch that was not answered is given up, beyond its wait.
+	applyDelay, callTimeout time.Duration
 	// minBackoff and maxBackoff bound the pause after failed calls.
 	minBackoff, maxBackoff time.Duration
 	// batchDelay is the pause after a change, so that one call returns the changes that follow.
@@ -45,7 +48,11 @@
 	relayPeer *relayPeer
 	log       *zap.Logger
 
-	revision  int64
+	revision int64
+	// confirmedAt is the latest time at which the state was known to be the newest one.
+	confirmedAt time.Duration
+	// watchWait is the wait of the last call, 0 for a list.
+	watchWait time.Duration
 	hasListed bool
 	isFailing bool
 	backoff   time.Duration
@@ -85,9 +92,11 @@
 
 func (w *topicWatcher) nextUpdate(ctx context.Context) (forward.Update, error) {
 	if !w.hasListed {
+		w.watchWait = 0
 		return w.store.List(ctx, w.topic)
 	}
-	return w.store.Watch(ctx, w.topic, w.revision, w.watchTimeout)
+	w.watchWait = forward.WatchWait(sinceBoot()-w.confirmedAt, w.applyDelay, w.callTimeout, w.watchTimeout)
+	return w.store.Watch(ctx, w.topic, w.revision, w.watchWait)
 }
 
 func (w *topicWatcher) handleUpdate(u *forward.Update, sentAt time.Duration) {
@@ -98,12 +107,13 @@
 	}
 	w.backoff = 0
 	confirmed := sentAt
-	// The store held the watch for its whole timeout, so nothing had changed by then,
-	// however late the response is read.
-	if !u.Full && u.ChangeCount() == 0 && sinceBoot()-sentAt >= w.watchTimeout {
-		confirmed = sentAt + w.watchTimeout
+	// The store held the watch for its whole wait, so nothing had changed by then, however late
+	// the response is read.
+	if !u.Full && u.ChangeCount() == 0 && sinceBoot()-sentAt >= w.watchWait {
+		confirmed = sentAt + w.watchWait
 	}
 	confirmed -= u.Age
+	w.confirmedAt = max(w.confirmedAt, confirmed)
 	w.revision, w.hasListed = u.Revision, true
 	for _, fault := range u.Faults {
 		w.log.Warn("object of the store cannot be used and is ignored", zap.Stringer("topic", w.topic), zap.String("name", fault.Name), zap.String("problem", fault.Problem), zap.Int64("revision", u.Revision))
