Count requests whose callers left, by whether a worker got them

Cause: logs and metrics could not tell requests that were sent on after their callers had left from requests whose callers left while a worker was at work, nor from those that were dropped in time. Change: borageflow_gateway_departed_callers_total{sent}; newCallerServer is split from listen so that a test can serve a listener of its own.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -289,7 +289,7 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen for callers on %s", g.settings.CallerAddress)
 	}
-	g.callerServer = &http.Server{Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: zap.NewStdLog(observe.ComponentLogger(g.log, "http"))}
+	g.callerServer = g.newCallerServer()
 	if g.healthServer, err = g.listenHealth(g.settings.HealthAddress, false); err != nil {
 		return err
 	}
@@ -304,6 +304,14 @@
 	return nil
 }
 
+// newCallerServer returns the server of callers.
+func (g *Gateway) newCallerServer() *http.Server {
+	return &http.Server{
+		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ErrorLog: zap.NewStdLog(observe.ComponentLogger(g.log, "http")),
+	}
+}
+
 // closeConnWhenDraining asks the caller to close the connection if the process is draining or has nearly
 // as many connections as it can serve. The caller's next connection reaches another process.
 func (g *Gateway) closeConnWhenDraining(w http.ResponseWriter) {
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -100,6 +100,9 @@
 	refusal, outcome := r.serve(req.Context())
 	r.logEnd(snapshot, refusal, outcome)
 	g.metrics.observeRequest(outcome, time.Since(started))
+	if outcome == outcomeCallerLeft {
+		g.metrics.countDeparted(r.sentAttempts > 0)
+	}
 	if r.aborted || refusal != nil && (r.headerSent || req.Context().Err() != nil) {
 		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -110,6 +110,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("borageflow_gateway_request_seconds{outcome=%q}", outcome)).Update(d.Seconds())
 }
 
+// countDeparted counts a request whose caller left before it had an answer, by whether a worker got it.
+func (m *gatewayMetrics) countDeparted(sent bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_departed_callers_total{sent=\"%t\"}", sent)).Inc()
+}
+
 func (m *gatewayMetrics) countLoadExchange(ok bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_load_exchanges_total{ok=\"%t\"}", ok)).Inc()
 }
--- a/internal/gateway/request_test.go
+++ b/internal/gateway/request_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -55,6 +56,11 @@
 	gw.waitFor("request is logged", func() bool { return strings.Contains(gw.log.String(), "request has ended") })
 	assert.Assert(t, strings.Contains(gw.log.String(), `"outcome":"caller left"`), gw.log.String())
 	assert.Assert(t, !strings.Contains(gw.log.String(), "deadline_exceeded"), gw.log.String())
+	gw.waitFor("request is counted", func() bool {
+		var metrics bytes.Buffer
+		gw.gateway.metrics.set.WritePrometheus(&metrics)
+		return strings.Contains(metrics.String(), `departed_callers_total{sent="true"} 1`)
+	})
 }
 
 // Guards against retry budgets that are full again after a reload of the settings.
