Send no request on whose caller has left

Callers saw: nothing, they had left; workers ran their requests all the same. Cause: only net/http's background read notices that a caller closes. It starts when the body has been read and needs processor time, and nothing looked at the connection before an attempt. A gateway that was paused or busy reads a backlog of requests and closes at once and sends a part of them on. Change: the connection of the caller is looked at (netpeek) before the request asks for room and again right before each attempt is written; one that was closed cancels the request, which takes the paths that a close noticed by net/http takes. Why it works: the close of a caller that left before the request was read is in the socket when the attempt is about to be written. This covers first attempts, repeats, resumed streams and larger models: all are written by sendRequest. Not covered: a close behind bytes of a next request.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -97,14 +97,15 @@
 // errNotSent marks a failure before any byte of the request was written.
 var errNotSent = eris.New("request was not sent to the worker")
 
-// sendRequest takes a connection from the pool or opens one and writes the request to it. Every
-// error is errNotSent and proves that the worker received nothing of the request. A failed
-// write is reported by writeOK instead.
-func sendRequest(ctx context.Context, p *connPool, address string, maxIdle time.Duration, head, body []byte) (*exchange, error) {
+// sendRequest takes a connection from the pool or opens one and writes the request to it, unless
+// beforeWrite cancels ctx. Every error is errNotSent and proves that the worker received nothing of the
+// request. A failed write is reported by writeOK instead.
+func sendRequest(ctx context.Context, p *connPool, address string, maxIdle time.Duration, beforeWrite func(), head, body []byte) (*exchange, error) {
 	c, err := p.get(ctx, address, maxIdle)
 	if err != nil {
 		return nil, eris.Wrap(errNotSent, err.Error())
 	}
+	beforeWrite()
 	if ctx.Err() != nil {
 		p.put(address, c)
 		return nil, errNotSent
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -308,7 +308,7 @@
 func (g *Gateway) newCallerServer() *http.Server {
 	return &http.Server{
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(observe.ComponentLogger(g.log, "http")),
+		ErrorLog: zap.NewStdLog(observe.ComponentLogger(g.log, "http")), ConnContext: withCallerConn,
 	}
 }
 
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -103,7 +103,7 @@
 	if outcome == outcomeCallerLeft {
 		g.metrics.countDeparted(r.sentAttempts > 0)
 	}
-	if r.aborted || refusal != nil && (r.headerSent || req.Context().Err() != nil) {
+	if r.aborted || refusal != nil && (r.headerSent || outcome == outcomeCallerLeft || req.Context().Err() != nil) {
 		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
 	}
 	if refusal != nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,6 +57,8 @@
 	endedWorkers atomic.Int32
 	// turn is the turn that the request has taken because it is suspected; see turnOf.
 	turn *quarantine.Part
+	// departure ends the request if its caller has left.
+	departure departure
 	// ticket is the room that the present attempt takes.
 	ticket admissionTicket
 	// urgency is the priority at the engine, from 0 (first) to 9; -1 states none.
@@ -113,6 +115,8 @@
 // serve runs attempts until one succeeds or the request must end. It returns the error to send
 // to the caller, if any, and the outcome for the log and the metrics.
 func (r *request) serve(ctx context.Context) (*errkind.Error, string) {
+	ctx, r.departure = newDeparture(ctx)
+	defer r.departure.cancel()
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	r.gateway.dispatcher.recordFirstAttempt(r.service)
@@ -148,6 +152,10 @@
 // serve.
 func (r *request) runAttempts(ctx context.Context) (*errkind.Error, string) {
 	for {
+		r.departure.check()
+		if err, outcome := r.contextError(ctx); err != nil {
+			return err, outcome
+		}
 		ticket, refusal := r.admit(ctx)
 		if refusal != nil {
 			if err, outcome := r.contextError(ctx); err != nil {
@@ -279,7 +287,7 @@
 	if !r.route.Idempotent() {
 		maxIdle = maxUnsafeIdle
 	}
-	ex, err := sendRequest(ctx, r.gateway.pool, a.worker.Address, maxIdle, buf.Bytes(), r.inbound.body)
+	ex, err := sendRequest(ctx, r.gateway.pool, a.worker.Address, maxIdle, r.departure.check, buf.Bytes(), r.inbound.body)
 	if err != nil {
 		r.unsentAttempts++
 		r.lastError = err
