End no stream with an answer that does not continue it

Callers saw: a stream that broke off after two events ended as if it were complete, or with a page's text behind its last event, because the next worker had answered the resumption with 204, with 200 and no body, with 202, or with a body of another type. Cause: any 2xx answer of a stream route was copied as the rest of the stream; its status and type were not compared with those of the head that the caller has. The class of fault is that the second part of an exchange is judged as if it were the first. Change: framing.StreamHead, pure, says whether an answer continues a stream. One that does not counts as a failure of its worker (cause not_continued) and the stream goes on at another worker, or is cut if none may be asked. Why it works: a continuation has the status and type of the first part. A worker that has sent all events and lost the end mark still ends the stream (TestResumptionBehindLastEventEndsStream).

--- a/internal/framing/cause.go
+++ b/internal/framing/cause.go
@@ -18,6 +18,8 @@
 	ErrInsideEvent = eris.New("stream ended inside an event")
 	// ErrStalled is returned when nothing arrived before a deadline.
 	ErrStalled = eris.New("no event of the stream arrived before its deadline")
+	// ErrNotContinued is the error of an answer to a resumption that does not continue the stream.
+	ErrNotContinued = eris.New("answer does not continue the stream that broke off")
 )
 
 // Cause is why an answer is not whole. The list is closed.
@@ -34,10 +36,12 @@
 	OverBound Cause = "over_bound"
 	// NoAnswer is bytes that are no answer.
 	NoAnswer Cause = "no_answer"
+	// NotContinued answers do not continue the stream that they were asked to resume.
+	NotContinued Cause = "not_continued"
 )
 
 // Causes lists every Cause.
-var Causes = []Cause{BrokenOff, InsideEvent, Silent, OverBound, NoAnswer}
+var Causes = []Cause{BrokenOff, InsideEvent, Silent, OverBound, NoAnswer, NotContinued}
 
 // CauseOf returns the cause that an error of reading an answer stands for.
 func CauseOf(err error) Cause {
@@ -49,6 +53,8 @@
 		return Silent
 	case errors.Is(err, ErrHeadTooLarge), errors.Is(err, ErrTooManyFields), errors.Is(err, ErrEventTooLarge):
 		return OverBound
+	case errors.Is(err, ErrNotContinued):
+		return NotContinued
 	case IsNoAnswer(err):
 		return NoAnswer
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -65,6 +65,8 @@
 	urgency int
 
 	headerSent bool
+	// streamHead is the head of the stream that the caller receives, valid if headerSent is set.
+	streamHead framing.StreamHead
 	// aborted reports whether the caller's connection must be closed.
 	aborted bool
 	// lastEventID is the ID of the last event that the caller received; -1 before the first.
@@ -368,9 +370,16 @@
 	r.mayHaveRun = true
 	a.begunAt = time.Now()
 	latency := time.Since(a.started)
-	failed := status >= http.StatusInternalServerError
+	isForeign := r.headerSent && !r.streamHead.ContinuedBy(ex.resp)
+	failed := status >= http.StatusInternalServerError || isForeign
 	r.gateway.dispatcher.recordAnswer(a.evidence, failed)
 	r.runCount++
+	if isForeign {
+		r.workerFailed = true
+		r.recordFailure(a, framing.ErrNotContinued)
+		ex.drainAndRelease(r.gateway.pool)
+		return forward.Broken, false
+	}
 	if failed {
 		r.workerFailed = true
 		r.gateway.dispatcher.recordAttempt(a.worker, membership.Failed, latency)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -32,15 +32,8 @@
 	if err != nil {
 		a.record.BodyBytes = len(buffer.bytes)
 		r.recordBodyFailure(a, err)
-		if r.headerSent {
-			return r.abortResponse()
-		}
 		return forward.Broken, false
 	}
-	if r.headerSent {
-		// The request to resume a stream was answered with a response that is no stream.
-		return r.abortResponse()
-	}
 	r.copyHeader(resp)
 	out := r.writer.Header()
 	if ended {
@@ -189,7 +182,7 @@
 	if resp.ContentLength >= 0 && !r.route.Resumable {
 		r.writer.Header()["Content-Length"] = []string{strconv.FormatInt(resp.ContentLength, 10)}
 	}
-	r.headerSent = true
+	r.headerSent, r.streamHead = true, framing.StreamHeadOf(resp)
 	r.dropHeld()
 	r.firstByteLatency = time.Since(r.started)
 	r.writer.WriteHeader(resp.StatusCode)
