Take no second copy of a refusal for the refusal of another request

Callers saw: 503, not run, try again, for requests that a worker had run or was running, or such a request ran at a second worker. A worker whose first answer on a connection is a refusal without the ID can write it again; so can one that refused a request whose caller sends it once more with the same ID, on the same connection. The class of fault is a proof that is not bound to what it proves. Evidence: TestCopyOfRefusalRefusesNoOtherRequest, 1,440 cases (503, 429 and 421; refusal and copy with the ID or without; 1 to 3 requests before; copies before, with and during a request, after pauses; four kinds of route; new or repeated IDs). Before, 256 failed: a caller was told that its request had not run, or one that may run once ran twice. All had the ID repeated, or a first refusal without it. Change: the connection of a refusal that names no request is closed; one on which a request was refused does not carry a request with that ID again. A connection carries at most 16 refusals. Why it works: a copy can come on the same connection only. With an ID, no other request takes it for its answer. Result: 0 of 1,440 cases fail, TestCopyOfAnswerReachesNoOtherCaller passes, with -race.

--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -33,6 +34,9 @@
 	// connections from all callers.
 	maxIdlePerWorker = 24
 
+	// maxRefusedIDs bounds the refusals that a connection carries.
+	maxRefusedIDs = 16
+
 	readBufferBytes = 4 << 10
 )
 
@@ -45,6 +49,8 @@
 	isReused    bool
 	// namesRequests reports whether an answer on the connection has named its request.
 	namesRequests bool
+	// refusedIDs are the IDs of the requests that were refused on the connection.
+	refusedIDs []string
 	// head bounds the head of the response that is being read.
 	head framing.HeadCounter
 	// received is the number of bytes that were read from the connection.
@@ -134,14 +140,15 @@
 	return errors.Join(err, sockoptErr)
 }
 
-// get returns a connection that was idle for less than maxIdle, or a new one.
-func (p *connPool) get(ctx context.Context, address string, maxIdle time.Duration) (*conn, error) {
+// get returns a connection that was idle for less than maxIdle and on which the request was not refused
+// before, or a new one.
+func (p *connPool) get(ctx context.Context, address, requestID string, maxIdle time.Duration) (*conn, error) {
 	for {
 		c := p.popIdle(address)
 		if c == nil {
 			break
 		}
-		if time.Since(c.idleSince) < min(c.idleTimeout, maxIdle) && isReusable(c) {
+		if time.Since(c.idleSince) < min(c.idleTimeout, maxIdle) && !slices.Contains(c.refusedIDs, requestID) && isReusable(c) {
 			c.isReused = true
 			return c, nil
 		}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -97,20 +97,31 @@
 // errNotSent marks a failure before any byte of the request was written.
 var errNotSent = eris.New("request was not sent to the worker")
 
-// sendRequest takes a connection from the pool or opens one and writes the request to it, unless
-// beforeWrite cancels ctx. Every error is errNotSent and proves that the worker received nothing of the
-// request. A failed write is reported by writeOK instead.
-func sendRequest(ctx context.Context, p *connPool, address string, maxIdle time.Duration, beforeWrite func(), head, body []byte) (*exchange, error) {
-	c, err := p.get(ctx, address, maxIdle)
+// outboundRequest is a request to be written to a worker.
+type outboundRequest struct {
+	address, requestID string
+	// maxIdle bounds the idle time of a connection that is used again.
+	maxIdle    time.Duration
+	head, body []byte
+	// beforeWrite is called right before the request is written; it may cancel the context.
+	beforeWrite func()
+}
+
+// sendRequest takes a connection from the pool or opens one and writes the request to it. Every
+// error is errNotSent and proves that the worker received nothing of the request. A failed
+// write is reported by writeOK instead.
+func sendRequest(ctx context.Context, p *connPool, r outboundRequest) (*exchange, error) {
+	c, err := p.get(ctx, r.address, r.requestID, r.maxIdle)
 	if err != nil {
 		return nil, eris.Wrap(errNotSent, err.Error())
 	}
-	beforeWrite()
+	r.beforeWrite()
 	if ctx.Err() != nil {
-		p.put(address, c)
+		p.put(r.address, c)
 		return nil, errNotSent
 	}
-	e := &exchange{conn: c, address: address, writeDone: make(chan struct{}), sentBytes: int64(len(head) + len(body)), receivedBefore: c.received}
+	head, body := r.head, r.body
+	e := &exchange{conn: c, address: r.address, writeDone: make(chan struct{}), sentBytes: int64(len(head) + len(body)), receivedBefore: c.received}
 	e.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if len(head)+len(body) <= maxInlineWriteBytes {
 		_, err := c.Write(append(head, body...))
@@ -248,5 +259,17 @@
 	e.releaseConn(p)
 }
 
+// releaseRefusal reads the rest of a response that says that the request has not run. A second copy of it
+// may follow on the connection. If it names its request, no other request takes it for its answer, and the
+// connection does not carry this one again; otherwise the connection is closed.
+func (e *exchange) releaseRefusal(p *connPool) {
+	if e.meta.RequestID == "" || len(e.conn.refusedIDs) >= maxRefusedIDs {
+		e.close()
+		return
+	}
+	e.conn.refusedIDs = append(e.conn.refusedIDs, e.meta.RequestID)
+	e.drainAndRelease(p)
+}
+
 // maxDrainBytes is the largest response that is read only to reuse its connection.
 const maxDrainBytes = 16 << 10
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -289,7 +289,9 @@
 	if !r.route.Idempotent() {
 		maxIdle = maxUnsafeIdle
 	}
-	ex, err := sendRequest(ctx, r.gateway.pool, a.worker.Address, maxIdle, r.departure.check, buf.Bytes(), r.inbound.body)
+	ex, err := sendRequest(ctx, r.gateway.pool, outboundRequest{
+		address: a.worker.Address, requestID: r.inbound.meta.RequestID, maxIdle: maxIdle, head: buf.Bytes(), body: r.inbound.body, beforeWrite: r.departure.check,
+	})
 	if err != nil {
 		r.unsentAttempts++
 		r.lastError = err
@@ -360,11 +362,11 @@
 	switch {
 	case status == http.StatusMisdirectedRequest:
 		r.gateway.dispatcher.removeWorker(now, a.worker.ID)
-		ex.drainAndRelease(r.gateway.pool)
+		ex.releaseRefusal(r.gateway.pool)
 		return forward.WrongWorker, false
 	case ex.meta.NotRun:
 		r.gateway.dispatcher.recordAttempt(a.worker, membership.Succeeded, time.Since(a.started))
-		ex.drainAndRelease(r.gateway.pool)
+		ex.releaseRefusal(r.gateway.pool)
 		return forward.NotRun, false
 	}
 	r.mayHaveRun = true
