Look at callers' connections beneath their wrappers

The gateway's connections are wrapped by httpdrain, so that netpeek could not look at them and said 'unknown'. The class of fault is a test that builds its object differently from the product. Change: httpdrain, which knows the connections that it wraps, passes them to netpeek.CallerLeft by the context of a request. newCallerServer makes the listener and the server together, and the test uses it.

--- a/internal/gateway/departed_test.go
+++ b/internal/gateway/departed_test.go
@@ -35,8 +35,8 @@
 			gw := startGateway(t, w)
 			inner, err := net.Listen("tcp", ownHost()+":0")
 			assert.NilError(t, err)
-			listener := &heldListener{Listener: inner, release: make(chan struct{})}
-			server := gw.gateway.newCallerServer()
+			held := &heldListener{Listener: inner, release: make(chan struct{})}
+			server, listener := gw.gateway.newCallerServer(held)
 			t.Cleanup(func() { _ = server.Close() })
 			go func() { _ = server.Serve(listener) }()
 			call := func(id string) net.Conn {
@@ -50,7 +50,7 @@
 			}
 			stays := call("stays")
 			defer func() { _ = stays.Close() }()
-			close(listener.release)
+			close(held.release)
 			gw.waitFor("all requests have ended", func() bool { return strings.Count(gw.log.String(), "request has ended") == callers+1 })
 			received := w.requests()
 			assert.Equal(t, len(received), 1, "requests reached the worker after their callers had left")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -289,7 +289,6 @@
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen for callers on %s", g.settings.CallerAddress)
 	}
-	g.callerServer = g.newCallerServer()
 	if g.healthServer, err = g.listenHealth(g.settings.HealthAddress, false); err != nil {
 		return err
 	}
@@ -298,18 +297,21 @@
 			return err
 		}
 	}
-	g.callerListener = httpdrain.NewListener(&guardedListener{Listener: listener, guard: g.overload})
-	g.callerListener.Prepare(g.callerServer)
+	g.callerServer, g.callerListener = g.newCallerServer(listener)
 	go func() { _ = g.callerServer.Serve(g.callerListener) }()
 	return nil
 }
 
-// newCallerServer returns the server of callers.
-func (g *Gateway) newCallerServer() *http.Server {
-	return &http.Server{
+// newCallerServer returns the server of callers and the listener that it serves, which takes the connections of
+// inner.
+func (g *Gateway) newCallerServer(inner net.Listener) (*http.Server, *httpdrain.Listener) {
+	server := &http.Server{
 		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(observe.ComponentLogger(g.log, "http")), ConnContext: withCallerConn,
+		ErrorLog: zap.NewStdLog(observe.ComponentLogger(g.log, "http")),
 	}
+	listener := httpdrain.NewListener(&guardedListener{Listener: inner, guard: g.overload})
+	listener.Prepare(server)
+	return server, listener
 }
 
 // closeConnWhenDraining asks the caller to close the connection if the process is draining or has nearly
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -50,11 +50,17 @@
 }
 
 // Prepare must be called before server serves the connections of l, as they are or wrapped by other
-// listeners. It sets the ConnState hook and wraps the handler, so that answers close their connections
-// once a stop has begun.
+// listeners. It sets the ConnState and ConnContext hooks, so that netpeek.CallerLeft knows the connection of
+// a request, and wraps the handler, so that answers close their connections once a stop has begun.
 func (l *Listener) Prepare(server *http.Server) {
 	handler := server.Handler
 	server.ConnState = l.setState
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if own := l.find(c); own != nil {
+			return netpeek.WithCaller(ctx, own.Conn)
+		}
+		return ctx
+	}
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if l.draining.Load() {
 			w.Header().Set("Connection", "close")
@@ -90,17 +96,21 @@
 }
 
 func (l *Listener) setState(c net.Conn, state http.ConnState) {
-	own, ok := c.(*conn)
-	if !ok { // wrapped by another listener
-		l.mu.Lock()
-		own = l.open[c.RemoteAddr().String()]
-		l.mu.Unlock()
-	}
-	if own != nil {
+	if own := l.find(c); own != nil {
 		own.setIdle(state == http.StateNew || state == http.StateIdle)
 	}
 }
 
+// find returns the connection of l that c is or wraps, or nil if it is closed.
+func (l *Listener) find(c net.Conn) *conn {
+	if own, ok := c.(*conn); ok {
+		return own
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open[c.RemoteAddr().String()]
+}
+
 // Shutdown stops a server that serves l: it accepts what waits, answers all requests that have arrived,
 // and closes the connections on which nothing has. It returns when none is left, or with the error of
 // ctx; the others are closed then.
