Submit no request at an entry whose caller has left

Callers saw: nothing, they had left; their requests were submitted to the core of the entry and, until the cancellation followed, to sidecars and backend servers. The context of a request ends only by net/http's background read, which a paused or busy entry runs after it has read the backlog. Change: callerapi asks netpeek.CallerLeft before it submits a request. With TLS the close is seen only if no alert comes before it.

--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -17,6 +17,7 @@
 	"github.com/borageflow/borageflow/internal/entry"
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/manifest"
+	"github.com/borageflow/borageflow/internal/netpeek"
 )
 
 // HTTP headers of the caller API: those that a caller may send, and those of the
@@ -151,9 +152,12 @@
 	writeEnd(update streamUpdate) error
 }
 
-// submitAndCopy submits a request and copies its answer to out until it ends. It notifies
-// the backend when the caller disconnects or a write fails.
+// submitAndCopy submits a request, unless its caller has left, and copies its answer to out until it
+// ends. It notifies the backend when the caller disconnects or a write fails.
 func (h *handler) submitAndCopy(ctx context.Context, w http.ResponseWriter, arrived entry.RequestArrived, out answerWriter) {
+	if netpeek.CallerLeft(ctx) {
+		panic(http.ErrAbortHandler) // nobody receives an answer
+	}
 	stream := NewStream()
 	if !h.backend.Submit(arrived, stream) {
 		h.writeError(w, arrived.Request, errkind.New(errkind.Overloaded, "entry is overloaded").WithRetryAfter(time.Second))
