Take no worker for unreachable because its caller left

Callers saw: after callers had left in a burst, sound workers got no requests for 2 s and longer, so that others were refused or waited. Cause: an attempt whose context ends while a connection is opened was recorded as an unreachable worker, and a single one ejects it. Found while the paths of callers that leave were read. Evidence: TestCallerThatLeavesMakesNoWorkerUnreachable failed before: eight callers leave while connections to five workers are opened, and workers have a share of 0. Change: such an attempt says nothing of the worker if the caller left or the time of the request is over. Result: the test passes with -race.

--- a/internal/gateway/departed_test.go
+++ b/internal/gateway/departed_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -66,3 +67,42 @@
 		})
 	}
 }
+
+// Guards against a worker that is taken for unreachable because callers left while connections to it were opened.
+func TestCallerThatLeavesMakesNoWorkerUnreachable(t *testing.T) {
+	var workers []*testWorker
+	for n := range 5 {
+		workers = append(workers, startWorker(t, fmt.Sprint("w", n), func(_ int, c net.Conn, r receivedRequest) bool {
+			writeResponse(c, r, 200, "done")
+			return true
+		}))
+	}
+	gw := startGateway(t, workers...)
+	left := make(chan struct{})
+	gw.gateway.pool.dialer.Control = func(string, string, syscall.RawConn) error {
+		<-left
+		time.Sleep(20 * time.Millisecond) // net/http notices the close
+		return nil
+	}
+	const callers = 8
+	var open []net.Conn
+	for n := range callers {
+		c, err := net.Dial("tcp", strings.TrimPrefix(gw.url, "http://"))
+		assert.NilError(t, err)
+		fmt.Fprintf(c, "GET /safe/x HTTP/1.1\r\nHost: test\r\nAuthorization: Bearer key-1\r\n%s: r-%d\r\n\r\n", DefaultHeaderNames.RequestID, n)
+		open = append(open, c)
+	}
+	gw.waitFor("all requests wait for a connection", func() bool { return gw.gateway.activeRequests.Load() == callers })
+	time.Sleep(50 * time.Millisecond)
+	for _, c := range open {
+		assert.NilError(t, c.Close())
+	}
+	close(left)
+	gw.waitFor("all requests have ended", func() bool { return gw.gateway.activeRequests.Load() == 0 })
+	gw.gateway.dispatcher.mu.Lock()
+	defer gw.gateway.dispatcher.mu.Unlock()
+	for _, w := range workers {
+		assert.Equal(t, gw.gateway.dispatcher.health.Share(w.id), 1.0, w.id)
+		assert.Equal(t, len(w.requests()), 0)
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -295,7 +295,9 @@
 	if err != nil {
 		r.unsentAttempts++
 		r.lastError = err
-		r.gateway.dispatcher.recordNoAnswer(a.worker, membership.Unreachable, 0)
+		if ctx.Err() == nil { // otherwise the caller left, or the time of the request is over
+			r.gateway.dispatcher.recordNoAnswer(a.worker, membership.Unreachable, 0)
+		}
 		return forward.NotSent, false
 	}
 	a.exchange = ex
