Test that a copy of a refusal refuses no larger model

A request keeps its ID when a larger model is asked, so that the copy of an earlier refusal of the same request can pass for the larger model's. No logic changes.

--- a/internal/gateway/refusalcopy_test.go
+++ b/internal/gateway/refusalcopy_test.go
@@ -151,3 +151,46 @@
 		assert.Assert(t, !strings.Contains(resp.body, "HTTP/1.1"), resp.body)
 	}
 }
+
+// Guards against the copy of a refusal that is taken for the answer of a larger model to the same request.
+func TestCopyOfRefusalRefusesNoLargerModel(t *testing.T) {
+	const largeAnswer = "id: 1\ndata: large\n\n"
+	for n := range 12 { // the larger model may be asked at the other worker, where no copy is sent
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			t.Parallel()
+			s := &refusalCopier{status: http.StatusServiceUnavailable, runs: map[string]int{}}
+			var refusedOn net.Conn
+			script := func(_ int, c net.Conn, r receivedRequest) bool {
+				model, id := r.request.Header.Get(DefaultHeaderNames.Model), r.request.Header.Get(DefaultHeaderNames.RequestID)
+				s.mu.Lock()
+				isFirst := refusedOn == nil
+				if isFirst {
+					refusedOn = c
+				}
+				s.runs[model]++
+				s.mu.Unlock()
+				switch {
+				case isFirst:
+					fmt.Fprint(c, s.refusal(id, true))
+				case model == "small":
+					return writeBody(c, r, "length", smallAnswer, DefaultHeaderNames.Confidence+": 10")
+				default:
+					if c == refusedOn {
+						fmt.Fprint(c, s.refusal(id, true))
+						time.Sleep(10 * time.Millisecond)
+					}
+					return writeBody(c, r, "length", largeAnswer, DefaultHeaderNames.Confidence+": 90")
+				}
+				return true
+			}
+			gw := startEscalationGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+			resp := gw.call("POST", "/stream/x", "hard", DefaultHeaderNames.Model, "auto")
+			assert.NilError(t, resp.err)
+			assert.Equal(t, resp.body, largeAnswer)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			assert.Equal(t, s.runs["small"], 2)
+			assert.Equal(t, s.runs["large"], 1, "the larger model ran twice")
+		})
+	}
+}
