--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -128,8 +128,12 @@
 }
 
 // admit waits until the request may be sent, and returns its ticket. It returns the refusal if the request is not
-// sent. A stream of which the caller has a part, and a request for a larger model, are always sent.
+// sent, also because its caller has left or its time is over. A stream of which the caller has a part, and a request for a larger model, are always sent.
 func (r *request) admit(ctx context.Context) (admissionTicket, *errkind.Error) {
+	r.departure.check()
+	if ctx.Err() != nil {
+		return admissionTicket{}, r.notSentAgain(errkind.New(errkind.Overloaded, "request ended before it was sent").WithRetryAfter(defaultRetryAfter))
+	}
 	if r.headerSent || r.modelIndex > 0 {
 		return admissionTicket{}, nil
 	}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -99,11 +99,8 @@
 	r.service = route.PickService(g.dispatcher.randomFloat())
 	refusal, outcome := r.serve(req.Context())
 	r.logEnd(snapshot, refusal, outcome)
-	g.metrics.observeRequest(outcome, time.Since(started))
-	if outcome == outcomeCallerLeft {
-		g.metrics.countDeparted(r.sentAttempts > 0)
-	}
-	if r.aborted || refusal != nil && (r.headerSent || outcome == outcomeCallerLeft || req.Context().Err() != nil) {
+	g.metrics.observeRequest(outcome, time.Since(started), r.sentAttempts > 0)
+	if r.mustAbort(req.Context(), refusal, outcome) {
 		panic(http.ErrAbortHandler) // closes the connection, so that the response does not look complete
 	}
 	if refusal != nil {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -106,13 +106,11 @@
 	m.set.GetOrCreateCounter(unfinishedMetric(worker, cause)).Inc()
 }
 
-func (m *gatewayMetrics) observeRequest(outcome string, d time.Duration) {
+func (m *gatewayMetrics) observeRequest(outcome string, d time.Duration, wasSent bool) {
 	m.set.GetOrCreateHistogram(fmt.Sprintf("borageflow_gateway_request_seconds{outcome=%q}", outcome)).Update(d.Seconds())
-}
-
-// countDeparted counts a request whose caller left before it had an answer, by whether a worker got it.
-func (m *gatewayMetrics) countDeparted(sent bool) {
-	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_departed_callers_total{sent=\"%t\"}", sent)).Inc()
+	if outcome == outcomeCallerLeft {
+		m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_departed_callers_total{sent=\"%t\"}", wasSent)).Inc()
+	}
 }
 
 func (m *gatewayMetrics) countLoadExchange(ok bool) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -154,10 +154,6 @@
 // serve.
 func (r *request) runAttempts(ctx context.Context) (*errkind.Error, string) {
 	for {
-		r.departure.check()
-		if err, outcome := r.contextError(ctx); err != nil {
-			return err, outcome
-		}
 		ticket, refusal := r.admit(ctx)
 		if refusal != nil {
 			if err, outcome := r.contextError(ctx); err != nil {
@@ -374,16 +370,12 @@
 	r.mayHaveRun = true
 	a.begunAt = time.Now()
 	latency := time.Since(a.started)
-	isForeign := r.headerSent && !r.streamHead.ContinuedBy(ex.resp)
-	failed := status >= http.StatusInternalServerError || isForeign
-	r.gateway.dispatcher.recordAnswer(a.evidence, failed)
 	r.runCount++
-	if isForeign {
-		r.workerFailed = true
-		r.recordFailure(a, framing.ErrNotContinued)
-		ex.drainAndRelease(r.gateway.pool)
-		return forward.Broken, false
+	if r.headerSent && !r.streamHead.ContinuedBy(ex.resp) {
+		return r.discardForeignAnswer(a), false
 	}
+	failed := status >= http.StatusInternalServerError
+	r.gateway.dispatcher.recordAnswer(a.evidence, failed)
 	if failed {
 		r.workerFailed = true
 		r.gateway.dispatcher.recordAttempt(a.worker, membership.Failed, latency)
@@ -407,6 +399,16 @@
 	return r.copyResponse(a)
 }
 
+// discardForeignAnswer records an answer that does not continue the caller's stream. It returns the outcome of
+// the attempt.
+func (r *request) discardForeignAnswer(a *attempt) forward.Outcome {
+	r.workerFailed = true
+	r.gateway.dispatcher.recordAnswer(a.evidence, true)
+	r.recordFailure(a, framing.ErrNotContinued)
+	a.exchange.drainAndRelease(r.gateway.pool)
+	return forward.Broken
+}
+
 // reserveFailureRetry takes a retry for a request that a worker failed and reports whether there
 // was one. Without one the caller gets the response of the worker.
 func (r *request) reserveFailureRetry() bool {
--- a/internal/gateway/requesterror.go
+++ b/internal/gateway/requesterror.go
@@ -34,6 +34,12 @@
 	return errkind.New(errkind.DeadlineExceeded, "caller closed its connection"), outcomeCallerLeft
 }
 
+// mustAbort reports whether the caller's connection must be closed without a further answer: it has a part of
+// one, or the caller has left.
+func (r *request) mustAbort(ctx context.Context, refusal *errkind.Error, outcome string) bool {
+	return r.aborted || refusal != nil && (r.headerSent || outcome == outcomeCallerLeft || ctx.Err() != nil)
+}
+
 // finalError returns the error for the caller after the last attempt.
 func (r *request) finalError(o forward.Outcome) *errkind.Error {
 	if !r.mayHaveRun {
