Let callers leave in the soak, and check refusals against configurations

Cause: no caller of the soak left before its answer, and no check compared a final refusal with the configurations. So the soak could not find what the users report. Change: a duty sends bursts of whole requests and closes their connections at once, also to gateways that are paused or stopped; none may reach a worker half a second later. A 401 or 404 is checked against the time at which the configuration with the key was committed; a gateway with faults is not excused. Earlier draws keep their random numbers.

--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -48,6 +48,7 @@
 	for i := range sc.calls.list {
 		c := &sc.calls.list[i]
 		sc.checkAnswer(c, add)
+		sc.checkRefusals(c, add)
 		sc.checkRuns(c, add)
 	}
 	sc.checkVersions(add)
@@ -56,6 +57,7 @@
 	sc.checkEvacuations(add)
 	sc.checkColdWorkers(add)
 	sc.checkFatalParts(add)
+	sc.checkDepartures(add)
 	sc.checkRecovery(add)
 	return found
 }
--- a/test/soak/scenario.go
+++ b/test/soak/scenario.go
@@ -42,6 +42,7 @@
 	gateways       []*gateway
 	workers        []*proxiedWorker
 	calls          callLog
+	departures     departures
 	configVersion  atomic.Int64
 	stopped        atomic.Bool
 	workersStarted int // including replaced ones
@@ -51,6 +52,9 @@
 	revokedAt     map[string]time.Time
 	drainingSince map[string]time.Time
 	faults        []faultInterval
+	workerDelays  []workerDelay
+	// restoredAt are the times at which the store came back from an older copy.
+	restoredAt []time.Time
 	// healedAt is the time from which recoveryBound counts: all faults are over, including the grace
 	// period of a stopped gateway.
 	healedAt time.Time
@@ -77,6 +81,7 @@
 func runSeed(dir, binary string, seed uint64, size scenarioSize, logDir string) ([]string, string, error) {
 	sc := &scenario{
 		seed: seed, size: size, bounds: boundsForSeed(seed), store: newStore(), ledger: &ledger{runs: map[string][]run{}}, notices: newNoticeLog(), fatal: drawFatalParts(seed), evacuations: drawEvacuations(seed),
+		departures:  departures{leftAt: map[string]time.Time{}},
 		committedAt: map[int]time.Time{}, revokedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, errs: make(chan error, 100),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -119,7 +124,7 @@
 			served++
 		}
 	}
-	return broken, fmt.Sprintf("%d of %d requests served, %d faults, %d configurations, %d workers ended under fatal parts", served, len(sc.calls.list), len(sc.faults), len(sc.committedAt), sc.fatal.endCount()), nil
+	return broken, fmt.Sprintf("%d of %d requests served, %d callers left, %d faults, %d configurations, %d workers ended under fatal parts", served, len(sc.calls.list), len(sc.departures.leftAt), len(sc.faults), len(sc.committedAt), sc.fatal.endCount()), nil
 }
 
 func (sc *scenario) startGateways(dir, binary, store string) error {
@@ -194,6 +199,7 @@
 	for n := range callerCount {
 		group.Go(func() { sc.runCaller(n) })
 	}
+	group.Go(sc.runDepartingCallers)
 	rng := rand.New(rand.NewPCG(sc.seed, sc.seed))
 	for end := time.Now().Add(sc.size.faultTime); time.Now().Before(end); {
 		time.Sleep(time.Duration(100+rng.IntN(700)) * time.Millisecond)
@@ -285,6 +291,7 @@
 	switch kind {
 	case 3:
 		fault := []string{"delay", "silent", "oneway"}[rng.IntN(3)]
+		sc.workerDelays = append(sc.workerDelays, workerDelay{p.id, time.Now(), time.Now().Add(length)})
 		p.proxy.setFault(fault)
 		sc.undoAfter(length, func() { p.proxy.setFault("") })
 	case 4:
@@ -368,6 +375,7 @@
 // workers have written since is written again after a moment.
 func (sc *scenario) restoreStore(length time.Duration) {
 	sc.recordFault(allGateways, length)
+	sc.restoredAt = append(sc.restoredAt, time.Now())
 	sc.store.restore()
 	sc.undoAfter(200*time.Millisecond, func() { sc.store.writeAgain() })
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,13 +24,17 @@
 // before they turn fatal.
 const turnedFatalSeed = 74
 
+// departureSeed is a seed in which a request runs after its caller has left if gateways do not look at the
+// connections of callers: one of them is paused while callers leave.
+const departureSeed = 5
+
 // evacuationSeeds draw evacuations and cold workers, with relays and without.
 var evacuationSeeds = []uint64{6, 15}
 
 // Guards against gateway processes that break a documented guarantee while the processes, their
 // connections or their store have faults.
 func TestShortSoak(t *testing.T) {
-	soakSeeds(t, 10*time.Second, append(append(regressionSeeds, relaySeed, fatalSeed, turnedFatalSeed), evacuationSeeds...)...)
+	soakSeeds(t, 10*time.Second, append(append(regressionSeeds, relaySeed, fatalSeed, turnedFatalSeed, departureSeed), evacuationSeeds...)...)
 }
 
 // Guards against fatal parts that reach workers, and sound ones that are refused, where gateways exchange
