Keep overlapping evacuations of one zone in force in the soak

An order was skipped if one for its zone was in force, but the end of an order is set when it begins, so that the test never held: two orders for a zone overlapped, and the end of the first took the second back as well. The logs of all three gateways show the end of the evacuation at that moment. Change: an order is taken back unless a later one for its zone is still in force. The check is as before.

--- a/test/soak/evacuations.go
+++ b/test/soak/evacuations.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -23,7 +24,7 @@
 	evacuationShare = 0.2
 )
 
-// evacuation is an order to evacuate a zone. to is zero while it is in force.
+// evacuation is an order to evacuate a zone.
 type evacuation struct {
 	zone     string
 	from, to time.Time
@@ -39,6 +40,7 @@
 type evacuations struct {
 	rng    *rand.Rand // nil in seeds that draw none
 	zones  map[string]string
+	mu     sync.Mutex // guards orders while they are in force
 	orders []*evacuation
 	cold   []coldSpan
 }
@@ -72,22 +74,31 @@
 	return int(coldTime.Milliseconds())
 }
 
-// startEvacuation evacuates a zone for a time, now and then. Orders for two zones may overlap.
+// startEvacuation evacuates a zone for a time, now and then. Orders for two zones, and for one, may overlap.
 func (sc *scenario) startEvacuation() {
 	e := sc.evacuations
 	if e.rng == nil || e.rng.Float64() >= evacuationShare {
 		return
 	}
 	zone := workerZones[e.rng.IntN(len(workerZones))]
-	if slices.ContainsFunc(e.orders, func(o *evacuation) bool { return o.zone == zone && o.to.IsZero() }) {
-		return
-	}
 	length := time.Duration(2000+e.rng.IntN(4000)) * time.Millisecond
-	order := &evacuation{zone: zone, from: time.Now()}
+	now := time.Now()
+	order := &evacuation{zone: zone, from: now, to: now.Add(length)}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.orders = append(e.orders, order)
 	sc.store.put("evacuations", zone, struct{}{})
-	order.to = order.from.Add(length)
-	sc.undoAfter(length, func() { sc.store.remove("evacuations", zone) })
+	sc.undoAfter(length, func() { sc.endEvacuation(order) })
+}
+
+// endEvacuation takes an order back, unless a later one for the same zone is still in force.
+func (sc *scenario) endEvacuation(order *evacuation) {
+	e := sc.evacuations
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !slices.ContainsFunc(e.orders, func(o *evacuation) bool { return o.zone == order.zone && o.to.After(order.to) }) {
+		sc.store.remove("evacuations", order.zone)
+	}
 }
 
 // checkEvacuations checks that no gateway without faults sends requests to the workers of a zone that has
