--- a/internal/gateway/cuthead_test.go
+++ b/internal/gateway/cuthead_test.go
@@ -79,8 +79,7 @@
 	return true
 }
 
-// Guards against an answer that broke off inside its head and reaches its caller as a whole one with an empty or
-// short body, as the end of its stream, or as a refusal.
+// Guards against an answer that broke off inside its head and looks whole, ends a stream or counts as a refusal.
 func TestHeadThatBreaksOffIsNoAnswer(t *testing.T) {
 	always := func(int, receivedRequest) bool { return true }
 	kinds := map[string]struct {
--- a/internal/gateway/refusalcopy_test.go
+++ b/internal/gateway/refusalcopy_test.go
@@ -92,8 +92,7 @@
 	return true
 }
 
-// Guards against a worker's second copy of an earlier refusal by which a caller is told that its request has not
-// run, or by which the request runs at a second worker, although the worker runs it.
+// Guards against the copy of a refusal by which a request that runs is refused, or runs at a second worker.
 func TestCopyOfRefusalRefusesNoOtherRequest(t *testing.T) {
 	const ms = time.Millisecond
 	for _, status := range []int{503, 429, 421} {
--- a/internal/gateway/resumption_test.go
+++ b/internal/gateway/resumption_test.go
@@ -29,8 +29,7 @@
 	"half a status":                     "HTTP/1.1 20%.0s",
 }
 
-// Guards against a stream that ends as complete, or holds foreign bytes, because another worker answered its
-// resumption with something that does not continue it.
+// Guards against a stream that is ended or extended by an answer to its resumption that does not continue it.
 func TestForeignAnswerToResumptionIsNoEndOfStream(t *testing.T) {
 	for name, answer := range foreignAnswers {
 		t.Run(name, func(t *testing.T) {
