Add review case 2: streams of a sound, silent worker are cut beside a SIGTERM

Cause: a stream that is silent for 1.5 s is given up as soon as the retry budget holds a retry, whether or not another worker can take it. If the others are full, the caller's connection is closed in mid-answer.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -21,6 +21,7 @@
 // cases holds what each case does. A case returns whether its rule was broken.
 var cases = map[string]func(*scene) (bool, error){
 	"older-copy": playOlderCopy,
+	"silence":    playSilence,
 }
 
 //go:embed names.json
