Add review case 3: long bodies sent in chunks take a gateway beyond its memory

Cause: a body without a stated length is read into a buffer that doubles its room, up to twice the body and three times while it grows. The memory that is reserved for the request is that of the body alone.

Nothing is fixed.

--- a/review/standin/caller.go
+++ b/review/standin/caller.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	signature, body   string
 	whole             bool // the answer was read to its end
 	problem           string
+	isReused          bool // the connection had carried a request before
 }
 
 // String returns the line of the record.
@@ -56,6 +58,9 @@
 
 var callNumber atomic.Int64
 
+// nextID returns the ID of a further attempt.
+func nextID() string { return fmt.Sprintf("%016x", 0x9c41<<32+callNumber.Add(1)) }
+
 // newClient returns a client that keeps its connections.
 func newClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: 12 * time.Second, DisableCompression: true}}
@@ -64,7 +69,7 @@
 // send sends a request to a gateway and awaits the whole answer. A stream's caller leaves after the gap that
 // the pages name.
 func (s *scene) send(client *http.Client, g *gateway, method, path, model string, deadline time.Duration) *call {
-	c := &call{id: fmt.Sprintf("%016x", 0x9c41<<32+callNumber.Add(1)), path: path, gateway: g.name, deadline: deadline}
+	c := &call{id: nextID(), path: path, gateway: g.name, deadline: deadline}
 	var body io.Reader = strings.NewReader("body of " + c.id)
 	if method == http.MethodGet {
 		body = http.NoBody
@@ -93,7 +98,8 @@
 }
 
 func (s *scene) await(client *http.Client, req *http.Request, c *call) {
-	resp, err := client.Do(req)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { c.isReused = info.Reused }}
+	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		c.problem = err.Error()
 		return
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*scene) (bool, error){
 	"older-copy": playOlderCopy,
 	"silence":    playSilence,
+	"bodies":     playBodies,
 }
 
 //go:embed names.json
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -261,7 +261,7 @@
 	if w.fail != nil && w.fail(out, x.id) {
 		return nil
 	}
-	_, err := io.WriteString(out, "answer to "+x.id+" "+body)
+	_, err := io.WriteString(out, "answer to "+x.id+" "+body[:min(len(body), 64)])
 	return err
 }
 
