Add review case 4: a stream goes on at two workers after a silence

Cause: a stream whose worker sends nothing for 1.5 s goes on at another worker. A closed connection is taken for the end of the first run, but not every worker drops a request when its connection closes.

Nothing is fixed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 	"older-copy": playOlderCopy,
 	"silence":    playSilence,
 	"bodies":     playBodies,
+	"overlap":    playOverlap,
 }
 
 //go:embed names.json
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -57,13 +57,7 @@
 	}
 	sound := s.workers[2]
 	if s.trouble {
-		sound.pause = func(id string, event int) time.Duration {
-			if event != preemptedEvent {
-				return 250 * time.Millisecond
-			}
-			s.record.line("worker %s puts %s back before event %d, for %v", sound.id, id, event, preempted)
-			return preempted
-		}
+		s.putBack(sound)
 	}
 	stop := make(chan struct{})
 	for range 2 {
@@ -88,6 +82,17 @@
 	return broken, nil
 }
 
+// putBack makes a worker put its streams back once.
+func (s *scene) putBack(w *worker) {
+	w.pause = func(id string, event int) time.Duration {
+		if event != preemptedEvent {
+			return 250 * time.Millisecond
+		}
+		s.record.line("worker %s puts %s back before event %d, for %v", w.id, id, event, preempted)
+		return preempted
+	}
+}
+
 const checkPath = "/check/"
 
 // check sends short requests, as other callers do.
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -38,6 +38,8 @@
 	pause func(id string, event int) time.Duration
 	// events is the number of events of a stream.
 	events int
+	// keepsOn is set if the worker goes on with a request whose connection has closed.
+	keepsOn bool
 	// onArrival is called when a request arrives; it may be nil.
 	onArrival func()
 	// fail answers a request that has run in another way, and reports whether it has.
@@ -222,6 +224,10 @@
 	defer timer.Stop()
 	end := time.NewTimer(time.Until(deadline))
 	defer end.Stop()
+	left := r.Context().Done()
+	if w.keepsOn {
+		left = nil
+	}
 	select {
 	case <-timer.C:
 		return nil
@@ -229,7 +235,7 @@
 		return errDeadline
 	case <-w.done:
 		return errExit
-	case <-r.Context().Done():
+	case <-left:
 		return errLeft
 	}
 }
@@ -272,10 +278,11 @@
 		if err := w.await(r, w.pause(x.id, n), deadline); err != nil {
 			return err
 		}
-		if _, err := fmt.Fprintf(out, "id: %d\ndata: %s\n\n", n, x.id); err != nil {
-			return err
+		_, err := fmt.Fprintf(out, "id: %d\ndata: %s\n\n", n, x.id)
+		if err == nil {
+			err = http.NewResponseController(out).Flush()
 		}
-		if err := http.NewResponseController(out).Flush(); err != nil {
+		if err != nil && !w.keepsOn {
 			return err
 		}
 	}
