Put review case 5 on streams without framing in place of the roll-out

Cause: a stream that ends with its connection after a whole event counts as whole. A crash of its worker ends it in the same way.

Change: review/5 is a script now; cases 1 and 5 have seven workers, so that the share of one stays within the site's; case 1 has more callers.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,6 +24,7 @@
 	"silence":    playSilence,
 	"bodies":     playBodies,
 	"overlap":    playOverlap,
+	"unframed":   playUnframed,
 }
 
 //go:embed names.json
--- a/review/standin/oldercopy.go
+++ b/review/standin/oldercopy.go
@@ -13,7 +13,7 @@
 	leaveAt   = 4 * time.Second
 	awayAt    = 8 * time.Second
 	backAt    = 8500 * time.Millisecond
-	exitAt    = 9200 * time.Millisecond
+	exitAt    = 10300 * time.Millisecond
 	rewriteAt = 10500 * time.Millisecond
 	endAt     = 13 * time.Second
 )
@@ -29,7 +29,7 @@
 	s.store.put(configKind, configName, configuration(appService, wireRoute{
 		Name: "host-lookup", PathPrefix: "/lookup/", Kind: "unsafe", TimeoutMs: 1000, TargetLatencyMs: 100, Priority: 2, MaxAttempts: 1,
 	}))
-	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
+	for _, id := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6", "i-7"} {
 		w, err := s.newWorker(id, appService, 6, 24)
 		if err != nil {
 			return false, err
@@ -43,7 +43,7 @@
 	started := time.Now()
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
-	for n := range 12 {
+	for n := range 24 {
 		callers.Go(func() { s.lookUp(s.gateways[n%len(s.gateways)], stop) })
 	}
 	at := func(d time.Duration) { time.Sleep(time.Until(started.Add(d))) }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -38,6 +38,8 @@
 	pause func(id string, event int) time.Duration
 	// events is the number of events of a stream.
 	events int
+	// isUnframed is set if its streams have neither a length nor chunks and end with their connection.
+	isUnframed bool
 	// keepsOn is set if the worker goes on with a request whose connection has closed.
 	keepsOn bool
 	// onArrival is called when a request arrives; it may be nil.
@@ -198,6 +200,12 @@
 	}
 }
 
+func (w *worker) runCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.runs)
+}
+
 // runsOf returns copies of the runs of a request.
 func (w *worker) runsOf(id string) []run {
 	w.mu.Lock()
@@ -247,9 +255,13 @@
 	}
 	out.Header().Set(names.Signature, w.id+"."+x.id)
 	var err error
-	if strings.HasPrefix(r.URL.Path, streamPath) {
+	switch {
+	case strings.HasPrefix(r.URL.Path, streamPath) && w.isUnframed:
+		w.end(x, w.serveUnframed(out, r, deadline))
+		return
+	case strings.HasPrefix(r.URL.Path, streamPath):
 		err = w.serveStream(out, r, x, deadline)
-	} else {
+	default:
 		err = w.servePlain(out, r, x, deadline, body)
 	}
 	if err == nil {
