--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,30 +22,42 @@
 	memoryLimit = 284 << 20
 	// longBody is the longest body that the configuration allows.
 	longBody = 4194304
-	// uploads is the number of callers that send one at the same time, each at uploadRate bytes a second:
-	// together less than the link of the machine carries.
-	uploads    = 56
-	uploadRate = 2 << 20
-	lookers    = 24
+	// uploaders is the number of callers that send such bodies all the time, and burst that of those who come in
+	// addition: 1.67 times the usual traffic. Each sends uploadRate bytes a second, together less than the link of
+	// the machine carries.
+	uploaders, burst = 24, 16
+	uploadRate       = 5 << 19
+	// fileWork is how long a worker takes for such a request.
+	fileWork = 6500 * time.Millisecond
+	// uploadCycle is the time in which an uploader sends one request and gets its answer.
+	uploadCycle = fileWork + 1800*time.Millisecond
+	lookers     = 24
 	// restartDelay is the time after which the platform starts a process again.
 	restartDelay = 500 * time.Millisecond
-	uploadAt     = 2 * time.Second
-	uploadsEnd   = 9 * time.Second
+	burstAt      = 11 * time.Second
+	bodiesEnd    = 21 * time.Second
 )
 
-// playBodies lets callers send the longest allowed bodies at once, in chunks, beside short requests on kept
-// connections. The platform kills a process that uses more than its memory.
+const filePath = "/file/"
+
+// playBodies lets callers send the longest allowed bodies in chunks, and more of them come at once, beside short
+// requests on kept connections. The platform kills a process that uses more than its memory.
 func playBodies(s *scene) (bool, error) {
 	s.store.put(configKind, configName, configuration(appService,
 		wireRoute{Name: "host-lookup", PathPrefix: "/lookup/", Kind: "unsafe", TimeoutMs: 1000, TargetLatencyMs: 100, Priority: 2, MaxAttempts: 1},
-		wireRoute{Name: "journey-file", PathPrefix: "/file/", Kind: "unsafe", TimeoutMs: 10000, TargetLatencyMs: 5000, Priority: 2, MaxAttempts: 1},
+		wireRoute{Name: "journey-file", PathPrefix: filePath, Kind: "unsafe", TimeoutMs: 10000, TargetLatencyMs: 9000, Priority: 2, MaxAttempts: 1},
 	))
 	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
 		w, err := s.newWorker(id, appService, 24, 24)
 		if err != nil {
 			return false, err
 		}
-		w.work = func(*http.Request) time.Duration { return time.Duration(60+rand.IntN(50)) * time.Millisecond }
+		w.work = func(r *http.Request) time.Duration {
+			if strings.HasPrefix(r.URL.Path, filePath) {
+				return fileWork
+			}
+			return time.Duration(60+rand.IntN(50)) * time.Millisecond
+		}
 		s.store.put(workerKind, id, w.entry("ready"))
 	}
 	if err := s.startGateways(smallBounds, "kbh-a"); err != nil {
@@ -59,28 +72,51 @@
 	for range lookers {
 		callers.Go(func() { s.lookUp(g, stop) })
 	}
-	time.Sleep(time.Until(started.Add(uploadAt)))
-	s.record.line("%d callers send bodies of %d bytes at once", uploads, longBody)
-	for range uploads {
-		callers.Go(func() { s.record.line("%s", s.upload(g)) })
+	for n := range uploaders {
+		callers.Go(func() { s.uploadOn(g, time.Duration(n)*uploadCycle/uploaders, stop) })
 	}
-	time.Sleep(time.Until(started.Add(uploadsEnd)))
+	time.Sleep(time.Until(started.Add(burstAt)))
+	if s.trouble {
+		s.record.line("%d more callers come at once, beside %d", burst, uploaders)
+		for range burst {
+			callers.Go(func() { s.record.line("%s", s.upload(newClient(), g)) })
+		}
+	}
+	time.Sleep(time.Until(started.Add(bodiesEnd)))
 	close(stop)
 	callers.Wait()
 	watch.Wait()
 	return s.checkKills(g, kills), nil
 }
 
+// uploadOn sends one long body after the other, from a time on.
+func (s *scene) uploadOn(g *gateway, from time.Duration, stop chan struct{}) {
+	client := newClient()
+	select {
+	case <-stop:
+		return
+	case <-time.After(from):
+	}
+	for !isClosed(stop) {
+		c := s.upload(client, g)
+		s.record.line("%s", c)
+		if c.status == 0 {
+			time.Sleep(time.Second)
+		}
+	}
+}
+
 // enforceMemory kills the gateway when it uses more than its memory, and starts it again. It returns the times
 // of the kills.
 func (s *scene) enforceMemory(g *gateway, stop chan struct{}) []time.Time {
 	var kills []time.Time
 	most := int64(0)
-	for {
+	ended := false
+	for !ended {
 		select {
 		case <-stop:
+			ended = true
 			s.record.line("the process used at most %d bytes of %d", most, memoryLimit)
-			return kills
 		case <-time.After(2 * time.Millisecond):
 		}
 		used := anonymousMemory(g.cmd.Process.Pid)
@@ -99,6 +135,7 @@
 			return kills
 		}
 	}
+	return kills
 }
 
 // anonymousMemory returns the memory of a process without what it maps from files.
@@ -132,26 +169,32 @@
 	return n, err
 }
 
-// upload sends the longest body. Without trouble it states its length.
-func (s *scene) upload(g *gateway) *call {
-	c := &call{id: nextID(), path: "/file/1", gateway: g.name, deadline: 10 * time.Second}
+func isClosed(stop chan struct{}) bool {
+	select {
+	case <-stop:
+		return true
+	default:
+		return false
+	}
+}
+
+// upload sends the longest body in chunks.
+func (s *scene) upload(client *http.Client, g *gateway) *call {
+	c := &call{id: nextID(), path: filePath + "1", gateway: g.name, deadline: 10 * time.Second}
 	body := &slowBody{left: bytes.NewReader(make([]byte, longBody)), started: time.Now()}
 	req, err := http.NewRequest(http.MethodPost, "http://"+g.callers+c.path, io.NopCloser(body))
 	if err != nil {
 		c.problem = err.Error()
 		return c
 	}
-	if !s.trouble {
-		req.ContentLength = longBody
-	}
 	req.Host = hostname
 	req.Header.Set(platform.Headers.Authorization, "Bearer "+apiKey)
 	req.Header.Set(platform.Headers.RequestID, c.id)
 	req.Header.Set(platform.Headers.DeadlineMs, "10000")
-	client := newClient()
-	client.Timeout = c.deadline
+	own := *client
+	own.Timeout = c.deadline
 	c.sentAt = time.Now()
-	s.await(client, req, c)
+	s.await(&own, req, c)
 	c.endedAt = time.Now()
 	s.log.add(c)
 	return c
@@ -165,10 +208,10 @@
 func (s *scene) checkKills(g *gateway, kills []time.Time) bool {
 	lost, uploadsLost := 0, 0
 	for _, c := range s.log.all() {
-		if c.status != 0 {
+		if c.status != 0 || !endsWith(c, kills) {
 			continue
 		}
-		if c.path == "/file/1" {
+		if strings.HasPrefix(c.path, filePath) {
 			uploadsLost++
 		}
 		ran := false
@@ -183,3 +226,8 @@
 	s.record.line("%s was killed %d times for its memory; %d requests of kept connections were lost at sound workers, %d bodies were lost", g.name, len(kills), lost, uploadsLost)
 	return lost > mostLost
 }
+
+// endsWith reports whether a call ended when the process was killed.
+func endsWith(c *call, kills []time.Time) bool {
+	return slices.ContainsFunc(kills, func(at time.Time) bool { return c.sentAt.Before(at) && c.endedAt.Sub(at).Abs() < restartDelay })
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -8,7 +8,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // The exit codes of a case.
@@ -55,6 +57,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.close() // no process is left
+		os.Exit(exitNotRun)
+	}()
 	broken, err := play(s)
 	s.close()
 	switch {
--- a/review/standin/overlap.go
+++ b/review/standin/overlap.go
@@ -33,7 +33,7 @@
 	if err := s.startGateways(smallBounds, "kbh-a", "kbh-b"); err != nil {
 		return false, err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(calmTime)
 	var callers sync.WaitGroup
 	for n := range overlapBriefs {
 		callers.Go(func() {
--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -132,7 +132,7 @@
 		"NodeName": {g.name}, "Zone": {zone}, "Ip": {host}, "InternalPorts.0": {port},
 		"Listen.Front": {g.callers}, "Listen.Ready": {g.ready}, "Listen.Control": {g.control}, "Seeds": seeds, "Platform.Address": {address},
 		"Contracts":       {"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "rollout"},
-		"Limits.MemoryMb": {"284"}, "Limits.FileDescriptors": {"4100"}, "Limits.LinkMbps": {"1000"},
+		"Limits.MemoryMb": {"284"}, "Limits.FileDescriptors": {"4100"}, "Limits.LinkMbps": {"1000"}, "Limits.CpuShare": {"0.304"},
 	}
 	for name, value := range bounds {
 		fields["Bounds."+name] = []string{value}
--- a/review/standin/unframed.go
+++ b/review/standin/unframed.go
@@ -63,7 +63,7 @@
 	if err := s.startGateways(smallBounds, "kbh-a", "kbh-b"); err != nil {
 		return false, err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(calmTime)
 	started := time.Now()
 	var callers sync.WaitGroup
 	for n := range unframedBriefs {
--- a/review/standin/wire.go
+++ b/review/standin/wire.go
@@ -1,5 +1,7 @@
 package main
 
+import "time"
+
 // The objects that the operator and the workers write, with the names on the wire.
 type (
 	wireRoute struct {
@@ -45,6 +47,9 @@
 	customer   = "customer"
 )
 
+// calmTime is longer than the stable window: the gateways are in touch after it.
+const calmTime = 4 * time.Second
+
 // smallBounds are the bounds of the sheet of lhn-booking.
 var smallBounds = map[string]string{
 	"RevokeMs": "5000", "GraceS": "8", "StableWindowMs": "3000", "DrainMs": "2000", "ConfigApplyMs": "2000", "RetryBudgetRatio": "0.9",
