Log how long a worker was silent and why its answer is not whole

The log line of a request could not tell a worker that fell silent from a connection that broke, nor either from a request whose time was over: all have the outcome broken, and at the deadline the cause of the metric was broken_off, because the gateway closes the connection itself.

Each attempt has silent_ms, the longest wait for bytes of its answer, and cause. Answers that are still awaited at the deadline have the cause out_of_time.

--- a/internal/framing/cause.go
+++ b/internal/framing/cause.go
@@ -38,10 +38,12 @@
 	NoAnswer Cause = "no_answer"
 	// NotContinued answers do not continue the stream that they were asked to resume.
 	NotContinued Cause = "not_continued"
+	// OutOfTime answers were still awaited when the time of their request was over.
+	OutOfTime Cause = "out_of_time"
 )
 
 // Causes lists every Cause.
-var Causes = []Cause{BrokenOff, InsideEvent, Silent, OverBound, NoAnswer, NotContinued}
+var Causes = []Cause{BrokenOff, InsideEvent, Silent, OverBound, NoAnswer, NotContinued, OutOfTime}
 
 // CauseOf returns the cause that an error of reading an answer stands for.
 func CauseOf(err error) Cause {
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -55,8 +55,10 @@
 	head framing.HeadCounter
 	// received is the number of bytes that were read from the connection.
 	received int64
-	guard    *overloadGuard
-	closed   sync.Once
+	// longestSilence is the longest wait for bytes of the present answer.
+	longestSilence time.Duration
+	guard          *overloadGuard
+	closed         sync.Once
 	// onReadTimeout is called at each read timeout, if set. It returns the next read deadline,
 	// or the zero time to let the read fail.
 	onReadTimeout func() time.Time
@@ -66,6 +68,8 @@
 // onReadTimeout extends the deadline, Read waits on instead of returning the timeout, because the readers
 // of a response body keep an error for good.
 func (c *conn) Read(p []byte) (int, error) {
+	started := time.Now()
+	defer func() { c.longestSilence = max(c.longestSilence, time.Since(started)) }()
 	for {
 		n, err := c.Conn.Read(p)
 		c.received += int64(n)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,6 +88,8 @@
 	// sentBytes is the length of the request. receivedBefore is the number of bytes that the connection had
 	// received before, and receivedBytes the number received since, valid once the exchange is done.
 	sentBytes, receivedBefore, receivedBytes int64
+	// longestSilence is the longest wait for bytes of the answer, valid once the exchange is done.
+	longestSilence time.Duration
 }
 
 // maxInlineWriteBytes is the largest request that is written before its response is read. It
@@ -120,6 +122,7 @@
 		p.put(r.address, c)
 		return nil, errNotSent
 	}
+	c.longestSilence = 0
 	head, body := r.head, r.body
 	e := &exchange{conn: c, address: r.address, writeDone: make(chan struct{}), sentBytes: int64(len(head) + len(body)), receivedBefore: c.received}
 	e.stopAfterFunc = context.AfterFunc(ctx, func() { _ = c.Close() })
@@ -211,7 +214,7 @@
 		return
 	}
 	e.isDone = true
-	e.receivedBytes = e.conn.received - e.receivedBefore
+	e.receivedBytes, e.longestSilence = e.conn.received-e.receivedBefore, e.conn.longestSilence
 	select {
 	case <-e.writeDone:
 	default:
@@ -237,7 +240,7 @@
 		return
 	}
 	e.isDone = true
-	e.receivedBytes = e.conn.received - e.receivedBefore
+	e.receivedBytes, e.longestSilence = e.conn.received-e.receivedBefore, e.conn.longestSilence
 	e.closeConn()
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -429,11 +429,21 @@
 // another attempt. RetryState.ShouldRetry then still requires 50 ms.
 const minFailureRetryTime = 60 * time.Millisecond
 
+// causeOf returns why the answer of an attempt is not whole. The connection is closed when the time of the
+// request is over, which is no break.
+func (r *request) causeOf(err error) framing.Cause {
+	if r.remaining() <= 0 {
+		return framing.OutOfTime
+	}
+	return framing.CauseOf(err)
+}
+
 // recordFailure records an attempt without a whole answer for the ejection and the choice of
 // workers, the metrics and the log.
 func (r *request) recordFailure(a *attempt, err error) {
 	r.lastError = err
-	r.gateway.metrics.countUnfinished(a.worker.ID, framing.CauseOf(err))
+	a.record.Cause = r.causeOf(err)
+	r.gateway.metrics.countUnfinished(a.worker.ID, a.record.Cause)
 	r.gateway.dispatcher.recordNoAnswer(a.worker, membership.Failed, time.Since(a.started))
 	r.recordBreak(a, err)
 }
--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -8,6 +8,7 @@
 
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/framing"
 )
 
 // attemptRecord is one attempt in the log line of a request.
@@ -49,6 +50,11 @@
 	Events    int `json:"events,omitempty"`
 	BodyBytes int `json:"body_bytes,omitempty"`
 	TailBytes int `json:"tail_bytes,omitempty"`
+	// SilentMs is the longest time for which the worker sent nothing while its answer was awaited. It tells a
+	// silent worker from a connection that broke.
+	SilentMs int64 `json:"silent_ms"`
+	// Cause is why the answer is not whole, as in the metric of unfinished answers, or "" if it is whole.
+	Cause framing.Cause `json:"cause,omitempty"`
 }
 
 // countEvent counts what the reader of a stream returned: a whole event, or the bytes after the
@@ -72,6 +78,9 @@
 	}
 	a.record.Worker, a.record.Version, a.record.Model, a.record.Outcome = a.worker.ID, a.worker.Version, a.model, outcome
 	a.record.EndMs = time.Since(a.started).Milliseconds()
+	if a.exchange != nil && a.exchange.isDone && !a.isHeld {
+		a.record.SilentMs = a.exchange.longestSilence.Milliseconds()
+	}
 	r.attempts = append(r.attempts, a.record)
 }
 
