Give up no silent worker before another one has answered

Cause: silence was taken for the end of a run in three places, each of which closed the connection before anything was known of another worker. If that one refused, was silent too or did not exist, there was no way back; and a worker that goes on when its connection closes then ran beside the next one.

A silent worker is kept until its connection ends or the time of the request is over. Its silence only makes other requests avoid it for some seconds; it counts as no failure, since an ejection would take the room of a sound worker. A safe request asks one second worker beside the silent one, for 0.3 s at most and where such requests usually are answered in that time, and leaves the first one once a whole good answer is there. A stream is never asked for twice. An answer that is kept for a larger model is delivered at the deadline too, and not dropped for a larger one of which bytes have come. A connection whose peer does not acknowledge is an error and no silence: the end in order that followed made a stream without framing look complete. The rest of a refusal is awaited for 0.1 s only.

--- a/internal/forward/header_timeout.go
+++ b/internal/forward/header_timeout.go
@@ -95,4 +95,13 @@
 	return seconds(min(max(timeoutFactor*est.quantileSeconds*est.lengthFactor(tokens), shortest), longest))
 }
 
+// Usual returns the time that the header of a response usually takes, 0 until there are enough samples.
+func (e *HeaderTimeoutEstimator) Usual(r *Route, heavy bool, tokens int) time.Duration {
+	est := e.estimates[headerTimeKey{r.Name, heavy}]
+	if est == nil || est.samples < minSamples {
+		return 0
+	}
+	return seconds(est.quantileSeconds * est.lengthFactor(tokens))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -23,11 +23,13 @@
 	Broken
 	// Superseded means that the answer was discarded and a larger model is asked instead.
 	Superseded
+	// Overtaken means that another worker answered the request while this one was silent.
+	Overtaken
 )
 
 // String returns the name of the outcome in log lines.
 func (o Outcome) String() string {
-	return [...]string{"answered", "not sent", "not run", "wrong worker", "failed", "broken", "dropped"}[o]
+	return [...]string{"answered", "not sent", "not run", "wrong worker", "failed", "broken", "dropped", "overtaken"}[o]
 }
 
 // RetryCause is why a request is sent to a worker once more.
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -76,7 +76,7 @@
 		if bound := c.head.Add(p[:n]); bound != nil {
 			return 0, bound
 		}
-		if err == nil || c.onReadTimeout == nil || !isTimeout(err) {
+		if err == nil || c.onReadTimeout == nil || !isReadTimeout(err) {
 			return n, err
 		}
 		deadline := c.onReadTimeout()
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -391,6 +391,13 @@
 	return d.headerTimeouts.Timeout(r, heavy, tokens)
 }
 
+// usualHeaderTime returns how long the header of a response usually takes, 0 if that is not known.
+func (d *dispatcher) usualHeaderTime(r *forward.Route, tokens int) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.headerTimeouts.Usual(r, false, tokens)
+}
+
 // recordHeaderLatency records how long the header of a response took, or how long it was
 // awaited until the timeout.
 func (d *dispatcher) recordHeaderLatency(route string, heavy bool, tokens int, latency time.Duration) {
--- a/internal/gateway/escalation.go
+++ b/internal/gateway/escalation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -86,7 +87,8 @@
 	if r.fallback == nil || r.headerSent || r.keyWithdrawn {
 		return false, false
 	}
-	if isLeaving(ctx) && r.heldState() == forward.HeldComplete {
+	isOver := isLeaving(ctx) || errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if isOver && r.heldState() == forward.HeldComplete {
 		r.deliverHeld()
 		return true, false
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,6 +88,8 @@
 	// sentBytes is the length of the request. receivedBefore is the number of bytes that the connection had
 	// received before, and receivedBytes the number received since, valid once the exchange is done.
 	sentBytes, receivedBefore, receivedBytes int64
+	// bodyStart is the number of bytes that the connection had received up to the body of the response.
+	bodyStart int64
 	// longestSilence is the longest wait for bytes of the answer, valid once the exchange is done.
 	longestSilence time.Duration
 }
@@ -157,12 +159,9 @@
 // answers did. It may be a second copy of one of these.
 var errAnswerOfNoRequest = eris.New("answer names no request, unlike earlier ones on the connection")
 
-// readHeader reads the header of the response until the deadline. Responses to other requests,
+// readHeader reads the header of the response until the read deadline. Responses to other requests,
 // which may arrive late on the same connection, are skipped.
-func (e *exchange) readHeader(codec HeaderCodec, method, requestID string, deadline time.Time) error {
-	if err := e.conn.SetReadDeadline(deadline); err != nil {
-		return eris.Wrap(err, "connection is closed")
-	}
+func (e *exchange) readHeader(codec HeaderCodec, method, requestID string) error {
 	for range maxStaleResponses {
 		resp, err := e.readFinalResponse(method) //nolint:bodyclose // releaseConn or close handles the connection
 		if err != nil {
@@ -181,11 +180,16 @@
 		}
 		e.conn.namesRequests = e.conn.namesRequests || meta.RequestID != ""
 		e.resp, e.meta = resp, meta
+		e.bodyStart = e.conn.received - int64(e.conn.br.Buffered())
 		return nil
 	}
 	return eris.New("worker sent only responses to other requests")
 }
 
+// hasBody reports whether a part of the body has arrived. It may not have reached the reader yet: that of a chunked
+// body passes on whole chunks only once it has all of what follows them.
+func (e *exchange) hasBody() bool { return e.resp != nil && e.conn.received > e.bodyStart }
+
 // readFinalResponse reads the header of the next response whose status is not 1xx.
 func (e *exchange) readFinalResponse(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
@@ -255,6 +259,7 @@
 		e.close()
 		return
 	}
+	_ = e.conn.SetReadDeadline(time.Now().Add(maxDrainTime)) // if the connection is closed, the read fails
 	if _, err := bytes.NewBuffer(nil).ReadFrom(e.resp.Body); err != nil {
 		e.close()
 		return
@@ -276,3 +281,6 @@
 
 // maxDrainBytes is the largest response that is read only to reuse its connection.
 const maxDrainBytes = 16 << 10
+
+// maxDrainTime is how long the next attempt waits for the rest of such a response.
+const maxDrainTime = 100 * time.Millisecond
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -24,6 +24,8 @@
 	escalations       *metrics.Counter
 	abortedResponses  *metrics.Counter
 	workerConnections *metrics.Counter
+	// silentAnswers counts attempts whose answer was overdue.
+	silentAnswers *metrics.Counter
 
 	mu sync.Mutex
 	// unfinished holds the workers that have counters of unfinished answers, by their ID.
@@ -51,9 +53,15 @@
 		escalations:       set.NewCounter("borageflow_gateway_escalations_total"),
 		abortedResponses:  set.NewCounter("borageflow_gateway_cut_total"),
 		workerConnections: set.NewCounter("borageflow_gateway_worker_connections_total"),
+		silentAnswers:     set.NewCounter("borageflow_gateway_silent_answers_total"),
 	}
 }
 
+// countHedge counts a second attempt beside a silent one, by its outcome. An answered one has replaced the first.
+func (m *gatewayMetrics) countHedge(outcome forward.Outcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_hedges_total{outcome=%q}", outcome)).Inc()
+}
+
 // countDomainBytes counts bytes that went to or came from another failure domain, by cause.
 func (m *gatewayMetrics) countDomainBytes(cause string, bytes int64) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_domain_bytes_total{cause=%q,domain=\"other\"}", cause)).AddInt64(bytes)
--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -158,7 +158,7 @@
 // recordBreak records that the answer of an attempt broke off. If the worker has ended, the request is
 // accused of that by how recently its answer had begun.
 func (r *request) recordBreak(a *attempt, err error) {
-	if cause := framing.CauseOf(err); cause != framing.BrokenOff && cause != framing.InsideEvent || errors.Is(err, net.ErrClosed) || isTimeout(err) {
+	if cause := framing.CauseOf(err); cause != framing.BrokenOff && cause != framing.InsideEvent || errors.Is(err, net.ErrClosed) || isReadTimeout(err) {
 		return
 	}
 	weight := 0.0
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -57,6 +57,10 @@
 	endedWorkers atomic.Int32
 	// turn is the turn that the request has taken because it is suspected; see turnOf.
 	turn *quarantine.Part
+	// hedge is the attempt at a second worker while the present one is silent, and hedged the attempt of one that has
+	// won and is continued next.
+	hedge  *hedge
+	hedged *attempt
 	// departure ends the request if its caller has left.
 	departure departure
 	// ticket is the room that the present attempt takes.
@@ -109,9 +113,13 @@
 	survived bool
 	// evidence is the request as evidence of a rollout, nil without one.
 	evidence *rollout.Pending
+	// wasSilent reports whether the answer was overdue.
+	wasSilent bool
 	// isHeld reports whether the response was set aside. Its reader then ends the attempt.
 	isHeld bool
-	record attemptRecord
+	// release frees what an attempt that began as a hedge holds, nil for others.
+	release func()
+	record  attemptRecord
 }
 
 // remaining returns the time until the deadline of the request.
@@ -130,6 +138,8 @@
 	r.parts = r.partIDs()
 	defer r.releaseAlone()
 	defer r.returnRetry()
+	defer r.dropHedged()
+	defer func() { r.endHedge(ctx) }()
 	defer func() { r.gateway.admission.begun(r.ticket) }() // does nothing for a ticket that was returned
 	for {
 		refusal, outcome := r.runAttempts(ctx)
@@ -160,35 +170,20 @@
 // serve.
 func (r *request) runAttempts(ctx context.Context) (*errkind.Error, string) {
 	for {
-		ticket, refusal := r.admit(ctx)
+		a, refusal, refusalOutcome := r.nextAttempt(ctx)
 		if refusal != nil {
-			if err, outcome := r.contextError(ctx); err != nil {
-				return refusal, outcome
-			}
-			return refusal, outcomeOfRefusal(refusal)
-		}
-		r.ticket = ticket
-		// A key may be withdrawn and a part condemned while the request waits for room.
-		if refusal := r.authorize(); refusal != nil {
-			return refusal, "refused"
-		}
-		if refusal := r.awaitClearance(ctx); refusal != nil {
-			return refusal, outcomeOfRefusal(refusal)
-		}
-		a, refusal := r.pickWorker()
-		if refusal != nil {
-			return refusal, "refused"
+			return refusal, refusalOutcome
 		}
-		outcome, done := r.runAttempt(ctx, &a)
+		outcome, done := r.runAttempt(ctx, a)
 		r.gateway.admission.begun(r.ticket)
-		r.recordAttempt(&a, outcome.String())
+		r.recordAttempt(a, outcome.String())
 		if done {
 			return nil, r.deliveredOutcome()
 		}
 		if err, outcome := r.contextError(ctx); err != nil {
 			return err, outcome
 		}
-		if outcome == outcomeEscalated {
+		if outcome == outcomeEscalated || outcome == forward.Overtaken {
 			continue
 		}
 		retry := forward.RetryState{
@@ -210,6 +205,35 @@
 	}
 }
 
+// nextAttempt returns the attempt to run next: that of a hedge that has won, or one at a worker that is chosen
+// now. It returns the refusal and its outcome if there is none.
+func (r *request) nextAttempt(ctx context.Context) (*attempt, *errkind.Error, string) {
+	if a := r.hedged; a != nil {
+		r.hedged = nil
+		return a, nil, ""
+	}
+	ticket, refusal := r.admit(ctx)
+	if refusal != nil {
+		if err, outcome := r.contextError(ctx); err != nil {
+			return nil, refusal, outcome
+		}
+		return nil, refusal, outcomeOfRefusal(refusal)
+	}
+	r.ticket = ticket
+	// A key may be withdrawn and a part condemned while the request waits for room.
+	if refusal := r.authorize(); refusal != nil {
+		return nil, refusal, "refused"
+	}
+	if refusal := r.awaitClearance(ctx); refusal != nil {
+		return nil, refusal, outcomeOfRefusal(refusal)
+	}
+	a, refusal := r.pickWorker()
+	if refusal != nil {
+		return nil, refusal, "refused"
+	}
+	return &a, nil, ""
+}
+
 // authorize checks the API key against the newest configuration. It is called before each
 // attempt.
 func (r *request) authorize() *errkind.Error {
@@ -274,14 +298,33 @@
 // closed.
 func (r *request) runAttempt(ctx context.Context, a *attempt) (forward.Outcome, bool) {
 	defer func() {
-		if !a.isHeld {
-			r.gateway.dispatcher.releaseWorker(a.inFlight)
-			r.recordBytes(a)
+		if a.isHeld {
+			return
+		}
+		if a.exchange != nil {
+			a.exchange.close()
 		}
+		if a.release != nil {
+			a.release()
+		}
+		r.gateway.dispatcher.releaseWorker(a.inFlight)
+		r.recordBytes(a)
 	}()
-	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
-	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds only buffers
-	defer bufferPool.Put(buf)
+	defer func() { r.gateway.dispatcher.recordAbandoned(a.evidence) }()
+	if a.exchange == nil { // otherwise a hedge, whose answer has begun
+		if outcome, ok := r.beginAttempt(ctx, a); !ok {
+			return outcome, false
+		}
+	}
+	a.record.HeaderMs = time.Since(a.started).Milliseconds()
+	a.record.Framing = framing.Of(a.exchange.resp).String()
+	r.gateway.dispatcher.recordFirstByte(a.inFlight, a.exchange.meta.NotRun || a.exchange.resp.StatusCode >= http.StatusBadRequest)
+	r.gateway.admission.begun(r.ticket)
+	return r.handleHeader(ctx, a)
+}
+
+// outboundTo returns the request for the worker of an attempt. Its head is valid as long as buf is not changed.
+func (r *request) outboundTo(a *attempt, buf *bytes.Buffer) outboundRequest {
 	meta := forward.AttemptMeta{Worker: a.worker, Customer: r.customer.Name, Remaining: r.remaining(), Model: a.model, Urgency: r.urgency}
 	if r.lastEventID >= 0 && r.headerSent {
 		meta.LastEventID = strconv.FormatInt(r.lastEventID, 10)
@@ -291,9 +334,21 @@
 	if !r.route.Idempotent() {
 		maxIdle = maxUnsafeIdle
 	}
-	ex, err := sendRequest(ctx, r.gateway.pool, outboundRequest{
-		address: a.worker.Address, requestID: r.inbound.meta.RequestID, maxIdle: maxIdle, head: buf.Bytes(), body: r.inbound.body, beforeWrite: r.departure.check,
-	})
+	return outboundRequest{address: a.worker.Address, requestID: r.inbound.meta.RequestID, maxIdle: maxIdle, head: buf.Bytes(), body: r.inbound.body, beforeWrite: r.departure.check}
+}
+
+// startEvidence records that the request goes to a worker whose service may have a rollout in progress.
+func (r *request) startEvidence(a *attempt) *rollout.Pending {
+	return r.gateway.dispatcher.startEvidence(a.worker, r.route.Name+"/"+a.model, r.inbound.meta.PromptTokens-r.placement.CachedTokens)
+}
+
+// beginAttempt sends the request and waits for the header of the response. It returns the outcome, and false if
+// no header has come.
+func (r *request) beginAttempt(ctx context.Context, a *attempt) (forward.Outcome, bool) {
+	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
+	buf := bufferPool.Get().(*bytes.Buffer) //nolint:forcetypeassert // the pool holds only buffers
+	defer bufferPool.Put(buf)
+	ex, err := sendRequest(ctx, r.gateway.pool, r.outboundTo(a, buf))
 	if err != nil {
 		r.unsentAttempts++
 		r.lastError = err
@@ -303,36 +358,52 @@
 		return forward.NotSent, false
 	}
 	a.exchange = ex
-	a.evidence = r.gateway.dispatcher.startEvidence(a.worker, r.route.Name+"/"+a.model, r.inbound.meta.PromptTokens-r.placement.CachedTokens)
-	defer r.gateway.dispatcher.recordAbandoned(a.evidence)
-	defer func() {
-		if !a.isHeld {
-			ex.close()
-		}
-	}()
+	a.evidence = r.startEvidence(a)
 	if r.modelIndex > 0 {
 		r.gateway.dispatcher.recordLargerModelStart(r.route.Name, a.startedSinceBoot)
 	}
 	r.sentAttempts++
 	r.recordRetrySent(a)
 	r.gateway.quarantine.recordPending(r, a)
-	err = r.awaitHeader(ex)
+	err = r.awaitHeader(ctx, a)
 	r.gateway.quarantine.recordBegun(a)
 	if r.modelIndex > 0 {
 		r.gateway.dispatcher.recordLargerModelEnd(r.route.Name, a.startedSinceBoot, err == nil)
 	}
-	if err == nil || isTimeout(err) {
+	if err == nil || isReadTimeout(err) {
 		r.gateway.dispatcher.recordHeaderLatency(r.route.Name, r.modelIndex > 0, r.inbound.meta.PromptTokens, time.Since(a.started))
 	}
 	if err != nil {
+		if r.awaitHedge(ctx) {
+			r.mayHaveRun = true
+			r.runCount++
+			return forward.Overtaken, false
+		}
 		r.handleNoHeader(ctx, a, err)
 		return forward.Broken, false
 	}
-	a.record.HeaderMs = time.Since(a.started).Milliseconds()
-	a.record.Framing = framing.Of(ex.resp).String()
-	r.gateway.dispatcher.recordFirstByte(a.inFlight, ex.meta.NotRun || ex.resp.StatusCode >= http.StatusBadRequest)
-	r.gateway.admission.begun(r.ticket)
-	return r.handleHeader(ctx, a)
+	if r.isRefusalOrFailure(a) && r.awaitHedge(ctx) {
+		if _, refused := r.recordRefusal(a); !refused {
+			r.recordRunFailed(a)
+		}
+		return forward.Overtaken, false
+	}
+	r.endHedge(ctx)
+	return forward.Answered, true
+}
+
+// isRefusalOrFailure reports whether the worker has not run the request or has failed it.
+func (r *request) isRefusalOrFailure(a *attempt) bool {
+	status := a.exchange.resp.StatusCode
+	return a.exchange.meta.NotRun || status == http.StatusMisdirectedRequest || status >= http.StatusInternalServerError
+}
+
+// recordRunFailed records that a worker ran the request and failed it.
+func (r *request) recordRunFailed(a *attempt) {
+	r.mayHaveRun = true
+	r.runCount++
+	r.gateway.dispatcher.recordAnswer(a.evidence, true)
+	r.gateway.dispatcher.recordAttempt(a.worker, membership.Failed, time.Since(a.started))
 }
 
 // handleNoHeader records an attempt whose response has no header. It is no failure of the worker if
@@ -354,26 +425,35 @@
 	}
 }
 
-// handleHeader decides by the header of a response whether to send the response to the caller or
-// to make another attempt. The results are those of runAttempt.
-func (r *request) handleHeader(ctx context.Context, a *attempt) (forward.Outcome, bool) {
-	ex := a.exchange
-	now := sinceBoot()
+// recordRefusal records the load and the notices of a response. It returns the outcome and true if the worker
+// has not run the request.
+func (r *request) recordRefusal(a *attempt) (forward.Outcome, bool) {
+	ex, d, now := a.exchange, r.gateway.dispatcher, sinceBoot()
 	if ex.meta.HasLoad {
-		r.gateway.dispatcher.recordLoadReport(now, a.worker.ID, ex.meta.Load)
+		d.recordLoadReport(now, a.worker.ID, ex.meta.Load)
 	}
-	status := ex.resp.StatusCode
-	r.gateway.dispatcher.recordNotices(a.startedSinceBoot, a.worker.ID, status, ex.meta)
+	d.recordNotices(a.startedSinceBoot, a.worker.ID, ex.resp.StatusCode, ex.meta)
 	switch {
-	case status == http.StatusMisdirectedRequest:
-		r.gateway.dispatcher.removeWorker(now, a.worker.ID)
+	case ex.resp.StatusCode == http.StatusMisdirectedRequest:
+		d.removeWorker(now, a.worker.ID)
 		ex.releaseRefusal(r.gateway.pool)
-		return forward.WrongWorker, false
+		return forward.WrongWorker, true
 	case ex.meta.NotRun:
-		r.gateway.dispatcher.recordAttempt(a.worker, membership.Succeeded, time.Since(a.started))
+		d.recordAttempt(a.worker, membership.Succeeded, time.Since(a.started))
 		ex.releaseRefusal(r.gateway.pool)
-		return forward.NotRun, false
+		return forward.NotRun, true
 	}
+	return forward.Answered, false
+}
+
+// handleHeader decides by the header of a response whether to send the response to the caller or
+// to make another attempt. The results are those of runAttempt.
+func (r *request) handleHeader(ctx context.Context, a *attempt) (forward.Outcome, bool) {
+	ex, now := a.exchange, sinceBoot()
+	if outcome, refused := r.recordRefusal(a); refused {
+		return outcome, false
+	}
+	status := ex.resp.StatusCode
 	r.mayHaveRun = true
 	a.begunAt = time.Now()
 	latency := time.Since(a.started)
@@ -403,7 +483,7 @@
 		}
 		return r.copyStream(ctx, a)
 	}
-	return r.copyResponse(a)
+	return r.copyResponse(ctx, a)
 }
 
 // discardForeignAnswer records an answer that does not continue the caller's stream. It returns the outcome of
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -22,18 +22,22 @@
 
 // copyResponse sends a response that is not a stream to the caller. It returns the outcome of
 // the attempt and whether the caller has a response or its connection must be closed.
-func (r *request) copyResponse(a *attempt) (forward.Outcome, bool) {
+func (r *request) copyResponse(ctx context.Context, a *attempt) (forward.Outcome, bool) {
 	resp := a.exchange.resp
-	r.beginBody(a.exchange.conn)
+	r.watchSilence(ctx, a, r.pieceOverdue)
 	buffer := answerBuffer{memory: r.gateway.buffers}
 	defer buffer.reset()
 	ended, err := buffer.readUpTo(resp.Body, maxBufferedBytes)
 	r.awaitUntilDeadline(a.exchange.conn)
 	if err != nil {
 		a.record.BodyBytes = len(buffer.bytes)
+		if r.awaitHedge(ctx) {
+			return forward.Overtaken, false
+		}
 		r.recordBodyFailure(a, err)
 		return forward.Broken, false
 	}
+	r.endHedge(ctx)
 	r.copyHeader(resp)
 	out := r.writer.Header()
 	if ended {
@@ -108,21 +112,7 @@
 	r.gateway.closeConnWhenDraining(r.writer)
 }
 
-// beginBody sets the deadlines for a plain answer that is read before any of it is sent. One that
-// stalls is given up if the request may run again and a retry is left.
-func (r *request) beginBody(c *conn) {
-	received := c.received
-	c.onReadTimeout = func() time.Time {
-		if c.received > received {
-			received = c.received
-			return r.nextPieceDeadline()
-		}
-		return r.extendPieceDeadline()
-	}
-	_ = c.SetReadDeadline(r.nextPieceDeadline()) // if the connection is closed, the read fails
-}
-
-// awaitUntilDeadline makes further reads wait until the deadline of the request.
+// awaitUntilDeadline ends watchSilence: further reads wait until the deadline of the request.
 func (r *request) awaitUntilDeadline(c *conn) {
 	c.onReadTimeout = nil
 	_ = c.SetReadDeadline(r.deadline) // if the connection is closed, the read fails
@@ -141,7 +131,7 @@
 // copyResponse.
 func (r *request) copyStream(ctx context.Context, a *attempt) (forward.Outcome, bool) {
 	resp := a.exchange.resp
-	err := r.copyEvents(a)
+	err := r.copyEvents(ctx, a)
 	ending := framing.Ending{Framing: framing.Of(resp), Err: err, IsStream: true, Events: a.record.Events, TailBytes: a.record.TailBytes}
 	if ending.Complete() {
 		if !r.headerSent {
@@ -162,7 +152,9 @@
 		r.lastError, r.aborted = err, true
 		return forward.Broken, true
 	}
-	r.recordFailure(a, err)
+	if !r.isOverdue() {
+		r.recordFailure(a, err)
+	}
 	if !r.headerSent {
 		return forward.Broken, false
 	}
@@ -196,11 +188,11 @@
 
 // copyEvents copies whole events until the stream ends. Bytes after the last whole event are
 // counted in the record of the attempt and not sent.
-func (r *request) copyEvents(a *attempt) error {
+func (r *request) copyEvents(ctx context.Context, a *attempt) error {
 	events := newEventReader(a.exchange.resp.Body, r.gateway.buffers)
 	defer events.close()
-	a.exchange.conn.onReadTimeout = r.extendPieceDeadline
-	defer func() { a.exchange.conn.onReadTimeout = nil }()
+	r.watchSilence(ctx, a, r.pieceOverdue)
+	defer r.awaitUntilDeadline(a.exchange.conn)
 	meter := paceMeter{dispatcher: r.gateway.dispatcher, evidence: a.evidence, running: a.exchange.meta.Load.Running}
 	defer meter.end()
 	var lead []byte // comments before the first event
@@ -240,7 +232,7 @@
 // the worker goes on.
 func (r *request) awaitEvent(a *attempt, events *eventReader) (event []byte, id int64, err error) {
 	if !events.isEmpty {
-		if err := a.exchange.conn.SetReadDeadline(r.nextPieceDeadline()); err != nil {
+		if err := a.exchange.conn.SetReadDeadline(r.pieceOverdue()); err != nil {
 			return nil, -1, eris.Wrap(err, "connection is closed")
 		}
 	}
@@ -251,11 +243,8 @@
 
 // endOfEvents returns why a stream ended, nil at its end in order.
 func (r *request) endOfEvents(err error) error {
-	switch {
-	case errors.Is(err, io.EOF):
+	if errors.Is(err, io.EOF) {
 		return nil
-	case isTimeout(err) && r.remaining() > 0:
-		return framing.ErrStalled
 	}
 	return eris.Wrap(err, "stream broke off")
 }
@@ -283,43 +272,3 @@
 	}
 	return nil
 }
-
-// nextPieceDeadline returns when the next event of a stream or part of a plain answer is overdue.
-// This is the deadline of the request unless it can go on at another worker.
-func (r *request) nextPieceDeadline() time.Time {
-	if !r.route.Idempotent() || r.runCount >= r.route.MaxAttempts {
-		return r.deadline
-	}
-	timeout := max(time.Duration(pieceTimeoutFactor*float64(r.route.GapTarget)), minPieceTimeout)
-	timeout = min(timeout, max(time.Duration(pieceTimeoutShare*float64(r.remaining())), r.route.GapTarget))
-	if deadline := time.Now().Add(timeout); deadline.Before(r.deadline) {
-		return deadline
-	}
-	return r.deadline
-}
-
-// extendPieceDeadline returns the next deadline of an overdue answer, or the zero time to give it
-// up. It is given up when the request is out of time, or when a retry is left for another worker.
-func (r *request) extendPieceDeadline() time.Time {
-	if r.remaining() <= 0 || r.gateway.dispatcher.hasRetryBudget(r.service) {
-		return time.Time{}
-	}
-	return r.nextPieceDeadline()
-}
-
-const (
-	// pieceTimeoutFactor is the ratio of the wait for an event, after which the stream is
-	// resumed at another worker, to the allowed pause between two events. A preempted request
-	// pauses for about one allowed pause.
-	pieceTimeoutFactor = 3.0
-	// minPieceTimeout is the shortest wait where the allowed pause is short or unknown.
-	minPieceTimeout = 1500 * time.Millisecond
-	// pieceTimeoutShare bounds the wait for an event to a part of the remaining time, so that
-	// another worker can still end the stream in time.
-	pieceTimeoutShare = 0.4
-)
-
-func isTimeout(err error) bool {
-	var t interface{ Timeout() bool }
-	return errors.As(err, &t) && t.Timeout()
-}
--- a/internal/gateway/silencelog_test.go
+++ b/internal/gateway/silencelog_test.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
+	"os"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -35,3 +39,27 @@
 		})
 	}
 }
+
+// deadPeer is a connection whose peer acknowledges nothing: the kernel reports that once, and then an end in order.
+type deadPeer struct {
+	net.Conn
+	reads int
+}
+
+func (d *deadPeer) Read([]byte) (int, error) {
+	if d.reads++; d.reads == 1 {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", syscall.ETIMEDOUT)}
+	}
+	return 0, io.EOF
+}
+
+func (d *deadPeer) SetReadDeadline(time.Time) error { return nil }
+
+// Guards against a worker that cannot be reached and counts as silent, and against the end in order that follows on
+// its connection: a stream that ends with its connection would look complete.
+func TestUnreachablePeerIsNotSilent(t *testing.T) {
+	c := &conn{Conn: &deadPeer{}, guard: &overloadGuard{}}
+	c.onReadTimeout = func() time.Time { return time.Now().Add(time.Second) }
+	_, err := c.Read(make([]byte, 1))
+	assert.Assert(t, errors.Is(err, syscall.ETIMEDOUT), "%v", err)
+}
