--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"path/filepath"
 	"syscall"
+	"time"
 )
 
 // The exit codes of a case.
@@ -42,6 +43,8 @@
 	folder := flag.String("folder", "", "folder of the record")
 	root := flag.String("root", ".", "root of the repository")
 	trouble := flag.Bool("trouble", true, "plays the disruption")
+	pause := flag.Duration("pause", 2500*time.Millisecond, "how long a stream that is put back waits, in the cases silence and overlap")
+	times := flag.Int("times", 1, "how often each stream is put back")
 	flag.Parse()
 	play := cases[*name]
 	if play == nil {
@@ -57,6 +60,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
+	s.silence = silencePlan{*pause, *times}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() {
--- a/review/standin/scene.go
+++ b/review/standin/scene.go
@@ -21,6 +21,7 @@
 	root, folder string
 	record       *record
 	trouble      bool
+	silence      silencePlan
 	store        *store
 	gateways     []*gateway
 	workers      []*worker
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -16,10 +16,10 @@
 	termAt  = 6500 * time.Millisecond
 	// graceTime is the time from SIGTERM until the process is killed.
 	graceTime = 8 * time.Second
-	// preempted is how long a stream waits after the worker has put it back, before its next event.
-	preempted = 2500 * time.Millisecond
-	// preemptedEvent is the event before which it is put back.
+	// preemptedEvent is the first event before which a stream is put back, and preemptedEvery the number of
+	// events to the next one.
 	preemptedEvent = 12
+	preemptedEvery = 2
 	briefs         = 3
 )
 
@@ -82,14 +82,29 @@
 	return broken, nil
 }
 
-// putBack makes a worker put its streams back once.
+// silencePlan states how often a worker puts each stream back, and for how long.
+type silencePlan struct {
+	pause time.Duration
+	times int
+}
+
+// eventGap is the pause between events. It is shorter where the streams would pass their deadline of 10 s.
+func (p silencePlan) eventGap() time.Duration {
+	if time.Duration(p.times)*p.pause > 5*time.Second {
+		return 80 * time.Millisecond
+	}
+	return 250 * time.Millisecond
+}
+
+// putBack makes a worker put its streams back.
 func (s *scene) putBack(w *worker) {
 	w.pause = func(id string, event int) time.Duration {
-		if event != preemptedEvent {
-			return 250 * time.Millisecond
+		n := event - preemptedEvent
+		if n < 0 || n%preemptedEvery != 0 || n/preemptedEvery >= s.silence.times {
+			return s.silence.eventGap()
 		}
-		s.record.line("worker %s puts %s back before event %d, for %v", w.id, id, event, preempted)
-		return preempted
+		s.record.line("worker %s puts %s back before event %d, for %v", w.id, id, event, s.silence.pause)
+		return s.silence.pause
 	}
 }
 
