Play the review's silent streams beside changes of the configuration

CHANGES=true writes three configurations in place of the SIGTERM of review/2, as in the users' report.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -45,6 +45,7 @@
 	trouble := flag.Bool("trouble", true, "plays the disruption")
 	pause := flag.Duration("pause", 2500*time.Millisecond, "how long a stream that is put back waits, in the cases silence and overlap")
 	times := flag.Int("times", 1, "how often each stream is put back")
+	changes := flag.Bool("changes", false, "changes the configuration in place of the SIGTERM, in the case silence")
 	flag.Parse()
 	play := cases[*name]
 	if play == nil {
@@ -60,7 +61,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	s.silence = silencePlan{*pause, *times}
+	s.silence = silencePlan{*pause, *times, *changes}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	go func() {
--- a/review/standin/silence.go
+++ b/review/standin/silence.go
@@ -28,11 +28,7 @@
 // playSilence stops a gateway with SIGTERM while it passes on streams of a sound worker that puts them back for
 // 2.5 s. The other two workers of the service are full.
 func playSilence(s *scene) (bool, error) {
-	s.store.put(configKind, configName, configuration(modelService,
-		wireRoute{Name: "journey-brief", PathPrefix: streamPath, Kind: "stream", TimeoutMs: 10000, TargetLatencyMs: 1000, GapAimMs: 500, Priority: 1, MaxAttempts: 3, ResumeStreams: true, SessionAffinity: true},
-		wireRoute{Name: "slot-check", PathPrefix: checkPath, Kind: "safe", TimeoutMs: 1000, TargetLatencyMs: 100, Priority: 2, MaxAttempts: 3},
-		wireRoute{Name: "report", PathPrefix: "/report/", Kind: "unsafe", TimeoutMs: 25000, TargetLatencyMs: 20000, Priority: 0, MaxAttempts: 1},
-	))
+	s.store.put(configKind, configName, silenceConfiguration(0))
 	for _, id := range []string{"i-1", "i-2"} {
 		if err := s.addModelWorker(id); err != nil {
 			return false, err
@@ -74,18 +70,44 @@
 	}
 	at(termAt)
 	term := time.Now()
-	leaving.signal(syscall.SIGTERM)
-	s.record.line("gateway %s gets SIGTERM", leaving.name)
+	if s.silence.changes {
+		s.changeConfiguration()
+	} else {
+		leaving.signal(syscall.SIGTERM)
+		s.record.line("gateway %s gets SIGTERM", leaving.name)
+	}
 	close(stop)
 	briefsEnd.Wait()
 	broken := s.checkBriefs(sound, leaving, term)
 	return broken, nil
 }
 
+// silenceConfiguration returns the n-th configuration of the case. The time limits of a route differ.
+func silenceConfiguration(n int) wireConfig {
+	c := configuration(modelService,
+		wireRoute{Name: "journey-brief", PathPrefix: streamPath, Kind: "stream", TimeoutMs: 10000, TargetLatencyMs: 1000, GapAimMs: 500, Priority: 1, MaxAttempts: 3, ResumeStreams: true, SessionAffinity: true},
+		wireRoute{Name: "slot-check", PathPrefix: checkPath, Kind: "safe", TimeoutMs: 1000 + 100*n, TargetLatencyMs: 100, Priority: 2, MaxAttempts: 3},
+		wireRoute{Name: "report", PathPrefix: "/report/", Kind: "unsafe", TimeoutMs: 25000, TargetLatencyMs: 20000, Priority: 0, MaxAttempts: 1},
+	)
+	c.Version += n
+	return c
+}
+
+// changeConfiguration writes three configurations, half a second apart.
+func (s *scene) changeConfiguration() {
+	for n := 1; n <= 3; n++ {
+		s.store.put(configKind, configName, silenceConfiguration(n))
+		s.record.line("configuration %d is written", 1+n)
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
 // silencePlan states how often a worker puts each stream back, and for how long.
 type silencePlan struct {
 	pause time.Duration
 	times int
+	// changes is set if the configuration changes in place of the SIGTERM.
+	changes bool
 }
 
 // eventGap is the pause between events. It is shorter where the streams would pass their deadline of 10 s.
