Hedge no plain answer that arrives slowly

The time after which the next part of a plain answer is overdue ran from the beginning of its body, whether parts came or not: an answer that took longer than 1.5 s had a second worker asked for it while it arrived.

Each byte renews the time now, and a hedge that runs is given up when the first worker goes on.

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -24,7 +24,7 @@
 // the attempt and whether the caller has a response or its connection must be closed.
 func (r *request) copyResponse(ctx context.Context, a *attempt) (forward.Outcome, bool) {
 	resp := a.exchange.resp
-	r.watchSilence(ctx, a, r.pieceOverdue)
+	r.watchSilence(ctx, a, r.pieceOverdue, true)
 	buffer := answerBuffer{memory: r.gateway.buffers}
 	defer buffer.reset()
 	ended, err := buffer.readUpTo(resp.Body, maxBufferedBytes)
@@ -191,7 +191,7 @@
 func (r *request) copyEvents(ctx context.Context, a *attempt) error {
 	events := newEventReader(a.exchange.resp.Body, r.gateway.buffers)
 	defer events.close()
-	r.watchSilence(ctx, a, r.pieceOverdue)
+	r.watchSilence(ctx, a, r.pieceOverdue, false)
 	defer r.awaitUntilDeadline(a.exchange.conn)
 	meter := paceMeter{dispatcher: r.gateway.dispatcher, evidence: a.evidence, running: a.exchange.meta.Load.Running}
 	defer meter.end()
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -12,24 +12,42 @@
 // A silent worker is not given up: it may be sound, and a connection that closes does not make every worker
 // stop. Its silence only makes other requests avoid it, and a request that may run twice asks a second worker.
 
-// watchSilence makes reads from the worker of an attempt wait beyond overdue, which returns when the next bytes
-// are overdue, until the deadline of the request.
-func (r *request) watchSilence(ctx context.Context, a *attempt, overdue func() time.Time) {
-	a.exchange.conn.onReadTimeout = func() time.Time { return r.handleSilence(ctx, a, overdue) }
+// silenceWatch waits for the answer of an attempt beyond the time at which its next bytes are overdue.
+type silenceWatch struct {
+	request *request
+	attempt *attempt
+	// overdue returns when the next bytes are overdue.
+	overdue func() time.Time
+	// renews is set if each byte renews that time, and received is the number of bytes at the last look.
+	renews   bool
+	received int64
+}
+
+// watchSilence makes reads from the worker of an attempt wait beyond overdue, until the deadline of the request.
+// With renews, an answer is only silent if no byte has come.
+func (r *request) watchSilence(ctx context.Context, a *attempt, overdue func() time.Time, renews bool) {
+	w := &silenceWatch{request: r, attempt: a, overdue: overdue, renews: renews, received: a.exchange.conn.received}
+	a.exchange.conn.onReadTimeout = func() time.Time { return w.handleSilence(ctx) }
 	_ = a.exchange.conn.SetReadDeadline(overdue()) // if the connection is closed, the read fails
 }
 
-// handleSilence is called when the answer of an attempt is overdue. It returns until when to wait, or the zero time
-// to end the attempt.
-func (r *request) handleSilence(ctx context.Context, a *attempt, overdue func() time.Time) time.Time {
+// handleSilence is called when the answer is overdue. It returns until when to wait, or the zero time to end the
+// attempt.
+func (w *silenceWatch) handleSilence(ctx context.Context) time.Time {
+	r := w.request
 	// The reader of a header may read on after an error.
-	if r.remaining() <= 0 || r.hedged != nil || r.isOverdue() && !a.exchange.hasBody() {
+	if r.remaining() <= 0 || r.hedged != nil || r.isOverdue() && !w.attempt.exchange.hasBody() {
 		return time.Time{}
 	}
-	r.recordSilence(a)
+	if received := w.attempt.exchange.conn.received; w.renews && received > w.received {
+		w.received = received
+		r.endHedge(ctx)
+		return w.overdue()
+	}
+	r.recordSilence(w.attempt)
 	if r.hedge == nil {
 		if r.hedge = r.startHedge(ctx); r.hedge == nil {
-			return r.nextLook(overdue)
+			return r.nextLook(w.overdue)
 		}
 	}
 	if !r.hedge.hasEnded() {
@@ -38,7 +56,7 @@
 	if r.settleHedge(ctx) {
 		return time.Time{}
 	}
-	return r.nextLook(overdue)
+	return r.nextLook(w.overdue)
 }
 
 // nextLook returns when a silent attempt is looked at again. A stream has nothing to wait for but its worker; a
@@ -55,7 +73,7 @@
 
 // awaitHeader reads the header of the response.
 func (r *request) awaitHeader(ctx context.Context, a *attempt) error {
-	r.watchSilence(ctx, a, r.headerOverdue)
+	r.watchSilence(ctx, a, r.headerOverdue, false)
 	defer r.awaitUntilDeadline(a.exchange.conn)
 	return a.exchange.readHeader(r.gateway.headers, r.inbound.method, r.inbound.meta.RequestID)
 }
