Count no worker as unreachable whose hedge was given up

Cause: when the first worker goes on, endHedge cancels the hedge. If its connection was still being opened, the canceled dial was recorded as that of an unreachable worker, which ejects a sound worker at once.

Change: such a hedge counts as overtaken. It reached no worker, so that its retry is returned as before, and it is no unsent attempt of the request.

Measured: the test fails before (one of two workers ejected after the first of 8 requests) and passes 3 of 3 after, with the race detector.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -133,6 +133,9 @@
 	a, d := &h.attempt, r.gateway.dispatcher
 	if a.exchange == nil {
 		r.returnRetry()
+		if errors.Is(h.err, errOvertaken) {
+			return forward.Overtaken
+		}
 		r.unsentAttempts++
 		if ctx.Err() == nil && !errors.Is(h.err, errUnexpected) {
 			d.recordNoAnswer(a.worker, membership.Unreachable, 0)
@@ -173,9 +176,10 @@
 // endHedge gives up the hedge, if there is one: the first worker goes on.
 func (r *request) endHedge(ctx context.Context) {
 	if h := r.hedge; h != nil {
-		h.cancel() // closes the connection
+		hadEnded := h.hasEnded()
+		h.cancel() // closes the connection, or ends the attempt to open it
 		<-h.done
-		if h.attempt.exchange != nil {
+		if !hadEnded || h.attempt.exchange != nil {
 			h.err = errOvertaken
 		}
 		r.settleHedge(ctx)
--- /dev/null
+++ b/internal/gateway/hedge_test.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// ejectedWorkers returns how many workers get no requests because of their failures.
+func (gw *gatewayHarness) ejectedWorkers() int {
+	d := gw.gateway.dispatcher
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for id := range d.usableWorkers {
+		if d.health.Ejected(id) {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a sound worker that is ejected because the connection to it was still being opened for a hedge
+// when the first worker went on.
+func TestHedgeThatIsGivenUpWhileItConnectsIsNoFailure(t *testing.T) {
+	script := func(n int, c net.Conn, r receivedRequest) bool {
+		time.Sleep(700 * time.Millisecond) // the header is overdue after 600 ms
+		writeResponse(c, r, http.StatusOK, "first", "Connection: close")
+		return false
+	}
+	first, second := startWorker(t, "w1", script), startWorker(t, "w2", script)
+	gw := startGateway(t, first, second)
+	var dials atomic.Int64
+	gw.gateway.pool.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+		if dials.Add(1)%2 == 0 { // each request dials its first worker, then that of the hedge
+			time.Sleep(200 * time.Millisecond)
+		}
+		return nil
+	}
+	for range 8 {
+		got := gw.call("GET", "/safe/x", "")
+		assert.Equal(t, got.body, "first")
+	}
+	assert.Equal(t, len(first.requests())+len(second.requests()), 8, "no hedge was sent")
+	assert.Equal(t, gw.ejectedWorkers(), 0, gw.log.String())
+}
