Record a broken answer whose hedge has won

Cause: an attempt that failed while its hedge answered was taken for one that was silent, whatever ended it. A worker that resets or crashes under safe requests was not counted, ejected, accused by the quarantine or taken as evidence of a rollout as long as hedges answered in its place.

Measured: the test fails before (no unfinished answer is counted) and passes 2 of 2 after, with the race detector, as do the two other hedge tests.

--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"bytes"
+	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -49,3 +52,28 @@
 	assert.Equal(t, len(first.requests())+len(second.requests()), 8, "no hedge was sent")
 	assert.Equal(t, gw.ejectedWorkers(), 0, gw.log.String())
 }
+
+// Guards against a worker that breaks off its answer and counts as one that was only silent because the hedge beside
+// it answered.
+func TestBreakBesideHedgeIsRecorded(t *testing.T) {
+	var arrivals atomic.Int64
+	broken := make(chan string, 1)
+	script := func(id string) func(int, net.Conn, receivedRequest) bool {
+		return func(_ int, c net.Conn, r receivedRequest) bool {
+			if arrivals.Add(1) == 1 {
+				broken <- id
+				time.Sleep(700 * time.Millisecond) // the hedge is sent after 600 ms
+				return false
+			}
+			time.Sleep(200 * time.Millisecond)
+			writeResponse(c, r, http.StatusOK, "second")
+			return true
+		}
+	}
+	gw := startGateway(t, startWorker(t, "w1", script("w1")), startWorker(t, "w2", script("w2")))
+	got := gw.call("GET", "/safe/x", "")
+	assert.Equal(t, got.body, "second")
+	var out bytes.Buffer
+	gw.gateway.metrics.set.WritePrometheus(&out)
+	assert.Assert(t, strings.Contains(out.String(), fmt.Sprintf("borageflow_gateway_unfinished_answers_total{worker=%q", <-broken)), out.String())
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -374,12 +374,16 @@
 		r.gateway.dispatcher.recordHeaderLatency(r.route.Name, r.modelIndex > 0, r.inbound.meta.PromptTokens, time.Since(a.started))
 	}
 	if err != nil {
-		if r.awaitHedge(ctx) {
+		hasWon := r.awaitHedge(ctx)
+		if hasWon && isReadTimeout(err) {
 			r.mayHaveRun = true
 			r.runCount++
 			return forward.Overtaken, false
 		}
 		r.handleNoHeader(ctx, a, err)
+		if hasWon {
+			return forward.Overtaken, false
+		}
 		return forward.Broken, false
 	}
 	if r.isRefusalOrFailure(a) && r.awaitHedge(ctx) {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -31,10 +31,13 @@
 	r.awaitUntilDeadline(a.exchange.conn)
 	if err != nil {
 		a.record.BodyBytes = len(buffer.bytes)
-		if r.awaitHedge(ctx) {
+		hasWon := r.awaitHedge(ctx)
+		if !hasWon || !isReadTimeout(err) {
+			r.recordBodyFailure(a, err)
+		}
+		if hasWon {
 			return forward.Overtaken, false
 		}
-		r.recordBodyFailure(a, err)
 		return forward.Broken, false
 	}
 	r.endHedge(ctx)
