Leave no silent worker for a part of an answer

Cause: a hedge won once 256 KiB of its answer were there, or less where no memory was free. If the rest did not come, the answer was cut, and the first worker, which would have answered, had been given up for it.

Change: only a whole answer wins. One that is too large to be kept ends the hedge as overtaken; it is no failure of its worker.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -21,7 +21,7 @@
 	attempt   attempt
 	placement forward.Placement
 	cancel    context.CancelFunc
-	// buffer holds the body of the answer, or as much of it as an instance keeps.
+	// buffer holds the body of the answer.
 	buffer answerBuffer
 	// done is closed when the answer is there or the attempt has failed with err.
 	done chan struct{}
@@ -77,10 +77,14 @@
 	if ex.meta.NotRun || ex.resp.StatusCode >= http.StatusInternalServerError || ex.resp.StatusCode == http.StatusMisdirectedRequest {
 		return nil
 	}
-	if _, err := h.buffer.readUpTo(ex.resp.Body, maxBufferedBytes); err != nil {
+	ended, err := h.buffer.readUpTo(ex.resp.Body, maxBufferedBytes)
+	if err != nil {
 		return eris.Wrap(err, "response ended early")
 	}
-	ex.resp.Body = &rereadBody{Reader: io.MultiReader(bytes.NewReader(h.buffer.bytes), ex.resp.Body), Closer: ex.resp.Body}
+	if !ended {
+		return errPartOfAnswer
+	}
+	ex.resp.Body = &rereadBody{Reader: bytes.NewReader(h.buffer.bytes), Closer: ex.resp.Body}
 	return nil
 }
 
@@ -149,7 +153,7 @@
 		r.mayHaveRun = true
 		r.runCount++
 		switch {
-		case errors.Is(h.err, errOvertaken):
+		case errors.Is(h.err, errOvertaken), errors.Is(h.err, errPartOfAnswer):
 			return forward.Overtaken
 		case isReadTimeout(h.err):
 			r.recordSilence(a)
@@ -173,6 +177,10 @@
 // errOvertaken is the error of a hedge whose first worker has gone on.
 var errOvertaken = eris.New("the first worker has gone on")
 
+// errPartOfAnswer is the error of a hedge whose answer is larger than what is kept of one. Its rest may not come, so that
+// the first worker is not given up for it.
+var errPartOfAnswer = eris.New("answer is too large to be kept")
+
 // endHedge gives up the hedge, if there is one: the first worker goes on.
 func (r *request) endHedge(ctx context.Context) {
 	if h := r.hedge; h != nil {
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -77,3 +77,26 @@
 	gw.gateway.metrics.set.WritePrometheus(&out)
 	assert.Assert(t, strings.Contains(out.String(), fmt.Sprintf("borageflow_gateway_unfinished_answers_total{worker=%q", <-broken)), out.String())
 }
+
+// Guards against a silent worker that is given up for the first part of an answer whose rest does not come.
+func TestHedgeWithPartOfAnswerDoesNotReplaceFirst(t *testing.T) {
+	whole := strings.Repeat("b", maxBufferedBytes+64<<10)
+	var arrivals atomic.Int64
+	stall := make(chan struct{})
+	t.Cleanup(func() { close(stall) })
+	script := func(_ int, c net.Conn, r receivedRequest) bool {
+		if arrivals.Add(1) == 1 {
+			time.Sleep(1200 * time.Millisecond) // the hedge is sent after 600 ms
+			writeResponse(c, r, http.StatusOK, whole)
+			return true
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", DefaultHeaderNames.RequestID, r.request.Header.Get(DefaultHeaderNames.RequestID), len(whole), whole[:len(whole)-1])
+		<-stall
+		return false
+	}
+	gw := startGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+	got := gw.call("GET", "/safe/x", "")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, len(got.body), len(whole))
+}
