Show that a larger model is given up for an answer that no worker gives

Cause: isOverdue ends the attempt at a larger model that is silent at 3 times the latency target also where the answer set aside was not kept, so that the smallest model has to be asked again. It only asks whether the budget has a retry.

--- a/internal/gateway/escalation_test.go
+++ b/internal/gateway/escalation_test.go
@@ -164,3 +164,32 @@
 	r.deadline = time.Now().Add(time.Minute)
 	assert.Assert(t, time.Until(r.pieceOverdue()) > 2300*time.Millisecond)
 }
+
+// Guards against a larger model that is given up, because it is silent, for a second answer of the smallest one that
+// no worker then gives.
+func TestLargerModelIsKeptUntilSmallestAnswers(t *testing.T) {
+	var smallRuns atomic.Int64
+	larger := formatEvent(1) + formatEvent(2)
+	script := func(_ int, c net.Conn, r receivedRequest) bool {
+		if r.request.Header.Get(DefaultHeaderNames.Model) != "small" {
+			time.Sleep(1500 * time.Millisecond) // it is overdue after 600 ms
+			writeStreamHeader(c, r)
+			writeChunk(c, larger)
+			fmt.Fprint(c, "0\r\n\r\n")
+			return true
+		}
+		if smallRuns.Add(1) > 1 {
+			writeResponse(c, r, http.StatusServiceUnavailable, "full", DefaultHeaderNames.NotRun+": 1")
+			return true
+		}
+		writeStreamHeader(c, r, DefaultHeaderNames.Confidence+": 10")
+		writeChunk(c, formatEvent(1))
+		_, _ = c.Read(make([]byte, 1)) // returns when the gateway closes the connection: the answer is too slow to be kept
+		return false
+	}
+	gw := startEscalationGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script), startWorker(t, "w3", script))
+	got := gw.call("POST", "/stream/x", "hard", DefaultHeaderNames.Model, "auto")
+	assert.NilError(t, got.err)
+	assert.Equal(t, got.status, http.StatusOK, gw.log.String())
+	assert.Equal(t, got.body, larger)
+}
