Count a hedge among the attempts that wait at a worker

Cause: the quarantine did not know of hedges. When a worker ended under a hedge, another request that waited there was accused as the only one, and a condemnation closed the attempt at the silent worker but not its hedge.

Change: a hedge is pending until the header of its answer. A connection that was closed on purpose is no failure of its worker.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -56,7 +57,7 @@
 	ctx, h.cancel = context.WithCancel(ctx)
 	go func() {
 		defer close(h.done)
-		if !r.gateway.protect("hedge", func() { h.err = h.run(ctx, r.gateway, outbound, r.inbound.method) }) {
+		if !r.gateway.protect("hedge", func() { h.err = h.run(ctx, r, outbound) }) {
 			h.err = errUnexpected
 		}
 	}()
@@ -64,14 +65,14 @@
 }
 
 // run sends the request and reads the answer.
-func (h *hedge) run(ctx context.Context, g *Gateway, out outboundRequest, method string) error {
-	ex, err := sendRequest(ctx, g.pool, out)
+func (h *hedge) run(ctx context.Context, r *request, out outboundRequest) error {
+	ex, err := sendRequest(ctx, r.gateway.pool, out)
 	if err != nil {
 		return err
 	}
 	h.attempt.exchange = ex
 	_ = ex.conn.SetReadDeadline(time.Now().Add(forward.HedgeTime)) // if the connection is closed, the read fails
-	if err := ex.readHeader(g.headers, method, out.requestID); err != nil {
+	if err := h.awaitHeader(r); err != nil {
 		return err
 	}
 	if ex.meta.NotRun || ex.resp.StatusCode >= http.StatusInternalServerError || ex.resp.StatusCode == http.StatusMisdirectedRequest {
@@ -88,6 +89,15 @@
 	return nil
 }
 
+// awaitHeader reads the header of the answer. Until then the attempt counts as one that waits at its worker: if that
+// ends, other requests at it were not alone there.
+func (h *hedge) awaitHeader(r *request) error {
+	q := r.gateway.quarantine
+	q.recordPending(r, &h.attempt)
+	defer q.recordBegun(&h.attempt)
+	return h.attempt.exchange.readHeader(r.gateway.headers, r.inbound.method, r.inbound.meta.RequestID)
+}
+
 // rereadBody is a body of which a part was read before.
 type rereadBody struct {
 	io.Reader
@@ -157,6 +167,8 @@
 			return forward.Overtaken
 		case isReadTimeout(h.err):
 			r.recordSilence(a)
+		case errors.Is(h.err, net.ErrClosed):
+			// The caller has left, or a part of the request was condemned.
 		case ctx.Err() == nil:
 			r.recordFailure(a, h.err)
 		}
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -100,3 +100,30 @@
 	assert.Equal(t, got.status, http.StatusOK)
 	assert.Equal(t, len(got.body), len(whole))
 }
+
+// Guards against a request that is accused alone of the end of its worker while a hedge waited there too, and against
+// a hedge that a condemnation of a part of its request does not end.
+func TestHedgeWaitsAtItsWorker(t *testing.T) {
+	script := func(_ int, c net.Conn, r receivedRequest) bool {
+		time.Sleep(800 * time.Millisecond) // the hedge is sent after 600 ms
+		writeResponse(c, r, http.StatusOK, "first")
+		return true
+	}
+	gw := startGateway(t, startWorker(t, "w1", script), startWorker(t, "w2", script))
+	q := gw.gateway.quarantine
+	waiting := func() (attempts, workers int) {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		return len(q.pending), len(q.pendingWorkers)
+	}
+	result := make(chan callResult, 1)
+	go func() { result <- gw.call("GET", "/safe/x", "") }()
+	gw.waitFor("both attempts wait", func() bool {
+		attempts, workers := waiting()
+		return attempts == 2 && workers == 2 || len(result) > 0
+	})
+	assert.Equal(t, len(result), 0, "the hedge was not known to wait")
+	assert.Equal(t, (<-result).body, "first")
+	attempts, workers := waiting()
+	assert.Equal(t, attempts+workers, 0)
+}
