Judge the evidence of a hedge by its own worker's cache

The evidence of a hedge was started with the placement of the first worker, so that the tokens which its own worker had to read were those of another one.

Measured: the hedge tests pass; no test shows the difference.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -44,16 +44,16 @@
 	}
 	first := r.placement
 	a, refusal := r.pickWorker()
-	h := &hedge{attempt: a, placement: r.placement, buffer: answerBuffer{memory: r.gateway.buffers}, done: make(chan struct{})}
-	r.placement = first
 	if refusal != nil {
 		r.returnRetry()
 		return nil
 	}
+	a.evidence = r.startEvidence(&a)
+	h := &hedge{attempt: a, placement: r.placement, buffer: answerBuffer{memory: r.gateway.buffers}, done: make(chan struct{})}
+	r.placement = first
 	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
 	var head bytes.Buffer
 	outbound := r.outboundTo(&a, &head)
-	h.attempt.evidence = r.startEvidence(&h.attempt)
 	ctx, h.cancel = context.WithCancel(ctx)
 	go func() {
 		defer close(h.done)
