Take an answer that ends with its connection for whole only if its worker lives

Cause: the absence of an error was taken for completion. The kernel of a process that crashes closes its connections in order, so that the end of such a stream after a whole event, and of a plain answer anywhere, looks like that of a whole one.

framing.Ending tells ends that nothing marks (IsUnmarked); Complete asks for evidence that the sender lives. The gateway dials the worker 60 ms after such an end; the connection carries the next request. Without it the answer is broken off: a safe request is repeated, a stream that may be resumed goes on at another worker, others get 502 or a connection that closes without a last chunk. An answer that is set aside is looked at at once, too, since no run is kept for a second one while it is being read.

A worker that lives and gives up a single answer between two events is still taken for one that has answered.

TestComplete demanded that an unframed stream that ended after a whole event is whole; it now demands that exactly if the sender lives. Scripts that the soak draws are unchanged.

--- a/internal/framing/cause.go
+++ b/internal/framing/cause.go
@@ -18,6 +18,8 @@
 	ErrInsideEvent = eris.New("stream ended inside an event")
 	// ErrStalled is returned when nothing arrived before a deadline.
 	ErrStalled = eris.New("no event of the stream arrived before its deadline")
+	// ErrSenderEnded is the error of an answer that ended with its connection and whose sender was not seen alive.
+	ErrSenderEnded = eris.New("answer ended with its connection, and so did its worker")
 	// ErrNotContinued is the error of an answer to a resumption that does not continue the stream.
 	ErrNotContinued = eris.New("answer does not continue the stream that broke off")
 )
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -65,12 +65,14 @@
 	IsStream  bool
 	Events    int
 	TailBytes int
+	// SenderLives reports whether the sender was seen alive after the end. It counts only where IsUnmarked.
+	SenderLives bool
 }
 
-// Complete reports whether the answer is whole. A stream that ends inside an event was broken off,
-// whatever its framing says. One that ends with its connection before the first event cannot be
-// told from a worker that crashed, and passing it on would give the caller nothing.
-func (e Ending) Complete() bool {
+// endsInOrder reports whether the answer is whole as far as its bytes tell. A stream that ends inside an event was
+// broken off, whatever its framing says. One that ends with its connection before the first event cannot be told
+// from a worker that crashed, and passing it on would give the caller nothing.
+func (e Ending) endsInOrder() bool {
 	if e.Err != nil && !errors.Is(e.Err, io.EOF) {
 		return false
 	}
@@ -79,3 +81,18 @@
 	}
 	return e.TailBytes == 0 && (e.Events > 0 || e.Framing != CloseDelimited)
 }
+
+// IsUnmarked reports whether nothing in the bytes tells the end of a whole answer from that of one whose sender has
+// ended: the kernel closes the connections of a process that crashes in order.
+func (e Ending) IsUnmarked() bool { return e.endsInOrder() && e.Framing == CloseDelimited }
+
+// Why returns why an answer is not whole that ended without an error.
+func (e Ending) Why() error {
+	if e.IsUnmarked() {
+		return ErrSenderEnded
+	}
+	return ErrInsideEvent
+}
+
+// Complete reports whether the answer is whole. One with an unmarked end is only if its sender lives.
+func (e Ending) Complete() bool { return e.endsInOrder() && (e.SenderLives || !e.IsUnmarked()) }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -18,18 +18,34 @@
 func TestComplete(t *testing.T) {
 	for _, f := range []Framing{CloseDelimited, ContentLength, Chunked} {
 		t.Run(f.String(), func(t *testing.T) {
-			assert.Equal(t, Ending{Framing: f, Err: io.EOF}.Complete(), true)
-			assert.Equal(t, Ending{Framing: f, IsStream: true, Events: 2}.Complete(), true)
-			assert.Equal(t, Ending{Framing: f, IsStream: true, Events: 2, TailBytes: 1}.Complete(), false)
-			assert.Equal(t, Ending{Framing: f, IsStream: true}.Complete(), f != CloseDelimited)
-			for _, err := range []error{io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ETIMEDOUT} {
-				assert.Equal(t, Ending{Framing: f, Err: err}.Complete(), false)
-				assert.Equal(t, Ending{Framing: f, Err: err, IsStream: true, Events: 2}.Complete(), false)
+			for _, lives := range []bool{false, true} {
+				isKnown := lives || f != CloseDelimited
+				assert.Equal(t, Ending{Framing: f, Err: io.EOF, SenderLives: lives}.Complete(), isKnown)
+				assert.Equal(t, Ending{Framing: f, IsStream: true, Events: 2, SenderLives: lives}.Complete(), isKnown)
+				assert.Equal(t, Ending{Framing: f, IsStream: true, Events: 2, TailBytes: 1, SenderLives: lives}.Complete(), false)
+				assert.Equal(t, Ending{Framing: f, IsStream: true, SenderLives: lives}.Complete(), f != CloseDelimited)
+				for _, err := range []error{io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.ETIMEDOUT} {
+					assert.Equal(t, Ending{Framing: f, Err: err, SenderLives: lives}.Complete(), false)
+					assert.Equal(t, Ending{Framing: f, Err: err, IsStream: true, Events: 2, SenderLives: lives}.Complete(), false)
+				}
 			}
 		})
 	}
 }
 
+// Guards against a look at the worker of each answer, and against none at that of an answer whose end is not marked.
+func TestIsUnmarked(t *testing.T) {
+	for _, f := range []Framing{CloseDelimited, ContentLength, Chunked} {
+		assert.Equal(t, Ending{Framing: f, Err: io.EOF}.IsUnmarked(), f == CloseDelimited)
+		assert.Equal(t, Ending{Framing: f, IsStream: true, Events: 2}.IsUnmarked(), f == CloseDelimited)
+		for _, e := range []Ending{
+			{Framing: f, IsStream: true}, {Framing: f, IsStream: true, Events: 2, TailBytes: 1}, {Framing: f, Err: io.ErrUnexpectedEOF},
+		} {
+			assert.Equal(t, e.IsUnmarked(), false, "%v", e)
+		}
+	}
+}
+
 // Guards against a broken connection that counts as a spoiled answer, and the reverse.
 func TestIsNoAnswer(t *testing.T) {
 	broken := []error{nil, io.EOF, io.ErrUnexpectedEOF, &net.OpError{Op: "read", Err: syscall.ECONNRESET}, &net.OpError{Op: "read", Err: os.ErrDeadlineExceeded}}
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -158,6 +158,11 @@
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, address)
+}
+
+// dial opens a new connection.
+func (p *connPool) dial(ctx context.Context, address string) (*conn, error) {
 	p.onDial()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -36,6 +37,9 @@
 	events []byte
 	lastID int64
 	err    error
+	// ctx ends the look at the worker behind the end of the answer. It ends when the answer is dropped.
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // holdAnswer sets the answer of an attempt aside and reads the rest of it until the given time.
@@ -49,13 +53,15 @@
 		return nil
 	}
 	h := &heldAnswer{attempt: a, done: make(chan struct{}), lastID: -1}
+	h.ctx, h.cancel = context.WithCancel(g.ctx)
 	if err := a.exchange.conn.SetReadDeadline(until); err != nil {
 		h.err = eris.Wrap(err, "connection is closed")
 	}
 	go func() {
 		defer close(h.done)
 		defer release()
-		if h.err == nil && !g.protect("answer that was set aside", func() { h.err = h.read(g.buffers) }) {
+		defer h.cancel()
+		if h.err == nil && !g.protect("answer that was set aside", func() { h.err = h.read(g) }) {
 			h.err = errUnexpected
 		}
 		h.mu.Lock()
@@ -86,18 +92,23 @@
 }
 
 // read reads the events of the answer until it ends.
-func (h *heldAnswer) read(memory bufferMemory) error {
+func (h *heldAnswer) read(g *Gateway) error {
 	resp := h.attempt.exchange.resp
-	reader := newEventReader(resp.Body, memory)
+	reader := newEventReader(resp.Body, g.buffers)
 	defer reader.close()
 	for count := 0; ; count++ {
 		event, id, err := reader.next()
 		if errors.Is(err, io.EOF) {
 			ending := framing.Ending{Framing: framing.Of(resp), IsStream: true, Events: count, TailBytes: len(event)}
-			if !ending.Complete() {
-				return framing.ErrInsideEvent
+			// While the answer is read, no run is kept for a second one: a worker that has ended is to be known at once.
+			ending.SenderLives = ending.IsUnmarked() && g.isAlive(h.ctx, h.attempt.worker, 0) && g.isAlive(h.ctx, h.attempt.worker, settleTime)
+			switch {
+			case ending.Complete():
+				return nil
+			case h.ctx.Err() != nil:
+				return eris.Wrap(net.ErrClosed, "answer was dropped")
 			}
-			return nil
+			return ending.Why()
 		}
 		if err != nil {
 			return eris.Wrap(err, "answer ended early")
@@ -136,6 +147,7 @@
 
 // drop ends reading and gives the answer's place to another one.
 func (h *heldAnswer) drop(g *Gateway) {
+	h.cancel()
 	h.readUntil(time.Unix(1, 0))
 	<-h.done
 	<-g.heldSlots
--- a/internal/gateway/matrix_test.go
+++ b/internal/gateway/matrix_test.go
@@ -40,12 +40,15 @@
 
 func matrixCases() []matrixCase {
 	var out []matrixCase
-	for _, s := range faulty.Scripts(matrixPieces, 0, 5*time.Millisecond) {
+	for _, s := range append(faulty.Scripts(matrixPieces, 0, 5*time.Millisecond), faulty.ExitScripts(matrixPieces, 0, 5*time.Millisecond)...) {
 		for route, roles := range map[string][]string{
 			"safe": {firstRole, secondRole}, "unsafe": {firstRole, secondRole}, "once": {firstRole, secondRole},
 			"stream": {firstRole, secondRole, continuationRole, largerRole, heldRole},
 		} {
 			for _, role := range roles {
+				if role == heldRole && s.End == faulty.Exit {
+					continue // a later run may be at the same worker, and end with it
+				}
 				out = append(out, matrixCase{s, route, role})
 			}
 		}
@@ -136,7 +139,7 @@
 		from++
 	}
 	other := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: other\r\nX-Signature: other\r\nContent-Length: 5\r\n\r\nother", names.RequestID)
-	answer := faulty.Answer{Head: matrixHead(w, id, 90), Pieces: m.pieces(w.ID, model, from), Other: other, Taken: func() { m.taken.Store(true) }}
+	answer := faulty.Answer{Head: matrixHead(w, id, 90), Pieces: m.pieces(w.ID, model, from), Other: other, Taken: func() { m.taken.Store(true) }, Exit: w.Close}
 	if !m.isStream() && m.script.Place == faulty.EndlessPiece {
 		answer.EndlessPause = time.Millisecond // such a body is passed on, at the cost of its reader
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -29,6 +29,9 @@
 	defer buffer.reset()
 	ended, err := buffer.readUpTo(resp.Body, maxBufferedBytes)
 	r.awaitUntilDeadline(a.exchange.conn)
+	if err == nil && ended {
+		err = r.checkPlainEnd(ctx, a)
+	}
 	if err != nil {
 		a.record.BodyBytes = len(buffer.bytes)
 		if r.awaitHedge(ctx) {
@@ -68,6 +71,10 @@
 		r.recordBodyFailure(a, rest.err)
 		return r.abortResponse()
 	}
+	if err := r.checkPlainEnd(ctx, a); err != nil {
+		r.recordBodyFailure(a, err)
+		return r.abortResponse()
+	}
 	a.exchange.releaseConn(r.gateway.pool)
 	r.recordSurvival(a)
 	return forward.Answered, true
@@ -133,7 +140,7 @@
 	resp := a.exchange.resp
 	err := r.copyEvents(ctx, a)
 	ending := framing.Ending{Framing: framing.Of(resp), Err: err, IsStream: true, Events: a.record.Events, TailBytes: a.record.TailBytes}
-	if ending.Complete() {
+	if r.lookAtSender(ctx, a, &ending); ending.Complete() {
 		if !r.headerSent {
 			r.sendStreamHeader(resp)
 		}
@@ -142,7 +149,7 @@
 		return forward.Answered, true
 	}
 	if err == nil {
-		err = framing.ErrInsideEvent
+		err = ending.Why()
 	}
 	if isLeaving(ctx) && !r.headerSent {
 		r.lastError = err
--- a/internal/standin/faulty/script.go
+++ b/internal/standin/faulty/script.go
@@ -51,10 +51,11 @@
 // Ends are what follows at the place where an answer ends.
 const (
 	// FIN closes the connection in order, RST resets it, and Silence keeps it open and sends
-	// nothing more.
+	// nothing more. Exit ends the worker, whose connections close in order.
 	FIN     = "fin"
 	RST     = "rst"
 	Silence = "silence"
+	Exit    = "exit"
 )
 
 // Script states how one answer is framed and where and how it ends.
@@ -71,7 +72,7 @@
 	return fmt.Sprintf("%s/%s/%d/%s/pause-%s", s.Framing, s.Place, s.Pieces, s.End, s.Pause)
 }
 
-// Scripts returns all scripts for a body of the given number of pieces.
+// Scripts returns all scripts for a body of the given number of pieces, without those that end the worker.
 func Scripts(pieces int, pauses ...time.Duration) []Script {
 	var out []Script
 	add := func(framing, place string, pieces int, ends ...string) {
@@ -114,6 +115,23 @@
 	return out
 }
 
+// ExitScripts returns all scripts that end the worker, for a body of the given number of pieces.
+func ExitScripts(pieces int, pauses ...time.Duration) []Script {
+	var out []Script
+	for _, framing := range []string{ByLength, ByChunks, ByConnection} {
+		for _, pause := range pauses {
+			out = append(out, Script{framing, Whole, Exit, pieces, pause}, Script{framing, AfterHead, Exit, 0, pause})
+			for n := range pieces {
+				out = append(out, Script{framing, InsidePiece, Exit, n, pause})
+				if n > 0 {
+					out = append(out, Script{framing, AfterPiece, Exit, n, pause})
+				}
+			}
+		}
+	}
+	return out
+}
+
 // Answer is what a whole answer would hold.
 type Answer struct {
 	// Head is the status line and the header lines without those of the framing.
@@ -125,6 +143,8 @@
 	Taken func()
 	// EndlessPause separates the blocks of 4 kB of an answer without end.
 	EndlessPause time.Duration
+	// Exit ends the worker. Only ExitScripts call it.
+	Exit func()
 }
 
 // maxEndlessBytes ends an answer without end that nobody closes. It is more than the sockets of a
@@ -163,6 +183,8 @@
 		}
 	case Silence:
 		wait()
+	case Exit:
+		a.Exit()
 	}
 	return false
 }
