Keep workers that left out of use when the store comes back from an older copy

Cause: WorkerList kept nothing of a worker whose entry was removed. After a drill of the store its list, or the difference that a relay sends of it, holds the entry again, and it counted as that of a new worker.

--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -125,28 +125,6 @@
 	return forward.ConfirmedConfig{Config: snapshot.config, ConfirmedAt: time.Duration(d.confirmedAt.Load())}
 }
 
-// applyWorkers applies a full list of workers or a list of changes.
-func (d *dispatcher) applyWorkers(now time.Duration, u *forward.Update) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if forward.IsNewerEra(u.Revision, d.workersRevision) && d.workersListed {
-		era, _ := forward.SplitRevision(u.Revision)
-		// Entries that the older copy lacks are written again soon.
-		d.workers.StoreLost()
-		d.log.Warn("store has come back from an older copy", zap.Int64("era", era))
-	}
-	d.workersRevision = u.Revision
-	d.workers.StoreReached(now)
-	if u.Full {
-		d.workers.Replace(now, u.Workers)
-		d.workersListed = true
-	} else {
-		d.workers.Apply(now, u.Workers)
-	}
-	d.syncWorkers(now)
-	d.recordColdWorkers(now, u.Workers)
-}
-
 // storeLost records that the store does not answer.
 func (d *dispatcher) storeLost() {
 	d.mu.Lock()
@@ -317,7 +295,7 @@
 func (d *dispatcher) removeWorker(now time.Duration, id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.workers.Remove(now, id)
+	d.workers.Drop(now, id)
 	d.syncWorkers(now)
 }
 
--- a/internal/gateway/workerlist.go
+++ b/internal/gateway/workerlist.go
@@ -30,6 +30,30 @@
 	d.recordColdWorkers(now, u.Workers)
 }
 
+// applyWorkers applies a full list of workers or a list of changes.
+func (d *dispatcher) applyWorkers(now time.Duration, u *forward.Update) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	isRestored := forward.IsNewerEra(u.Revision, d.workersRevision) && d.workersListed
+	if isRestored {
+		d.workers.BeginEra(now)
+	}
+	d.workersRevision = u.Revision
+	d.workers.StoreReached(now)
+	if u.Full {
+		d.workers.Replace(now, u.Workers)
+		d.workersListed = true
+	} else {
+		d.workers.Apply(now, u.Workers)
+	}
+	if isRestored {
+		era, _ := forward.SplitRevision(u.Revision)
+		d.log.Warn("store has come back from an older copy", zap.Int64("era", era), zap.Int("withheld_workers", d.workers.WithheldCount()))
+	}
+	d.syncWorkers(now)
+	d.recordColdWorkers(now, u.Workers)
+}
+
 // syncHealth passes the changes from the workers in use so far to the health tracker. The caller holds
 // the lock.
 func (d *dispatcher) syncHealth(usable []forward.Worker) {
