Keep the leaving notice of a worker that is no longer in use

Cause: noticeFor kept nothing for a worker that is not in use, so that Server-Leaving in an answer that ended after the removal of the worker's entry was dropped. The entry of an older copy, or one that is written again, then brought the worker back into use.

Change: the placer remembers the start of up to 8,192 workers that were in use, and RecordLeaving makes a notice for these too, within the bounds of the other notices. Pauses and limits are still kept for workers in use only.

TestLeavingIsKeptOfWorkersThatWereInUse is new.

--- a/internal/forward/departed_test.go
+++ b/internal/forward/departed_test.go
@@ -169,3 +169,36 @@
 	assert.Equal(t, list.WithheldCount(), 0)
 	assert.Equal(t, list.departed.byID.Len(), maxDeparted)
 }
+
+// Guards against the notice of a worker that is dropped because its entry was removed before, and against notices of all that
+// were ever in use, or of workers that were never known.
+func TestLeavingIsKeptOfWorkersThatWereInUse(t *testing.T) {
+	p := NewPlacer(PlacerOptions{})
+	p.SetWorkers([]Worker{leaver})
+	p.SetWorkers(nil)
+	assert.Assert(t, !p.RecordLeaving(time.Second, "other"))
+	assert.Assert(t, p.RecordLeaving(time.Second, "w"))
+	assert.Assert(t, !p.RecordLeaving(time.Second, "w"))
+	assert.Assert(t, !p.RecordPause(time.Second, "other", time.Second))
+	p.SetWorkers([]Worker{leaver})
+	assert.Equal(t, p.NoticeCounts(2*time.Second).Leaving, 1)
+	again := leaver
+	again.StartUnixMs++
+	p.SetWorkers([]Worker{again})
+	assert.Equal(t, p.NoticeCounts(2*time.Second).Leaving, 0)
+
+	for i := range 2 * maxNotices {
+		w := leaver
+		w.ID = fmt.Sprint(i)
+		p.SetWorkers([]Worker{w})
+	}
+	for i := range 2 * maxNotices {
+		p.RecordLeaving(3*time.Second, fmt.Sprint(i))
+	}
+	assert.Assert(t, p.former.Len() <= maxNotices)
+	assert.Equal(t, len(p.notices), maxNotices)
+	p.SetWorkers(nil)
+	p.SetWorkers([]Worker{leaver})
+	p.SetWorkers(nil)
+	assert.Assert(t, p.RecordLeaving(3*time.Second+2*noticeTTL, "w"), "old notices make room")
+}
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -24,7 +24,7 @@
 const (
 	// noticeTTL is how long a notice of a worker without an entry is kept.
 	noticeTTL = 10 * time.Minute
-	// maxNotices bounds the workers whose notices are kept.
+	// maxNotices bounds the workers whose notices are kept, and the workers out of use whose incarnation is known.
 	maxNotices = 8192
 )
 
@@ -35,6 +35,22 @@
 	if s == nil || s.notice != nil {
 		return p.notices[id]
 	}
+	s.notice = p.addNotice(now, id, s.StartUnixMs)
+	return s.notice
+}
+
+// formerNoticeFor is noticeFor for a worker that is no longer in use: what it says in the answers that it still ends
+// binds beyond its entry, which an older copy of the store may hold.
+func (p *Placer) formerNoticeFor(now Elapsed, id string) *notice {
+	startUnixMs, ok := p.former.Get(id)
+	if n := p.notices[id]; n != nil || !ok || p.workers[id] != nil {
+		return n
+	}
+	return p.addNotice(now, id, startUnixMs)
+}
+
+// addNotice adds the notice of an incarnation of a worker. It returns nil if too many are kept.
+func (p *Placer) addNotice(now Elapsed, id string, startUnixMs int64) *notice {
 	if len(p.notices) >= maxNotices {
 		for other, n := range p.notices {
 			if p.workers[other] == nil && now-n.recordedAt > noticeTTL {
@@ -45,9 +61,18 @@
 			return nil
 		}
 	}
-	s.notice = &notice{startUnixMs: s.StartUnixMs}
-	p.notices[id] = s.notice
-	return s.notice
+	n := &notice{startUnixMs: startUnixMs}
+	p.notices[id] = n
+	return n
+}
+
+// rememberFormer remembers the incarnations of the workers that are in use and not in next.
+func (p *Placer) rememberFormer(next map[string]*workerState) {
+	for id, s := range p.workers {
+		if next[id] == nil {
+			p.former.Add(id, s.StartUnixMs)
+		}
+	}
 }
 
 // attachNotice gives a worker the notice of its incarnation, if there is one.
@@ -88,10 +113,13 @@
 	return changed
 }
 
-// RecordLeaving records that the answer of a worker said that it leaves. It reports whether that is
-// new.
+// RecordLeaving records that the answer of a worker said that it leaves, also if its entry was removed before.
+// It reports whether that is new.
 func (p *Placer) RecordLeaving(now Elapsed, id string) bool {
 	n := p.noticeFor(now, id)
+	if n == nil {
+		n = p.formerNoticeFor(now, id)
+	}
 	if n == nil || n.leaving {
 		return false
 	}
--- a/internal/forward/placer.go
+++ b/internal/forward/placer.go
@@ -91,6 +91,8 @@
 	// notices holds what workers asked for, by ID, and demands the requests for each service.
 	notices map[string]*notice
 	demands map[string]*demand
+	// former holds the start of workers that were in use, by ID.
+	former *lru.LRU[string, int64]
 	// gateways is the number of gateways that exchange their demands, this one included, as of
 	// gatewaysAt.
 	gateways   int
@@ -161,9 +163,13 @@
 	if err != nil {
 		panic(err) // only a size below 1 fails
 	}
+	former, err := lru.NewLRU[string, int64](maxNotices, nil)
+	if err != nil {
+		panic(err) // only a size below 1 fails
+	}
 	return &Placer{
 		opts: o.withDefaults(), workers: map[string]*workerState{}, services: map[string][]*workerState{}, pools: map[string]*poolStats{}, cache: cache,
-		notices: map[string]*notice{}, demands: map[string]*demand{}, reuse: map[reuseKey]*reuse{},
+		notices: map[string]*notice{}, former: former, demands: map[string]*demand{}, reuse: map[reuseKey]*reuse{},
 	}
 }
 
@@ -189,6 +195,7 @@
 		next[w.ID] = s
 		p.services[w.Service] = append(p.services[w.Service], s)
 	}
+	p.rememberFormer(next)
 	p.workers = next
 	p.dividePools()
 }
--- a/internal/gateway/oldercopy_test.go
+++ b/internal/gateway/oldercopy_test.go
@@ -28,14 +28,18 @@
 	return entry
 }
 
+// workerScript answers the requests of a worker.
+type workerScript = func(n int, c net.Conn, r receivedRequest) bool
+
+func answerDone(_ int, c net.Conn, r receivedRequest) bool {
+	writeResponse(c, r, http.StatusOK, "done")
+	return true
+}
+
 // startOlderCopyCase starts two workers and gateways with relays or without, and copies the store.
-func startOlderCopyCase(t *testing.T, relayed bool) *olderCopyCase {
+func startOlderCopyCase(t *testing.T, relayed bool, left workerScript) *olderCopyCase {
 	t.Helper()
-	answer := func(_ int, c net.Conn, r receivedRequest) bool {
-		writeResponse(c, r, http.StatusOK, "done")
-		return true
-	}
-	c := &olderCopyCase{left: startWorker(t, "left", answer), other: startWorker(t, "other", answer)}
+	c := &olderCopyCase{left: startWorker(t, "left", left), other: startWorker(t, "other", answerDone)}
 	if relayed {
 		var relay, second *gatewayHarness
 		c.store, relay, second = startRelayPair(t)
@@ -94,7 +98,7 @@
 		for _, returns := range []string{"not", "born again", "by a new entry"} {
 			t.Run(fmt.Sprintf("relayed %v, returns %s", relayed, returns), func(t *testing.T) {
 				t.Parallel()
-				c := startOlderCopyCase(t, relayed)
+				c := startOlderCopyCase(t, relayed, answerDone)
 				c.store.RemoveWorker("left")
 				c.waitForWorkers(1)
 				c.drill(t)
@@ -120,7 +124,7 @@
 
 // Guards against a worker that drained until its entry was removed and gets requests from an older copy that lists it as ready.
 func TestDrainedWorkerGetsNothingFromAnOlderCopy(t *testing.T) {
-	c := startOlderCopyCase(t, false)
+	c := startOlderCopyCase(t, false, answerDone)
 	draining := incarnation(c.left, 1)
 	draining.Draining = true
 	c.store.PutWorker(draining)
@@ -136,3 +140,33 @@
 	assert.Equal(t, c.requestsOfLeft(t, 500*time.Millisecond), 0)
 	assert.Assert(t, len(c.other.requests()) > 0)
 }
+
+// Guards against the notice of a worker that says that it leaves in an answer that ends after its entry was removed: it was
+// dropped, and the worker got requests again from an older copy of the store in which its entry had stood for long.
+func TestNoticeOfRemovedWorkerOutlastsItsEntry(t *testing.T) {
+	answer := make(chan struct{})
+	c := startOlderCopyCase(t, false, func(_ int, conn net.Conn, r receivedRequest) bool {
+		<-answer
+		writeResponse(conn, r, http.StatusOK, "done", DefaultHeaderNames.Leaving+": 1")
+		return true
+	})
+	gw := c.gateways[0]
+	for len(c.left.requests()) == 0 {
+		go gw.call("POST", "/unsafe/x", "x")
+		time.Sleep(5 * time.Millisecond)
+	}
+	c.store.RemoveWorker("left")
+	c.waitForWorkers(1)
+	close(answer)
+	gw.waitFor("notice is known", func() bool {
+		gw.gateway.dispatcher.mu.Lock()
+		defer gw.gateway.dispatcher.mu.Unlock()
+		return gw.gateway.dispatcher.placer.IsLeaving("left")
+	})
+	// The entry is written again by another hand than the worker's: its own word holds.
+	c.store.PutWorker(incarnation(c.left, 1))
+	c.waitForWorkers(2)
+	assert.Equal(t, c.requestsOfLeft(t, 300*time.Millisecond), 0)
+	c.store.PutWorker(incarnation(c.left, 2))
+	gw.waitFor("worker that was born again gets requests", func() bool { return c.requestsOfLeft(t, 20*time.Millisecond) > 0 })
+}
