Judge removed workers without counting eras

Cause: the count of eras in departures decided nothing that a test could show: an entry that is removed and written again within the first update of an era is retained and not remembered.

Change: the count is removed. A test shows that a worker that was not at its address is used again in the next era.

--- a/internal/forward/departed.go
+++ b/internal/forward/departed.go
@@ -25,9 +25,7 @@
 	// withheld holds the listed workers that get no requests since their entries are those of an older copy, with the
 	// time at which that ends.
 	withheld map[string]Elapsed
-	// era counts the eras that have begun, the last one at eraBeganAt. isRestoring is set until the first update of an
-	// era is applied.
-	era         int
+	// eraBeganAt is the start of the last era. isRestoring is set until the first update of an era is applied.
 	eraBeganAt  Elapsed
 	isRestoring bool
 }
@@ -35,7 +33,6 @@
 // departure is a worker as it was when its entry was removed.
 type departure struct {
 	worker    Worker
-	era       int
 	removedAt Elapsed
 }
 
@@ -56,7 +53,7 @@
 // add records that the entry of a worker was removed.
 func (d *departures) add(now Elapsed, worker Worker) {
 	delete(d.withheld, worker.ID)
-	d.byID.Add(worker.ID, departure{worker, d.era, now})
+	d.byID.Add(worker.ID, departure{worker, now})
 }
 
 // forget ends what is known of a worker and reports whether it was withheld.
@@ -68,7 +65,6 @@
 
 // beginEra forgets the workers that were removed too long ago.
 func (d *departures) beginEra(now Elapsed) {
-	d.era++
 	d.eraBeganAt, d.isRestoring = now, true
 	for id, known, ok := d.byID.GetOldest(); ok && now-known.removedAt > departedTTL; id, known, ok = d.byID.GetOldest() {
 		d.forget(id)
@@ -84,7 +80,7 @@
 	}
 	until, withheld := d.withheld[entry.ID]
 	switch {
-	case d.isRestoring && known.era < d.era && !isBornAfter(entry, known.worker):
+	case d.isRestoring && !isBornAfter(entry, known.worker):
 		end := d.eraBeganAt + restoredTime
 		if known.worker.Draining {
 			end = max(end, known.removedAt+departedTTL) // it never takes that back
--- a/internal/gateway/oldercopy_test.go
+++ b/internal/gateway/oldercopy_test.go
@@ -170,3 +170,16 @@
 	c.store.PutWorker(incarnation(c.left, 2))
 	gw.waitFor("worker that was born again gets requests", func() bool { return c.requestsOfLeft(t, 20*time.Millisecond) > 0 })
 }
+
+// Guards against a worker that is kept out after a drill of the store because another one was found at its address before:
+// that says nothing of its leaving, and the list of the next era may name its address.
+func TestWorkerThatWasNotAtItsAddressIsUsedInTheNextEra(t *testing.T) {
+	d := newDispatcher(testSettings(t), newNopLogger())
+	list := &forward.Update{Full: true, Revision: forward.EraRevision(1, 5), Workers: []forward.WorkerChange{{Worker: forward.Worker{ID: "w", Service: "svc", Address: "10.1.0.1:80", StartUnixMs: 1}}}}
+	d.applyWorkers(0, list)
+	d.removeWorker(time.Second, "w")
+	assert.Equal(t, len(d.usableWorkers), 0)
+	list.Revision = forward.EraRevision(2, 4)
+	d.applyWorkers(2*time.Second, list)
+	assert.Equal(t, len(d.usableWorkers), 1)
+}
