--- a/internal/gateway/oldercopy_test.go
+++ b/internal/gateway/oldercopy_test.go
@@ -163,8 +163,11 @@
 		defer gw.gateway.dispatcher.mu.Unlock()
 		return gw.gateway.dispatcher.placer.IsLeaving("left")
 	})
-	// The entry is written again by another hand than the worker's: its own word holds.
-	c.store.PutWorker(incarnation(c.left, 1))
+	c.drill(t)
+	// Another entry of the same incarnation: what the worker itself has said holds.
+	entry := incarnation(c.left, 1)
+	entry.Slots++
+	c.store.PutWorker(entry)
 	c.waitForWorkers(2)
 	assert.Equal(t, c.requestsOfLeft(t, 300*time.Millisecond), 0)
 	c.store.PutWorker(incarnation(c.left, 2))
