Read bodies without a length into the memory that is reserved

Cause: bytes.Buffer doubled its room for a body in chunks, so that 4 MiB took 8 MiB (16 MiB with the buffers before), while the longest allowed length was reserved and, once the body was whole, only its length.

Change: such a body is read into buffers of 1/256, 1/16 and the whole of the longest length; a full one is followed by a larger one only if another byte comes. A whole body is copied into memory of its length when both are reserved, else its buffer is kept; the reservation is settled for what is kept, within a tenth. Bodies with a length no longer get 512 bytes more. Two gauges state the memory that is reserved and what the process has from the system.

--- /dev/null
+++ b/internal/gateway/body.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/forward"
+)
+
+const (
+	// defaultMaxBodyBytes applies when the configuration sets no limit.
+	defaultMaxBodyBytes = 4 << 20
+	// bodyGrowth is the factor between the buffers into which a body without a length is read one after the other. The
+	// last one has the longest length that is allowed, which is reserved; all before it take a fifteenth of that.
+	bodyGrowth = 16
+	// minBodyBuffer is the least size of the first one.
+	minBodyBuffer = 4 << 10
+	// bodySlack is the part of a body, as a divisor, that its buffer may be larger.
+	bodySlack = 10
+)
+
+// maxBodyBytes returns the longest body that the configuration allows.
+func maxBodyBytes(limits forward.ClientLimits) int64 {
+	if limits.BodyBytes <= 0 {
+		return defaultMaxBodyBytes
+	}
+	return limits.BodyBytes
+}
+
+// bodyReserve returns the memory that the body of a request may need: its length, or the longest that
+// the configuration allows.
+func bodyReserve(req *http.Request, limits forward.ClientLimits) int64 {
+	longest := maxBodyBytes(limits)
+	if req.ContentLength < 0 || req.ContentLength > longest {
+		return longest
+	}
+	return req.ContentLength
+}
+
+// readLimitedBody checks the size of the header and reads the body within the limits of
+// the configuration and until the deadline of the request. From then on memory is what the body takes.
+func readLimitedBody(w http.ResponseWriter, req *http.Request, limits forward.ClientLimits, deadline time.Time, memory *reservation) ([]byte, *errkind.Error) {
+	if limits.HeaderBytes > 0 && headerSize(req.Header) > limits.HeaderBytes {
+		return nil, errkind.New(errkind.PayloadTooLarge, "request header is larger than "+strconv.Itoa(limits.HeaderBytes)+" bytes")
+	}
+	if req.ContentLength == 0 {
+		return nil, nil
+	}
+	controller := http.NewResponseController(w)
+	if err := controller.SetReadDeadline(deadline); err != nil {
+		return nil, errkind.New(errkind.Internal, "read deadline of the body cannot be set: "+err.Error())
+	}
+	body, refusal := readBody(w, req, maxBodyBytes(limits))
+	if refusal != nil {
+		return nil, refusal // keep the read deadline: net/http reads on after an error
+	}
+	if err := controller.SetReadDeadline(time.Time{}); err != nil {
+		return nil, errkind.New(errkind.InvalidRequest, "connection was closed after the body: "+err.Error())
+	}
+	return fitBody(body, memory), nil
+}
+
+// headerSize returns the length of the header lines in bytes. The Host line is not
+// included because net/http removes it.
+func headerSize(header http.Header) int {
+	n := 0
+	for name, values := range header {
+		for _, value := range values {
+			n += len(name) + len(": \r\n") + len(value)
+		}
+	}
+	return n
+}
+
+func readBody(w http.ResponseWriter, req *http.Request, maxBytes int64) ([]byte, *errkind.Error) {
+	if req.ContentLength > maxBytes {
+		return nil, errkind.New(errkind.PayloadTooLarge, "request body is larger than "+strconv.FormatInt(maxBytes, 10)+" bytes")
+	}
+	size := req.ContentLength
+	if size < 0 {
+		size = firstBodyBuffer(maxBytes)
+	}
+	body, err := readGrowing(http.MaxBytesReader(w, req.Body, maxBytes), size, maxBytes)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, errkind.New(errkind.PayloadTooLarge, "request body is larger than "+strconv.FormatInt(maxBytes, 10)+" bytes")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, errkind.New(errkind.InvalidRequest, "request body did not end within the time limit")
+	case err != nil:
+		return nil, errkind.New(errkind.InvalidRequest, "request body ended early")
+	}
+	return body, nil
+}
+
+// firstBodyBuffer returns the size of the first buffer, from which bodyGrowth leads to just the longest.
+func firstBodyBuffer(longest int64) int64 {
+	size := longest
+	for size/bodyGrowth >= minBodyBuffer {
+		size = (size + bodyGrowth - 1) / bodyGrowth
+	}
+	return size
+}
+
+// readGrowing reads r to its end into a buffer of the given size, and into larger ones up to longest once it is full.
+func readGrowing(r io.Reader, size, longest int64) ([]byte, error) {
+	body := make([]byte, 0, size)
+	var next [1]byte
+	for {
+		free := body[len(body):cap(body)]
+		if len(free) == 0 {
+			free = next[:] // a body that ends here needs no larger buffer
+		}
+		n, err := r.Read(free)
+		if n > 0 && len(body) == cap(body) {
+			grown := make([]byte, len(body)+1, min(int64(cap(body))*bodyGrowth, longest))
+			copy(grown, body)
+			grown[len(body)] = next[0]
+			body = grown
+		} else {
+			body = body[:len(body)+n]
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// fitBody copies a body into memory of its length if its buffer is larger by more than bodySlack and there is memory for
+// both. It settles the reservation for what is kept.
+func fitBody(body []byte, memory *reservation) []byte {
+	if cap(body)-len(body) > len(body)/bodySlack && memory.extend(len(body)) {
+		fitted := make([]byte, len(body))
+		copy(fitted, body)
+		body = fitted
+	}
+	memory.settle(cap(body))
+	return body
+}
--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,11 +2,8 @@
 
 import (
 	"bytes"
-	"errors"
-	"io"
 	"math"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -81,12 +78,11 @@
 	}
 	defer memory.release()
 	deadline := started.Add(timeLimit)
-	body, refusal := readLimitedBody(unwrapWriter(w), req, snapshot.config.Limits, deadline)
+	body, refusal := readLimitedBody(unwrapWriter(w), req, snapshot.config.Limits, deadline, memory)
 	if refusal != nil {
 		g.writeError(w, meta, snapshot, refusal)
 		return
 	}
-	memory.settle(len(body))
 	r := &request{
 		gateway: g, writer: w, route: route, customer: customer, apiKey: key, started: started, lastEventID: -1, urgency: -1,
 		inbound: inboundRequest{
@@ -141,68 +137,6 @@
 	return req.URL.RequestURI()
 }
 
-// readLimitedBody checks the size of the header and reads the body within the limits of
-// the configuration and until the deadline of the request.
-func readLimitedBody(w http.ResponseWriter, req *http.Request, limits forward.ClientLimits, deadline time.Time) ([]byte, *errkind.Error) {
-	if limits.HeaderBytes > 0 && headerSize(req.Header) > limits.HeaderBytes {
-		return nil, errkind.New(errkind.PayloadTooLarge, "request header is larger than "+strconv.Itoa(limits.HeaderBytes)+" bytes")
-	}
-	if req.ContentLength == 0 {
-		return nil, nil
-	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
-		return nil, errkind.New(errkind.Internal, "read deadline of the body cannot be set: "+err.Error())
-	}
-	body, refusal := readBody(w, req, limits.BodyBytes)
-	if refusal != nil {
-		return nil, refusal // keep the read deadline: net/http reads on after an error
-	}
-	if err := controller.SetReadDeadline(time.Time{}); err != nil {
-		return nil, errkind.New(errkind.InvalidRequest, "connection was closed after the body: "+err.Error())
-	}
-	return body, nil
-}
-
-// headerSize returns the length of the header lines in bytes. The Host line is not
-// included because net/http removes it.
-func headerSize(header http.Header) int {
-	n := 0
-	for name, values := range header {
-		for _, value := range values {
-			n += len(name) + len(": \r\n") + len(value)
-		}
-	}
-	return n
-}
-
-func readBody(w http.ResponseWriter, req *http.Request, maxBytes int64) ([]byte, *errkind.Error) {
-	if maxBytes <= 0 {
-		maxBytes = defaultMaxBodyBytes
-	}
-	if req.ContentLength > maxBytes {
-		return nil, errkind.New(errkind.PayloadTooLarge, "request body is larger than "+strconv.FormatInt(maxBytes, 10)+" bytes")
-	}
-	var buf bytes.Buffer
-	if req.ContentLength > 0 {
-		buf.Grow(int(req.ContentLength) + bytes.MinRead)
-	}
-	_, err := buf.ReadFrom(http.MaxBytesReader(w, req.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return nil, errkind.New(errkind.PayloadTooLarge, "request body is larger than "+strconv.FormatInt(maxBytes, 10)+" bytes")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, errkind.New(errkind.InvalidRequest, "request body did not end within the time limit")
-	case err != nil && !errors.Is(err, io.EOF):
-		return nil, errkind.New(errkind.InvalidRequest, "request body ended early")
-	}
-	return buf.Bytes(), nil
-}
-
-// defaultMaxBodyBytes applies when the configuration sets no limit.
-const defaultMaxBodyBytes = 4 << 20
-
 // writeError responds with an error of a kind that package errkind lists. snapshot is nil when
 // the request already has its line in the log.
 func (g *Gateway) writeError(w http.ResponseWriter, meta forward.RequestMeta, snapshot *configSnapshot, e *errkind.Error) {
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -49,6 +49,8 @@
 	gauge("borageflow_gateway_processor_lag_seconds", func(l overload.Load) float64 { return l.Lag.Seconds() })
 	gauge("borageflow_gateway_link_delay_seconds", func(l overload.Load) float64 { return l.LinkDelay.Seconds() })
 	gauge("borageflow_gateway_request_memory_share", func(l overload.Load) float64 { return l.MemoryShare })
+	gauge("borageflow_gateway_request_memory_bytes", func(l overload.Load) float64 { return float64(l.RequestBytes) })
+	m.set.NewGauge("borageflow_gateway_process_memory_bytes", func() float64 { return float64(usedMemory()) })
 	m.set.NewGauge("borageflow_gateway_caller_connections", func() float64 { return float64(g.callers.Load()) })
 	g.closed = m.set.NewCounter("borageflow_gateway_closed_connections_total")
 	return g
@@ -66,7 +68,16 @@
 	request overload.Request
 }
 
-// settle replaces the reserved length of the body by the true one.
+// extend reserves n more bytes for the body and reports whether there is memory for them.
+func (r *reservation) extend(n int) bool {
+	r.guard.mu.Lock()
+	defer r.guard.mu.Unlock()
+	var ok bool
+	r.request, ok = r.guard.guard.Extend(r.request, int64(n))
+	return ok
+}
+
+// settle replaces the memory that is reserved for the body by what it takes.
 func (r *reservation) settle(bodyBytes int) {
 	r.guard.mu.Lock()
 	defer r.guard.mu.Unlock()
@@ -96,19 +107,6 @@
 	return nil, errkind.New(errkind.Overloaded, "instance is at the limit of its "+string(verdict.Reason)).WithRetryAfter(verdict.RetryAfter)
 }
 
-// bodyReserve returns the memory that the body of a request may need: its length, or the longest that
-// the configuration allows.
-func bodyReserve(req *http.Request, limits forward.ClientLimits) int64 {
-	longest := limits.BodyBytes
-	if longest <= 0 {
-		longest = defaultMaxBodyBytes
-	}
-	if req.ContentLength < 0 || req.ContentLength > longest {
-		return longest
-	}
-	return req.ContentLength
-}
-
 // readinessTicks is the number of ticks between two decisions on readiness.
 const readinessTicks = 5
 
--- a/internal/overload/memory.go
+++ b/internal/overload/memory.go
@@ -59,11 +59,14 @@
 }
 
 // fits reports whether there is memory for a request with a body of n bytes.
-func (m *memory) fits(n int64) bool {
+func (m *memory) fits(n int64) bool { return m.hasRoom(cost(n)) }
+
+// hasRoom reports whether n more bytes may be used.
+func (m *memory) hasRoom(n int64) bool {
 	if m.budget == 0 {
 		return true
 	}
-	return m.requests+m.connections+cost(n) <= m.budget && m.used <= int64(usedShare*float64(m.total))
+	return m.requests+m.connections+n <= m.budget && m.used <= int64(usedShare*float64(m.total))
 }
 
 func cost(bodyBytes int64) int64 { return requestBytes + bodyBytes }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -102,8 +102,19 @@
 	return min(max(delay, minRetryAfter), maxRetryAfter)
 }
 
-// Settle replaces the length of the body of an admitted request by the true one, and returns the request to
-// release. The longest allowed body was reserved for one without a stated length.
+// Extend reserves n more bytes for the body of an admitted request, and returns the request to release. It
+// reports whether there is memory for them.
+func (g *Guard) Extend(r Request, n int64) (Request, bool) {
+	if !g.memory.hasRoom(n) {
+		return r, false
+	}
+	g.memory.requests += n
+	r.BodyBytes += n
+	return r, true
+}
+
+// Settle replaces the memory reserved for the body of an admitted request by what it takes, and returns the request
+// to release. The longest allowed body was reserved for one without a stated length.
 func (g *Guard) Settle(r Request, bodyBytes int64) Request {
 	g.memory.release(r.BodyBytes)
 	g.memory.take(bodyBytes)
@@ -138,9 +149,11 @@
 	Lag         time.Duration
 	LinkDelay   time.Duration
 	MemoryShare float64
+	// RequestBytes is the memory that is reserved for requests and connections.
+	RequestBytes int64
 }
 
 // Load returns the present state.
 func (g *Guard) Load(now time.Duration) Load {
-	return Load{Lag: g.processor.delay(), LinkDelay: g.link.delay(now), MemoryShare: g.memory.share()}
+	return Load{Lag: g.processor.delay(), LinkDelay: g.link.delay(now), MemoryShare: g.memory.share(), RequestBytes: g.memory.requests + g.memory.connections}
 }
--- a/test/soak/slowreaders_test.go
+++ b/test/soak/slowreaders_test.go
@@ -36,9 +36,7 @@
 // although they fit, or drops answers that are ready.
 func TestSlowReadersFitIntoSmallInstance(t *testing.T) {
 	dir := t.TempDir()
-	binary := filepath.Join(dir, "borageflowd")
-	out, err := exec.Command("go", "build", "-o", binary, "github.com/borageflow/borageflow/cmd/borageflowd").CombinedOutput()
-	assert.NilError(t, err, "%s", out)
+	binary := buildDaemon(t, dir)
 	st := newStore()
 	storeAddress := serve(t, st)
 	config := configForVersion(1)
@@ -48,7 +46,7 @@
 	config.Services[0].MaxConnections = 2 * slowReaders
 	st.put("config", "main", config)
 	st.put("servers", "w1", wireWorker{Service: serviceName, Address: serve(t, http.HandlerFunc(serveLongStream)), Zone: "a", Version: "v1", State: "ready", Slots: 2 * slowReaders})
-	callers, health := startLimitedProcess(t, dir, binary, storeAddress)
+	callers, health := startLimitedProcess(t, dir, binary, storeAddress, smallMemoryMb)
 	pid := health.pid
 	health.awaitReady(t)
 
@@ -96,9 +94,18 @@
 	pid    int
 }
 
-// startLimitedProcess starts a gateway with the limits of a small instance and returns the address for
-// callers.
-func startLimitedProcess(t *testing.T, dir, binary, store string) (string, limitedProcess) {
+// buildDaemon builds the program of the gateway in dir and returns its path.
+func buildDaemon(t *testing.T, dir string) string {
+	t.Helper()
+	binary := filepath.Join(dir, "borageflowd")
+	out, err := exec.Command("go", "build", "-o", binary, "github.com/borageflow/borageflow/cmd/borageflowd").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	return binary
+}
+
+// startLimitedProcess starts a gateway with the limits of an instance with memoryMb and returns the address
+// for callers.
+func startLimitedProcess(t *testing.T, dir, binary, store string, memoryMb int) (string, limitedProcess) {
 	t.Helper()
 	var addresses [2]string
 	var err error
@@ -108,7 +115,7 @@
 	}
 	file := filepath.Join(dir, "limited.json")
 	text := fmt.Sprintf(`{"role":"gateway","instance":"small","failureDomain":"a","listen":{"callers":%q,"health":%q},"store":{"address":%q},
- "bounds":{"revokeMs":60000,"graceSeconds":8},"limits":{"memoryMb":%d,"descriptors":2870},"log":{"level":"warn"}}`, addresses[0], addresses[1], store, smallMemoryMb)
+ "bounds":{"revokeMs":60000,"graceSeconds":8},"limits":{"memoryMb":%d,"descriptors":2870},"log":{"level":"warn"}}`, addresses[0], addresses[1], store, memoryMb)
 	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
 	cmd := exec.Command(binary, file)
 	cmd.Stderr = os.Stderr
@@ -163,16 +170,22 @@
 
 // peakMemory returns the largest resident memory of a process so far, in bytes.
 func peakMemory(t *testing.T, pid int) int64 {
+	t.Helper()
+	return statusBytes(t, pid, "VmHWM:")
+}
+
+// statusBytes returns a size from the status of a process, in bytes.
+func statusBytes(t *testing.T, pid int, name string) int64 {
 	t.Helper()
 	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
 	assert.NilError(t, err, "the process has ended")
 	for line := range strings.Lines(string(raw)) {
-		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == "VmHWM:" {
+		if fields := strings.Fields(line); len(fields) == 3 && fields[0] == name {
 			kB, err := strconv.ParseInt(fields[1], 10, 64)
 			assert.NilError(t, err)
 			return kB * 1024
 		}
 	}
-	t.Fatal("the process has no VmHWM")
+	t.Fatalf("the process has no %s", name)
 	return 0
 }
