Bound the receive buffers of connections to workers

Cause: where the memory of the instance is known, send buffers of callers' connections are 64 KiB, but the receive buffers of workers' connections grow with what is read. A worker that sends without end fills them when the caller stops reading, and no memory is reserved for them.

Change: such connections get a receive buffer of 64 KiB. Without limits in the settings nothing changes.

--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -163,6 +163,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok && p.guard.receiveBuffer > 0 {
+		_ = tcp.SetReadBuffer(p.guard.receiveBuffer) // fails only on a closed connection
+	}
 	p.guard.workers.Add(1)
 	c := &conn{Conn: raw, idleTimeout: defaultIdleTimeout, guard: p.guard}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -22,8 +22,10 @@
 	bounds overload.Connections
 	// sendBuffer is the size of the send buffers of callers' connections, 0 for that of the system.
 	sendBuffer int
-	metrics    *gatewayMetrics
-	log        *zap.Logger
+	// receiveBuffer is the size of the receive buffers of connections to workers, 0 for that of the system.
+	receiveBuffer int
+	metrics       *gatewayMetrics
+	log           *zap.Logger
 
 	// sentBytes counts what was written to callers and workers since the last sample.
 	sentBytes atomic.Int64
@@ -42,7 +44,7 @@
 }
 
 func newOverloadGuard(l overload.Limits, m *gatewayMetrics, log *zap.Logger) *overloadGuard {
-	g := &overloadGuard{bounds: l.Connections(), sendBuffer: l.SendBufferBytes(), metrics: m, log: log, guard: overload.NewGuard(l)}
+	g := &overloadGuard{bounds: l.Connections(), sendBuffer: l.SendBufferBytes(), receiveBuffer: l.ReceiveBufferBytes(), metrics: m, log: log, guard: overload.NewGuard(l)}
 	gauge := func(name string, value func(overload.Load) float64) {
 		m.set.NewGauge(name, func() float64 { return value(g.load()) })
 	}
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
 	"gotest.tools/v3/assert"
 
 	"github.com/borageflow/borageflow/internal/overload"
@@ -113,3 +114,37 @@
 	req.Header.Set("Authorization", "Bearer key-1")
 	return req
 }
+
+// Guards against answers without end that the kernel holds for a gateway whose callers read fast and then stop: the
+// receive buffer of each connection grows to megabytes, which no memory is reserved for.
+func TestReceiveBuffersOfWorkersAreBounded(t *testing.T) {
+	const bodyBytes = 64 << 20
+	w := startWorker(t, "w1", func(_ int, c net.Conn, _ receivedRequest) bool {
+		block := make([]byte, 64<<10)
+		for {
+			if _, err := c.Write(block); err != nil {
+				return false
+			}
+		}
+	})
+	receiveBuffer := func(limits overload.Limits) int {
+		p := newConnPool(func() {}, newOverloadGuard(limits, newGatewayMetrics(), newNopLogger()))
+		c, err := p.get(t.Context(), w.worker().Address, "r-1", time.Second)
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+		fmt.Fprintf(c, "GET /safe/a HTTP/1.1\r\nHost: test\r\n\r\n")
+		_, err = io.CopyN(io.Discard, c.Conn, bodyBytes)
+		assert.NilError(t, err)
+		raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+		assert.NilError(t, err)
+		size := 0
+		var sizeErr error
+		assert.NilError(t, raw.Control(func(fd uintptr) { size, sizeErr = unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF) }))
+		assert.NilError(t, sizeErr)
+		return size
+	}
+	const doubled = 2 // the system doubles the size that is set, for its own bookkeeping
+	t.Logf("without limits: %d bytes", receiveBuffer(overload.Limits{}))
+	assert.Equal(t, receiveBuffer(overload.Limits{MemoryBytes: 284e6}), doubled*64<<10)
+	assert.Equal(t, overload.Limits{}.ReceiveBufferBytes(), 0, "earlier deployments keep the buffers of the system")
+}
--- a/internal/overload/memory.go
+++ b/internal/overload/memory.go
@@ -23,6 +23,9 @@
 	// sendBufferBytes bounds what the kernel holds for a caller that reads slowly. Without a bound, a
 	// send buffer grows to some megabytes.
 	sendBufferBytes = 64 << 10
+	// receiveBufferBytes bounds what the kernel holds of an answer that the caller reads slowly. Without a bound, a
+	// receive buffer grows to some megabytes; 1,000 answers without end held 112 MB after 10 s.
+	receiveBufferBytes = 64 << 10
 )
 
 // SoftMemoryLimit returns the limit for the garbage collector, 0 for none.
@@ -36,6 +39,14 @@
 	return sendBufferBytes
 }
 
+// ReceiveBufferBytes returns the size of the receive buffer of a connection to a worker, 0 for that of the system.
+func (l Limits) ReceiveBufferBytes() int {
+	if l.MemoryBytes <= 0 {
+		return 0
+	}
+	return receiveBufferBytes
+}
+
 // memory keeps the memory that requests use within a budget.
 type memory struct {
 	total, budget int64 // 0 if unknown
