--- a/test/soak/longbodies_test.go
+++ b/test/soak/longbodies_test.go
@@ -62,7 +62,7 @@
 	body := bytes.Repeat([]byte("x"), length)
 	for n := range longBodyCallers {
 		group.Go(func() {
-			status, retryAfter, err := sendInChunks(callers, n, body)
+			status, retryAfter, err := sendInChunks(callers, unsafePath, n, body)
 			switch {
 			case err == nil && status == http.StatusOK:
 				answered.Add(1)
@@ -98,8 +98,8 @@
 }
 
 // sendInChunks sends a body without a length and returns the status and the advised pause.
-func sendInChunks(address string, n int, body []byte) (status int, retryAfter string, err error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+unsafePath+"a", io.NopCloser(bytes.NewReader(body)))
+func sendInChunks(address, path string, n int, body []byte) (status int, retryAfter string, err error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+path+"a", io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return 0, "", err
 	}
