Let sound workers fall silent in the soak

Cause: no stand-in of the soak was a sound worker that falls silent; its silent links are faults that excuse a cut.

--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -64,8 +65,12 @@
 	}
 }
 
-// callTimeout is the client timeout of a call. It is longer than the 4 s timeout of the routes.
-const callTimeout = 5 * time.Second
+const (
+	// callDeadline is the deadline of a call and the timeout of its route.
+	callDeadline = 4 * time.Second
+	// callTimeout is the client timeout of a call. It is longer than callDeadline.
+	callTimeout = 5 * time.Second
+)
 
 // send sends c to its gateway and records the response in it.
 func (sc *scenario) send(client *http.Client, c *call) {
@@ -82,7 +87,7 @@
 	req.Host = hostname
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	req.Header.Set(platform.Headers.RequestID, c.id)
-	req.Header.Set(platform.Headers.DeadlineMs, "4000")
+	req.Header.Set(platform.Headers.DeadlineMs, strconv.FormatInt(callDeadline.Milliseconds(), 10))
 	if c.prompt != "" {
 		req.Header.Set(platform.Headers.Prompt, c.prompt)
 	}
--- a/test/soak/checks.go
+++ b/test/soak/checks.go
@@ -50,6 +50,7 @@
 		sc.checkAnswer(c, add)
 		sc.checkRefusals(c, add)
 		sc.checkRuns(c, add)
+		sc.checkHeld(c, add)
 	}
 	sc.checkVersions(add)
 	sc.checkNotices(add)
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -44,12 +44,15 @@
 		sc.injectWorkerFault(rng, kind, p, length)
 	case 6:
 		sc.recordFault(n, 2*time.Second)
+		sc.recordInterruption(n, 0, restartDelay)
 		g.signal(syscall.SIGKILL)
 	case 7:
 		sc.recordFault(n, gracePeriod+2*time.Second)
+		sc.recordInterruption(n, gracePeriod, restartDelay)
 		g.stop(gracePeriod)
 	case 8:
 		sc.recordFault(n, length)
+		sc.recordInterruption(n, 0, length)
 		g.signal(syscall.SIGSTOP)
 		sc.undoAfter(length, func() { g.signal(syscall.SIGCONT) })
 	case 9:
@@ -74,6 +77,7 @@
 
 // injectWorkerFault injects fault kind 3, 4 or 5, which affect a worker or its connections.
 func (sc *scenario) injectWorkerFault(rng *rand.Rand, kind int, p *proxiedWorker, length time.Duration) {
+	sc.silences.recordFault(p.id, length)
 	switch kind {
 	case 3:
 		fault := []string{"delay", "silent", "oneway"}[rng.IntN(3)]
@@ -91,6 +95,9 @@
 // injectLaterFault injects fault kind 14 to 18, which affect the answers of a worker or the history of
 // the store.
 func (sc *scenario) injectLaterFault(rng *rand.Rand, kind int, p *proxiedWorker, length time.Duration) {
+	if kind <= 16 {
+		sc.silences.recordFault(p.id, length)
+	}
 	switch kind {
 	case 14, 15:
 		p.script.Store(drawScript(rng))
--- a/test/soak/overrun.go
+++ b/test/soak/overrun.go
@@ -61,6 +61,7 @@
 	for _, p := range sc.workers {
 		if o.rng.IntN(5) > 0 {
 			p.fault.Store("fail")
+			sc.silences.recordFault(p.id, length)
 			sc.undoAfter(length, func() { p.fault.Store("") })
 		}
 	}
@@ -69,6 +70,7 @@
 			continue
 		}
 		sc.recordFault(n, length+2*time.Second)
+		sc.recordInterruption(n, 0, length)
 		for k := range killsPerSeries {
 			sc.undoAfter(time.Duration(k)*killInterval, func() { g.signal(syscall.SIGKILL) })
 		}
--- a/test/soak/scenario.go
+++ b/test/soak/scenario.go
@@ -40,6 +40,7 @@
 	fatal          *fatalParts
 	evacuations    *evacuations
 	overruns       *overruns
+	silences       *silences
 	gateways       []*gateway
 	workers        []*proxiedWorker
 	calls          callLog
@@ -54,6 +55,7 @@
 	drainingSince map[string]time.Time
 	faults        []faultInterval
 	workerDelays  []workerDelay
+	interruptions []faultInterval // the times at which gateways were paused or killed
 	// restoredAt are the times at which the store came back from an older copy.
 	restoredAt []time.Time
 	// healedAt is the time from which recoveryBound counts: all faults are over, including the grace
@@ -81,7 +83,7 @@
 // run. If a guarantee is broken and logDir is set, the gateway logs are copied to logDir.
 func runSeed(dir, binary string, seed uint64, size scenarioSize, logDir string) ([]string, string, error) {
 	sc := &scenario{
-		seed: seed, size: size, bounds: boundsForSeed(seed), store: newStore(), ledger: newLedger(), notices: newNoticeLog(), fatal: drawFatalParts(seed), evacuations: drawEvacuations(seed), overruns: drawOverruns(seed),
+		seed: seed, size: size, bounds: boundsForSeed(seed), store: newStore(), ledger: newLedger(), notices: newNoticeLog(), fatal: drawFatalParts(seed), evacuations: drawEvacuations(seed), overruns: drawOverruns(seed), silences: drawSilences(seed),
 		departures:  departures{leftAt: map[string]time.Time{}},
 		committedAt: map[int]time.Time{}, revokedAt: map[string]time.Time{}, drainingSince: map[string]time.Time{}, errs: make(chan error, 100),
 	}
@@ -125,7 +127,7 @@
 			served++
 		}
 	}
-	return broken, fmt.Sprintf("%d of %d requests served, %d callers left, %d faults, %d configurations, %d workers ended under fatal parts", served, len(sc.calls.list), len(sc.departures.leftAt), len(sc.faults), len(sc.committedAt), sc.fatal.endCount()), nil
+	return broken, fmt.Sprintf("%d of %d requests served, %d callers left, %d faults, %d configurations, %d workers ended under fatal parts, %d silences", served, len(sc.calls.list), len(sc.departures.leftAt), len(sc.faults), len(sc.committedAt), sc.fatal.endCount(), sc.silences.count), nil
 }
 
 func (sc *scenario) startGateways(dir, binary, store string) error {
@@ -162,7 +164,7 @@
 // addWorker starts a worker and registers it as ready.
 func (sc *scenario) addWorker(version string) error {
 	sc.workersStarted++
-	worker, err := startWorker(fmt.Sprintf("worker-%d", sc.workersStarted), version, sc.ledger, sc.notices, sc.fatal)
+	worker, err := startWorker(fmt.Sprintf("worker-%d", sc.workersStarted), version, sc.ledger, sc.notices, sc.fatal, sc.silences, sc.workersStarted)
 	if err != nil {
 		return err
 	}
@@ -208,6 +210,7 @@
 		sc.injectFault(rng)
 		sc.startEvacuation()
 		sc.startOverrun()
+		sc.startSilence()
 	}
 	sc.clearFaults()
 	sc.wait(sc.healedAt.Add(recoveryBound + 2*time.Second))
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -34,10 +34,14 @@
 // overrunSeed draws overruns: most workers fail while most gateways are killed again and again.
 const overrunSeed = 3
 
+// silenceSeed is a seed in which sound workers fall silent, with streams that are cut and requests that fail if silence
+// is taken for the end of a run.
+const silenceSeed = 14
+
 // Guards against gateway processes that break a documented guarantee while the processes, their
 // connections or their store have faults.
 func TestShortSoak(t *testing.T) {
-	soakSeeds(t, 10*time.Second, append(append(regressionSeeds, relaySeed, fatalSeed, turnedFatalSeed, departureSeed, overrunSeed), evacuationSeeds...)...)
+	soakSeeds(t, 10*time.Second, append(append(regressionSeeds, relaySeed, fatalSeed, turnedFatalSeed, departureSeed, overrunSeed, silenceSeed), evacuationSeeds...)...)
 }
 
 // Guards against fatal parts that reach workers, and sound ones that are refused, where gateways exchange
--- a/test/soak/worker.go
+++ b/test/soak/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -21,6 +22,9 @@
 type run struct {
 	worker, version, customer string
 	startedAt                 time.Time
+	// goesOn is set if the worker goes on when the connection closes, leftAt is when that was, and endedAt the end.
+	goesOn          bool
+	leftAt, endedAt time.Time
 }
 
 // ledger records the runs of all workers.
@@ -54,10 +58,22 @@
 	return out
 }
 
-func (l *ledger) add(id string, r run) {
+// begin records a run. The function that it returns records the end.
+func (l *ledger) begin(ctx context.Context, id string, r run) func() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	n := len(l.runs[id])
 	l.runs[id] = append(l.runs[id], r)
+	record := func(at func(*run) *time.Time) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		*at(&l.runs[id][n]) = time.Now()
+	}
+	stop := context.AfterFunc(ctx, func() { record(func(r *run) *time.Time { return &r.leftAt }) })
+	return func() {
+		stop()
+		record(func(r *run) *time.Time { return &r.endedAt })
+	}
 }
 
 func (l *ledger) runsOf(id string) []run {
@@ -74,6 +90,9 @@
 	ledger      *ledger
 	notices     *noticeLog
 	fatal       *fatalParts
+	silences    *silences
+	// goesOn is set if the worker goes on when the connection of a request closes.
+	goesOn bool
 	// onEnd closes the listener through which gateways reach the worker.
 	onEnd func()
 	// script makes the worker play a faulty answer.
@@ -83,14 +102,17 @@
 	fault atomic.Value
 }
 
-func startWorker(id, version string, l *ledger, notices *noticeLog, fatal *fatalParts) (*worker, error) {
+func startWorker(id, version string, l *ledger, notices *noticeLog, fatal *fatalParts, s *silences, number int) (*worker, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, version: version, ledger: l, notices: notices, fatal: fatal, address: listener.Addr().String()}
+	w := &worker{id: id, version: version, ledger: l, notices: notices, fatal: fatal, silences: s, goesOn: s.goesOn(number), address: listener.Addr().String()}
 	w.fault.Store("")
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Minute}
+	if s.rng != nil {
+		listener = silentListener{listener, id, s}
+	}
 	go func() { _ = w.server.Serve(listener) }() // returns when the worker is closed
 	return w, nil
 }
@@ -126,7 +148,7 @@
 	if err != nil {
 		return
 	}
-	w.ledger.add(id, run{w.id, w.version, r.Header.Get(names.Customer), time.Now()})
+	defer w.ledger.begin(r.Context(), id, run{worker: w.id, version: w.version, customer: r.Header.Get(names.Customer), startedAt: time.Now(), goesOn: w.goesOn})()
 	out.Header().Set("X-Signature", signature(w.id, id))
 	out.Header().Set(names.Load, "1,0,16")
 	if script := w.script.Load(); script != nil {
@@ -146,8 +168,7 @@
 		return
 	}
 	if w.fatal.begin(w.id, r) {
-		w.onEnd()
-		w.close()
+		w.end()
 		return
 	}
 	time.Sleep(processingTime)
@@ -168,13 +189,16 @@
 	out.Header().Set("Content-Type", "text/event-stream")
 	_ = http.NewResponseController(out).Flush() // on an error the caller receives a truncated response
 	if w.fatal.begin(w.id, r) {
-		w.onEnd()
-		w.close()
+		w.end()
 		return
 	}
+	dropped := r.Context().Done()
+	if w.goesOn {
+		dropped = nil
+	}
 	for n := from + 1; n <= eventsPerStream; n++ {
 		select {
-		case <-r.Context().Done():
+		case <-dropped:
 			return
 		case <-time.After(processingTime):
 		}
@@ -194,6 +218,9 @@
 		return
 	}
 	defer func() { _ = c.Close() }()
+	if silent, ok := c.(silentConn); ok {
+		c = silent.Conn // a script has its own pauses, and resets
+	}
 	var head bytes.Buffer
 	head.WriteString("HTTP/1.1 200 OK\r\n")
 	_ = out.Header().Write(&head) // writing to a bytes.Buffer returns no error
@@ -222,3 +249,10 @@
 }
 
 func (w *worker) close() { _ = w.server.Close() }
+
+// end ends the worker as the end of its process does.
+func (w *worker) end() {
+	w.silences.recordFault(w.id, 0)
+	w.onEnd()
+	w.close()
+}
