--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -21,7 +22,7 @@
 	attempt   attempt
 	placement forward.Placement
 	cancel    context.CancelFunc
-	// buffer holds the body of the answer, or as much of it as an instance keeps.
+	// buffer holds the body of the answer.
 	buffer answerBuffer
 	// done is closed when the answer is there or the attempt has failed with err.
 	done chan struct{}
@@ -43,20 +44,20 @@
 	}
 	first := r.placement
 	a, refusal := r.pickWorker()
-	h := &hedge{attempt: a, placement: r.placement, buffer: answerBuffer{memory: r.gateway.buffers}, done: make(chan struct{})}
-	r.placement = first
 	if refusal != nil {
 		r.returnRetry()
 		return nil
 	}
+	a.evidence = r.startEvidence(&a)
+	h := &hedge{attempt: a, placement: r.placement, buffer: answerBuffer{memory: r.gateway.buffers}, done: make(chan struct{})}
+	r.placement = first
 	r.triedWorkers = append(r.triedWorkers, a.worker.ID)
 	var head bytes.Buffer
 	outbound := r.outboundTo(&a, &head)
-	h.attempt.evidence = r.startEvidence(&h.attempt)
 	ctx, h.cancel = context.WithCancel(ctx)
 	go func() {
 		defer close(h.done)
-		if !r.gateway.protect("hedge", func() { h.err = h.run(ctx, r.gateway, outbound, r.inbound.method) }) {
+		if !r.gateway.protect("hedge", func() { h.err = h.run(ctx, r, outbound) }) {
 			h.err = errUnexpected
 		}
 	}()
@@ -64,26 +65,39 @@
 }
 
 // run sends the request and reads the answer.
-func (h *hedge) run(ctx context.Context, g *Gateway, out outboundRequest, method string) error {
-	ex, err := sendRequest(ctx, g.pool, out)
+func (h *hedge) run(ctx context.Context, r *request, out outboundRequest) error {
+	ex, err := sendRequest(ctx, r.gateway.pool, out)
 	if err != nil {
 		return err
 	}
 	h.attempt.exchange = ex
 	_ = ex.conn.SetReadDeadline(time.Now().Add(forward.HedgeTime)) // if the connection is closed, the read fails
-	if err := ex.readHeader(g.headers, method, out.requestID); err != nil {
+	if err := h.awaitHeader(r); err != nil {
 		return err
 	}
 	if ex.meta.NotRun || ex.resp.StatusCode >= http.StatusInternalServerError || ex.resp.StatusCode == http.StatusMisdirectedRequest {
 		return nil
 	}
-	if _, err := h.buffer.readUpTo(ex.resp.Body, maxBufferedBytes); err != nil {
+	ended, err := h.buffer.readUpTo(ex.resp.Body, maxBufferedBytes)
+	if err != nil {
 		return eris.Wrap(err, "response ended early")
 	}
-	ex.resp.Body = &rereadBody{Reader: io.MultiReader(bytes.NewReader(h.buffer.bytes), ex.resp.Body), Closer: ex.resp.Body}
+	if !ended {
+		return errPartOfAnswer
+	}
+	ex.resp.Body = &rereadBody{Reader: bytes.NewReader(h.buffer.bytes), Closer: ex.resp.Body}
 	return nil
 }
 
+// awaitHeader reads the header of the answer. Until then the attempt counts as one that waits at its worker: if that
+// ends, other requests at it were not alone there.
+func (h *hedge) awaitHeader(r *request) error {
+	q := r.gateway.quarantine
+	q.recordPending(r, &h.attempt)
+	defer q.recordBegun(&h.attempt)
+	return h.attempt.exchange.readHeader(r.gateway.headers, r.inbound.method, r.inbound.meta.RequestID)
+}
+
 // rereadBody is a body of which a part was read before.
 type rereadBody struct {
 	io.Reader
@@ -133,6 +147,9 @@
 	a, d := &h.attempt, r.gateway.dispatcher
 	if a.exchange == nil {
 		r.returnRetry()
+		if errors.Is(h.err, errOvertaken) {
+			return forward.Overtaken
+		}
 		r.unsentAttempts++
 		if ctx.Err() == nil && !errors.Is(h.err, errUnexpected) {
 			d.recordNoAnswer(a.worker, membership.Unreachable, 0)
@@ -146,10 +163,12 @@
 		r.mayHaveRun = true
 		r.runCount++
 		switch {
-		case errors.Is(h.err, errOvertaken):
+		case errors.Is(h.err, errOvertaken), errors.Is(h.err, errPartOfAnswer):
 			return forward.Overtaken
 		case isReadTimeout(h.err):
 			r.recordSilence(a)
+		case errors.Is(h.err, net.ErrClosed):
+			// The caller has left, or a part of the request was condemned.
 		case ctx.Err() == nil:
 			r.recordFailure(a, h.err)
 		}
@@ -170,12 +189,17 @@
 // errOvertaken is the error of a hedge whose first worker has gone on.
 var errOvertaken = eris.New("the first worker has gone on")
 
+// errPartOfAnswer is the error of a hedge whose answer is larger than what is kept of one. Its rest may not come, so that
+// the first worker is not given up for it.
+var errPartOfAnswer = eris.New("answer is too large to be kept")
+
 // endHedge gives up the hedge, if there is one: the first worker goes on.
 func (r *request) endHedge(ctx context.Context) {
 	if h := r.hedge; h != nil {
-		h.cancel() // closes the connection
+		hadEnded := h.hasEnded()
+		h.cancel() // closes the connection, or ends the attempt to open it
 		<-h.done
-		if h.attempt.exchange != nil {
+		if !hadEnded || h.attempt.exchange != nil {
 			h.err = errOvertaken
 		}
 		r.settleHedge(ctx)
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -24,17 +24,23 @@
 // the attempt and whether the caller has a response or its connection must be closed.
 func (r *request) copyResponse(ctx context.Context, a *attempt) (forward.Outcome, bool) {
 	resp := a.exchange.resp
-	r.watchSilence(ctx, a, r.pieceOverdue)
+	r.watchSilence(ctx, a, r.pieceOverdue, true)
 	buffer := answerBuffer{memory: r.gateway.buffers}
 	defer buffer.reset()
 	ended, err := buffer.readUpTo(resp.Body, maxBufferedBytes)
 	r.awaitUntilDeadline(a.exchange.conn)
+	if err == nil && ended {
+		err = r.checkPlainEnd(ctx, a)
+	}
 	if err != nil {
 		a.record.BodyBytes = len(buffer.bytes)
-		if r.awaitHedge(ctx) {
+		hasWon := r.awaitHedge(ctx)
+		if !hasWon || !isReadTimeout(err) {
+			r.recordBodyFailure(a, err)
+		}
+		if hasWon {
 			return forward.Overtaken, false
 		}
-		r.recordBodyFailure(a, err)
 		return forward.Broken, false
 	}
 	r.endHedge(ctx)
@@ -68,6 +74,10 @@
 		r.recordBodyFailure(a, rest.err)
 		return r.abortResponse()
 	}
+	if err := r.checkPlainEnd(ctx, a); err != nil {
+		r.recordBodyFailure(a, err)
+		return r.abortResponse()
+	}
 	a.exchange.releaseConn(r.gateway.pool)
 	r.recordSurvival(a)
 	return forward.Answered, true
@@ -133,7 +143,7 @@
 	resp := a.exchange.resp
 	err := r.copyEvents(ctx, a)
 	ending := framing.Ending{Framing: framing.Of(resp), Err: err, IsStream: true, Events: a.record.Events, TailBytes: a.record.TailBytes}
-	if ending.Complete() {
+	if r.lookAtSender(ctx, a, &ending); ending.Complete() {
 		if !r.headerSent {
 			r.sendStreamHeader(resp)
 		}
@@ -142,7 +152,7 @@
 		return forward.Answered, true
 	}
 	if err == nil {
-		err = framing.ErrInsideEvent
+		err = ending.Why()
 	}
 	if isLeaving(ctx) && !r.headerSent {
 		r.lastError = err
@@ -191,7 +201,7 @@
 func (r *request) copyEvents(ctx context.Context, a *attempt) error {
 	events := newEventReader(a.exchange.resp.Body, r.gateway.buffers)
 	defer events.close()
-	r.watchSilence(ctx, a, r.pieceOverdue)
+	r.watchSilence(ctx, a, r.pieceOverdue, false)
 	defer r.awaitUntilDeadline(a.exchange.conn)
 	meter := paceMeter{dispatcher: r.gateway.dispatcher, evidence: a.evidence, running: a.exchange.meta.Load.Running}
 	defer meter.end()
