--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -41,9 +41,12 @@
 // Guards against gateway processes that break a documented guarantee while the processes, their
 // connections or their store have faults.
 func TestShortSoak(t *testing.T) {
-	soakSeeds(t, 10*time.Second, append(append(regressionSeeds, relaySeed, fatalSeed, turnedFatalSeed, departureSeed, overrunSeed, silenceSeed), evacuationSeeds...)...)
+	soakSeeds(t, 10*time.Second, append(append(regressionSeeds, relaySeed, fatalSeed, turnedFatalSeed, departureSeed, overrunSeed), evacuationSeeds...)...)
 }
 
+// Guards against gateway processes that take the silence of sound workers for the end of a run.
+func TestSoakOfSilentWorkers(t *testing.T) { soakSeeds(t, 10*time.Second, silenceSeed) }
+
 // Guards against fatal parts that reach workers, and sound ones that are refused, where gateways exchange
 // nothing: two parts in 30% of the streams before five workers.
 func TestSoakOfFatalPartsWithoutRelays(t *testing.T) {
