Read the silence of an attempt only if its answer is not set aside

Cause: recordAttempt read whether the exchange is done before it looked whether the answer is set aside for a larger model. Such an answer is read by another goroutine, which ends the exchange: a data race since.

--- a/internal/gateway/requestlog.go
+++ b/internal/gateway/requestlog.go
@@ -78,7 +78,7 @@
 	}
 	a.record.Worker, a.record.Version, a.record.Model, a.record.Outcome = a.worker.ID, a.worker.Version, a.model, outcome
 	a.record.EndMs = time.Since(a.started).Milliseconds()
-	if a.exchange != nil && a.exchange.isDone && !a.isHeld {
+	if a.exchange != nil && !a.isHeld && a.exchange.isDone { // one that is held is read by another goroutine
 		a.record.SilentMs = a.exchange.longestSilence.Milliseconds()
 	}
 	r.attempts = append(r.attempts, a.record)
