Take no hedge whose end nothing marks

A silent worker was left for a hedge whose answer had neither a length nor chunks. If that worker had crashed inside the answer, the look at it that follows found the answer broken, with the first worker already given up: the caller got 502.

Such a hedge counts as overtaken now, as one whose answer is too large.

Measured: TestHedgeWithUnmarkedEndIsNotTaken got 502 before and the answer of the first worker after; all hedge tests pass with the race detector.

--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/framing"
 	"github.com/borageflow/borageflow/internal/membership"
 )
 
@@ -82,7 +83,7 @@
 	if err != nil {
 		return eris.Wrap(err, "response ended early")
 	}
-	if !ended {
+	if !ended || framing.Of(ex.resp) == framing.CloseDelimited {
 		return errPartOfAnswer
 	}
 	ex.resp.Body = &rereadBody{Reader: bytes.NewReader(h.buffer.bytes), Closer: ex.resp.Body}
@@ -189,9 +190,9 @@
 // errOvertaken is the error of a hedge whose first worker has gone on.
 var errOvertaken = eris.New("the first worker has gone on")
 
-// errPartOfAnswer is the error of a hedge whose answer is larger than what is kept of one. Its rest may not come, so that
-// the first worker is not given up for it.
-var errPartOfAnswer = eris.New("answer is too large to be kept")
+// errPartOfAnswer is the error of a hedge whose answer is larger than what is kept of one, or has an end that nothing
+// marks. It may not be whole, so that the first worker is not given up for it.
+var errPartOfAnswer = eris.New("answer may be only a part")
 
 // endHedge gives up the hedge, if there is one: the first worker goes on.
 func (r *request) endHedge(ctx context.Context) {
--- a/internal/gateway/hedge_test.go
+++ b/internal/gateway/hedge_test.go
@@ -127,3 +127,33 @@
 	attempts, workers := waiting()
 	assert.Equal(t, attempts+workers, 0)
 }
+
+// Guards against a silent worker that is left for an answer whose end nothing marks: that of a worker that has crashed
+// looks the same.
+func TestHedgeWithUnmarkedEndIsNotTaken(t *testing.T) {
+	var arrivals atomic.Int64
+	listeners := map[string]net.Listener{}
+	serve := func(id string) func(int, net.Conn, receivedRequest) bool {
+		return func(_ int, c net.Conn, r receivedRequest) bool {
+			if arrivals.Add(1) == 1 {
+				time.Sleep(1500 * time.Millisecond) // the header is overdue after 600 ms
+				writeResponse(c, r, http.StatusOK, "first", "Connection: close")
+				return false
+			}
+			_ = listeners[id].Close() // the worker crashes inside its answer
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nsec", DefaultHeaderNames.RequestID, r.request.Header.Get(DefaultHeaderNames.RequestID))
+			return false
+		}
+	}
+	first, second := startWorker(t, "w1", nil), startWorker(t, "w2", nil)
+	for _, w := range []*testWorker{first, second} {
+		listeners[w.id] = w.listener
+		w.mu.Lock()
+		w.script = serve(w.id)
+		w.mu.Unlock()
+	}
+	got := startGateway(t, first, second).call("GET", "/safe/x", "")
+	assert.Equal(t, got.status, http.StatusOK)
+	assert.Equal(t, got.body, "first")
+	assert.Equal(t, arrivals.Load(), int64(2), "no hedge was sent")
+}
