--- a/test/soak/config.go
+++ b/test/soak/config.go
@@ -26,6 +26,11 @@
 		Routes   []wireRoute
 		Services []wireService
 		Tenants  []wireCustomer
+		Limits   wireLimits
+	}
+	// wireLimits bounds what a caller may send; a field that is 0 sets no bound.
+	wireLimits struct {
+		MaxHeaderBytes, MaxBodyBytes, HeaderTimeoutMs, IdleTimeoutMs int
 	}
 	wireWorker struct {
 		Service, Address, Zone, Version, State string
--- a/test/soak/endlessanswers_test.go
+++ b/test/soak/endlessanswers_test.go
@@ -113,7 +113,7 @@
 		out.Header().Set(platform.Headers.RequestID, r.Header.Get(platform.Headers.RequestID))
 	})
 	st.put("servers", "sound", wireWorker{Service: soundService, Address: serve(t, sound), Zone: "a", Version: "v1", State: "ready", Slots: 100})
-	callers, process := startLimitedProcess(t, t.TempDir(), binary, serve(t, st), frontMemoryMb)
+	callers, process := startLimitedProcess(t, t.TempDir(), binary, serve(t, st), processLimits{frontMemoryMb, smallDescriptors})
 	process.awaitReady(t)
 
 	var group sync.WaitGroup
@@ -190,17 +190,30 @@
 		if err != nil {
 			return most
 		}
-		sum := int64(0)
-		for line := range strings.Lines(string(raw)) {
-			fields := strings.Fields(line) // number, local address, remote address, state, tx_queue:rx_queue
-			_, port, _ := strings.Cut(fields[2], ":")
-			_, waiting, ok := strings.Cut(fields[4], ":")
-			if n, err := strconv.ParseInt(waiting, 16, 64); ok && err == nil && ports[port] {
-				sum += n
-			}
+		most = max(most, sumUnread(string(raw), remoteAddress, ports))
+	}
+}
+
+// The columns of /proc/net/tcp: number, local address, remote address, state, tx_queue:rx_queue.
+const (
+	localAddress  = 1
+	remoteAddress = 2
+	queues        = 4
+)
+
+// sumUnread returns the bytes that wait in the receive buffers of connections with one of the ports in a column of
+// /proc/net/tcp.
+func sumUnread(table string, column int, ports map[string]bool) int64 {
+	sum := int64(0)
+	for line := range strings.Lines(table) {
+		fields := strings.Fields(line)
+		_, port, _ := strings.Cut(fields[column], ":")
+		_, waiting, ok := strings.Cut(fields[queues], ":")
+		if n, err := strconv.ParseInt(waiting, 16, 64); ok && err == nil && ports[port] {
+			sum += n
 		}
-		most = max(most, sum)
 	}
+	return sum
 }
 
 // handler answers each request with the form.
--- a/test/soak/slowreaders_test.go
+++ b/test/soak/slowreaders_test.go
@@ -22,9 +22,10 @@
 )
 
 const (
-	// smallMemoryMb is the memory of the smallest instances that are deployed.
-	smallMemoryMb = 136
-	slowReaders   = 400
+	// smallMemoryMb and smallDescriptors are the limits of the smallest instances that are deployed.
+	smallMemoryMb    = 136
+	smallDescriptors = 2870
+	slowReaders      = 400
 	// slowAnswerEvents events of slowEventBytes are far more than all buffers on the way hold.
 	slowAnswerEvents = 64
 	slowEventBytes   = 8 << 10
@@ -46,7 +47,7 @@
 	config.Services[0].MaxConnections = 2 * slowReaders
 	st.put("config", "main", config)
 	st.put("servers", "w1", wireWorker{Service: serviceName, Address: serve(t, http.HandlerFunc(serveLongStream)), Zone: "a", Version: "v1", State: "ready", Slots: 2 * slowReaders})
-	callers, health := startLimitedProcess(t, dir, binary, storeAddress, smallMemoryMb)
+	callers, health := startLimitedProcess(t, dir, binary, storeAddress, processLimits{smallMemoryMb, smallDescriptors})
 	pid := health.pid
 	health.awaitReady(t)
 
@@ -90,10 +91,14 @@
 
 // limitedProcess is a gateway process with limits.
 type limitedProcess struct {
-	health string
-	pid    int
+	health  string
+	pid     int
+	command *exec.Cmd
 }
 
+// processLimits are the limits in the settings of a process.
+type processLimits struct{ memoryMb, descriptors int }
+
 // buildDaemon builds the program of the gateway in dir and returns its path.
 func buildDaemon(t *testing.T, dir string) string {
 	t.Helper()
@@ -103,9 +108,8 @@
 	return binary
 }
 
-// startLimitedProcess starts a gateway with the limits of an instance with memoryMb and returns the address
-// for callers.
-func startLimitedProcess(t *testing.T, dir, binary, store string, memoryMb int) (string, limitedProcess) {
+// startLimitedProcess starts a gateway with limits and returns the address for callers.
+func startLimitedProcess(t *testing.T, dir, binary, store string, limits processLimits) (string, limitedProcess) {
 	t.Helper()
 	var addresses [2]string
 	var err error
@@ -115,7 +119,7 @@
 	}
 	file := filepath.Join(dir, "limited.json")
 	text := fmt.Sprintf(`{"role":"gateway","instance":"small","failureDomain":"a","listen":{"callers":%q,"health":%q},"store":{"address":%q},
- "bounds":{"revokeMs":60000,"graceSeconds":8},"limits":{"memoryMb":%d,"descriptors":2870},"log":{"level":"warn"}}`, addresses[0], addresses[1], store, memoryMb)
+ "bounds":{"revokeMs":60000,"graceSeconds":8},"limits":{"memoryMb":%d,"descriptors":%d},"log":{"level":"warn"}}`, addresses[0], addresses[1], store, limits.memoryMb, limits.descriptors)
 	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
 	cmd := exec.Command(binary, file)
 	cmd.Stderr = os.Stderr
@@ -124,7 +128,7 @@
 		_ = cmd.Process.Signal(syscall.SIGKILL) // it may have ended
 		_ = cmd.Wait()
 	})
-	return addresses[0], limitedProcess{addresses[1], cmd.Process.Pid}
+	return addresses[0], limitedProcess{addresses[1], cmd.Process.Pid, cmd}
 }
 
 func (p limitedProcess) awaitReady(t *testing.T) {
