Read heads into bounded memory before net/http parses them

Cause: net/http turns a head into a map as it arrives, 64 KiB of it whatever the configuration says: 700 KB for fields of five bytes. Nothing counted it, and the limit and time-outs of the configuration were read too late or not at all. Change: package intake passes a head on once it is whole. Until its request has ended, its bytes and fields are reserved: 8 KiB for each connection at any time, and a fifteenth of the memory for all larger heads together; beyond that 503 at once. Limits and time-outs are those in force; the refusal of a long head is header_too_large, 431, and it can be read by a caller that still sends. What is framed in another way than by net/http (folded lengths, chunks before HTTP/1.1) is refused with 400. The test of the old status asks for 431 now.

--- a/internal/burn/meter.go
+++ b/internal/burn/meter.go
@@ -11,7 +11,7 @@
 // that end with them count neither as good nor as bad.
 var excludedErrorKinds = map[errkind.Kind]bool{
 	errkind.InvalidRequest: true, errkind.Unauthenticated: true, errkind.ForbiddenVersion: true,
-	errkind.UnknownModel: true, errkind.PayloadTooLarge: true, errkind.RateLimited: true,
+	errkind.UnknownModel: true, errkind.PayloadTooLarge: true, errkind.HeaderTooLarge: true, errkind.RateLimited: true,
 	errkind.SessionInvalid: true, errkind.VersionWithdrawn: true,
 	errkind.DuplicateInProgress: true, errkind.Conflict: true,
 }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -74,6 +74,8 @@
 	Truncated Kind = "truncated"
 	// PayloadTooLarge is a request or result that exceeds a size limit.
 	PayloadTooLarge Kind = "payload_too_large"
+	// HeaderTooLarge is a request whose header exceeds the size limit.
+	HeaderTooLarge Kind = "header_too_large"
 	// Quarantined is a request like others under which backend servers have ended.
 	Quarantined Kind = "quarantined"
 	// UnknownRoute is a request path without a route.
@@ -118,6 +120,7 @@
 	UpstreamFailed:      {http.StatusBadGateway, -32020, true, api.RunStateUnknown},
 	Truncated:           {http.StatusBadGateway, -32021, true, api.RunStateRan},
 	PayloadTooLarge:     {http.StatusRequestEntityTooLarge, -32022, false, api.RunStateNotRun},
+	HeaderTooLarge:      {http.StatusRequestHeaderFieldsTooLarge, -32026, false, api.RunStateNotRun},
 	UnknownRoute:        {http.StatusNotFound, -32024, false, api.RunStateNotRun},
 	Quarantined:         {http.StatusServiceUnavailable, -32025, false, api.RunStateNotRun},
 	Internal:            {http.StatusInternalServerError, -32023, false, api.RunStateUnknown},
--- a/internal/forward/types.go
+++ b/internal/forward/types.go
@@ -104,8 +104,8 @@
 	HeaderBytes int
 	// BodyBytes bounds the length of the body; 0 means the default of package gateway.
 	BodyBytes int64
-	// HeaderTimeout and IdleTimeout are decoded and passed on between gateways, but package
-	// gateway does not enforce them.
+	// HeaderTimeout bounds the time from the first byte of a header to its last, and IdleTimeout the time without a
+	// byte of one; 0 means the default of package gateway.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -46,7 +46,7 @@
 // the configuration and until the deadline of the request. From then on memory is what the body takes.
 func readLimitedBody(w http.ResponseWriter, req *http.Request, limits forward.ClientLimits, deadline time.Time, memory *reservation) ([]byte, *errkind.Error) {
 	if limits.HeaderBytes > 0 && headerSize(req.Header) > limits.HeaderBytes {
-		return nil, errkind.New(errkind.PayloadTooLarge, "request header is larger than "+strconv.Itoa(limits.HeaderBytes)+" bytes")
+		return nil, errkind.New(errkind.HeaderTooLarge, "request header is larger than "+strconv.Itoa(limits.HeaderBytes)+" bytes")
 	}
 	if req.ContentLength == 0 {
 		return nil, nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -21,6 +21,7 @@
 
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/httpdrain"
+	"github.com/borageflow/borageflow/internal/intake"
 	"github.com/borageflow/borageflow/internal/observe"
 )
 
@@ -278,18 +279,10 @@
 const (
 	// healthTimeout bounds how long a health check may take to send its request.
 	healthTimeout = 2 * time.Second
-	// maxHeaderBytes is the largest accepted request header. The limit in the configuration
-	// is lower.
-	maxHeaderBytes = 64 << 10
-	// callerIdleTimeout is longer than callers keep an idle connection for reuse.
-	callerIdleTimeout = 90 * time.Second
-	// readHeaderTimeout bounds how long a caller may take to send the header.
-	readHeaderTimeout = 10 * time.Second
 )
 
 func (g *Gateway) listen() error {
-	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
-	listener, err := lc.Listen(g.ctx, "tcp", g.settings.CallerAddress)
+	listener, err := intake.ListenConfig().Listen(g.ctx, "tcp", g.settings.CallerAddress)
 	if err != nil {
 		return eris.Wrapf(err, "cannot listen for callers on %s", g.settings.CallerAddress)
 	}
@@ -309,11 +302,9 @@
 // newCallerServer returns the server of callers and the listener that it serves, which takes the connections of
 // inner.
 func (g *Gateway) newCallerServer(inner net.Listener) (*http.Server, *httpdrain.Listener) {
-	server := &http.Server{
-		Handler: g, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(observe.ComponentLogger(g.log, "http")),
-	}
-	listener := httpdrain.NewListener(&guardedListener{Listener: inner, guard: g.overload})
+	server := newServer(g)
+	server.ErrorLog = zap.NewStdLog(observe.ComponentLogger(g.log, "http"))
+	listener := httpdrain.NewListener(intake.NewListener(inner, g.callerOptions()))
 	listener.Prepare(server)
 	return server, listener
 }
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -31,7 +31,7 @@
 		g.metrics.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	server := &http.Server{Handler: router, ReadHeaderTimeout: healthTimeout, ReadTimeout: healthTimeout, IdleTimeout: callerIdleTimeout}
+	server := &http.Server{Handler: router, ReadHeaderTimeout: healthTimeout, ReadTimeout: healthTimeout, IdleTimeout: defaultCallerIdleTimeout}
 	go func() { _ = server.Serve(listener) }()
 	return server, nil
 }
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -26,7 +26,7 @@
 	gw.waitFor("configuration is in force", func() bool { return gw.gateway.dispatcher.snapshot.Load().config.Version == 2 })
 	assert.Equal(t, gw.call("GET", "/safe/a", "", "X-Long", strings.Repeat("a", 1500)).status, http.StatusOK)
 	got := gw.call("GET", "/safe/a", "", "X-Long", strings.Repeat("a", 2000))
-	assert.Equal(t, got.status, http.StatusRequestEntityTooLarge)
+	assert.Equal(t, got.status, http.StatusRequestHeaderFieldsTooLarge)
 	assert.Equal(t, len(w.requests()), 1)
 }
 
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"errors"
-	"net"
 	"net/http"
 	rtmetrics "runtime/metrics"
 	"sync"
@@ -109,6 +107,13 @@
 	return nil, errkind.New(errkind.Overloaded, "instance is at the limit of its "+string(verdict.Reason)).WithRetryAfter(verdict.RetryAfter)
 }
 
+// resizeHead replaces the memory that is reserved for the head of a request, and reports whether there is room.
+func (g *overloadGuard) resizeHead(from, to int64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.ResizeHead(from, to)
+}
+
 // readinessTicks is the number of ticks between two decisions on readiness.
 const readinessTicks = 5
 
@@ -158,62 +163,3 @@
 	}
 	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
 }
-
-// guardedListener closes the connections of callers beyond the bound before their requests are read.
-type guardedListener struct {
-	net.Listener
-	guard *overloadGuard
-}
-
-// SetDeadline is used to end a listener without losing connections that wait.
-func (l *guardedListener) SetDeadline(t time.Time) error {
-	inner, ok := l.Listener.(interface{ SetDeadline(t time.Time) error })
-	if !ok {
-		return errors.ErrUnsupported
-	}
-	return inner.SetDeadline(t)
-}
-
-// Accept implements net.Listener.
-func (l *guardedListener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		tcp, ok := c.(*net.TCPConn)
-		if !ok {
-			return c, nil
-		}
-		if most := l.guard.bounds.Callers; most > 0 && l.guard.callers.Load() >= int64(most) {
-			l.guard.closed.Inc()
-			_ = c.Close() // nothing was read or written
-			continue
-		}
-		if n := l.guard.sendBuffer; n > 0 {
-			_ = tcp.SetWriteBuffer(n) // fails only on a closed connection
-		}
-		l.guard.callers.Add(1)
-		return &callerConn{TCPConn: tcp, guard: l.guard}, nil
-	}
-}
-
-// callerConn counts a connection of a caller and what is written to it.
-type callerConn struct {
-	*net.TCPConn
-	guard *overloadGuard
-	once  sync.Once
-}
-
-// Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
-	c.guard.sentBytes.Add(int64(n))
-	return n, err
-}
-
-// Close implements net.Conn.
-func (c *callerConn) Close() error {
-	c.once.Do(func() { c.guard.callers.Add(-1) })
-	return c.TCPConn.Close()
-}
--- a/internal/httpdrain/httpdrain.go
+++ b/internal/httpdrain/httpdrain.go
@@ -185,6 +185,9 @@
 	if !c.isIdle || c.hasRead || !c.hadRequest && time.Since(c.openedAt) < firstRequestWait {
 		return false
 	}
+	if part, ok := c.Conn.(interface{ HasPart() bool }); ok && part.HasPart() {
+		return false
+	}
 	return netpeek.Look(c.Conn) != netpeek.Readable
 }
 
--- /dev/null
+++ b/internal/intake/listener_test.go
@@ -0,0 +1,205 @@
+package intake
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+)
+
+// testServer echoes the bodies of requests over a Listener.
+type testServer struct {
+	address    string
+	heads      atomic.Int64 // memory reserved for heads
+	headBudget int64        // 0 for no bound
+	limits     Limits
+	open, full atomic.Int64
+}
+
+func startServer(t *testing.T, s *testServer, maxConnections int) *testServer {
+	t.Helper()
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	if s.limits == (Limits{}) {
+		s.limits = Limits{HeaderBytes: 16 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	}
+	l := NewListener(inner, Options{
+		MaxConnections: maxConnections, Limits: func() Limits { return s.limits },
+		ResizeHead: func(from, to int64) bool {
+			if s.headBudget > 0 && to > s.headBudget {
+				return false
+			}
+			s.heads.Add(to - from)
+			return true
+		},
+		OnOpen: func() { s.open.Add(1) }, OnClose: func() { s.open.Add(-1) },
+		OnFull: func() { s.full.Add(1) },
+	})
+	server := &http.Server{MaxHeaderBytes: 1 << 30, ReadHeaderTimeout: time.Hour, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		_, _ = w.Write(body) // a failure shows at the caller
+	})}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	s.address = inner.Addr().String()
+	return s
+}
+
+func dial(t assert.TestingT, s *testServer) net.Conn {
+	c, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second)) // fails only on a closed connection
+	return c
+}
+
+func waitFor(t *testing.T, name string, holds func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if holds() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", name)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
+
+// Guards against requests that are changed, joined, lost or left waiting on their way to net/http: with lengths, in
+// chunks, without bodies, one behind the other, in pieces of any size, and read while the one before is in progress.
+func TestRequestsPassUnchanged(t *testing.T) {
+	s := startServer(t, &testServer{}, 0)
+	rapid.Check(t, func(t *rapid.T) {
+		var wire string
+		var want []string
+		for n := range rapid.IntRange(1, 5).Draw(t, "requests") {
+			head := fmt.Sprintf("POST /%d HTTP/1.1\r\nHost: x\r\n%s", n, strings.Repeat("A: b\r\n", rapid.IntRange(0, 2000).Draw(t, "fields")))
+			switch rapid.SampledFrom([]string{"none", "length", "chunks"}).Draw(t, "body") {
+			case "none":
+				wire += head + "\r\n"
+				want = append(want, "")
+			case "length":
+				body := strings.Repeat("\r\n\r\nGET", rapid.IntRange(0, 2000).Draw(t, "length"))
+				wire += fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+				want = append(want, body)
+			default:
+				chunks, body := drawChunks(t)
+				wire += head + "Transfer-Encoding: chunked\r\n\r\n" + chunks
+				want = append(want, body)
+			}
+		}
+		pieces := drawPieces(t, wire)
+		c := dial(t, s)
+		var group sync.WaitGroup
+		group.Go(func() {
+			for _, piece := range pieces {
+				if _, err := io.WriteString(c, piece); err != nil {
+					return
+				}
+			}
+		})
+		reader := bufio.NewReader(c)
+		for _, body := range want {
+			resp, err := http.ReadResponse(reader, nil)
+			assert.NilError(t, err)
+			got, err := io.ReadAll(resp.Body)
+			assert.NilError(t, err)
+			assert.Equal(t, string(got), body)
+		}
+		group.Wait()
+		assert.NilError(t, c.Close())
+	})
+	waitFor(t, "connections are closed", func() bool { return s.open.Load() == 0 })
+	assert.Equal(t, s.heads.Load(), int64(0), "memory of heads stays reserved")
+}
+
+// answerTo sends a text and returns the status and Retry-After of the answer.
+func answerTo(t *testing.T, s *testServer, text string) (status int, retryAfter string) {
+	t.Helper()
+	c := dial(t, s)
+	defer func() { _ = c.Close() }()
+	go func() { _, _ = io.WriteString(c, text) }() // the answer may come before its end
+	time.Sleep(50 * time.Millisecond)              // the refused caller is late to read
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	return resp.StatusCode, resp.Header.Get("Retry-After")
+}
+
+// Guards against a refused caller that cannot read its refusal, as it still sends, and against a head inside the limits
+// that is refused.
+func TestRefusalCanBeRead(t *testing.T) {
+	s := startServer(t, &testServer{headBudget: 300 << 10}, 0)
+	const line = "GET / HTTP/1.1\r\nHost: x\r\n"
+	status, _ := answerTo(t, s, line+"a: "+strings.Repeat("b", 200<<10))
+	assert.Equal(t, status, http.StatusRequestHeaderFieldsTooLarge)
+	status, _ = answerTo(t, s, strings.Repeat("\r\n", 200<<10))
+	assert.Equal(t, status, http.StatusBadRequest)
+	status, _ = answerTo(t, s, line+strings.Repeat("a: b\r\n", 1000)+"\r\n")
+	assert.Equal(t, status, http.StatusOK)
+	status, retryAfter := answerTo(t, s, line+strings.Repeat("a:\n", 5<<10)+"\r\n")
+	assert.Equal(t, status, http.StatusServiceUnavailable, "there is no memory for its fields")
+	assert.Equal(t, retryAfter, "0.5")
+	waitFor(t, "memory of heads is returned", func() bool { return s.heads.Load() == 0 })
+}
+
+// Guards against time-outs of the configuration that are not enforced, and against the end of a connection that is
+// idle for less.
+func TestTimeoutsAreThoseInForce(t *testing.T) {
+	s := startServer(t, &testServer{limits: Limits{HeaderBytes: 16 << 10, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 800 * time.Millisecond}}, 0)
+	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	ask := func(c net.Conn) error {
+		if _, err := io.WriteString(c, request); err != nil {
+			return err
+		}
+		_, err := http.ReadResponse(bufio.NewReader(c), nil)
+		return err
+	}
+	kept, silent, slow := dial(t, s), dial(t, s), dial(t, s)
+	started := time.Now()
+	go func() {
+		for i := 0; i < len(request); i++ {
+			_, _ = slow.Write([]byte{request[i]}) // fails once it is closed
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	assert.NilError(t, ask(kept))
+	time.Sleep(400 * time.Millisecond)
+	assert.NilError(t, ask(kept), "it was idle for half of the time-out")
+	_, err := io.ReadAll(slow)
+	assert.Assert(t, time.Since(started) < 700*time.Millisecond, "the slow head has not ended, %v", err)
+	for _, c := range []net.Conn{silent, kept} {
+		_, err := io.ReadAll(c)
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, time.Since(started) >= 800*time.Millisecond)
+	waitFor(t, "connections are closed", func() bool { return s.open.Load() == 0 })
+}
+
+// Guards against a connection that is closed at once by a stop although a part of a request was read from it.
+func TestPartOfHeadIsKnown(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	l := NewListener(inner, Options{Limits: func() Limits { return Limits{1000, time.Minute, time.Minute} }})
+	caller, err := net.Dial("tcp", inner.Addr().String())
+	assert.NilError(t, err)
+	accepted, err := l.Accept()
+	assert.NilError(t, err)
+	defer func() { _ = accepted.Close() }()
+	go func() { _, _ = accepted.Read(make([]byte, 4096)) }()
+	_, err = io.WriteString(caller, "GET / HT")
+	assert.NilError(t, err)
+	waitFor(t, "part is known", func() bool { return accepted.(interface{ HasPart() bool }).HasPart() })
+	assert.NilError(t, caller.Close())
+}
--- a/internal/overload/memory.go
+++ b/internal/overload/memory.go
@@ -53,18 +53,21 @@
 	requests      int64 // memory of admitted requests
 	connections   int64
 	used          int64 // as measured
+	heads         heads
 }
 
 func newMemory(total int64) memory {
-	return memory{total: total, budget: requestBudget(total)}
+	return memory{total: total, budget: requestBudget(total), heads: newHeads(total)}
 }
 
 // requestBudget returns the memory that connections and requests may use together.
 func requestBudget(total int64) int64 {
-	base := min(baseBytes, int64(baseShare*float64(total)))
-	return int64(requestShare * float64(total-base))
+	return int64(requestShare * float64(total-base(total)))
 }
 
+// base returns the memory of an instance without requests.
+func base(total int64) int64 { return min(baseBytes, int64(baseShare*float64(total))) }
+
 func (m *memory) observe(used int64, connections int) {
 	m.used, m.connections = used, int64(connections)*connectionBytes
 }
@@ -77,7 +80,7 @@
 	if m.budget == 0 {
 		return true
 	}
-	return m.requests+m.connections+n <= m.budget && m.used <= int64(usedShare*float64(m.total))
+	return m.requests+m.connections+m.heads.large+n <= m.budget && m.used <= int64(usedShare*float64(m.total))
 }
 
 func cost(bodyBytes int64) int64 { return requestBytes + bodyBytes }
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -50,10 +50,10 @@
 	targetShare = 0.5
 	// timeoutShare is that part of the time limit, which leaves time for a second attempt.
 	timeoutShare = 0.25
-	// minRetryAfter and maxRetryAfter bound the pause of a refused caller. The caller's next connection
+	// minRetryAfter and MaxRetryAfter bound the pause of a refused caller. The caller's next connection
 	// reaches another instance, which may be as busy.
 	minRetryAfter = 50 * time.Millisecond
-	maxRetryAfter = 500 * time.Millisecond
+	MaxRetryAfter = 500 * time.Millisecond
 )
 
 // Tolerance returns the delay within an instance that a request can bear. A value that is 0 is unknown.
@@ -86,7 +86,7 @@
 // Admit decides on a request. An admitted one needs a call of Release at its end.
 func (g *Guard) Admit(now time.Duration, r Request) Verdict {
 	if !g.memory.fits(r.BodyBytes) {
-		return Verdict{Memory, maxRetryAfter}
+		return Verdict{Memory, MaxRetryAfter}
 	}
 	if delay := g.link.delay(now); delay > max(r.Tolerance, minLinkDelay) {
 		return Verdict{Link, retryAfter(delay)}
@@ -99,7 +99,7 @@
 }
 
 func retryAfter(delay time.Duration) time.Duration {
-	return min(max(delay, minRetryAfter), maxRetryAfter)
+	return min(max(delay, minRetryAfter), MaxRetryAfter)
 }
 
 // Extend reserves n more bytes for the body of an admitted request, and returns the request to release. It
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -87,7 +87,7 @@
 	fresh := NewGuard(small())
 	fresh.Observe(0, Sample{Lag: 2 * time.Second})
 	fresh.Observe(0, Sample{Lag: 2 * time.Second})
-	assert.Assert(t, fresh.Admit(0, impatient).RetryAfter <= maxRetryAfter)
+	assert.Assert(t, fresh.Admit(0, impatient).RetryAfter <= MaxRetryAfter)
 }
 
 // Guards against refusals after a single late sample: a machine that was suspended has no queue.
