Bound the connections and heads of health checks and metrics

Seen: 400 clients on the port of the health checks took 280 to 433 MB of an instance of 80 MB, and 417 descriptors of those that are kept for files, the store and other instances. Cause: its server had the default of net/http for heads, 1 MB, and no bound of connections or receive buffers. The port shares the memory of the process. Change: both ports take connections from package intake: 16 each, heads of 8 KiB, receive buffers as for callers.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -55,3 +55,13 @@
 	}
 	return out
 }
+
+// healthOptions returns the bounds of the connections for health checks and metrics.
+func (g *Gateway) healthOptions() intake.Options {
+	return intake.Options{
+		MaxConnections: maxHealthConnections, SendBuffer: g.overload.sendBuffer,
+		Limits: func() intake.Limits {
+			return intake.Limits{HeaderBytes: maxHealthHeaderBytes, HeaderTimeout: healthTimeout, IdleTimeout: defaultCallerIdleTimeout}
+		},
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -279,6 +279,10 @@
 const (
 	// healthTimeout bounds how long a health check may take to send its request.
 	healthTimeout = 2 * time.Second
+	// maxHealthConnections and maxHealthHeaderBytes bound the clients of each of the two ports for health checks and
+	// metrics.
+	maxHealthConnections = 16
+	maxHealthHeaderBytes = 8 << 10
 )
 
 func (g *Gateway) listen() error {
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -1,18 +1,19 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
+
+	"github.com/borageflow/borageflow/internal/intake"
 )
 
 // listenHealth serves readiness, liveness, status and metrics on an address, and with isForOperators
 // also changes by operators.
 func (g *Gateway) listenHealth(address string, isForOperators bool) (*http.Server, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := intake.ListenConfig(g.overload.callerReceiveBuffer).Listen(g.ctx, "tcp", address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "cannot listen for health checks or metrics on %s", address)
 	}
@@ -31,8 +32,9 @@
 		g.metrics.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
-	server := &http.Server{Handler: router, ReadHeaderTimeout: healthTimeout, ReadTimeout: healthTimeout, IdleTimeout: defaultCallerIdleTimeout}
-	go func() { _ = server.Serve(listener) }()
+	server := newServer(router)
+	server.ReadTimeout, server.IdleTimeout = healthTimeout, defaultCallerIdleTimeout
+	go func() { _ = server.Serve(intake.NewListener(listener, g.healthOptions())) }()
 	return server, nil
 }
 
