Give up the connection that waits longest when none is free

Seen: silent connections held all that an instance takes for 10 s; new ones were closed unread, whoever opened them. A test with 64 such connections got no request served in 10 s. Cause: at the bound the newcomer was closed, although it is the one that is likeliest to bring a request. Change: overload.Waiting knows what an instance waits for on each connection and gives up the one that has kept it waiting for longest: refused callers first, then those without a first head, those inside a later head, and last those whose body arrives at less than a hundredth of the narrowest link. One with bytes to read, younger than 100 ms, idle between requests or with a request in progress is never closed. One line a second in the log, counters by phase. The load that it answers: all connections of an instance are open.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -6,6 +6,7 @@
 
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/intake"
+	"github.com/borageflow/borageflow/internal/overload"
 )
 
 // Limits of callers where the configuration sets none, or none is known yet.
@@ -30,9 +31,19 @@
 		MaxConnections: guard.bounds.Callers, SendBuffer: guard.sendBuffer,
 		Limits: g.callerLimits, ResizeHead: guard.resizeHead,
 		OnOpen: func() { guard.callers.Add(1) }, OnClose: func() { guard.callers.Add(-1) },
-		OnWrite:  func(n int) { guard.sentBytes.Add(int64(n)) },
-		OnRefuse: func(e *errkind.Error) { g.metrics.countRefusal(e.Kind) },
-		OnFull:   guard.closed.Inc,
+		OnWrite: func(n int) { guard.sentBytes.Add(int64(n)) },
+		OnRefuse: func(e *errkind.Error) {
+			guard.turnedAway.heads.Add(1)
+			g.metrics.countRefusal(e.Kind)
+		},
+		OnFull: func() {
+			guard.turnedAway.unread.Add(1)
+			guard.closed.Inc()
+		},
+		OnGiveUp: func(phase overload.Phase) {
+			guard.turnedAway.givenUp.Add(1)
+			g.metrics.countGivenUp(phase)
+		},
 	}
 }
 
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -71,6 +71,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_refused_total{kind=%q}", kind)).Inc()
 }
 
+// countGivenUp counts a connection that made room for a new one, by what the instance waited for.
+func (m *gatewayMetrics) countGivenUp(phase overload.Phase) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_given_up_connections_total{phase=%q}", phase)).Inc()
+}
+
 // countOverload counts a request that was refused for a limit of the instance.
 func (m *gatewayMetrics) countOverload(reason overload.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_overload_refused_total{limit=%q}", reason)).Inc()
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -31,6 +31,8 @@
 	callers, workers atomic.Int64
 	// closed counts the connections that were closed unread.
 	closed *metrics.Counter
+	// turnedAway counts callers since the last line about them in the log.
+	turnedAway turnedAway
 
 	mu        sync.Mutex
 	guard     *overload.Guard
@@ -52,6 +54,11 @@
 	gauge("borageflow_gateway_request_memory_bytes", func(l overload.Load) float64 { return float64(l.RequestBytes) })
 	m.set.NewGauge("borageflow_gateway_process_memory_bytes", func() float64 { return float64(usedMemory()) })
 	m.set.NewGauge("borageflow_gateway_caller_connections", func() float64 { return float64(g.callers.Load()) })
+	m.set.NewGauge("borageflow_gateway_head_memory_bytes", func() float64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return float64(g.guard.HeadBytes())
+	})
 	g.closed = m.set.NewCounter("borageflow_gateway_closed_connections_total")
 	return g
 }
@@ -127,6 +134,7 @@
 	if n%readinessTicks != 0 {
 		return
 	}
+	g.logTurnedAway()
 	wasReady := g.readiness.IsReady(now)
 	g.readiness.Observe(now, g.arrived, g.refused)
 	if isReady := g.readiness.IsReady(now); g.refused > 0 || wasReady != isReady {
@@ -144,6 +152,24 @@
 	return g.readiness.IsReady(sinceBoot())
 }
 
+// turnedAway counts callers whose requests were not read to the end of their heads.
+type turnedAway struct {
+	// unread are connections that were closed at once, givenUp those that made room for them, and heads those with a
+	// head that was refused.
+	unread, givenUp, heads atomic.Int64
+}
+
+// logTurnedAway writes one line for an interval, as callers of this kind come in thousands.
+func (g *overloadGuard) logTurnedAway() {
+	unread, givenUp, heads := g.turnedAway.unread.Swap(0), g.turnedAway.givenUp.Swap(0), g.turnedAway.heads.Swap(0)
+	if unread+givenUp+heads == 0 {
+		return
+	}
+	g.log.Warn("callers are turned away before their requests are read", zap.Int64("closed_unread", unread), zap.Int64("given_up", givenUp),
+		zap.Int64("refused_heads", heads), zap.Int64("callers", g.callers.Load()), zap.Int("max_callers", g.bounds.Callers),
+		zap.Int64("head_bytes", g.guard.HeadBytes()))
+}
+
 // endsConnections reports whether answers are to end their connections.
 func (g *overloadGuard) endsConnections() bool {
 	return g.bounds.CloseFrom > 0 && g.callers.Load() > int64(g.bounds.CloseFrom)
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -1,5 +1,6 @@
 // Package intake bounds what callers can make an instance hold before it has admitted a request. Its connections pass
 // a head on to net/http only once it is whole and there is memory for its fields, and count what they hold until then.
+// Where no connection is free, the one that has kept the instance waiting for longest makes room for a new one.
 package intake
 
 import (
@@ -12,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/netpeek"
 	"github.com/borageflow/borageflow/internal/overload"
 )
 
@@ -42,8 +44,10 @@
 	OnWrite         func(n int)
 	// OnRefuse reports a head that is refused before it is parsed.
 	OnRefuse func(*errkind.Error)
-	// OnFull reports a connection that is closed unread because there is room for no more.
+	// OnFull reports a connection that is closed unread because no other one can be given up.
 	OnFull func()
+	// OnGiveUp reports a connection that makes room for a new one.
+	OnGiveUp func(overload.Phase)
 }
 
 // Listener accepts connections for an http.Server. The server needs no time-outs of its own: it waits for heads no
@@ -97,6 +101,9 @@
 	if o.OnRefuse == nil {
 		o.OnRefuse = func(*errkind.Error) {}
 	}
+	if o.OnGiveUp == nil {
+		o.OnGiveUp = func(overload.Phase) {}
+	}
 	return &Listener{Listener: inner, options: o}
 }
 
@@ -132,11 +139,21 @@
 	}
 }
 
-// makeRoom reports whether there is room for a connection.
+// makeRoom gives up a connection if there is room for no more, and reports whether there is room then.
 func (l *Listener) makeRoom() bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.options.MaxConnections == 0 || l.open < l.options.MaxConnections
+	if l.options.MaxConnections == 0 || l.open < l.options.MaxConnections {
+		l.mu.Unlock()
+		return true
+	}
+	c, phase, ok := l.waiting.GiveUp(sinceStart(), func(c *conn) bool { return netpeek.Look(c.TCPConn) == netpeek.Readable })
+	l.mu.Unlock()
+	if !ok {
+		return false
+	}
+	l.options.OnGiveUp(phase)
+	_ = c.Close() // fails only on a closed connection
+	return true
 }
 
 func (l *Listener) add(tcp *net.TCPConn) *conn {
--- a/internal/overload/heads.go
+++ b/internal/overload/heads.go
@@ -55,3 +55,6 @@
 	}
 	return n
 }
+
+// HeadBytes returns the memory that is reserved for heads.
+func (g *Guard) HeadBytes() int64 { return g.memory.heads.total }
