Refuse a request before its body has come

Seen: a caller with an unknown key that sends its body in chunks, one every 20 ms, had no answer after 10 s and held its connection and its head for as long as it liked. Cause: net/http reads up to 256 KiB of the body before it sends an answer, without a deadline. Change: a body that has arrived is read to its end, for 100 ms at most, so that the connection is kept. Otherwise the refusal is sent at once and ends the connection; what still comes is read or left unread for half a second, so that the caller can read the refusal before the connection is reset. Why it holds: nothing of the body is taken for a next request, as the connection ends with the answer.

--- a/internal/gateway/handler.go
+++ b/internal/gateway/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -49,7 +50,7 @@
 		if relayed, ok := g.store.(*news.RelayedStore); ok {
 			relayed.ListNow()
 		}
-		g.writeError(w, meta, &configSnapshot{config: &forward.Config{}}, errkind.New(errkind.NotReady, reason).WithRetryAfter(defaultRetryAfter))
+		g.refuse(w, req, meta, &configSnapshot{config: &forward.Config{}}, errkind.New(errkind.NotReady, reason).WithRetryAfter(defaultRetryAfter))
 		return
 	}
 	snapshot := g.dispatcher.snapshot.Load()
@@ -57,30 +58,30 @@
 	confirmed := g.dispatcher.confirmedConfig(snapshot)
 	route := snapshot.routes.Match(req.Host, req.RequestURI)
 	if route == nil {
-		g.writeError(w, meta, snapshot, withStoreRetryAfter(forward.RefuseUnknownRoute(confirmed, now, g.dispatcher.ageBounds())))
+		g.refuse(w, req, meta, snapshot, withStoreRetryAfter(forward.RefuseUnknownRoute(confirmed, now, g.dispatcher.ageBounds())))
 		return
 	}
 	timeLimit := requestTimeout(meta.TimeLimit, route.Timeout)
 	if refusal := g.refuseWhileLeaving(route, timeLimit); refusal != nil {
-		g.writeError(w, meta, snapshot, refusal)
+		g.refuse(w, req, meta, snapshot, refusal)
 		return
 	}
 	key := g.headers.APIKey(req.Header)
 	customer, refusal := forward.Authorize(confirmed, route, key, now, g.dispatcher.ageBounds())
 	if refusal != nil {
-		g.writeError(w, meta, snapshot, withStoreRetryAfter(refusal))
+		g.refuse(w, req, meta, snapshot, withStoreRetryAfter(refusal))
 		return
 	}
 	memory, refusal := g.overload.admit(route, timeLimit, req, snapshot.config.Limits)
 	if refusal != nil {
-		g.writeError(w, meta, snapshot, refusal)
+		g.refuse(w, req, meta, snapshot, refusal)
 		return
 	}
 	defer memory.release()
 	deadline := started.Add(timeLimit)
 	body, refusal := readLimitedBody(unwrapWriter(w), req, snapshot.config.Limits, deadline, memory)
 	if refusal != nil {
-		g.writeError(w, meta, snapshot, refusal)
+		g.refuseInBody(w, req, meta, snapshot, refusal)
 		return
 	}
 	r := &request{
@@ -152,5 +153,9 @@
 		g.requestLog.Info("request is refused", zap.String("request", meta.RequestID), zap.String("kind", string(e.Kind)), zap.String("reason", e.Message),
 			zap.Int64("config", snapshot.config.Version), zap.Int64("config_age_ms", (sinceBoot()-time.Duration(g.dispatcher.confirmedAt.Load())).Milliseconds()))
 	}
-	http.Error(w, string(e.Kind)+": "+e.Message, entry.HTTPStatus)
+	text := string(e.Kind) + ": " + e.Message + "\n"
+	h["Content-Type"], h["X-Content-Type-Options"] = []string{"text/plain; charset=utf-8"}, []string{"nosniff"}
+	h["Content-Length"] = []string{strconv.Itoa(len(text))}
+	w.WriteHeader(entry.HTTPStatus)
+	_, _ = io.WriteString(w, text) // fails only if the caller is gone
 }
