Reserve memory for a body as it arrives

Cause: each body in chunks reserved the longest length, 4 MiB, for as long as its caller liked, and so did each stated length; 12 of them fill the memory for requests. Change: a body reserves its first buffer, 16 KiB for the longest, and each further one once the one before is full. A body that finds no memory then is refused with 503, not run, with a time to come back. A stated length must still have room when its request is admitted. Bodies beyond 64 KiB share three quarters of the memory for requests, so that callers which hold back the end of long ones leave the rest to others. The tests of the buffers ask what they asked; the reservation now grows with the reading, and the one that fills the memory does so between reading and copying. Result: TestBodyReservesWhatHasArrived, TestLongBodiesLeaveRoom and TestBodyEndsWithoutMemory pass; they ask for what the old code does not have.

--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -10,13 +10,15 @@
 
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/overload"
 )
 
 const (
 	// defaultMaxBodyBytes applies when the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
-	// bodyGrowth is the factor between the buffers into which a body without a length is read one after the other. The
-	// last one has the longest length that is allowed, which is reserved; all before it take a fifteenth of that.
+	// bodyGrowth is the factor between the buffers into which a body is read one after the other. Each is reserved once
+	// the one before it is full, so that a caller holds memory for what it has sent. The last one has the stated length,
+	// or the longest that is allowed; all before it take a fifteenth of that.
 	bodyGrowth = 16
 	// minBodyBuffer is the least size of the first one.
 	minBodyBuffer = 4 << 10
@@ -32,14 +34,14 @@
 	return limits.BodyBytes
 }
 
-// bodyReserve returns the memory that the body of a request may need: its length, or the longest that
-// the configuration allows.
-func bodyReserve(req *http.Request, limits forward.ClientLimits) int64 {
+// bodyRequest returns what is to be reserved for the body of a request before it is read.
+func bodyRequest(req *http.Request, limits forward.ClientLimits) overload.Request {
 	longest := maxBodyBytes(limits)
-	if req.ContentLength < 0 || req.ContentLength > longest {
-		return longest
+	if req.ContentLength < 0 {
+		return overload.Request{BodyBytes: firstBodyBuffer(longest)}
 	}
-	return req.ContentLength
+	stated := min(req.ContentLength, longest) // a longer one is refused
+	return overload.Request{BodyBytes: firstBodyBuffer(stated), StatedBytes: stated}
 }
 
 // readLimitedBody checks the size of the header and reads the body within the limits of
@@ -55,7 +57,7 @@
 	if err := controller.SetReadDeadline(deadline); err != nil {
 		return nil, errkind.New(errkind.Internal, "read deadline of the body cannot be set: "+err.Error())
 	}
-	body, refusal := readBody(w, req, maxBodyBytes(limits))
+	body, refusal := readBody(w, req, maxBodyBytes(limits), memory)
 	if refusal != nil {
 		return nil, refusal // keep the read deadline: net/http reads on after an error
 	}
@@ -77,17 +79,19 @@
 	return n
 }
 
-func readBody(w http.ResponseWriter, req *http.Request, maxBytes int64) ([]byte, *errkind.Error) {
+func readBody(w http.ResponseWriter, req *http.Request, maxBytes int64, memory *reservation) ([]byte, *errkind.Error) {
 	if req.ContentLength > maxBytes {
 		return nil, errkind.New(errkind.PayloadTooLarge, "request body is larger than "+strconv.FormatInt(maxBytes, 10)+" bytes")
 	}
-	size := req.ContentLength
-	if size < 0 {
-		size = firstBodyBuffer(maxBytes)
+	longest := maxBytes
+	if req.ContentLength >= 0 {
+		longest = req.ContentLength
 	}
-	body, err := readGrowing(http.MaxBytesReader(w, req.Body, maxBytes), size, maxBytes)
+	body, err := readGrowing(http.MaxBytesReader(w, req.Body, maxBytes), longest, memory.extend)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoBodyMemory):
+		return nil, errkind.New(errkind.Overloaded, "instance has no memory for the rest of the body").WithRetryAfter(overload.MaxRetryAfter)
 	case errors.As(err, &tooLarge):
 		return nil, errkind.New(errkind.PayloadTooLarge, "request body is larger than "+strconv.FormatInt(maxBytes, 10)+" bytes")
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -107,9 +111,12 @@
 	return size
 }
 
-// readGrowing reads r to its end into a buffer of the given size, and into larger ones up to longest once it is full.
-func readGrowing(r io.Reader, size, longest int64) ([]byte, error) {
-	body := make([]byte, 0, size)
+var errNoBodyMemory = errors.New("no memory for a larger buffer")
+
+// readGrowing reads r to its end into the first buffer for a body that has at most the longest length, and into larger
+// ones once it is full. reserve is asked for the difference.
+func readGrowing(r io.Reader, longest int64, reserve func(n int) bool) ([]byte, error) {
+	body := make([]byte, 0, firstBodyBuffer(longest))
 	var next [1]byte
 	for {
 		free := body[len(body):cap(body)]
@@ -118,7 +125,11 @@
 		}
 		n, err := r.Read(free)
 		if n > 0 && len(body) == cap(body) {
-			grown := make([]byte, len(body)+1, min(int64(cap(body))*bodyGrowth, longest))
+			size := min(int64(cap(body))*bodyGrowth, longest)
+			if !reserve(int(size) - cap(body)) {
+				return nil, errNoBodyMemory
+			}
+			grown := make([]byte, len(body)+1, size)
 			copy(grown, body)
 			grown[len(body)] = next[0]
 			body = grown
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"runtime"
 	"strings"
 	"testing"
@@ -13,9 +14,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/overload"
 )
 
+// always grants memory.
+func always(int) bool { return true }
+
 // Guards against bodies without a length that take more memory than is reserved for the longest one: a buffer that
 // doubled its room took 8 MiB for 4 MiB, and 16 MiB with all buffers before it.
 func TestBodyTakesWhatIsReserved(t *testing.T) {
@@ -24,7 +29,7 @@
 			raw := bytes.Repeat([]byte("ab"), int(length+1)/2)[:length]
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			body, err := readGrowing(bytes.NewReader(raw), firstBodyBuffer(longest), longest)
+			body, err := readGrowing(bytes.NewReader(raw), longest, always)
 			runtime.ReadMemStats(&after)
 			assert.NilError(t, err)
 			assert.Assert(t, bytes.Equal(body, raw), "%d of %d bytes", length, longest)
@@ -43,12 +48,12 @@
 		"bytes": iotest.OneByteReader(bytes.NewReader(raw)), "halves": iotest.HalfReader(bytes.NewReader(raw)),
 		"end with bytes": iotest.DataErrReader(bytes.NewReader(raw)),
 	} {
-		body, err := readGrowing(r, 16, 1<<20)
+		body, err := readGrowing(r, 1<<20, always)
 		assert.NilError(t, err, name)
 		assert.Assert(t, bytes.Equal(body, raw), name)
 	}
 	broken := errors.New("broken")
-	_, err := readGrowing(io.MultiReader(bytes.NewReader(raw), iotest.ErrReader(broken)), 16, 1<<20)
+	_, err := readGrowing(io.MultiReader(bytes.NewReader(raw), iotest.ErrReader(broken)), 1<<20, always)
 	assert.Assert(t, errors.Is(err, broken))
 }
 
@@ -60,15 +65,18 @@
 		for _, length := range []int{100, 9000, 110_000, longest / 2, longest - longest/20, longest} {
 			t.Run(fmt.Sprintf("%d/full=%t", length, isFull), func(t *testing.T) {
 				g := &overloadGuard{guard: overload.NewGuard(overload.Limits{MemoryBytes: 284e6})}
-				own := &reservation{g, overload.Request{BodyBytes: longest, Tolerance: time.Hour}}
+				first := firstBodyBuffer(longest)
+				own := &reservation{g, overload.Request{BodyBytes: first, Tolerance: time.Hour}}
 				assert.Equal(t, g.guard.Admit(0, own.request).Reason, overload.Admitted)
+				others := g.load().RequestBytes - first
+				body, err := readGrowing(bytes.NewReader(make([]byte, length)), longest, own.extend)
+				assert.NilError(t, err)
 				if isFull {
+					before := g.load().RequestBytes
 					for g.guard.Admit(0, overload.Request{Tolerance: time.Hour}).Reason == overload.Admitted {
 					}
+					others += g.load().RequestBytes - before
 				}
-				others := g.load().RequestBytes - longest
-				body, err := readGrowing(bytes.NewReader(make([]byte, length)), firstBodyBuffer(longest), longest)
-				assert.NilError(t, err)
 				body = fitBody(body, own)
 				assert.Equal(t, len(body), length)
 				reserved := g.load().RequestBytes - others
@@ -83,3 +91,29 @@
 		}
 	}
 }
+
+// Guards against memory that is reserved for the longest body while a caller sends little of it: 300 callers that send
+// chunks slowly kept ordinary requests out of an instance of 136 MB, and so did 12 that state a long body.
+func TestBodyReservesWhatHasArrived(t *testing.T) {
+	const longest = 4 << 20
+	limits := forward.ClientLimits{BodyBytes: longest}
+	for _, stated := range []int64{-1, longest} {
+		g := &overloadGuard{guard: overload.NewGuard(overload.Limits{MemoryBytes: 136e6})}
+		for n := range 300 {
+			r := bodyRequest(&http.Request{ContentLength: stated}, limits)
+			assert.Equal(t, g.guard.Admit(0, r).Reason, overload.Admitted, "request %d with length %d", n, stated)
+			slow := &reservation{g, r}
+			sent := io.LimitReader(iotest.OneByteReader(bytes.NewReader(make([]byte, longest))), 1000)
+			_, err := readGrowing(sent, longest, slow.extend)
+			assert.NilError(t, err)
+		}
+		ordinary := bodyRequest(&http.Request{ContentLength: 10_000}, limits)
+		assert.Equal(t, g.guard.Admit(0, ordinary).Reason, overload.Admitted)
+	}
+}
+
+// Guards against a body that goes on growing without memory for it.
+func TestBodyEndsWithoutMemory(t *testing.T) {
+	_, err := readGrowing(bytes.NewReader(make([]byte, 1<<20)), 1<<20, func(int) bool { return false })
+	assert.ErrorIs(t, err, errNoBodyMemory)
+}
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -100,7 +100,8 @@
 
 // admit decides on a request before its body is read.
 func (g *overloadGuard) admit(route *forward.Route, timeLimit time.Duration, req *http.Request, limits forward.ClientLimits) (*reservation, *errkind.Error) {
-	r := overload.Request{BodyBytes: bodyReserve(req, limits), Tolerance: overload.Tolerance(route.LatencyTarget, route.GapTarget, timeLimit)}
+	r := bodyRequest(req, limits)
+	r.Tolerance = overload.Tolerance(route.LatencyTarget, route.GapTarget, timeLimit)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.arrived++
--- a/internal/overload/heads_test.go
+++ b/internal/overload/heads_test.go
@@ -58,3 +58,14 @@
 	unlimited := NewGuard(Limits{})
 	assert.Assert(t, unlimited.ResizeHead(0, 1<<40))
 }
+
+// Guards against callers that hold back the end of long bodies and leave no memory for other requests.
+func TestLongBodiesLeaveRoom(t *testing.T) {
+	g := NewGuard(small())
+	for g.Admit(0, Request{BodyBytes: 4 << 20}).Reason == Admitted {
+	}
+	for range 100 {
+		assert.Equal(t, g.Admit(0, Request{BodyBytes: 10_000}).Reason, Admitted)
+	}
+	assert.Equal(t, g.Admit(0, Request{BodyBytes: 4 << 10, StatedBytes: 4 << 20}).Reason, Memory)
+}
--- a/internal/overload/memory.go
+++ b/internal/overload/memory.go
@@ -15,6 +15,10 @@
 	requestBytes = 64 << 10
 	// connectionBytes is the memory of a connection without a request: its buffers and its goroutine.
 	connectionBytes = 16 << 10
+	// smallBodyBytes is the longest body that counts as small, and longBodyShare the part of the memory for requests that
+	// all longer ones may use. Callers that hold back the end of long bodies leave the rest to other requests.
+	smallBodyBytes = 64 << 10
+	longBodyShare  = 0.75
 	// softLimitShare is the part of the memory from which the garbage collector works harder; see
 	// SoftMemoryLimit. The rest holds what the runtime does not count.
 	softLimitShare = 0.75
@@ -62,6 +66,7 @@
 type memory struct {
 	total, budget int64 // 0 if unknown
 	requests      int64 // memory of admitted requests
+	longBodies    int64 // part of it for bodies beyond smallBodyBytes
 	connections   int64
 	used          int64 // as measured
 	heads         heads
@@ -84,7 +89,7 @@
 }
 
 // fits reports whether there is memory for a request with a body of n bytes.
-func (m *memory) fits(n int64) bool { return m.hasRoom(cost(n)) }
+func (m *memory) fits(n int64) bool { return m.hasRoom(cost(n)) && m.hasRoomForBody(0, n) }
 
 // hasRoom reports whether n more bytes may be used.
 func (m *memory) hasRoom(n int64) bool {
@@ -94,11 +99,32 @@
 	return m.requests+m.connections+m.heads.large+n <= m.budget && m.used <= int64(usedShare*float64(m.total))
 }
 
+// hasRoomForBody reports whether a body may take n bytes instead of those that are reserved for it.
+func (m *memory) hasRoomForBody(reserved, n int64) bool {
+	if m.budget == 0 || n <= smallBodyBytes {
+		return true
+	}
+	return m.longBodies-longPart(reserved)+n <= int64(longBodyShare*float64(m.budget))
+}
+
 func cost(bodyBytes int64) int64 { return requestBytes + bodyBytes }
 
-func (m *memory) take(n int64) { m.requests += cost(n) }
+func longPart(bodyBytes int64) int64 {
+	if bodyBytes <= smallBodyBytes {
+		return 0
+	}
+	return bodyBytes
+}
+
+func (m *memory) take(n int64) {
+	m.requests += cost(n)
+	m.longBodies += longPart(n)
+}
 
-func (m *memory) release(n int64) { m.requests -= cost(n) }
+func (m *memory) release(n int64) {
+	m.requests -= cost(n)
+	m.longBodies -= longPart(n)
+}
 
 // share returns the part of the budget that is in use.
 func (m *memory) share() float64 {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -32,8 +32,10 @@
 
 // Request is what is known of a request before its body is read.
 type Request struct {
-	// BodyBytes is the length of its body, or the longest that is allowed if that is not known.
+	// BodyBytes is the memory that is reserved for its body. It grows as the body arrives; see Extend.
 	BodyBytes int64
+	// StatedBytes is the length that the caller states, for which there must be room; 0 if it states none.
+	StatedBytes int64
 	// Tolerance is the delay in this instance that the caller can bear; see Tolerance.
 	Tolerance time.Duration
 }
@@ -85,7 +87,7 @@
 
 // Admit decides on a request. An admitted one needs a call of Release at its end.
 func (g *Guard) Admit(now time.Duration, r Request) Verdict {
-	if !g.memory.fits(r.BodyBytes) {
+	if !g.memory.fits(max(r.BodyBytes, r.StatedBytes)) {
 		return Verdict{Memory, MaxRetryAfter}
 	}
 	if delay := g.link.delay(now); delay > max(r.Tolerance, minLinkDelay) {
@@ -105,16 +107,14 @@
 // Extend reserves n more bytes for the body of an admitted request, and returns the request to release. It
 // reports whether there is memory for them.
 func (g *Guard) Extend(r Request, n int64) (Request, bool) {
-	if !g.memory.hasRoom(n) {
+	if !g.memory.hasRoom(n) || !g.memory.hasRoomForBody(r.BodyBytes, r.BodyBytes+n) {
 		return r, false
 	}
-	g.memory.requests += n
-	r.BodyBytes += n
-	return r, true
+	return g.Settle(r, r.BodyBytes+n), true
 }
 
 // Settle replaces the memory reserved for the body of an admitted request by what it takes, and returns the request
-// to release. The longest allowed body was reserved for one without a stated length.
+// to release.
 func (g *Guard) Settle(r Request, bodyBytes int64) Request {
 	g.memory.release(r.BodyBytes)
 	g.memory.take(bodyBytes)
