End answers that their callers do not read

Cause: writes to callers had no deadline; the time limit of a request ends its reading from the worker only. Change: a write ends once the caller has taken nothing for a minute. A slow reader that takes a part of the send buffer in that time, 42 KiB, goes on.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -14,8 +14,12 @@
 	"github.com/borageflow/borageflow/internal/overload"
 )
 
-// lateReadTime is allowed beyond a time-out for bytes that had arrived before it: the process was late to read.
-const lateReadTime = time.Second
+const (
+	// defaultWriteStall is longer than a slow caller needs to take a part of the send buffer: 42 KiB at 1 KB/s.
+	defaultWriteStall = time.Minute
+	// lateReadTime is allowed beyond a time-out for bytes that had arrived before it: the process was late to read.
+	lateReadTime = time.Second
+)
 
 // conn is a connection of a caller. net/http uses it from one goroutine at a time, except for deadlines and Close.
 type conn struct {
@@ -237,11 +241,20 @@
 
 func (c *conn) applyDeadline() error { return c.timeout.apply(c.TCPConn.SetReadDeadline) }
 
-// Write implements net.Conn.
+// Write implements net.Conn. A caller that takes nothing for WriteStall is gone.
 func (c *conn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
-	c.listener.options.OnWrite(n)
-	return n, err
+	written := 0
+	for {
+		if err := c.SetWriteDeadline(time.Now().Add(c.listener.options.WriteStall)); err != nil {
+			return written, err
+		}
+		n, err := c.TCPConn.Write(p[written:])
+		written += n
+		c.listener.options.OnWrite(n)
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return written, err
+		}
+	}
 }
 
 // HasPart reports whether a part of a request was read that net/http does not have.
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -35,6 +35,8 @@
 	// SendBuffer is the size of the kernel's send buffer of a connection in bytes, 0 for that of the system. The kernel
 	// takes twice as much.
 	SendBuffer int
+	// WriteStall is how long a caller may take nothing of its answer, 0 for a minute.
+	WriteStall time.Duration
 	// Limits returns those in force.
 	Limits func() Limits
 	// ResizeHead replaces the memory that is reserved for one head, and reports whether there is room.
@@ -92,6 +94,9 @@
 			*f = nothing
 		}
 	}
+	if o.WriteStall == 0 {
+		o.WriteStall = defaultWriteStall
+	}
 	if o.ResizeHead == nil {
 		o.ResizeHead = func(_, _ int64) bool { return true }
 	}
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -25,6 +25,7 @@
 	heads               atomic.Int64 // memory reserved for heads
 	headBudget          int64        // 0 for no bound
 	limits              Limits
+	writeStall          time.Duration
 	open, full, givenUp atomic.Int64
 }
 
@@ -36,7 +37,7 @@
 		s.limits = Limits{HeaderBytes: 16 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 	}
 	l := NewListener(inner, Options{
-		MaxConnections: maxConnections, Limits: func() Limits { return s.limits },
+		MaxConnections: maxConnections, SendBuffer: 32 << 10, WriteStall: s.writeStall, Limits: func() Limits { return s.limits },
 		ResizeHead: func(from, to int64) bool {
 			if s.headBudget > 0 && to > s.headBudget {
 				return false
@@ -230,3 +231,26 @@
 	waitFor(t, "part is known", func() bool { return accepted.(interface{ HasPart() bool }).HasPart() })
 	assert.NilError(t, caller.Close())
 }
+
+// Guards against a caller that never reads its answers and holds its connection for good, and against the end of one
+// that reads slowly.
+func TestUnreadAnswerEnds(t *testing.T) {
+	s := startServer(t, &testServer{writeStall: 500 * time.Millisecond}, 0)
+	request := "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000000\r\n\r\n" + strings.Repeat("x", 2_000_000)
+	ask := func() *net.TCPConn {
+		c := dial(t, s).(*net.TCPConn)
+		assert.NilError(t, c.SetReadBuffer(32<<10))
+		go func() { _, _ = io.WriteString(c, request+request) }() // the second one is not read while the first is answered
+		return c
+	}
+	slow, silent := ask(), ask()
+	defer func() { _ = silent.Close() }()
+	received := 0
+	for block := make([]byte, 32<<10); received < 1_500_000; time.Sleep(20 * time.Millisecond) {
+		n, err := slow.Read(block)
+		assert.NilError(t, err, "after %d bytes", received)
+		received += n
+	}
+	assert.NilError(t, slow.Close())
+	waitFor(t, "both connections are closed", func() bool { return s.open.Load() == 0 })
+}
