Bound the links and messages of other instances

Seen: 400 connections to the port of a relay took 3.4 GB of an instance of 80 MB, with a first message of 7 MB whose end never comes as well as behind a hello; with calls whose answers are not read 92 MB, 144 once the receive buffers were bounded. No ordinary request was answered beside the first. Cause: any number of links, each with a message of up to 8 MiB for as long as its sender likes, also before its hello. Change: where the memory is known, a node accepts 512 links and gives up the one without a hello that has waited longest; a message before the hello is 64 KiB at most; messages beyond 16 KiB share a sixteenth of the memory, 8 MiB at least; receive buffers are 16 KiB; 100 messages a second are read from a link. A message must end 15 s after its length, on all nodes.

--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -102,7 +102,7 @@
 		}
 		m.countPeerBytes(cause, remote.FailureDomain != s.FailureDomain, bytes)
 	}
-	p := &relayPeer{relay: relay, node: peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello { return hello }, OnPanic: onPanic, OnCall: onCall})}
+	p := &relayPeer{relay: relay, node: peer.NewNode(peer.Options{Handler: relay, Local: func() api.Hello { return hello }, OnPanic: onPanic, OnCall: onCall, Bounds: s.Limits.Peers()})}
 	p.isRelay = s.isRelay()
 	p.exchangeRelays = news.NewRelayChoice(s.Instance, s.FailureDomain, s.Relays, sinceBoot)
 	if p.isRelay || !s.usesRelays() {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -7,12 +7,10 @@
 	"errors"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/listen"
 	"github.com/borageflow/borageflow/internal/netpeek"
 	"github.com/borageflow/borageflow/internal/overload"
 )
@@ -66,23 +64,11 @@
 // keepAlive shows that a caller is gone within some seconds.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}
 
-// ListenConfig returns how to listen for the connections of a Listener, with the size of their receive buffers, 0 for
-// that of the system. The kernel takes twice as much.
+// ListenConfig returns how to listen for the connections of a Listener, with the size of their receive buffers; see
+// package listen.
 func ListenConfig(receiveBuffer int) *net.ListenConfig {
-	config := &net.ListenConfig{KeepAliveConfig: keepAlive}
-	if receiveBuffer <= 0 {
-		return config
-	}
-	// Set before a connection is opened, so that its caller is told no larger window.
-	config.Control = func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		if controlErr := raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-		}); controlErr != nil {
-			return controlErr
-		}
-		return err
-	}
+	config := listen.Config(receiveBuffer)
+	config.KeepAliveConfig = keepAlive
 	return config
 }
 
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -12,6 +12,7 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/time/rate"
 
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/errkind"
@@ -317,8 +318,31 @@
 
 // startConn starts JSON-RPC on netConn and sets the connection of the link.
 func (d *dispatcher) startConn(ctx context.Context, netConn net.Conn, counters *Counters) {
+	d.start(ctx, newStream(netConn, counters))
+}
+
+// startAccepted does so for a connection that was accepted by a node. Its messages share the node's memory and are short
+// until its hello has come.
+func (d *dispatcher) startAccepted(n *Node, netConn net.Conn) {
+	s := newStream(netConn, &n.counters)
+	s.memory = n.messageMemory
+	if perSecond := n.bounds.MessageRate; perSecond > 0 {
+		s.pace = rate.NewLimiter(rate.Limit(perSecond), int(perSecond))
+	}
+	s.maxBytes = func() uint32 {
+		select {
+		case <-d.helloDone:
+			return maxMessageBytes
+		default:
+			return maxHelloBytes
+		}
+	}
+	d.start(n.ctx, s)
+}
+
+func (d *dispatcher) start(ctx context.Context, s *stream) {
 	d.connReady = make(chan struct{})
-	d.stream = newStream(netConn, counters)
+	d.stream = s
 	d.link.conn = jsonrpc2.NewConn(ctx, d.stream, d, jsonrpc2.SetLogger(discardLogger{}))
 	close(d.connReady)
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -8,8 +8,11 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/borageflow/borageflow/api"
+	"github.com/borageflow/borageflow/internal/listen"
+	"github.com/borageflow/borageflow/internal/overload"
 )
 
 // Node accepts links from other daemons and keeps at most one outgoing link per
@@ -22,16 +25,21 @@
 	clientTLS  *tls.Config
 	onCall     func(remote api.Member, method string, bytes int)
 	counters   Counters
+	bounds     overload.Peers
+	// messageMemory is shared by the accepted links, nil for no bound.
+	messageMemory *semaphore.Weighted
 
 	ctx    context.Context
 	cancel context.CancelFunc
 
 	mu sync.Mutex
 	// closed is set by Close. From then on no goroutine may start.
-	closed     bool
-	listener   net.Listener
-	outgoing   map[string]*outgoingLink
-	accepted   map[*Link]bool
+	closed   bool
+	listener net.Listener
+	outgoing map[string]*outgoingLink
+	// accepted holds the accepted links, and waiting those of them without a hello.
+	accepted   map[*Link]*overload.Waiter[*Link]
+	waiting    overload.Waiting[*Link]
 	goroutines sync.WaitGroup
 }
 
@@ -66,6 +74,8 @@
 	// ServerTLS and ClientTLS configure mutual TLS for accepted and dialed links;
 	// nil means plain TCP.
 	ServerTLS, ClientTLS *tls.Config
+	// Bounds limit the accepted links; a field that is 0 bounds nothing.
+	Bounds overload.Peers
 }
 
 // NewNode returns a node without a listener. It can dial; Listen makes it accept
@@ -75,11 +85,15 @@
 	if o.OnPanic == nil {
 		o.OnPanic = func(string, any) {}
 	}
-	return &Node{
+	n := &Node{
 		handler: o.Handler, localHello: o.Local, onPanic: o.OnPanic, serverTLS: o.ServerTLS, clientTLS: o.ClientTLS, onCall: o.OnCall,
-		ctx: ctx, cancel: cancel,
-		outgoing: map[string]*outgoingLink{}, accepted: map[*Link]bool{},
+		ctx: ctx, cancel: cancel, bounds: o.Bounds,
+		outgoing: map[string]*outgoingLink{}, accepted: map[*Link]*overload.Waiter[*Link]{},
 	}
+	if o.Bounds.MessageBytes > 0 {
+		n.messageMemory = semaphore.NewWeighted(o.Bounds.MessageBytes)
+	}
+	return n
 }
 
 // Counters returns the byte counters of all links, which the node keeps updating.
@@ -91,7 +105,7 @@
 // Listen accepts links on address until StopListening or Close, and returns the
 // bound address. A closed node returns an error.
 func (n *Node) Listen(address string) (string, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen.Config(n.bounds.ReceiveBuffer).Listen(n.ctx, "tcp", address)
 	if err != nil {
 		return "", eris.Wrapf(err, "peer listener %s cannot be opened", address)
 	}
@@ -120,15 +134,42 @@
 }
 
 func (n *Node) serveConn(conn net.Conn) {
+	if !n.makeRoom() {
+		_ = conn.Close() // nothing was read or written
+		return
+	}
 	link := &Link{}
 	d := &dispatcher{handler: n.handler, localHello: n.localHello, onPanic: n.onPanic, link: link, helloDone: make(chan struct{})}
-	d.startConn(n.ctx, conn, &n.counters)
+	d.startAccepted(n, conn)
 	n.mu.Lock()
-	n.accepted[link] = true
+	waiter := n.waiting.Begin(sinceStart(), link, overload.FirstHead)
+	n.accepted[link] = waiter
 	n.mu.Unlock()
-	n.goroutines.Go(func() { n.watchAccepted(link, d.helloDone) })
+	n.goroutines.Go(func() { n.watchAccepted(link, d.helloDone, waiter) })
+}
+
+// makeRoom gives up the link that has brought no hello for longest if there is room for no more, and reports whether
+// there is room then.
+func (n *Node) makeRoom() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.bounds.Links == 0 || len(n.accepted) < n.bounds.Links {
+		return true
+	}
+	link, _, ok := n.waiting.GiveUp(sinceStart(), func(*Link) bool { return false })
+	if ok {
+		n.waiting.End(n.accepted[link])
+		delete(n.accepted, link)
+		link.Close()
+	}
+	return ok
 }
 
+var startedAt = time.Now()
+
+// sinceStart returns the age of the process.
+func sinceStart() time.Duration { return time.Since(startedAt) }
+
 // awaitHello closes a link that receives no hello within helloTimeout. Connections
 // without traffic would otherwise accumulate.
 func (n *Node) awaitHello(link *Link, helloDone <-chan struct{}) {
@@ -144,8 +185,11 @@
 
 // watchAccepted waits until an accepted link closes, removes it, and reports it to
 // the handler when its hello had arrived.
-func (n *Node) watchAccepted(link *Link, helloDone <-chan struct{}) {
+func (n *Node) watchAccepted(link *Link, helloDone <-chan struct{}, waiter *overload.Waiter[*Link]) {
 	n.awaitHello(link, helloDone)
+	n.mu.Lock()
+	n.waiting.End(waiter)
+	n.mu.Unlock()
 	<-link.Done()
 	n.mu.Lock()
 	delete(n.accepted, link)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -4,7 +4,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
@@ -15,6 +14,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+	"golang.org/x/sync/semaphore"
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -26,8 +27,17 @@
 	// writeTimeout bounds one write, because a peer that stops reading would block
 	// the sender forever.
 	writeTimeout = 5 * time.Second
+	// messageTimeout bounds the time from the length of a message to its end. The longest one takes 7 s at 10 Mbit/s.
+	messageTimeout = 15 * time.Second
+	// maxHelloBytes is the largest message before the hello of an accepted link.
+	maxHelloBytes = 64 << 10
+	// ownMessageBytes of a message are held without the shared memory.
+	ownMessageBytes = 16 << 10
 )
 
+// errNoMessageMemory ends a link whose message would need more memory than all messages may use.
+var errNoMessageMemory = errors.New("memory for incoming messages is used up")
+
 // stream reads and writes JSON-RPC objects on a connection. Each object follows its
 // length, an unsigned big-endian integer of four bytes.
 type stream struct {
@@ -38,6 +48,13 @@
 	// params holds the parameters of the last message read. It needs no lock because
 	// the library reads and handles messages on one goroutine.
 	params json.RawMessage
+	// memory is shared by the accepted links of a node, nil for no bound. held is the part that the last message uses.
+	memory *semaphore.Weighted
+	held   int64
+	// pace delays the reading of messages, nil for no bound.
+	pace *rate.Limiter
+	// maxBytes returns the largest message at the moment.
+	maxBytes func() uint32
 }
 
 // envelope is a JSON-RPC request whose parameters are not decoded.
@@ -54,6 +71,7 @@
 		reader:        bufio.NewReaderSize(conn, readBufferBytes),
 		sentBytes:     &counters.SentBytes,
 		receivedBytes: &counters.ReceivedBytes,
+		maxBytes:      func() uint32 { return maxMessageBytes },
 	}
 }
 
@@ -78,25 +96,85 @@
 	return err
 }
 
-// ReadObject implements jsonrpc2.ObjectStream.
+// ReadObject implements jsonrpc2.ObjectStream. The message before has been handled.
 func (s *stream) ReadObject(v any) error {
+	s.params = nil
+	s.release()
+	if s.pace != nil {
+		time.Sleep(s.pace.Reserve().Delay())
+	}
+	err := s.readObject(v)
+	if err != nil {
+		s.release() // the link ends
+	}
+	return err
+}
+
+func (s *stream) readObject(v any) error {
 	var length [lengthPrefixBytes]byte
 	if _, err := io.ReadFull(s.reader, length[:]); err != nil {
 		return err
 	}
 	size := binary.BigEndian.Uint32(length[:])
-	if size > maxMessageBytes {
-		return fmt.Errorf("incoming message of %d bytes exceeds the limit of %d bytes", size, maxMessageBytes)
-	}
-	// The buffer grows with what arrives, because the length is only a statement of the peer.
-	body := bytes.NewBuffer(make([]byte, 0, min(size, readBufferBytes)))
-	if _, err := io.CopyN(body, s.reader, int64(size)); errors.Is(err, io.EOF) {
-		return io.ErrUnexpectedEOF
-	} else if err != nil {
+	if largest := s.maxBytes(); size > largest {
+		return fmt.Errorf("incoming message of %d bytes exceeds the limit of %d bytes", size, largest)
+	}
+	if err := s.conn.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
+		return err
+	}
+	body, err := s.readBody(int(size))
+	if err != nil {
+		return err
+	}
+	if err := s.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
 	s.receivedBytes.Add(uint64(size) + lengthPrefixBytes)
-	return s.decode(body.Bytes(), v)
+	return s.decode(body, v)
+}
+
+// readBody reads a message. Its buffer grows with what arrives, because the length is only a statement of the peer.
+func (s *stream) readBody(size int) ([]byte, error) {
+	body := make([]byte, 0, min(size, readBufferBytes))
+	for len(body) < size {
+		if len(body) == cap(body) {
+			larger := min(2*cap(body), size)
+			if !s.hold(larger) {
+				return nil, errNoMessageMemory
+			}
+			body = append(make([]byte, 0, larger), body...)
+		}
+		n, err := s.reader.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) && len(body) < size {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
+// hold takes shared memory for a buffer of n bytes, and reports whether there is any.
+func (s *stream) hold(n int) bool {
+	more := int64(n) - s.held
+	if s.memory == nil || n <= ownMessageBytes {
+		return true
+	}
+	if !s.memory.TryAcquire(more) {
+		return false
+	}
+	s.held += more
+	return true
+}
+
+// release returns the shared memory of the last message.
+func (s *stream) release() {
+	if s.held > 0 {
+		s.memory.Release(s.held)
+		s.held = 0
+	}
 }
 
 // decode stores the parameters of a request in s.params and passes the rest of the
--- a/test/soak/crowd_test.go
+++ b/test/soak/crowd_test.go
@@ -65,8 +65,8 @@
 // crowdTarget is the instance that a crowd meets.
 type crowdTarget struct {
 	limitedProcess
-	callers string
-	answers atomic.Int64 // ordinary requests that were answered
+	callers, relay string
+	answers        atomic.Int64 // ordinary requests that were answered
 }
 
 // startCrowdTarget starts an instance before one worker.
@@ -86,7 +86,10 @@
 	})
 	st.put("servers", "w1", wireWorker{Service: serviceName, Address: serve(t, worker), Zone: "a", Version: "v1", State: "ready", Slots: 2 * crowdClients})
 	c := &crowdTarget{}
-	c.callers, c.limitedProcess = startLimitedProcess(t, t.TempDir(), binary, serve(t, st), processLimits{crowdMemoryMb, crowdDescriptors})
+	var err error
+	c.relay, err = freeAddress()
+	assert.NilError(t, err)
+	c.callers, c.limitedProcess = startLimitedProcess(t, t.TempDir(), binary, serve(t, st), processLimits{crowdMemoryMb, crowdDescriptors, c.relay})
 	c.awaitReady(t)
 	return c
 }
@@ -112,7 +115,7 @@
 	})
 	done := make(chan struct{})
 	go func() { group.Wait(); close(done) }()
-	ports := map[string]bool{hexPort(t, c.callers): true, hexPort(t, c.health): true}
+	ports := map[string]bool{hexPort(t, c.callers): true, hexPort(t, c.health): true, hexPort(t, c.relay): true}
 	var peak, peakUnread, peakBoth int64
 	descriptors := 0
 	for isDone := false; !isDone; {
@@ -146,8 +149,11 @@
 		group.Go(func() {
 			for !isOver() {
 				address := c.callers
-				if form.onHealth {
+				switch {
+				case form.onHealth:
 					address = c.health
+				case form.onRelay:
+					address = c.relay
 				}
 				if conn, err := net.DialTimeout("tcp", address, time.Second); err == nil {
 					form.play(conn.(*net.TCPConn), isOver)
--- a/test/soak/crowdforms_test.go
+++ b/test/soak/crowdforms_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"encoding/binary"
 	"fmt"
 	"strings"
 
@@ -12,6 +13,8 @@
 	name string
 	// onHealth directs the crowd to the port of the health checks.
 	onHealth bool
+	// onRelay directs it to the port for other instances.
+	onRelay bool
 	// head is sent once. block is sent next, until bytes of it are sent, or without end if bytes is 0.
 	head, block string
 	bytes       int
@@ -39,6 +42,14 @@
 	insideBytes = 15 << 10
 )
 
+// relayHello opens a link to a relay.
+const relayHello = `{"jsonrpc":"2.0","id":0,"method":"hello","params":{"member":{"instance":"crowd","incarnation":1,"failureDomain":"a","address":"","state":"ready"}}}`
+
+// relayMessage returns a message behind its length.
+func relayMessage(text string) string {
+	return string(binary.BigEndian.AppendUint32(nil, uint32(len(text)))) + text
+}
+
 // crowdForms returns the forms that are played one at a time.
 func crowdForms() []crowdForm {
 	line := "POST " + unsafePath + "a HTTP/1.1\r\nHost: " + hostname + "\r\n"
@@ -81,5 +92,9 @@
 		{name: "health port: short fields far over the limit", onHealth: true, head: ready, block: far, bytes: len(far)},
 		{name: "health port: short fields and no end of the head", onHealth: true, head: ready + inside},
 		{name: "health port: silence", onHealth: true},
+		{name: "relay port: first message without its end", onRelay: true, head: "\x00\x80\x00\x00{", block: long, bytes: 7 << 20},
+		{name: "relay port: messages without their end", onRelay: true, head: relayMessage(relayHello) + "\x00\x80\x00\x00{", block: long, bytes: 7 << 20},
+		{name: "relay port: calls whose answers are not read", onRelay: true, head: relayMessage(relayHello), block: strings.Repeat(relayMessage(`{"jsonrpc":"2.0","id":1,"method":"news","params":{}}`), 50)},
+		{name: "relay port: silence", onRelay: true},
 	}
 }
--- a/test/soak/endlessanswers_test.go
+++ b/test/soak/endlessanswers_test.go
@@ -113,7 +113,7 @@
 		out.Header().Set(platform.Headers.RequestID, r.Header.Get(platform.Headers.RequestID))
 	})
 	st.put("servers", "sound", wireWorker{Service: soundService, Address: serve(t, sound), Zone: "a", Version: "v1", State: "ready", Slots: 100})
-	callers, process := startLimitedProcess(t, t.TempDir(), binary, serve(t, st), processLimits{frontMemoryMb, smallDescriptors})
+	callers, process := startLimitedProcess(t, t.TempDir(), binary, serve(t, st), processLimits{memoryMb: frontMemoryMb, descriptors: smallDescriptors})
 	process.awaitReady(t)
 
 	var group sync.WaitGroup
--- a/test/soak/longbodies_test.go
+++ b/test/soak/longbodies_test.go
@@ -54,7 +54,7 @@
 	st.put("config", "main", config)
 	st.put("servers", "w1", wireWorker{Service: serviceName, Address: serve(t, worker), Zone: "a", Version: "v1", State: "ready", Slots: 2 * longBodyCallers})
 	dir := t.TempDir()
-	callers, process := startLimitedProcess(t, dir, buildDaemon(t, dir), serve(t, st), processLimits{frontMemoryMb, smallDescriptors})
+	callers, process := startLimitedProcess(t, dir, buildDaemon(t, dir), serve(t, st), processLimits{memoryMb: frontMemoryMb, descriptors: smallDescriptors})
 	process.awaitReady(t)
 
 	var group sync.WaitGroup
--- a/test/soak/slowreaders_test.go
+++ b/test/soak/slowreaders_test.go
@@ -47,7 +47,7 @@
 	config.Services[0].MaxConnections = 2 * slowReaders
 	st.put("config", "main", config)
 	st.put("servers", "w1", wireWorker{Service: serviceName, Address: serve(t, http.HandlerFunc(serveLongStream)), Zone: "a", Version: "v1", State: "ready", Slots: 2 * slowReaders})
-	callers, health := startLimitedProcess(t, dir, binary, storeAddress, processLimits{smallMemoryMb, smallDescriptors})
+	callers, health := startLimitedProcess(t, dir, binary, storeAddress, processLimits{memoryMb: smallMemoryMb, descriptors: smallDescriptors})
 	pid := health.pid
 	health.awaitReady(t)
 
@@ -97,7 +97,11 @@
 }
 
 // processLimits are the limits in the settings of a process.
-type processLimits struct{ memoryMb, descriptors int }
+type processLimits struct {
+	memoryMb, descriptors int
+	// relay is the address for other instances if the process is a relay.
+	relay string
+}
 
 // buildDaemon builds the program of the gateway in dir and returns its path.
 func buildDaemon(t *testing.T, dir string) string {
@@ -118,8 +122,12 @@
 		assert.NilError(t, err)
 	}
 	file := filepath.Join(dir, "limited.json")
-	text := fmt.Sprintf(`{"role":"gateway","instance":"small","failureDomain":"a","listen":{"callers":%q,"health":%q},"store":{"address":%q},
- "bounds":{"revokeMs":60000,"graceSeconds":8},"limits":{"memoryMb":%d,"descriptors":%d},"log":{"level":"warn"}}`, addresses[0], addresses[1], store, limits.memoryMb, limits.descriptors)
+	peers := ""
+	if limits.relay != "" {
+		peers = fmt.Sprintf(`"peers":{"listen":%q,"relays":[%q]},`, limits.relay, limits.relay)
+	}
+	text := fmt.Sprintf(`{"role":"gateway","instance":"small","failureDomain":"a","listen":{"callers":%q,"health":%q},"store":{"address":%q},%s
+ "bounds":{"revokeMs":60000,"graceSeconds":8},"limits":{"memoryMb":%d,"descriptors":%d},"log":{"level":"warn"}}`, addresses[0], addresses[1], store, peers, limits.memoryMb, limits.descriptors)
 	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
 	cmd := exec.Command(binary, file)
 	cmd.Stderr = os.Stderr
