Bound the calls that wait for updates at a relay

Seen: 400 links that ask for updates without end, with a long wait, took 563 MB of an instance of 80 MB in seconds; it answered no ordinary request beside them, and none once they had gone. Cause: a goroutine for each call, whatever their number. A gateway watches five topics; 370 gateways share three relays.

--- a/internal/news/relay.go
+++ b/internal/news/relay.go
@@ -35,6 +35,8 @@
 	quarantineRun     int64
 	fetchedQuarantine map[string]int64
 	packer            resultPacker
+	// waiting counts the calls that wait for updates.
+	waiting waitingCalls
 	// changed is closed and replaced when waiting requests must check for updates again.
 	changed chan struct{}
 }
@@ -45,7 +47,7 @@
 	run := time.Now().UnixNano()
 	return &Relay{
 		clock: clock, log: log, updates: NewUpdateLog(maxAge), loads: NewLoadTable(), changed: make(chan struct{}),
-		evidence: NewEvidenceTable(run), fetchedEvidence: map[string]int64{},
+		waiting: newWaitingCalls(), evidence: NewEvidenceTable(run), fetchedEvidence: map[string]int64{},
 		quarantine: quarantine.NewLedger(run), quarantineRun: run, fetchedQuarantine: map[string]int64{},
 	}
 }
@@ -112,7 +114,14 @@
 		call.Fail(errkind.New(errkind.InvalidRequest, "topic "+p.Topic+" is unknown"))
 		return
 	}
-	go r.respond(link, call, topic, p)
+	if !r.beginWait(link) {
+		call.Fail(errkind.New(errkind.Overloaded, "too many requests wait for updates"))
+		return
+	}
+	go func() {
+		defer r.endWait(link)
+		r.respond(link, call, topic, p)
+	}()
 }
 
 // respond waits for updates, for at most the time in the request, and sends them.
--- a/test/soak/crowdforms_test.go
+++ b/test/soak/crowdforms_test.go
@@ -95,6 +95,7 @@
 		{name: "relay port: first message without its end", onRelay: true, head: "\x00\x80\x00\x00{", block: long, bytes: 7 << 20},
 		{name: "relay port: messages without their end", onRelay: true, head: relayMessage(relayHello) + "\x00\x80\x00\x00{", block: long, bytes: 7 << 20},
 		{name: "relay port: calls whose answers are not read", onRelay: true, head: relayMessage(relayHello), block: strings.Repeat(relayMessage(`{"jsonrpc":"2.0","id":1,"method":"news","params":{}}`), 50)},
+		{name: "relay port: watches without end", onRelay: true, head: relayMessage(relayHello), block: strings.Repeat(relayMessage(`{"jsonrpc":"2.0","id":1,"method":"news","params":{"topic":"workers","revision":1000000,"waitMs":100000000}}`), 50)},
 		{name: "relay port: silence", onRelay: true},
 	}
 }
