Play clients outside the limits beside changes and a start without a store

Change: the crowd of all forms also meets an instance whose configuration and settings change ten times a second, and one that starts without its store and gets a configuration while the crowd is there.

--- a/test/soak/crowd_test.go
+++ b/test/soak/crowd_test.go
@@ -38,13 +38,41 @@
 func TestClientsOutsideLimitsStayWithinMemory(t *testing.T) {
 	binary := buildDaemon(t, t.TempDir())
 	for _, form := range crowdForms() {
-		t.Run(form.name, func(t *testing.T) { playCrowd(t, binary, []crowdForm{form}) })
+		t.Run(form.name, func(t *testing.T) { startCrowdTarget(t, binary).meet(t, []crowdForm{form}, nil) })
 	}
 }
 
 // Guards against memory that holds for each kind of misbehaving client, but not for all kinds at once.
 func TestMixedClientsOutsideLimitsStayWithinMemory(t *testing.T) {
-	playCrowd(t, buildDaemon(t, t.TempDir()), crowdForms())
+	startCrowdTarget(t, buildDaemon(t, t.TempDir())).meet(t, crowdForms(), nil)
+}
+
+// Guards against a crowd that keeps an instance from applying changes, or changes that lose what bounds a crowd: the
+// limits of callers change, and the settings are read again.
+func TestChangesBesideClientsOutsideLimits(t *testing.T) {
+	c := startCrowdTarget(t, buildDaemon(t, t.TempDir()))
+	c.meet(t, crowdForms(), func(n int) {
+		config := c.config
+		config.Version += n
+		config.Limits.MaxHeaderBytes -= n % 2 * 4096
+		config.Limits.HeaderTimeoutMs += n % 3 * 500
+		c.store.put("config", "main", config)
+		_ = c.command.Process.Signal(syscall.SIGHUP) // an end shows below
+	})
+}
+
+// Guards against an instance without a configuration, and so without its limits, that a crowd ends or keeps from
+// serving once it has one.
+func TestStartBesideClientsOutsideLimits(t *testing.T) {
+	c := newCrowdTarget()
+	address, err := freeAddress()
+	assert.NilError(t, err)
+	c.start(t, buildDaemon(t, t.TempDir()), address)
+	c.meet(t, crowdForms(), func(n int) {
+		if n == 10 {
+			serveOn(t, address, c.store)
+		}
+	})
 }
 
 // Guards against a crowd that keeps an instance from stopping as planned, and from serving after its restart.
@@ -66,38 +94,49 @@
 type crowdTarget struct {
 	limitedProcess
 	callers, relay string
+	store          *store
+	config         wireConfig
 	answers        atomic.Int64 // ordinary requests that were answered
 }
 
+// newCrowdTarget returns an instance that is not started, with its store and configuration.
+func newCrowdTarget() *crowdTarget {
+	c := &crowdTarget{store: newStore(), config: configForVersion(1)}
+	for i := range c.config.Routes {
+		c.config.Routes[i].TimeoutMs, c.config.Routes[i].TargetLatencyMs, c.config.Routes[i].GapAimMs = 30_000, 20_000, 20_000
+	}
+	c.config.Services[0].MaxConnections = 2 * crowdClients
+	c.config.Limits = wireLimits{MaxHeaderBytes: crowdHeaderBytes, MaxBodyBytes: crowdBodyBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000}
+	return c
+}
+
 // startCrowdTarget starts an instance before one worker.
 func startCrowdTarget(t *testing.T, binary string) *crowdTarget {
 	t.Helper()
-	st := newStore()
-	config := configForVersion(1)
-	for i := range config.Routes {
-		config.Routes[i].TimeoutMs, config.Routes[i].TargetLatencyMs, config.Routes[i].GapAimMs = 30_000, 20_000, 20_000
-	}
-	config.Services[0].MaxConnections = 2 * crowdClients
-	config.Limits = wireLimits{MaxHeaderBytes: crowdHeaderBytes, MaxBodyBytes: crowdBodyBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15_000}
-	st.put("config", "main", config)
+	c := newCrowdTarget()
+	c.start(t, binary, serve(t, c.store))
+	c.awaitReady(t)
+	return c
+}
+
+func (c *crowdTarget) start(t *testing.T, binary, storeAddress string) {
+	t.Helper()
+	c.store.put("config", "main", c.config)
 	worker := http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // a body that breaks off has no answer
 		out.Header().Set(platform.Headers.RequestID, r.Header.Get(platform.Headers.RequestID))
 	})
-	st.put("servers", "w1", wireWorker{Service: serviceName, Address: serve(t, worker), Zone: "a", Version: "v1", State: "ready", Slots: 2 * crowdClients})
-	c := &crowdTarget{}
+	c.store.put("servers", "w1", wireWorker{Service: serviceName, Address: serve(t, worker), Zone: "a", Version: "v1", State: "ready", Slots: 2 * crowdClients})
 	var err error
 	c.relay, err = freeAddress()
 	assert.NilError(t, err)
-	c.callers, c.limitedProcess = startLimitedProcess(t, t.TempDir(), binary, serve(t, st), processLimits{crowdMemoryMb, crowdDescriptors, c.relay})
-	c.awaitReady(t)
-	return c
+	c.callers, c.limitedProcess = startLimitedProcess(t, t.TempDir(), binary, storeAddress, processLimits{crowdMemoryMb, crowdDescriptors, c.relay})
 }
 
-// playCrowd lets a crowd of the forms meet an instance, and asks it an ordinary request beside the crowd and afterwards.
-func playCrowd(t *testing.T, binary string, forms []crowdForm) {
+// meet lets a crowd of the forms meet the instance, and asks it an ordinary request beside the crowd and afterwards.
+// change is called with 1, 2, and so on beside the crowd, unless it is nil.
+func (c *crowdTarget) meet(t *testing.T, forms []crowdForm, change func(n int)) {
 	t.Helper()
-	c := startCrowdTarget(t, binary)
 	started := time.Now()
 	isOver := func() bool {
 		age := time.Since(started)
@@ -113,6 +152,12 @@
 			time.Sleep(20 * time.Millisecond)
 		}
 	})
+	group.Go(func() {
+		for n := 1; change != nil && !isOver(); n++ {
+			change(n)
+			time.Sleep(100 * time.Millisecond)
+		}
+	})
 	done := make(chan struct{})
 	go func() { group.Wait(); close(done) }()
 	ports := map[string]bool{hexPort(t, c.callers): true, hexPort(t, c.health): true, hexPort(t, c.relay): true}
--- a/test/soak/slowreaders_test.go
+++ b/test/soak/slowreaders_test.go
@@ -73,7 +73,13 @@
 // serve serves a handler on a loopback address and returns the address.
 func serve(t *testing.T, h http.Handler) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return serveOn(t, "127.0.0.1:0", h)
+}
+
+// serveOn serves a handler on an address and returns the address.
+func serveOn(t *testing.T, address string, h http.Handler) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
 	assert.NilError(t, err)
 	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(listener) }() // returns after Close
