Bound the bytes of log lines that wait

Cause: the queue of the log bounded lines, not bytes, and an ID of control characters is six times as long in JSON. Change: at most 2 MiB wait; further lines are dropped and counted, as those beyond the queue were.

--- a/internal/gateway/log.go
+++ b/internal/gateway/log.go
@@ -13,13 +13,18 @@
 	"github.com/borageflow/borageflow/internal/ring"
 )
 
-// maxQueuedLogLines is how many lines may wait for a slow reader of the log.
-const maxQueuedLogLines = 1024
+const (
+	// maxQueuedLogLines and maxQueuedLogBytes bound the lines that may wait for a slow reader of the log. A line can hold
+	// an ID of the caller of 16 KiB, six times as long in JSON.
+	maxQueuedLogLines = 1024
+	maxQueuedLogBytes = 2 << 20
+)
 
 // asyncWriter writes log lines in its own goroutine. When its queue or its rate limit is
 // exceeded, it drops lines and counts them, so that a request never waits for the log.
 type asyncWriter struct {
 	lines             *ring.Queue[[]byte]
+	queuedBytes       atomic.Int64
 	dropped           atomic.Uint64
 	maxLinesPerSecond int64
 	currentSecond     atomic.Int64
@@ -32,14 +37,22 @@
 	if w.currentSecond.Swap(now) != now {
 		w.linesThisSecond.Store(0)
 	}
-	line := make([]byte, len(p))
-	copy(line, p)
-	if w.linesThisSecond.Add(1) > w.maxLinesPerSecond || !w.lines.TryPut(line) {
+	if w.linesThisSecond.Add(1) > w.maxLinesPerSecond || !w.put(p) {
 		w.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
+// put queues a copy of a line and reports whether there is room.
+func (w *asyncWriter) put(p []byte) bool {
+	size := int64(len(p))
+	if w.queuedBytes.Add(size) <= maxQueuedLogBytes && w.lines.TryPut(append([]byte(nil), p...)) {
+		return true
+	}
+	w.queuedBytes.Add(-size)
+	return false
+}
+
 // Sync does nothing. It implements zapcore.WriteSyncer.
 func (w *asyncWriter) Sync() error { return nil }
 
@@ -67,6 +80,7 @@
 			batch = append(batch, <-w.lines.Items()...)
 		}
 		_, _ = out.Write(batch) // a failing log cannot report its own failure
+		w.queuedBytes.Add(-int64(len(batch)))
 	}
 }
 
--- a/internal/overload/heads_test.go
+++ b/internal/overload/heads_test.go
@@ -8,8 +8,11 @@
 
 // instances are the smallest and the largest instances that are deployed, and the smallest that is accepted.
 var instances = []Limits{
-	{MemoryBytes: 136e6, Descriptors: 2870}, {MemoryBytes: 184e6, Descriptors: 4100}, {MemoryBytes: 284e6, Descriptors: 4100},
-	{MemoryBytes: 536e6, Descriptors: 8192}, {MemoryBytes: 1e6, Descriptors: 1},
+	{MemoryBytes: 136e6, Descriptors: 2870},
+	{MemoryBytes: 184e6, Descriptors: 4100},
+	{MemoryBytes: 284e6, Descriptors: 4100},
+	{MemoryBytes: 536e6, Descriptors: 8192},
+	{MemoryBytes: 1e6, Descriptors: 1},
 }
 
 // Guards against heads that take the memory of an instance before anything is admitted. Load: each connection that is
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -52,9 +52,10 @@
 	targetShare = 0.5
 	// timeoutShare is that part of the time limit, which leaves time for a second attempt.
 	timeoutShare = 0.25
-	// minRetryAfter and MaxRetryAfter bound the pause of a refused caller. The caller's next connection
-	// reaches another instance, which may be as busy.
+	// minRetryAfter is the shortest pause of a refused caller. Its next connection reaches another instance, which may be
+	// as busy.
 	minRetryAfter = 50 * time.Millisecond
+	// MaxRetryAfter is the longest pause of a refused caller.
 	MaxRetryAfter = 500 * time.Millisecond
 )
 
--- a/test/soak/crowd_test.go
+++ b/test/soak/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -254,7 +255,7 @@
 		_ = conn.SetWriteDeadline(time.Now().Add(100 * time.Millisecond)) // fails only on a closed connection
 		n, err := io.WriteString(conn, text)
 		text = text[n:]
-		if timeout, ok := err.(net.Error); err != nil && (!ok || !timeout.Timeout()) {
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false
 		}
 	}
