--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -42,8 +42,8 @@
 
 	timeout timeout
 
-	// memory guards what Close changes.
-	memory   sync.Mutex
+	// closeMu guards what Close changes.
+	closeMu  sync.Mutex
 	isClosed bool
 	reserved int64
 
@@ -212,8 +212,8 @@
 
 // reserve replaces the memory that is reserved for the head.
 func (c *conn) reserve(n int64) *errkind.Error {
-	c.memory.Lock()
-	defer c.memory.Unlock()
+	c.closeMu.Lock()
+	defer c.closeMu.Unlock()
 	if c.isClosed {
 		return nil // the next read fails
 	}
@@ -263,10 +263,10 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.closing.Do(func() {
-		c.memory.Lock()
+		c.closeMu.Lock()
 		c.isClosed = true
 		c.listener.options.ResizeHead(c.reserved, 0)
-		c.memory.Unlock()
+		c.closeMu.Unlock()
 		c.listener.remove(c)
 	})
 	return c.TCPConn.Close()
