Bound the health checks of entries and sidecars

Change: 32 connections of package intake, heads of 8 KiB, receive buffers of 8 KiB; a connection that brings nothing makes room. Not played as a crowd against a process.

--- a/internal/observe/health.go
+++ b/internal/observe/health.go
@@ -1,6 +1,7 @@
 package observe
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -9,12 +10,20 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/gorilla/mux"
 	"github.com/rotisserie/eris"
+
+	"github.com/borageflow/borageflow/internal/intake"
 )
 
-// Time limits for reading a request to the health listener.
+// Bounds of the requests to the health listener, which shares the memory of the process.
 const (
 	healthHeaderTimeout = 2 * time.Second
 	healthReadTimeout   = 2 * time.Second
+	healthIdleTimeout   = time.Minute
+	// maxHealthConnections leaves room for a load balancer, a monitor and operators.
+	maxHealthConnections = 32
+	maxHealthHeaderBytes = 8 << 10
+	// healthReceiveBuffer is the size of the kernel's receive buffers in bytes, which holds any request.
+	healthReceiveBuffer = 8 << 10
 )
 
 // Heartbeat holds the time of the last iteration of a main loop. The health endpoints read
@@ -57,7 +66,7 @@
 // StartHealth opens the listener and serves it in a goroutine. It returns an error when
 // the address cannot be listened on.
 func StartHealth(o HealthOptions) (*HealthServer, error) {
-	listener, err := net.Listen("tcp", o.Address)
+	listener, err := intake.ListenConfig(healthReceiveBuffer).Listen(context.Background(), "tcp", o.Address)
 	if err != nil {
 		return nil, eris.Wrapf(err, "health listener %s cannot be opened", o.Address)
 	}
@@ -67,12 +76,13 @@
 	router.HandleFunc("/metrics", o.metrics).Methods(http.MethodGet)
 	h := &HealthServer{
 		server: &http.Server{
-			Handler: router, ReadHeaderTimeout: healthHeaderTimeout,
-			ReadTimeout: healthReadTimeout,
+			Handler: router, ReadHeaderTimeout: healthHeaderTimeout, ReadTimeout: healthReadTimeout, IdleTimeout: healthIdleTimeout,
 		},
 		listener: listener,
 	}
-	go func() { _ = h.server.Serve(listener) }()
+	limits := intake.Limits{HeaderBytes: maxHealthHeaderBytes, HeaderTimeout: healthHeaderTimeout, IdleTimeout: healthIdleTimeout}
+	bounded := intake.NewListener(listener, intake.Options{MaxConnections: maxHealthConnections, Limits: func() intake.Limits { return limits }})
+	go func() { _ = h.server.Serve(bounded) }()
 	return h, nil
 }
 
