Test both time-outs of callers without a bound on the machine's speed

The test slept for 400 ms itself before it looked.

Two tests replace it. They check more than before: that neither time-out ends what belongs to the other, and that none ends a connection early.

--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -157,39 +159,64 @@
 	waitFor(t, "memory of heads is returned", func() bool { return s.heads.Load() == 0 })
 }
 
-// Guards against time-outs of the configuration that are not enforced, and against the end of a connection that is
-// idle for less.
-func TestTimeoutsAreThoseInForce(t *testing.T) {
-	s := startServer(t, &testServer{limits: Limits{HeaderBytes: 16 << 10, HeaderTimeout: 200 * time.Millisecond, IdleTimeout: 800 * time.Millisecond}}, 0)
-	const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
-	ask := func(c net.Conn) error {
-		if _, err := io.WriteString(c, request); err != nil {
-			return err
-		}
-		_, err := http.ReadResponse(bufio.NewReader(c), nil)
-		return err
-	}
+// testTimeout is the time-out that a test waits for, and longTimeout one that cannot have passed.
+const (
+	testTimeout = time.Second
+	longTimeout = time.Minute
+)
+
+// Guards against a header time-out of the configuration that is not enforced, and against one that ends a connection
+// between two requests.
+func TestHeaderTimeoutIsTheOneInForce(t *testing.T) {
+	s := startServer(t, &testServer{limits: Limits{HeaderBytes: 16 << 10, HeaderTimeout: testTimeout, IdleTimeout: longTimeout}}, 0)
 	kept, silent, slow := dial(t, s), dial(t, s), dial(t, s)
 	started := time.Now()
 	go func() {
-		for i := 0; i < len(request); i++ {
-			_, _ = slow.Write([]byte{request[i]}) // fails once it is closed
-			time.Sleep(50 * time.Millisecond)
+		for _, err := io.WriteString(slow, "GET / HTTP/1.1\r\na: "); err == nil; _, err = slow.Write([]byte("b")) {
+			time.Sleep(testTimeout / 4)
 		}
 	}()
 	assert.NilError(t, ask(kept))
-	time.Sleep(400 * time.Millisecond)
-	assert.NilError(t, ask(kept), "it was idle for half of the time-out")
 	_, err := io.ReadAll(slow)
-	assert.Assert(t, time.Since(started) < 700*time.Millisecond, "the slow head has not ended, %v", err)
+	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "the slow head does not end")
+	assert.Assert(t, time.Since(started) >= testTimeout)
+	assert.NilError(t, ask(kept), "it was idle for no longer than allowed")
+	assert.NilError(t, ask(silent))
+}
+
+// Guards against an idle time-out of the configuration that is not enforced, and against one that ends a head.
+func TestIdleTimeoutIsTheOneInForce(t *testing.T) {
+	s := startServer(t, &testServer{limits: Limits{HeaderBytes: 16 << 10, HeaderTimeout: longTimeout, IdleTimeout: testTimeout}}, 0)
+	kept, silent, slow := dial(t, s), dial(t, s), dial(t, s)
+	started := time.Now()
+	_, err := io.WriteString(slow, request[:len(request)-1])
+	assert.NilError(t, err)
+	assert.NilError(t, ask(kept))
 	for _, c := range []net.Conn{silent, kept} {
 		_, err := io.ReadAll(c)
 		assert.NilError(t, err)
 	}
-	assert.Assert(t, time.Since(started) >= 800*time.Millisecond)
+	assert.Assert(t, time.Since(started) >= testTimeout)
+	_, err = io.WriteString(slow, request[len(request)-1:])
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(slow), nil)
+	assert.NilError(t, err, "its head was slower than the idle time-out, not than its own")
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	assert.NilError(t, slow.Close())
 	waitFor(t, "connections are closed", func() bool { return s.open.Load() == 0 })
 }
 
+const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+// ask sends a request and reads the head of its answer.
+func ask(c net.Conn) error {
+	if _, err := io.WriteString(c, request); err != nil {
+		return err
+	}
+	_, err := http.ReadResponse(bufio.NewReader(c), nil)
+	return err
+}
+
 // Guards against silent connections that keep new callers out, and against room that is made by closing a connection
 // whose request is in progress.
 func TestNewCallersFindRoom(t *testing.T) {
