Take connections, heads and kernel buffers from the memory for requests

What callers saw: nothing yet. A crowd that filled each of them would have ended the process.

Cause: small heads and receive buffers of callers were added beside the memory for requests. Four more were not counted at all: what the kernel holds of an answer whose caller does not read (128 KiB for each request), answers that are kept for a larger model, links of other instances, and connections that open after requests have taken the memory.

Change: a connection of a caller counts 40 KiB with its head and its buffer in the kernel, a link 64 KiB, a request the 24 KiB that the kernel may hold of its answer. What a request counted twice with its two connections is left out. All of it lies in 70% of the memory beyond the base, and the rest is for what requests share. Guard.AcceptCaller takes a connection only if there is memory for it; otherwise the longest wait makes room, as for descriptors. Requests leave a thirty-second of the memory to callers who are to read a refusal. Receive buffers from workers are 12 KiB instead of 64 and are set before the connection opens: set afterwards, TestReceiveBuffersOfWorkersAreBounded did not end within nine minutes.

The test is a model now that fills a guard in any order and counts by sizes of its own; TestSharedBuffersFitBesideRequests adds what is shared. It fails without AcceptCaller, without the kernel's part of a request, and without the reserve for refusals. TestRequestBeyondMemoryIsRefused called the guard without its lock.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -29,7 +29,7 @@
 	guard := g.overload
 	return intake.Options{
 		MaxConnections: guard.bounds.Callers, SendBuffer: guard.sendBuffer,
-		Limits: g.callerLimits, ResizeHead: guard.resizeHead,
+		Limits: g.callerLimits, Accept: guard.acceptCaller, ResizeHead: guard.resizeHead,
 		OnOpen: func() { guard.callers.Add(1) }, OnClose: func() { guard.callers.Add(-1) },
 		OnWrite: func(n int) { guard.sentBytes.Add(int64(n)) },
 		OnRefuse: func(e *errkind.Error) {
--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/borageflow/borageflow/internal/framing"
+	"github.com/borageflow/borageflow/internal/listen"
 	"github.com/borageflow/borageflow/internal/netpeek"
 )
 
@@ -129,7 +130,12 @@
 		dialer: net.Dialer{
 			Timeout:         dialTimeout,
 			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
-			Control:         setUserTimeout,
+			Control: func(network, address string, raw syscall.RawConn) error {
+				if err := listen.SetReceiveBuffer(raw, guard.receiveBuffer); err != nil {
+					return err
+				}
+				return setUserTimeout(network, address, raw)
+			},
 		},
 		idle: map[string][]*conn{}, onDial: onDial,
 	}
@@ -168,9 +174,6 @@
 	if err != nil {
 		return nil, err
 	}
-	if tcp, ok := raw.(*net.TCPConn); ok && p.guard.receiveBuffer > 0 {
-		_ = tcp.SetReadBuffer(p.guard.receiveBuffer) // fails only on a closed connection
-	}
 	p.guard.workers.Add(1)
 	c := &conn{Conn: raw, idleTimeout: defaultIdleTimeout, guard: p.guard}
 	c.br = bufio.NewReaderSize(c, readBufferBytes)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -219,7 +219,7 @@
 		}
 		lag := max(0, time.Since(due))
 		due = due.Add(tickInterval * (1 + lag/tickInterval)) // a late ticker leaves out ticks
-		g.overload.sample(n, lag)
+		g.overload.sample(n, lag, g.relayPeer.links())
 		g.protect("tick", func() { g.tick(n) })
 	}
 }
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -43,7 +43,7 @@
 }
 
 // holdAnswer sets the answer of an attempt aside and reads the rest of it until the given time.
-// release is called when reading has ended. It returns nil if too many answers are kept already;
+// release is called when reading has ended. It returns nil if too many answers are kept already or there is no memory for it;
 // the caller then closes the exchange and calls release.
 func (r *request) holdAnswer(a attempt, until time.Time, release func()) *heldAnswer {
 	g := r.gateway
@@ -52,6 +52,10 @@
 	default:
 		return nil
 	}
+	if !g.overload.holdAnswer() {
+		<-g.heldSlots
+		return nil
+	}
 	h := &heldAnswer{attempt: a, done: make(chan struct{}), lastID: -1}
 	h.ctx, h.cancel = context.WithCancel(g.ctx)
 	if err := a.exchange.conn.SetReadDeadline(until); err != nil {
@@ -150,5 +154,6 @@
 	h.cancel()
 	h.readUntil(time.Unix(1, 0))
 	<-h.done
+	g.overload.dropAnswer()
 	<-g.heldSlots
 }
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -115,6 +115,27 @@
 	return nil, errkind.New(errkind.Overloaded, "instance is at the limit of its "+string(verdict.Reason)).WithRetryAfter(verdict.RetryAfter)
 }
 
+// acceptCaller reserves memory for a connection of a caller beside so many open ones, and reports whether there is room.
+func (g *overloadGuard) acceptCaller(open int) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.AcceptCaller(open)
+}
+
+// holdAnswer reserves memory for an answer that is set aside, and reports whether there is room.
+func (g *overloadGuard) holdAnswer() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.HoldAnswer(maxHeldBytes)
+}
+
+// dropAnswer returns the memory of an answer that was set aside.
+func (g *overloadGuard) dropAnswer() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.guard.DropAnswer(maxHeldBytes)
+}
+
 // resizeHead replaces the memory that is reserved for the head of a request, and reports whether there is room.
 func (g *overloadGuard) resizeHead(from, to int64) bool {
 	g.mu.Lock()
@@ -125,10 +146,10 @@
 // readinessTicks is the number of ticks between two decisions on readiness.
 const readinessTicks = 5
 
-// sample measures the instance at the n-th tick, which was late by lag.
-func (g *overloadGuard) sample(n int, lag time.Duration) {
+// sample measures the instance, which other instances have opened links to, at the n-th tick, which was late by lag.
+func (g *overloadGuard) sample(n int, lag time.Duration, links int) {
 	now := sinceBoot()
-	s := overload.Sample{Lag: lag, SentBytes: g.sentBytes.Swap(0), Connections: int(g.callers.Load() + g.workers.Load()), MemoryBytes: usedMemory()}
+	s := overload.Sample{Lag: lag, SentBytes: g.sentBytes.Swap(0), Callers: int(g.callers.Load()), Workers: int(g.workers.Load()), Links: links, MemoryBytes: usedMemory()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.guard.Observe(now, s)
@@ -173,7 +194,12 @@
 
 // endsConnections reports whether answers are to end their connections.
 func (g *overloadGuard) endsConnections() bool {
-	return g.bounds.CloseFrom > 0 && g.callers.Load() > int64(g.bounds.CloseFrom)
+	if g.bounds.CloseFrom > 0 && g.callers.Load() > int64(g.bounds.CloseFrom) {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.guard.EndsConnections()
 }
 
 // keepsIdle reports whether a connection to a worker may be kept idle.
--- a/internal/gateway/relaypeer.go
+++ b/internal/gateway/relaypeer.go
@@ -123,6 +123,14 @@
 	return nil
 }
 
+// links returns the number of links that other gateways have opened.
+func (p *relayPeer) links() int {
+	if p == nil {
+		return 0
+	}
+	return p.node.AcceptedLinks()
+}
+
 // recordUpdate makes an update of the store available to other gateways. confirmed is a time at
 // which the update was the newest state.
 func (p *relayPeer) recordUpdate(topic forward.Topic, u *forward.Update, confirmed time.Duration) {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -30,6 +30,8 @@
 type Options struct {
 	// MaxConnections is the largest number of open connections, 0 for no bound.
 	MaxConnections int
+	// Accept reports whether there is memory for a further connection beside so many open ones, and reserves it.
+	Accept func(open int) bool
 	// SendBuffer is the size of the kernel's send buffer of a connection in bytes, 0 for that of the system. The kernel
 	// takes twice as much.
 	SendBuffer int
@@ -83,6 +85,9 @@
 	if o.WriteStall == 0 {
 		o.WriteStall = defaultWriteStall
 	}
+	if o.Accept == nil {
+		o.Accept = func(int) bool { return true }
+	}
 	if o.ResizeHead == nil {
 		o.ResizeHead = func(_, _ int64) bool { return true }
 	}
@@ -133,7 +138,7 @@
 // makeRoom gives up a connection if there is room for no more, and reports whether there is room then.
 func (l *Listener) makeRoom() bool {
 	l.mu.Lock()
-	if l.options.MaxConnections == 0 || l.open < l.options.MaxConnections {
+	if (l.options.MaxConnections == 0 || l.open < l.options.MaxConnections) && l.options.Accept(l.open) {
 		l.mu.Unlock()
 		return true
 	}
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,4 +1,4 @@
-// Package listen opens listeners whose connections have bounded receive buffers.
+// Package listen opens listeners and connections with bounded receive buffers.
 package listen
 
 import (
@@ -11,19 +11,21 @@
 // Config returns how to listen for connections with a size of their receive buffers in bytes, 0 for that of the system.
 // The kernel takes twice as much.
 func Config(receiveBuffer int) *net.ListenConfig {
-	config := &net.ListenConfig{}
-	if receiveBuffer <= 0 {
-		return config
+	return &net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error { return SetReceiveBuffer(raw, receiveBuffer) }}
+}
+
+// SetReceiveBuffer sets the size of the receive buffer of a socket in bytes; 0 leaves that of the system. It must be
+// called before the socket is connected, so that the other side is told no larger window: what it sends beyond the
+// buffer is dropped and sent again.
+func SetReceiveBuffer(raw syscall.RawConn, size int) error {
+	if size <= 0 {
+		return nil
 	}
-	// Set before a connection is opened, so that its other side is told no larger window.
-	config.Control = func(_, _ string, raw syscall.RawConn) error {
-		var err error
-		if controlErr := raw.Control(func(fd uintptr) {
-			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-		}); controlErr != nil {
-			return controlErr
-		}
-		return err
+	var err error
+	if controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, size)
+	}); controlErr != nil {
+		return controlErr
 	}
-	return config
+	return err
 }
--- a/internal/news/waitingcalls.go
+++ b/internal/news/waitingcalls.go
@@ -5,8 +5,8 @@
 const (
 	// maxCallsPerLink is more than a gateway has topics to watch, each with one call that has timed out.
 	maxCallsPerLink = 10
-	// maxWaitingCalls is more than the calls of 370 gateways that three relays share.
-	maxWaitingCalls = 1024
+	// MaxWaitingCalls is more than the calls of 370 gateways that three relays share.
+	MaxWaitingCalls = 1024
 )
 
 // waitingCalls counts the calls that wait for updates, by the link that they came on, so that a peer cannot have any
@@ -20,7 +20,7 @@
 
 // begin counts a call and reports whether it may wait.
 func (w *waitingCalls) begin(link *peer.Link) bool {
-	if w.total >= maxWaitingCalls || w.byLink[link] >= maxCallsPerLink {
+	if w.total >= MaxWaitingCalls || w.byLink[link] >= maxCallsPerLink {
 		return false
 	}
 	w.total++
--- a/internal/overload/connections.go
+++ b/internal/overload/connections.go
@@ -3,8 +3,8 @@
 const (
 	// reservedDescriptors are those for files, for the store, other instances and health checks.
 	reservedDescriptors = 200 + 64
-	// connectionBudgetShare is the part of the memory for requests that idle connections may use.
-	connectionBudgetShare = 0.25
+	// connectionBudgetShare is the part of the memory for requests that connections of callers without one may use.
+	connectionBudgetShare = 2.0 / 3
 	// closeShare is the part of the connections from which answers ask their callers to close theirs.
 	closeShare = 0.9
 	// minConnections is accepted whatever the limits say, so that a wrong limit does not stop an
@@ -33,7 +33,7 @@
 		out.Callers, out.Workers = half, half
 	}
 	if l.MemoryBytes > 0 {
-		fit := max(int(connectionBudgetShare*float64(requestBudget(l.MemoryBytes)))/connectionBytes, minConnections)
+		fit := max(int(connectionBudgetShare*float64(requestBudget(l.MemoryBytes)))/callerBytes, minConnections)
 		if out.Callers == 0 || fit < out.Callers {
 			out.Callers = fit
 		}
--- a/internal/overload/heads.go
+++ b/internal/overload/heads.go
@@ -10,7 +10,7 @@
 	// in fields of five bytes takes 54 bytes a field.
 	fieldBytes = 64
 	// headCopies counts what a request that is forwarded keeps of a head: the fields of the caller and those for a
-	// worker. Within smallHeadBytes, the memory of the request covers it.
+	// worker. Within smallHeadBytes, the memory of the connection and of the request covers it.
 	headCopies = 2
 )
 
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -123,6 +123,34 @@
 	return r
 }
 
+// AcceptCaller reports whether there is memory for a further connection of a caller beside so many open ones, and
+// reserves it. The next sample counts those that have closed.
+func (g *Guard) AcceptCaller(open int) bool {
+	if !g.memory.acceptsCaller(open) {
+		return false
+	}
+	g.memory.callers = int64(open+1) * callerBytes
+	return true
+}
+
+// EndsConnections reports whether answers are to end the connections of their callers, whose next ones reach other
+// instances, because their memory is nearly used up.
+func (g *Guard) EndsConnections() bool { return g.memory.share() > closeShare }
+
+// HoldAnswer reserves memory for an answer of n bytes that is kept while a request waits for another one, and reports
+// whether there is room. Its connection to the worker counts as any other.
+func (g *Guard) HoldAnswer(n int64) bool {
+	n += 2 * receiveBufferBytes
+	if !g.memory.hasRoom(n) {
+		return false
+	}
+	g.memory.requests += n
+	return true
+}
+
+// DropAnswer returns the memory of an answer of n bytes that was kept.
+func (g *Guard) DropAnswer(n int64) { g.memory.requests -= n + 2*receiveBufferBytes }
+
 // Release returns the memory of an admitted request.
 func (g *Guard) Release(r Request) { g.memory.release(r.BodyBytes) }
 
@@ -134,15 +162,16 @@
 	MemoryBytes int64
 	// SentBytes is the number of bytes written to all connections since the last sample.
 	SentBytes int64
-	// Connections is the number of open connections to callers and to workers.
-	Connections int
+	// Callers and Workers are the numbers of open connections to callers and to workers, and Links those to other
+	// instances that they have opened.
+	Callers, Workers, Links int
 }
 
 // Observe records a sample.
 func (g *Guard) Observe(now time.Duration, s Sample) {
 	g.processor.observe(s.Lag)
 	g.link.observe(now, s.SentBytes)
-	g.memory.observe(s.MemoryBytes, s.Connections)
+	g.memory.observe(s)
 }
 
 // Load is the state of a Guard for operators.
@@ -150,11 +179,11 @@
 	Lag         time.Duration
 	LinkDelay   time.Duration
 	MemoryShare float64
-	// RequestBytes is the memory that is reserved for requests and connections.
+	// RequestBytes is the memory that is reserved for connections, requests and their heads.
 	RequestBytes int64
 }
 
 // Load returns the present state.
 func (g *Guard) Load(now time.Duration) Load {
-	return Load{Lag: g.processor.delay(), LinkDelay: g.link.delay(now), MemoryShare: g.memory.share(), RequestBytes: g.memory.requests + g.memory.connections}
+	return Load{Lag: g.processor.delay(), LinkDelay: g.link.delay(now), MemoryShare: g.memory.share(), RequestBytes: g.memory.inUse()}
 }
--- a/internal/overload/peers.go
+++ b/internal/overload/peers.go
@@ -9,6 +9,8 @@
 	minPeerMessageBytes = 8 << 20
 	// peerReceiveBufferBytes holds the usual exchange of an instance; a longer message arrives in several turns.
 	peerReceiveBufferBytes = 16 << 10
+	// ShortPeerMessageBytes is the longest message that a link may take without the memory that all links share.
+	ShortPeerMessageBytes = 16 << 10
 	// peerMessageRate is many times the exchanges and watches of an instance in a second. Messages that come faster
 	// leave more garbage than can be collected.
 	peerMessageRate = 100
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -165,6 +165,13 @@
 	return ok
 }
 
+// AcceptedLinks returns the number of open links that other nodes have opened.
+func (n *Node) AcceptedLinks() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.accepted)
+}
+
 var startedAt = time.Now()
 
 // sinceStart returns the age of the process.
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -16,6 +16,8 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
+
+	"github.com/borageflow/borageflow/internal/overload"
 )
 
 const (
@@ -31,8 +33,6 @@
 	messageTimeout = 15 * time.Second
 	// maxHelloBytes is the largest message before the hello of an accepted link.
 	maxHelloBytes = 64 << 10
-	// ownMessageBytes of a message are held without the shared memory.
-	ownMessageBytes = 16 << 10
 )
 
 // errNoMessageMemory ends a link whose message would need more memory than all messages may use.
@@ -159,7 +159,7 @@
 // hold takes shared memory for a buffer of n bytes, and reports whether there is any.
 func (s *stream) hold(n int) bool {
 	more := int64(n) - s.held
-	if s.memory == nil || n <= ownMessageBytes {
+	if s.memory == nil || n <= overload.ShortPeerMessageBytes {
 		return true
 	}
 	if !s.memory.TryAcquire(more) {
