Bound what clients outside the limits make an entry hold

Cause: the entry read each body whole before it looked at anything, up to limits.bodyBytes for each of limits.connections; heads went to net/http as they came; the kernel's buffers and the messages and links of other daemons had no bound. No setting named the memory of the process.

Change: limits.memoryMb, by default the memory of the machine. Connections of callers and of the administration interface go through package intake, with TLS below it where the settings name a certificate; internal/overload decides on connections, heads and requests as in a gateway. Memory for a body is reserved as it arrives, three times its length. A stated length over the limit is refused before it is read. Links and their messages are bounded as on a relay, without a limit of messages a second: runs are messages too. A connection beyond limits.connections no longer waits in the listener's backlog: the longest wait makes room. A line of the log and a metric count who was turned away.

TestTLSIsBounded: a head over the limit behind TLS gets 431, and silent connections without a handshake make room.

--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -873,6 +873,11 @@
 	// HeaderBytes bounds the header, in bytes; default 64 KiB.
 	HeaderBytes int `json:"headerBytes,omitempty,omitzero"`
 
+	// MemoryMb is the memory of the process, in megabytes; default that of the
+	// machine. What callers and other daemons can make the process hold follows from
+	// it.
+	MemoryMb int `json:"memoryMb,omitempty,omitzero"`
+
 	// Queue bounds waiting requests at a sidecar; default 256.
 	Queue int `json:"queue,omitempty,omitzero"`
 
--- a/internal/callerapi/handler.go
+++ b/internal/callerapi/handler.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,8 +15,10 @@
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/entry"
 	"github.com/borageflow/borageflow/internal/errkind"
+	"github.com/borageflow/borageflow/internal/intake"
 	"github.com/borageflow/borageflow/internal/manifest"
 	"github.com/borageflow/borageflow/internal/netpeek"
+	"github.com/borageflow/borageflow/internal/overload"
 )
 
 // HTTP headers of the caller API: those that a caller may send, and those of the
@@ -60,6 +61,8 @@
 type Options struct {
 	// MaxBodyBytes is the largest accepted request body.
 	MaxBodyBytes int64
+	// Memory grants the memory of requests; nil bounds nothing.
+	Memory Memory
 	// ReadTimeout bounds the time to read a request.
 	ReadTimeout time.Duration
 	// WriteTimeout bounds one write of a chat stream.
@@ -102,7 +105,8 @@
 
 func (h *handler) serveChat(w http.ResponseWriter, r *http.Request) {
 	id := h.backend.NewRequestID()
-	arrived, body, err := h.readRequest(w, r, id)
+	arrived, body, memory, err := h.readRequest(w, r, id)
+	defer memory.Release()
 	if err != nil {
 		h.writeError(w, id, err)
 		return
@@ -126,7 +130,8 @@
 
 func (h *handler) serveService(w http.ResponseWriter, r *http.Request) {
 	id := h.backend.NewRequestID()
-	arrived, body, err := h.readRequest(w, r, id)
+	arrived, body, memory, err := h.readRequest(w, r, id)
+	defer memory.Release()
 	if err != nil {
 		h.writeError(w, id, err)
 		return
@@ -185,15 +190,20 @@
 }
 
 // readRequest parses the HTTP headers and then reads the body. A request with
-// invalid headers is refused without reading its body.
-func (h *handler) readRequest(w http.ResponseWriter, r *http.Request, id string) (entry.RequestArrived, []byte, error) {
+// invalid headers is refused without reading its body. The memory is returned with
+// any outcome, and released at the end of the answer.
+func (h *handler) readRequest(w http.ResponseWriter, r *http.Request, id string) (entry.RequestArrived, []byte, Reservation, error) {
 	w.Header().Set(HeaderRequestID, id)
 	arrived, err := parseHeader(r, id)
 	if err != nil {
-		return arrived, nil, err
+		return arrived, nil, unbounded{}, err
 	}
-	body, err := h.readBody(w, r)
-	return arrived, body, err
+	memory, refusal := h.admit(r)
+	if refusal != nil {
+		return arrived, nil, unbounded{}, refusal
+	}
+	body, err := h.readBody(w, r, memory)
+	return arrived, body, memory, err
 }
 
 func parseHeader(r *http.Request, id string) (entry.RequestArrived, error) {
@@ -229,13 +239,24 @@
 }
 
 // readBody reads the body and clears the read deadline when the body is complete.
-func (h *handler) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, h.options.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, errkind.New(errkind.PayloadTooLarge, "request body exceeds "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request, memory Reservation) ([]byte, error) {
+	longest := h.options.MaxBodyBytes
+	tooLong := errkind.New(errkind.PayloadTooLarge, "request body exceeds "+strconv.FormatInt(longest, 10)+" bytes")
+	if r.ContentLength > longest {
+		return nil, tooLong
 	}
-	if err != nil {
+	limited := http.MaxBytesReader(w, r.Body, longest)
+	if r.ContentLength >= 0 {
+		longest = r.ContentLength
+	}
+	body, err := intake.ReadBody(limited, longest, func(n int) bool { return memory.Extend(bodyCopies * n) })
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, tooLong
+	case errors.Is(err, intake.ErrNoBodyMemory):
+		return nil, errkind.New(errkind.Overloaded, "instance has no memory for the rest of the body").WithRetryAfter(overload.MaxRetryAfter)
+	case err != nil:
 		return nil, errkind.Wrap(err, errkind.InvalidRequest, "request body cannot be read")
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,7 @@
 	if s.Role == api.RoleSidecar {
 		role = sidecarModule
 	}
+	boundMemory(s.Limits)
 	return fx.New(
 		fx.Supply(s, log),
 		fx.WithLogger(func() fxevent.Logger { return &fxevent.ZapLogger{Logger: fxErrorLogger(log)} }),
@@ -109,6 +110,8 @@
 	o := peer.Options{Handler: handler, Local: local, OnPanic: func(method string, value any) {
 		observe.ComponentLogger(b.log, "peer").Error("message of a peer cannot be handled and is ignored", zap.String("method", method), zap.Any("panic", value), zap.Stack("stack"))
 	}}
+	o.Bounds = memoryLimits(b.settings.Limits).Peers()
+	o.Bounds.MessageRate = 0 // runs and their answers are messages too
 	if t := b.settings.TLS; t != nil && t.Peers != nil {
 		server, client, err := tlsconf.PeerConfigs(*t.Peers)
 		if err != nil {
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
@@ -35,6 +33,7 @@
 	outbox         *outbox
 	recorder       *recorder
 	store          platform.Store
+	memory         *callerMemory
 	healthServer   *observe.HealthServer
 	callerServer   *http.Server
 	callerListener *httpdrain.Listener
@@ -45,7 +44,7 @@
 }
 
 func newEntryDaemon(b *base, store platform.Store) (*entryDaemon, error) {
-	d := &entryDaemon{base: b, store: store}
+	d := &entryDaemon{base: b, store: store, memory: newCallerMemory(b.settings.Limits, observe.ComponentLogger(b.log, "callers"))}
 	handler := &entryHandler{}
 	d.exchange = newExchangeLoop(b, store)
 	node, err := b.newNode(handler, d.exchange.localHello)
@@ -139,6 +138,7 @@
 	d.runInBackground(d.retryProbes)
 	d.runInBackground(d.outbox.run)
 	d.runInBackground(d.recorder.run)
+	d.runInBackground(func(ctx context.Context) { d.memory.sample(ctx, d.node.AcceptedLinks) })
 	d.runInBackground(d.refreshSessionKeys)
 	if d.loop.rater != nil {
 		for range ratingWorkers {
@@ -199,24 +199,20 @@
 	if s.TLS != nil {
 		pair = s.TLS.Callers
 	}
-	plain, err := net.Listen("tcp", s.Listen.Callers)
-	if err != nil {
-		return eris.Wrapf(err, "listener %s cannot be opened", s.Listen.Callers)
-	}
-	d.callerListener = httpdrain.NewListener(plain)
-	listener, err := limitAndEncrypt(d.callerListener, s.Limits.Connections, pair)
+	listener, err := d.listenHTTP(s.Listen.Callers, s.Limits.Connections, d.memory.accept, pair)
 	if err != nil {
 		return err
 	}
+	d.callerListener = httpdrain.NewListener(listener)
 	d.callerServer = &http.Server{
 		Handler: callerapi.NewHandler(d.loop, callerapi.Options{
-			MaxBodyBytes: int64(s.Limits.BodyBytes), ReadTimeout: ms(s.Limits.ReadTimeoutMs), WriteTimeout: ms(s.Limits.WriteTimeoutMs),
+			MaxBodyBytes: int64(s.Limits.BodyBytes), Memory: d.memory, ReadTimeout: ms(s.Limits.ReadTimeoutMs), WriteTimeout: ms(s.Limits.WriteTimeoutMs),
 		}),
-		ReadHeaderTimeout: ms(s.Limits.ReadTimeoutMs), MaxHeaderBytes: s.Limits.HeaderBytes, IdleTimeout: time.Minute,
+		ReadHeaderTimeout: ms(s.Limits.ReadTimeoutMs), MaxHeaderBytes: s.Limits.HeaderBytes, IdleTimeout: idleTimeout,
 		ErrorLog: zap.NewStdLog(observe.ComponentLogger(d.log, "http")),
 	}
 	d.callerListener.Prepare(d.callerServer)
-	go d.serveHTTP(d.callerServer, listener)
+	go d.serveHTTP(d.callerServer, d.callerListener)
 	return nil
 }
 
--- a/internal/daemon/entryadmin.go
+++ b/internal/daemon/entryadmin.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
 	"net/http"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"go.uber.org/zap"
-	"golang.org/x/net/netutil"
 
 	"github.com/borageflow/borageflow/api"
 	"github.com/borageflow/borageflow/internal/admin"
@@ -78,7 +75,7 @@
 	if s.TLS != nil {
 		pair = s.TLS.Admin
 	}
-	listener, err := listen(s.Listen.Admin, adminConnections, pair)
+	listener, err := d.listenHTTP(s.Listen.Admin, adminConnections, nil, pair)
 	if err != nil {
 		return err
 	}
@@ -86,7 +83,7 @@
 		Handler: admin.NewHandler(admin.Options{
 			Backend: adminBackend{d}, Store: d.store, MaxBodyBytes: platform.MaxValueBytes,
 		}),
-		ReadHeaderTimeout: ms(s.Limits.ReadTimeoutMs), ReadTimeout: ms(s.Limits.ReadTimeoutMs), IdleTimeout: time.Minute,
+		ReadHeaderTimeout: ms(s.Limits.ReadTimeoutMs), ReadTimeout: ms(s.Limits.ReadTimeoutMs), IdleTimeout: idleTimeout,
 		MaxHeaderBytes: s.Limits.HeaderBytes, ErrorLog: zap.NewStdLog(observe.ComponentLogger(d.log, "admin")),
 	}
 	go d.serveHTTP(d.adminServer, listener)
@@ -99,26 +96,3 @@
 		d.log.Error("listener has failed and accepts no more connections", zap.String("address", listener.Addr().String()), zap.Error(err))
 	}
 }
-
-// listen opens a TCP listener that accepts at most the given number of connections at a
-// time. It uses TLS when pair is set.
-func listen(address string, connections int, pair *api.TLSPair) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, eris.Wrapf(err, "listener %s cannot be opened", address)
-	}
-	return limitAndEncrypt(listener, connections, pair)
-}
-
-// limitAndEncrypt bounds the connections of a listener and uses TLS if pair is set.
-func limitAndEncrypt(listener net.Listener, connections int, pair *api.TLSPair) (net.Listener, error) {
-	listener = netutil.LimitListener(listener, connections)
-	config, err := serverTLS(pair)
-	if err != nil {
-		return nil, err
-	}
-	if config != nil {
-		listener = tls.NewListener(listener, config)
-	}
-	return listener, nil
-}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/borageflow/borageflow/api"
@@ -48,6 +49,9 @@
 	for _, k := range errkind.All() {
 		gauge(fmt.Sprintf("borageflow_entry_refusals_total{kind=%q}", k), func(s *entry.Stats) int { return s.ErrorsByKind[k] })
 	}
+	for reason, count := range map[string]*atomic.Int64{"closed_unread": &d.memory.unread, "given_up": &d.memory.givenUp, "refused_head": &d.memory.heads} {
+		d.metrics.NewGauge(fmt.Sprintf("borageflow_entry_callers_turned_away_total{reason=%q}", reason), func() float64 { return float64(count.Load()) })
+	}
 	d.registerQueueMetrics("entry_events", d.loop.events.Len, d.loop.events.RefusedCount)
 	d.registerQueueMetrics("trace", d.recorder.records.Len, d.recorder.records.RefusedCount)
 	d.registerQueueMetrics("exchange", d.exchange.events.Len, d.exchange.events.RefusedCount)
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -10,18 +9,13 @@
 
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/intake"
 	"github.com/borageflow/borageflow/internal/overload"
 )
 
 const (
 	// defaultMaxBodyBytes applies when the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
-	// bodyGrowth is the factor between the buffers into which a body is read one after the other. Each is reserved once
-	// the one before it is full, so that a caller holds memory for what it has sent. The last one has the stated length,
-	// or the longest that is allowed; all before it take a fifteenth of that.
-	bodyGrowth = 16
-	// minBodyBuffer is the least size of the first one.
-	minBodyBuffer = 4 << 10
 	// bodySlack is the part of a body, as a divisor, that its buffer may be larger.
 	bodySlack = 10
 )
@@ -38,10 +32,10 @@
 func bodyRequest(req *http.Request, limits forward.ClientLimits) overload.Request {
 	longest := maxBodyBytes(limits)
 	if req.ContentLength < 0 {
-		return overload.Request{BodyBytes: firstBodyBuffer(longest)}
+		return overload.Request{BodyBytes: intake.FirstBodyBuffer(longest)}
 	}
 	stated := min(req.ContentLength, longest) // a longer one is refused
-	return overload.Request{BodyBytes: firstBodyBuffer(stated), StatedBytes: stated}
+	return overload.Request{BodyBytes: intake.FirstBodyBuffer(stated), StatedBytes: stated}
 }
 
 // readLimitedBody checks the size of the header and reads the body within the limits of
@@ -87,10 +81,10 @@
 	if req.ContentLength >= 0 {
 		longest = req.ContentLength
 	}
-	body, err := readGrowing(http.MaxBytesReader(w, req.Body, maxBytes), longest, memory.extend)
+	body, err := intake.ReadBody(http.MaxBytesReader(w, req.Body, maxBytes), longest, memory.extend)
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(err, errNoBodyMemory):
+	case errors.Is(err, intake.ErrNoBodyMemory):
 		return nil, errkind.New(errkind.Overloaded, "instance has no memory for the rest of the body").WithRetryAfter(overload.MaxRetryAfter)
 	case errors.As(err, &tooLarge):
 		return nil, errkind.New(errkind.PayloadTooLarge, "request body is larger than "+strconv.FormatInt(maxBytes, 10)+" bytes")
@@ -102,49 +96,6 @@
 	return body, nil
 }
 
-// firstBodyBuffer returns the size of the first buffer, from which bodyGrowth leads to just the longest.
-func firstBodyBuffer(longest int64) int64 {
-	size := longest
-	for size/bodyGrowth >= minBodyBuffer {
-		size = (size + bodyGrowth - 1) / bodyGrowth
-	}
-	return size
-}
-
-var errNoBodyMemory = errors.New("no memory for a larger buffer")
-
-// readGrowing reads r to its end into the first buffer for a body that has at most the longest length, and into larger
-// ones once it is full. reserve is asked for the difference.
-func readGrowing(r io.Reader, longest int64, reserve func(n int) bool) ([]byte, error) {
-	body := make([]byte, 0, firstBodyBuffer(longest))
-	var next [1]byte
-	for {
-		free := body[len(body):cap(body)]
-		if len(free) == 0 {
-			free = next[:] // a body that ends here needs no larger buffer
-		}
-		n, err := r.Read(free)
-		if n > 0 && len(body) == cap(body) {
-			size := min(int64(cap(body))*bodyGrowth, longest)
-			if !reserve(int(size) - cap(body)) {
-				return nil, errNoBodyMemory
-			}
-			grown := make([]byte, len(body)+1, size)
-			copy(grown, body)
-			grown[len(body)] = next[0]
-			body = grown
-		} else {
-			body = body[:len(body)+n]
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
 // fitBody copies a body into memory of its length if its buffer is larger by more than bodySlack and there is memory for
 // both. It settles the reservation for what is kept.
 func fitBody(body []byte, memory *reservation) []byte {
--- a/internal/gateway/body_test.go
+++ b/internal/gateway/body_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/intake"
 	"github.com/borageflow/borageflow/internal/overload"
 )
 
@@ -29,7 +30,7 @@
 			raw := bytes.Repeat([]byte("ab"), int(length+1)/2)[:length]
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
-			body, err := readGrowing(bytes.NewReader(raw), longest, always)
+			body, err := intake.ReadBody(bytes.NewReader(raw), longest, always)
 			runtime.ReadMemStats(&after)
 			assert.NilError(t, err)
 			assert.Assert(t, bytes.Equal(body, raw), "%d of %d bytes", length, longest)
@@ -48,12 +49,12 @@
 		"bytes": iotest.OneByteReader(bytes.NewReader(raw)), "halves": iotest.HalfReader(bytes.NewReader(raw)),
 		"end with bytes": iotest.DataErrReader(bytes.NewReader(raw)),
 	} {
-		body, err := readGrowing(r, 1<<20, always)
+		body, err := intake.ReadBody(r, 1<<20, always)
 		assert.NilError(t, err, name)
 		assert.Assert(t, bytes.Equal(body, raw), name)
 	}
 	broken := errors.New("broken")
-	_, err := readGrowing(io.MultiReader(bytes.NewReader(raw), iotest.ErrReader(broken)), 1<<20, always)
+	_, err := intake.ReadBody(io.MultiReader(bytes.NewReader(raw), iotest.ErrReader(broken)), 1<<20, always)
 	assert.Assert(t, errors.Is(err, broken))
 }
 
@@ -65,11 +66,11 @@
 		for _, length := range []int{100, 9000, 110_000, longest / 2, longest - longest/20, longest} {
 			t.Run(fmt.Sprintf("%d/full=%t", length, isFull), func(t *testing.T) {
 				g := &overloadGuard{guard: overload.NewGuard(overload.Limits{MemoryBytes: 284e6})}
-				first := firstBodyBuffer(longest)
+				first := intake.FirstBodyBuffer(longest)
 				own := &reservation{g, overload.Request{BodyBytes: first, Tolerance: time.Hour}}
 				assert.Equal(t, g.guard.Admit(0, own.request).Reason, overload.Admitted)
 				others := g.load().RequestBytes - first
-				body, err := readGrowing(bytes.NewReader(make([]byte, length)), longest, own.extend)
+				body, err := intake.ReadBody(bytes.NewReader(make([]byte, length)), longest, own.extend)
 				assert.NilError(t, err)
 				if isFull {
 					before := g.load().RequestBytes
@@ -104,7 +105,7 @@
 			assert.Equal(t, g.guard.Admit(0, r).Reason, overload.Admitted, "request %d with length %d", n, stated)
 			slow := &reservation{g, r}
 			sent := io.LimitReader(iotest.OneByteReader(bytes.NewReader(make([]byte, longest))), 1000)
-			_, err := readGrowing(sent, longest, slow.extend)
+			_, err := intake.ReadBody(sent, longest, slow.extend)
 			assert.NilError(t, err)
 		}
 		ordinary := bodyRequest(&http.Request{ContentLength: 10_000}, limits)
@@ -114,6 +115,6 @@
 
 // Guards against a body that goes on growing without memory for it.
 func TestBodyEndsWithoutMemory(t *testing.T) {
-	_, err := readGrowing(bytes.NewReader(make([]byte, 1<<20)), 1<<20, func(int) bool { return false })
-	assert.ErrorIs(t, err, errNoBodyMemory)
+	_, err := intake.ReadBody(bytes.NewReader(make([]byte, 1<<20)), 1<<20, func(int) bool { return false })
+	assert.ErrorIs(t, err, intake.ErrNoBodyMemory)
 }
--- a/internal/gateway/memory_test.go
+++ b/internal/gateway/memory_test.go
@@ -13,7 +13,9 @@
 // beside the memory for requests. The instances are those that are deployed; the smallest may be a relay.
 func TestSharedBuffersFitBesideRequests(t *testing.T) {
 	for _, l := range []overload.Limits{
-		{MemoryBytes: 136e6, Descriptors: 2870}, {MemoryBytes: 184e6, Descriptors: 4100}, {MemoryBytes: 284e6, Descriptors: 4100},
+		{MemoryBytes: 136e6, Descriptors: 2870},
+		{MemoryBytes: 184e6, Descriptors: 4100},
+		{MemoryBytes: 284e6, Descriptors: 4100},
 		{MemoryBytes: 536e6, Descriptors: 8192},
 	} {
 		const ports, buffers, goroutine = 2, 8 << 10, 8 << 10
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	rtmetrics "runtime/metrics"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
+	"github.com/borageflow/borageflow/internal/observe"
 	"github.com/borageflow/borageflow/internal/overload"
 )
 
@@ -52,7 +52,7 @@
 	gauge("borageflow_gateway_link_delay_seconds", func(l overload.Load) float64 { return l.LinkDelay.Seconds() })
 	gauge("borageflow_gateway_request_memory_share", func(l overload.Load) float64 { return l.MemoryShare })
 	gauge("borageflow_gateway_request_memory_bytes", func(l overload.Load) float64 { return float64(l.RequestBytes) })
-	m.set.NewGauge("borageflow_gateway_process_memory_bytes", func() float64 { return float64(usedMemory()) })
+	m.set.NewGauge("borageflow_gateway_process_memory_bytes", func() float64 { return float64(observe.UsedMemory()) })
 	m.set.NewGauge("borageflow_gateway_caller_connections", func() float64 { return float64(g.callers.Load()) })
 	m.set.NewGauge("borageflow_gateway_head_memory_bytes", func() float64 {
 		g.mu.Lock()
@@ -149,7 +149,7 @@
 // sample measures the instance, which other instances have opened links to, at the n-th tick, which was late by lag.
 func (g *overloadGuard) sample(n int, lag time.Duration, links int) {
 	now := sinceBoot()
-	s := overload.Sample{Lag: lag, SentBytes: g.sentBytes.Swap(0), Callers: int(g.callers.Load()), Workers: int(g.workers.Load()), Links: links, MemoryBytes: usedMemory()}
+	s := overload.Sample{Lag: lag, SentBytes: g.sentBytes.Swap(0), Callers: int(g.callers.Load()), Workers: int(g.workers.Load()), Links: links, MemoryBytes: observe.UsedMemory()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.guard.Observe(now, s)
@@ -206,13 +206,3 @@
 func (g *overloadGuard) keepsIdle() bool {
 	return g.bounds.Workers == 0 || g.workers.Load() <= int64(g.bounds.Workers)
 }
-
-// usedMemory returns the memory that the runtime has from the system.
-func usedMemory() int64 {
-	samples := []rtmetrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
-	rtmetrics.Read(samples)
-	if samples[0].Value.Kind() != rtmetrics.KindUint64 || samples[1].Value.Kind() != rtmetrics.KindUint64 {
-		return 0
-	}
-	return int64(samples[0].Value.Uint64() - samples[1].Value.Uint64())
-}
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -7,6 +7,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/borageflow/borageflow/internal/errkind"
@@ -23,7 +24,9 @@
 
 // conn is a connection of a caller. net/http uses it from one goroutine at a time, except for deadlines and Close.
 type conn struct {
-	*net.TCPConn
+	// Conn is tcp, or TLS on it.
+	net.Conn
+	tcp      *net.TCPConn
 	listener *Listener
 	closing  sync.Once
 	// hasPart is set while a part of a request was read that net/http does not have.
@@ -101,7 +104,7 @@
 		}
 		return c.deliver(p), nil
 	}
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	own := c.body.advance(p[:n])
 	if own < n {
 		c.raw = append(c.raw, p[own:n]...)
@@ -124,7 +127,7 @@
 // readFirstByte returns the first byte of a head.
 func (c *conn) readFirstByte(p []byte) (int, error) {
 	if c.delivered == 0 && len(c.raw) == 0 {
-		n, err := c.TCPConn.Read(p)
+		n, err := c.Conn.Read(p)
 		c.raw, c.delivered = append(c.raw, p[:n]...), n
 		return n, err
 	}
@@ -157,7 +160,7 @@
 			c.refuse(refusal, p)
 			return nil
 		}
-		n, err := c.TCPConn.Read(p)
+		n, err := c.Conn.Read(p)
 		if n > 0 {
 			c.receiveHead(p[:n])
 			continue
@@ -226,7 +229,7 @@
 
 // isLate reports whether a read goes on after a time-out of a head, as bytes had arrived before it.
 func (c *conn) isLate(err error) bool {
-	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.timeout.isOver() || netpeek.Look(c.TCPConn) != netpeek.Readable {
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.timeout.isOver() || netpeek.Look(c.tcp) != netpeek.Readable {
 		return false
 	}
 	c.timeout.set(lateReadTime)
@@ -239,7 +242,7 @@
 	return c.applyDeadline()
 }
 
-func (c *conn) applyDeadline() error { return c.timeout.apply(c.TCPConn.SetReadDeadline) }
+func (c *conn) applyDeadline() error { return c.timeout.apply(c.Conn.SetReadDeadline) }
 
 // Write implements net.Conn. A caller that takes nothing for WriteStall is gone.
 func (c *conn) Write(p []byte) (int, error) {
@@ -248,7 +251,7 @@
 		if err := c.SetWriteDeadline(time.Now().Add(c.listener.options.WriteStall)); err != nil {
 			return written, err
 		}
-		n, err := c.TCPConn.Write(p[written:])
+		n, err := c.Conn.Write(p[written:])
 		written += n
 		c.listener.options.OnWrite(n)
 		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -260,8 +263,31 @@
 // HasPart reports whether a part of a request was read that net/http does not have.
 func (c *conn) HasPart() bool { return c.hasPart.Load() }
 
+// CloseWrite ends what is sent, so that the caller reads the end of an answer.
+func (c *conn) CloseWrite() error {
+	if both, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return both.CloseWrite()
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn, so that the connection can be looked at.
+func (c *conn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.end()
+	return c.Conn.Close()
+}
+
+// abort closes the connection at once. The end of TLS would wait for a caller that does not read.
+func (c *conn) abort() {
+	c.end()
+	_ = c.tcp.Close() // fails only on a closed connection
+}
+
+// end returns what the connection holds.
+func (c *conn) end() {
 	c.closing.Do(func() {
 		c.closeMu.Lock()
 		c.isClosed = true
@@ -269,5 +295,4 @@
 		c.closeMu.Unlock()
 		c.listener.remove(c)
 	})
-	return c.TCPConn.Close()
 }
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -4,6 +4,7 @@
 package intake
 
 import (
+	"crypto/tls"
 	"errors"
 	"net"
 	"sync"
@@ -32,6 +33,8 @@
 	MaxConnections int
 	// Accept reports whether there is memory for a further connection beside so many open ones, and reserves it.
 	Accept func(open int) bool
+	// TLS is the configuration of connections with TLS, nil for plain ones.
+	TLS *tls.Config
 	// SendBuffer is the size of the kernel's send buffer of a connection in bytes, 0 for that of the system. The kernel
 	// takes twice as much.
 	SendBuffer int
@@ -142,18 +145,21 @@
 		l.mu.Unlock()
 		return true
 	}
-	c, phase, ok := l.waiting.GiveUp(sinceStart(), func(c *conn) bool { return netpeek.Look(c.TCPConn) == netpeek.Readable })
+	c, phase, ok := l.waiting.GiveUp(sinceStart(), func(c *conn) bool { return netpeek.Look(c.tcp) == netpeek.Readable })
 	l.mu.Unlock()
 	if !ok {
 		return false
 	}
 	l.options.OnGiveUp(phase)
-	_ = c.Close() // fails only on a closed connection
+	c.abort()
 	return true
 }
 
 func (l *Listener) add(tcp *net.TCPConn) *conn {
-	c := &conn{TCPConn: tcp, listener: l}
+	c := &conn{Conn: tcp, tcp: tcp, listener: l}
+	if l.options.TLS != nil {
+		c.Conn = tls.Server(tcp, l.options.TLS) // the first read does the handshake
+	}
 	c.timeout.set(l.options.Limits().IdleTimeout)
 	_ = c.applyDeadline() // fails only on a closed connection
 	l.mu.Lock()
--- a/internal/intake/listener_test.go
+++ b/internal/intake/listener_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"strings"
 	"sync"
@@ -28,6 +30,7 @@
 	headBudget          int64        // 0 for no bound
 	limits              Limits
 	writeStall          time.Duration
+	tls                 *tls.Config
 	open, full, givenUp atomic.Int64
 }
 
@@ -39,7 +42,7 @@
 		s.limits = Limits{HeaderBytes: 16 << 10, HeaderTimeout: time.Minute, IdleTimeout: time.Minute}
 	}
 	l := NewListener(inner, Options{
-		MaxConnections: maxConnections, SendBuffer: 32 << 10, WriteStall: s.writeStall, Limits: func() Limits { return s.limits },
+		MaxConnections: maxConnections, SendBuffer: 32 << 10, WriteStall: s.writeStall, TLS: s.tls, Limits: func() Limits { return s.limits },
 		ResizeHead: func(from, to int64) bool {
 			if s.headBudget > 0 && to > s.headBudget {
 				return false
@@ -281,3 +284,37 @@
 	assert.NilError(t, slow.Close())
 	waitFor(t, "both connections are closed", func() bool { return s.open.Load() == 0 })
 }
+
+// Guards against heads outside the limits that TLS hides from the listener, against refusals that a caller behind TLS
+// cannot read, and against a listener that waits for a handshake.
+func TestTLSIsBounded(t *testing.T) {
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	s := startServer(t, &testServer{headBudget: 300 << 10, tls: certified.TLS}, 4)
+	open := func() net.Conn {
+		raw, err := net.Dial("tcp", s.address)
+		assert.NilError(t, err)
+		assert.NilError(t, raw.SetDeadline(time.Now().Add(20*time.Second)))
+		t.Cleanup(func() { _ = raw.Close() })
+		return raw
+	}
+	encrypt := func(raw net.Conn) net.Conn {
+		return tls.Client(raw, &tls.Config{InsecureSkipVerify: true}) //nolint:gosec // the certificate is the test's own
+	}
+	for range 4 {
+		open() // begins no handshake
+	}
+	waitFor(t, "connections are open", func() bool { return s.open.Load() == 4 })
+	time.Sleep(200 * time.Millisecond)
+	for range 4 {
+		c := encrypt(open())
+		assert.NilError(t, ask(c))
+		assert.NilError(t, c.Close())
+	}
+	assert.Assert(t, s.givenUp.Load() > 0)
+	c := encrypt(open())
+	go func() { _, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\na: "+strings.Repeat("b", 200<<10)) }() // the answer may come before its end
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestHeaderFieldsTooLarge)
+}
--- a/internal/intake/refusal.go
+++ b/internal/intake/refusal.go
@@ -38,7 +38,7 @@
 		return
 	}
 	for discarded := 0; discarded < maxDiscardedBytes; {
-		n, err := c.TCPConn.Read(scratch)
+		n, err := c.Conn.Read(scratch)
 		if err != nil {
 			return
 		}
--- a/test/soak/crowd_test.go
+++ b/test/soak/crowd_test.go
@@ -38,21 +38,21 @@
 // nothing. Run it alone: memory is measured.
 func TestClientsOutsideLimitsStayWithinMemory(t *testing.T) {
 	binary := buildDaemon(t, t.TempDir())
-	for _, form := range crowdForms() {
+	for _, form := range crowdForms(gatewayHeads) {
 		t.Run(form.name, func(t *testing.T) { startCrowdTarget(t, binary).meet(t, []crowdForm{form}, nil) })
 	}
 }
 
 // Guards against memory that holds for each kind of misbehaving client, but not for all kinds at once.
 func TestMixedClientsOutsideLimitsStayWithinMemory(t *testing.T) {
-	startCrowdTarget(t, buildDaemon(t, t.TempDir())).meet(t, crowdForms(), nil)
+	startCrowdTarget(t, buildDaemon(t, t.TempDir())).meet(t, crowdForms(gatewayHeads), nil)
 }
 
 // Guards against a crowd that keeps an instance from applying changes, or changes that lose what bounds a crowd: the
 // limits of callers change, and the settings are read again.
 func TestChangesBesideClientsOutsideLimits(t *testing.T) {
 	c := startCrowdTarget(t, buildDaemon(t, t.TempDir()))
-	c.meet(t, crowdForms(), func(n int) {
+	c.meet(t, crowdForms(gatewayHeads), func(n int) {
 		config := c.config
 		config.Version += n
 		config.Limits.MaxHeaderBytes -= n % 2 * 4096
@@ -69,7 +69,7 @@
 	address, err := freeAddress()
 	assert.NilError(t, err)
 	c.start(t, buildDaemon(t, t.TempDir()), address)
-	c.meet(t, crowdForms(), func(n int) {
+	c.meet(t, crowdForms(gatewayHeads), func(n int) {
 		if n == 10 {
 			serveOn(t, address, c.store)
 		}
@@ -82,7 +82,7 @@
 	c := startCrowdTarget(t, binary)
 	var group sync.WaitGroup
 	var isOver atomic.Bool
-	c.sendCrowd(&group, crowdForms(), isOver.Load)
+	c.sendCrowd(&group, crowdForms(gatewayHeads), isOver.Load)
 	time.Sleep(crowdTime)
 	assert.NilError(t, c.command.Process.Signal(syscall.SIGTERM))
 	err := c.command.Wait()
@@ -97,12 +97,20 @@
 	callers, relay string
 	store          *store
 	config         wireConfig
-	answers        atomic.Int64 // ordinary requests that were answered
+	// ordinary returns the head of a request inside the limits, up to Host and the length of body.
+	ordinary func() string
+	body     string
+	answers  atomic.Int64 // ordinary requests that were answered
 }
 
 // newCrowdTarget returns an instance that is not started, with its store and configuration.
 func newCrowdTarget() *crowdTarget {
 	c := &crowdTarget{store: newStore(), config: configForVersion(1)}
+	c.ordinary = func() string {
+		return fmt.Sprintf("POST %sa HTTP/1.1\r\nAuthorization: Bearer key-permanent\r\n%s: ordinary-%d\r\n%s: 5000\r\n",
+			safePath, platform.Headers.RequestID, time.Now().UnixNano(), platform.Headers.DeadlineMs)
+	}
+	c.body = "body"
 	for i := range c.config.Routes {
 		c.config.Routes[i].TimeoutMs, c.config.Routes[i].TargetLatencyMs, c.config.Routes[i].GapAimMs = 30_000, 20_000, 20_000
 	}
@@ -270,9 +278,7 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(5 * time.Second)) // fails only on a closed connection
-	names := platform.Headers
-	if _, err := fmt.Fprintf(conn, "POST %sa HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer key-permanent\r\n%s: ordinary-%d\r\n%s: 5000\r\nContent-Length: 4\r\n\r\nbody",
-		safePath, hostname, names.RequestID, time.Now().UnixNano(), names.DeadlineMs); err != nil {
+	if _, err := fmt.Fprintf(conn, "%sHost: %s\r\nContent-Length: %d\r\n\r\n%s", c.ordinary(), hostname, len(c.body), c.body); err != nil {
 		return false
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
--- a/test/soak/crowdforms_test.go
+++ b/test/soak/crowdforms_test.go
@@ -50,10 +50,24 @@
 	return string(binary.BigEndian.AppendUint32(nil, uint32(len(text)))) + text
 }
 
+// crowdHeads are the beginnings of the heads of a crowd.
+type crowdHeads struct {
+	// path is that of a request that would be served, and longPath one of 12 KiB.
+	path, longPath string
+	// key is a known one, and deadline a header field with the time of 30 s.
+	key, deadline string
+}
+
+// gatewayHeads are those for a gateway.
+var gatewayHeads = crowdHeads{
+	path: unsafePath + "a", longPath: unsafePath + strings.Repeat("a", 12<<10), key: "key-permanent",
+	deadline: platform.Headers.DeadlineMs + ": 30000\r\n",
+}
+
 // crowdForms returns the forms that are played one at a time.
-func crowdForms() []crowdForm {
-	line := "POST " + unsafePath + "a HTTP/1.1\r\nHost: " + hostname + "\r\n"
-	known := line + "Authorization: Bearer key-permanent\r\n" + platform.Headers.DeadlineMs + ": 30000\r\n"
+func crowdForms(heads crowdHeads) []crowdForm {
+	line := "POST " + heads.path + " HTTP/1.1\r\nHost: " + hostname + "\r\n"
+	known := line + "Authorization: Bearer " + heads.key + "\r\n" + heads.deadline
 	unknown := line + "Authorization: Bearer nobody\r\n"
 	chunked := "Transfer-Encoding: chunked\r\n\r\n"
 	short, inside, far := shortFields(4<<10), shortFields(insideBytes), shortFields(64<<10)
@@ -84,7 +98,7 @@
 		{name: "another protocol", block: strings.Repeat("\x16\x03\x01\x02\x00\x01", 700)},
 		{name: "silence"},
 		{name: "100-continue that is never followed", head: known + "Expect: 100-continue\r\nContent-Length: 1000\r\n\r\n"},
-		{name: "long paths and ids", head: "POST " + unsafePath + strings.Repeat("a", 12<<10) + " HTTP/1.1\r\nHost: " + hostname + "\r\n" +
+		{name: "long paths and ids", head: "POST " + heads.longPath + " HTTP/1.1\r\nHost: " + hostname + "\r\n" +
 			platform.Headers.RequestID + ": " + strings.Repeat("i", 12<<10) + "\r\nContent-Length: 4\r\n\r\nbody"},
 		{name: "resets inside the head", head: known + inside, resets: true},
 		{name: "resets inside the body", head: known + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdBodyBytes), block: long, bytes: crowdBodyBytes / 2, resets: true},
