Let workers of tests end in the forms that processes end in

The stand-in ended in one way: header first, connections closed, address refusing. A worker can now end before its header, behind an address that accepts connections, by resets, silently, or with a dark address, and come back under its ID. No product code changes.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -33,9 +33,15 @@
 	isFatal func() bool
 	// fails reports whether the next plain request is answered with 500; nil if none is.
 	fails func() bool
+	// configure changes the settings of each worker before it starts; nil for none.
+	configure func(*forwarding.WorkerConfig)
+	// keepsID is set if workers are started again under the ID that they had.
+	keepsID bool
 
 	mu      sync.Mutex
 	started int
+	// all holds all workers, also those that have ended.
+	all []*forwarding.Worker
 	// ends holds when workers ended under fatal requests.
 	ends    []time.Time
 	running map[string]*forwarding.Worker
@@ -66,32 +72,41 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.closed = true
-	for _, w := range f.running {
+	for _, w := range f.all {
 		w.Close()
 	}
 }
 
-// start starts a worker and writes its entry to the store.
-func (f *crashFleet) start() {
+// start starts a worker under a new ID and writes its entry to the store.
+func (f *crashFleet) start() { f.startAs("") }
+
+// startAs starts a worker under an ID, or a new one.
+func (f *crashFleet) startAs(id string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.closed {
 		return
 	}
-	f.started++
-	id := fmt.Sprintf("w%d", f.started)
+	if f.started++; id == "" {
+		id = fmt.Sprintf("w%d", f.started)
+	}
 	names := DefaultHeaderNames
-	w, err := forwarding.StartWorker(forwarding.WorkerConfig{
+	config := forwarding.WorkerConfig{
 		ID: id, Address: ownHost() + ":0", Slots: f.slots, EventInterval: f.answerTime,
 		HeaderNames: forwarding.HeaderNames{RequestID: names.RequestID, ExpectWorker: names.ExpectWorker, NotRun: names.NotRun, Load: names.Load, WorkerID: names.WorkerID, Model: names.Model, Prompt: names.Prompt},
 		FatalPart:   fatalPart, FatalPath: "/safe/fatal", FatalDelay: 60 * time.Millisecond, IsFatal: f.isFatal, EndDelay: f.endDelay, Fails: f.fails, OnEnd: func() { f.workerEnded(id) },
-	})
+	}
+	if f.configure != nil {
+		f.configure(&config)
+	}
+	w, err := forwarding.StartWorker(config)
 	if err != nil {
 		f.t.Errorf("worker cannot be started: %v", err)
 		return
 	}
 	f.running[id] = w
-	f.store.PutWorker(forward.Worker{ID: id, Service: "svc", Address: w.Address(), FailureDomain: "a", Version: "v1", Slots: f.slots})
+	f.all = append(f.all, w)
+	f.store.PutWorker(forward.Worker{ID: id, Service: "svc", Address: w.Address(), FailureDomain: "a", Version: "v1", Slots: f.slots, StartUnixMs: time.Now().UnixMilli()})
 }
 
 func (f *crashFleet) workerEnded(id string) {
@@ -102,6 +117,10 @@
 		f.ends = append(f.ends, time.Now())
 	}
 	time.AfterFunc(f.restartDelay, func() {
+		if f.keepsID {
+			f.startAs(id)
+			return
+		}
 		f.store.RemoveWorker(id)
 		f.start()
 	})
@@ -343,10 +362,15 @@
 // endsAfterThird returns the number of workers that ended under fatal requests, that of those later than
 // bound after the third, and when the last one ended.
 func (f *crashFleet) endsAfterThird(bound time.Duration) (ends, late int, last time.Time) {
+	return f.endsAfterNth(3, bound)
+}
+
+// endsAfterNth is endsAfterThird for another end than the third.
+func (f *crashFleet) endsAfterNth(n int, bound time.Duration) (ends, late int, last time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for i, at := range f.ends {
-		if i >= 3 && at.Sub(f.ends[2]) > bound {
+		if i >= n && at.Sub(f.ends[n-1]) > bound {
 			late++
 		}
 		last = at
--- a/internal/standin/forwarding/worker.go
+++ b/internal/standin/forwarding/worker.go
@@ -43,6 +43,10 @@
 	IsFatal func() bool
 	// Fails reports whether the next plain request is answered with 500; nil if none is.
 	Fails func() bool
+	// FatalBeforeHeader makes requests with FatalPart end the worker without the header of an answer.
+	FatalBeforeHeader bool
+	// Form is what callers see of the end of the worker.
+	Form EndForm
 	// OnEnd is called just before the connections are closed.
 	OnEnd func()
 }
@@ -50,11 +54,15 @@
 // Worker answers forwarded requests: POST with a stream of three events, other methods with
 // a plain answer.
 type Worker struct {
-	config  WorkerConfig
-	server  *http.Server
-	address string
-	running atomic.Int64
-	ended   sync.Once
+	config   WorkerConfig
+	server   *http.Server
+	listener *endingListener
+	address  string
+	running  atomic.Int64
+	ended    sync.Once
+	// silent is closed when the worker has fallen silent, and closed when it is closed.
+	silent, closed chan struct{}
+	closeOnce      sync.Once
 }
 
 const eventsPerStream = 3
@@ -65,9 +73,12 @@
 	if err != nil {
 		return nil, eris.Wrapf(err, "worker %s cannot listen on its address", c.ID)
 	}
-	w := &Worker{config: c, address: listener.Addr().String()}
+	w := &Worker{
+		config: c, listener: newEndingListener(listener), address: listener.Addr().String(),
+		silent: make(chan struct{}), closed: make(chan struct{}),
+	}
 	w.server = &http.Server{Handler: w, ReadHeaderTimeout: time.Second}
-	go func() { _ = w.server.Serve(listener) }()
+	go func() { _ = w.server.Serve(w.listener) }()
 	return w, nil
 }
 
@@ -75,10 +86,17 @@
 func (w *Worker) Address() string { return w.address }
 
 // Close stops the worker and closes its listener and all connections.
-func (w *Worker) Close() { _ = w.server.Close() }
+func (w *Worker) Close() {
+	w.closeOnce.Do(func() {
+		close(w.closed)
+		w.listener.closeAll()
+		_ = w.server.Close()
+	})
+}
 
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	w.awaitClose()
 	names := w.config.HeaderNames
 	h := out.Header()
 	h.Set(names.RequestID, r.Header.Get(names.RequestID))
@@ -111,9 +129,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		w.End()
+		w.awaitClose()
 		return
 	}
 	time.Sleep(w.config.EventInterval)
+	w.awaitClose()
 	fmt.Fprintf(out, "%s answers %s\n", w.config.ID, r.URL.Path)
 }
 
@@ -129,13 +149,17 @@
 	out.Header().Set("Content-Type", "text/event-stream")
 	flusher := http.NewResponseController(out)
 	if w.config.FatalPart != "" && hasPart(r.Header.Get(names.Prompt), w.config.FatalPart) && w.isFatal() {
-		_ = flusher.Flush() // fails if the caller has disconnected
+		if !w.config.FatalBeforeHeader {
+			_ = flusher.Flush() // fails if the caller has disconnected
+		}
 		time.Sleep(w.config.FatalDelay)
 		w.End()
+		w.awaitClose()
 		return
 	}
 	for i := 1; i <= eventsPerStream; i++ {
 		time.Sleep(w.config.EventInterval)
+		w.awaitClose()
 		fmt.Fprintf(out, "id: %d\ndata: %s %s, event %d\n\n", i, w.config.ID, model, i)
 		if flusher.Flush() != nil || r.Context().Err() != nil {
 			return // the caller has disconnected
@@ -161,6 +185,6 @@
 		if w.config.OnEnd != nil {
 			w.config.OnEnd()
 		}
-		w.Close()
+		w.endAs(w.config.Form)
 	})
 }
