Log why a broken answer counts as no end of a worker

Cause: the log could not tell the hypotheses on the uncounted ends apart. A break that accused nobody, a suspected request that was sent, and a verdict that was dropped left no line. Change: one line for each with its evidence and reason, and two metrics, borageflow_gateway_uncounted_breaks_total{reason} and borageflow_gateway_dropped_verdicts. No decision changes.

--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -117,6 +117,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_worker_ends_total{service=%q}", service)).Inc()
 }
 
+// countUncountedBreak counts an answer that broke off and that counts as no end of a worker.
+func (m *gatewayMetrics) countUncountedBreak(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("borageflow_gateway_uncounted_breaks_total{reason=%q}", reason)).Inc()
+}
+
 // countEscalation counts a request for which a larger model was asked, by what came of it. The
 // routes of the configuration are few, and requests on unknown routes are refused before.
 func (m *gatewayMetrics) countEscalation(route, outcome string) {
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -13,6 +13,7 @@
 	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 	"go.uber.org/zap"
 
+	"github.com/borageflow/borageflow/internal/errkind"
 	"github.com/borageflow/borageflow/internal/forward"
 	"github.com/borageflow/borageflow/internal/news"
 	"github.com/borageflow/borageflow/internal/quarantine"
@@ -85,6 +86,7 @@
 		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, pendingWorkers: map[string]*pendingWorker{}, rechecks: map[string][]endedAttempt{}, ends: ends, gateways: 1, cursors: map[string]*news.QuarantineCursor{}, writer: newCondemnationWriter(isRelay),
 	}
 	m.set.NewGauge("borageflow_gateway_condemned_parts", func() float64 { return float64(len(q.condemnations())) })
+	m.set.NewGauge("borageflow_gateway_dropped_verdicts", func() float64 { return float64(q.droppedVerdicts()) })
 	return q
 }
 
@@ -95,6 +97,13 @@
 	return q.tracker.Verdicts()
 }
 
+// droppedVerdicts returns how many verdicts made room for later ones.
+func (q *quarantineGuard) droppedVerdicts() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.tracker.DroppedVerdicts()
+}
+
 func formatPart(id uint64) string { return strconv.FormatUint(id, 16) }
 
 func (q *quarantineGuard) decide(service string, parts []uint64) quarantine.Decision {
@@ -239,6 +248,35 @@
 		Service: r.service, Version: e.worker.Version, Worker: workerKey(e.worker), IDs: r.parts, Weight: e.weight,
 		IsWhole: !r.hasPrompt(), OnTrial: e.onTrial,
 	})
+	q.mu.Unlock()
+	q.log.Info("worker has ended under a request", append(q.fieldsOf(e), zap.Float64("weight", e.weight))...)
+	q.metrics.countWorkerEnd(r.service)
+	q.apply(verdicts, "workers ended under requests with it")
+}
+
+// logUncounted writes why a broken answer does not count as the end of its worker.
+func (q *quarantineGuard) logUncounted(e endedAttempt, reason uncountedReason) {
+	q.metrics.countUncountedBreak(string(reason))
+	q.log.Info("answer broke off, which counts as no end of a worker", append(q.fieldsOf(e), zap.String("reason", string(reason)))...)
+}
+
+// logSuspect writes whether a request with a suspected part was sent, and why not.
+func (q *quarantineGuard) logSuspect(r *request, d quarantine.Decision, refusal *errkind.Error) {
+	q.mu.Lock()
+	evidence := q.tracker.Summarize(sinceBoot(), d.Part)
+	q.mu.Unlock()
+	outcome := "sent"
+	if refusal != nil {
+		outcome = refusal.Message
+	}
+	q.log.Info("request has a suspected part", zap.String("request", r.inbound.meta.RequestID), zap.String("service", r.service),
+		zap.Any("evidence", evidence), zap.Bool("on_probation", d.OnProbation), zap.Bool("on_trial", r.turn != nil), zap.String("outcome", outcome))
+}
+
+// fieldsOf returns the fields of a log line on a broken answer.
+func (q *quarantineGuard) fieldsOf(e endedAttempt) []zap.Field {
+	r := e.request
+	q.mu.Lock()
 	evidence := make([]quarantine.Summary, 0, maxLoggedParts)
 	for _, id := range r.parts[:min(len(r.parts), maxLoggedParts)] {
 		evidence = append(evidence, q.tracker.Summarize(sinceBoot(), quarantine.Part{Service: r.service, ID: id}))
@@ -248,12 +286,12 @@
 	if !e.begunAt.IsZero() {
 		sinceBegin = e.brokeAt.Sub(e.begunAt).Milliseconds()
 	}
-	q.log.Info("worker has ended under a request", zap.String("worker", e.worker.ID), zap.String("service", r.service), zap.String("version", e.worker.Version),
+	return []zap.Field{
+		zap.String("worker", e.worker.ID), zap.String("service", r.service), zap.String("version", e.worker.Version),
 		zap.String("request", r.inbound.meta.RequestID), zap.String("customer", r.customer.Name), zap.Any("evidence", evidence),
-		zap.Float64("weight", e.weight), zap.Bool("was_alone", e.wasAlone), zap.Bool("on_trial", e.onTrial), zap.Int64("since_begin_ms", sinceBegin),
-		zap.Int64("since_break_ms", time.Since(e.brokeAt).Milliseconds()))
-	q.metrics.countWorkerEnd(r.service)
-	q.apply(verdicts, "workers ended under requests with it")
+		zap.Bool("was_alone", e.wasAlone), zap.Bool("on_trial", e.onTrial), zap.Int64("since_begin_ms", sinceBegin),
+		zap.Int64("since_break_ms", time.Since(e.brokeAt).Milliseconds()),
+	}
 }
 
 // recheckEnd looks later whether the worker of a broken attempt has ended after all, and records that.
@@ -285,10 +323,11 @@
 	waiting := g.quarantine.rechecks[key]
 	delete(g.quarantine.rechecks, key)
 	g.quarantine.mu.Unlock()
-	if !ended {
-		return
-	}
 	for _, e := range waiting {
+		if !ended {
+			g.quarantine.logUncounted(e, workerAccepts)
+			continue
+		}
 		g.quarantine.recordEnd(e)
 	}
 }
--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -67,21 +67,29 @@
 	if r.hasEndedTooMany() {
 		return errkind.New(errkind.UpstreamFailed, "workers ended while they answered the request")
 	}
-	q := r.gateway.quarantine
-	d := q.decide(r.service, r.parts)
+	d := r.decide()
 	if d.Action == quarantine.Send {
 		return nil
 	}
+	refusal := r.awaitTurn(ctx, d)
+	if d.Action == quarantine.SendAlone {
+		r.gateway.quarantine.logSuspect(r, d, refusal)
+	}
+	return refusal
+}
+
+// awaitTurn waits until a request may go that is not just to be sent.
+func (r *request) awaitTurn(ctx context.Context, d quarantine.Decision) *errkind.Error {
 	started := time.Now()
 	until := started.Add(min(maxAloneWait, time.Duration(maxAloneShare*float64(r.remaining()))))
-	for ; d.Action == quarantine.SendAlone; d = q.decide(r.service, r.parts) {
+	for ; d.Action == quarantine.SendAlone; d = r.decide() {
 		now := time.Now()
 		switch {
 		case r.endedWorkers.Load() > 0:
 			return errkind.New(errkind.UpstreamFailed, "a worker ended while it answered the request")
 		case r.turn != nil && *r.turn == r.turnOf(d):
 			return nil // an earlier attempt took the turn
-		case q.takeAlone(now, r.turnOf(d), d.OnProbation):
+		case r.gateway.quarantine.takeAlone(now, r.turnOf(d), d.OnProbation):
 			turn := r.turnOf(d)
 			r.turn = &turn
 			return nil
@@ -102,6 +110,11 @@
 	return nil
 }
 
+// decide returns what the quarantine says of the request now.
+func (r *request) decide() quarantine.Decision {
+	return r.gateway.quarantine.decide(r.service, r.parts)
+}
+
 // notSentAgain returns a refusal, or upstream_failed if the request may have run.
 func (r *request) notSentAgain(refusal *errkind.Error) *errkind.Error {
 	if r.mayHaveRun {
@@ -115,7 +128,7 @@
 
 // isSuspected reports whether the request has a suspected or condemned part.
 func (r *request) isSuspected() bool {
-	return r.gateway.quarantine.decide(r.service, r.parts).Action != quarantine.Send
+	return r.decide().Action != quarantine.Send
 }
 
 // releaseAlone lets another request with the suspected part go.
@@ -161,21 +174,26 @@
 	if cause := framing.CauseOf(err); cause != framing.BrokenOff && cause != framing.InsideEvent || errors.Is(err, net.ErrClosed) || isReadTimeout(err) {
 		return
 	}
-	weight := 0.0
+	end := endedAttempt{request: r, worker: a.worker, begunAt: a.begunAt, brokeAt: time.Now(), wasAlone: a.wasAlone, onTrial: r.turn != nil}
 	switch {
 	case !a.begunAt.IsZero():
-		weight = quarantine.Weight(time.Since(a.begunAt))
+		end.weight = quarantine.Weight(time.Since(a.begunAt))
 	case r.hasPrompt():
-		return // it waited
+		r.gateway.quarantine.logUncounted(end, beforeHeader)
+		return
 	case a.wasAlone, r.turn != nil:
-		weight = 1
+		end.weight = 1
 	default:
-		weight = sharedWeight
+		end.weight = sharedWeight
 	}
-	if weight == 0 || !r.gateway.dispatcher.isInUse(a.worker) {
+	if end.weight == 0 {
+		r.gateway.quarantine.logUncounted(end, longAfterHeader)
+		return
+	}
+	if !r.gateway.dispatcher.isInUse(a.worker) {
+		r.gateway.quarantine.logUncounted(end, workerLeaves)
 		return
 	}
-	end := endedAttempt{request: r, worker: a.worker, begunAt: a.begunAt, brokeAt: time.Now(), weight: weight, wasAlone: a.wasAlone, onTrial: r.turn != nil}
 	if r.gateway.hasEnded(a.worker) {
 		r.gateway.quarantine.recordEnd(end)
 		return
@@ -183,6 +201,16 @@
 	r.gateway.recheckEnd(end)
 }
 
+// uncountedReason is why a broken answer does not count as the end of its worker. The list is closed.
+type uncountedReason string
+
+const (
+	beforeHeader    uncountedReason = "before_header"
+	longAfterHeader uncountedReason = "long_after_header"
+	workerLeaves    uncountedReason = "worker_leaves"
+	workerAccepts   uncountedReason = "worker_accepts_connections"
+)
+
 // endedAttempt is an attempt whose answer broke off and whose worker has ended, or may end soon.
 type endedAttempt struct {
 	request          *request
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -106,6 +106,8 @@
 	verdicts map[Part]*versioned[Verdict]
 	// version increases with each change. A reader names the version up to which it has read.
 	version int64
+	// droppedVerdicts counts the verdicts that made room for later ones.
+	droppedVerdicts int
 }
 
 type versioned[T any] struct {
@@ -177,6 +179,7 @@
 		}
 	}
 	delete(l.verdicts, least.Part)
+	l.droppedVerdicts++
 }
 
 // outweighs reports whether a crash says more than another one of the same part and worker.
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -217,6 +217,9 @@
 	return out
 }
 
+// DroppedVerdicts returns how many verdicts made room for later ones.
+func (t *Tracker) DroppedVerdicts() int { return t.ledger.droppedVerdicts }
+
 // Verdicts returns the condemnations in force and those whose parts are on probation, by service and
 // part.
 func (t *Tracker) Verdicts() []Verdict {
