Give requests with a prompt an identity of their own

Callers saw: a stream that ends its worker was passed on for as long as it was repeated (BUDGET), or up to a quarter of the sound streams that share a part with it were refused in its place. Cause: the quarantine knew a stream by the parts of its prompt without the last one. What was repeated as a whole had nothing that names it: sound streams clear its parts, or one of them is condemned. Change: the whole request (method, target, customer, prompt, body) is accused beside the parts, has tables of its own, and counts as finished only when its answer is complete. A part waits for a suspected request that has all of its ends. Requests that are seen once push out neither the evidence on parts nor that on repeated ones. TestRepeatedRequestIsToldFromItsParts and three more in internal/quarantine hold; the tables stay below 32 MB (TestMemoryIsBounded fills the new ones too).

--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -78,7 +78,8 @@
 			return
 		}
 		a.exchange.releaseConn(g.pool)
-		g.quarantine.recordSurvival(r.service, r.parts, a.begunAt)
+		g.quarantine.recordSurvival(r, a.begunAt)
+		g.quarantine.recordWholeFinished(r, a.begunAt)
 	}()
 	return h
 }
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -199,15 +199,33 @@
 	q.apply(verdicts, "known from another gateway, or from what others know")
 }
 
-// recordSurvival records a request that did not end its worker, which began with it at begunAt.
-func (q *quarantineGuard) recordSurvival(service string, parts []uint64, begunAt time.Time) {
+// recordSurvival records that the prompt of a request did not end its worker, which began with it at begunAt.
+func (q *quarantineGuard) recordSurvival(r *request, begunAt time.Time) {
+	if !r.hasPrompt() {
+		return
+	}
 	q.mu.Lock()
 	now := sinceBoot()
-	cleared := q.tracker.RecordFinished(now, now-time.Since(begunAt), service, parts)
+	cleared := q.tracker.RecordFinished(now, now-time.Since(begunAt), r.service, r.parts)
 	q.mu.Unlock()
 	q.logVerdicts(cleared, "a worker answered a request with it")
 }
 
+// recordWholeFinished records that a worker, which began with a request at begunAt, has answered it.
+func (q *quarantineGuard) recordWholeFinished(r *request, begunAt time.Time) {
+	q.mu.Lock()
+	now := sinceBoot()
+	begun := now - time.Since(begunAt)
+	var cleared []quarantine.Verdict
+	if r.hasPrompt() {
+		cleared = q.tracker.RecordWholeFinished(now, begun, quarantine.Part{Service: r.service, ID: r.whole})
+	} else {
+		cleared = q.tracker.RecordFinished(now, begun, r.service, []uint64{r.whole})
+	}
+	q.mu.Unlock()
+	q.logVerdicts(cleared, "a worker answered the request")
+}
+
 // setWorkers sets the usable workers.
 func (q *quarantineGuard) setWorkers(workers []forward.Worker) {
 	counts, versions := map[string]int{}, map[string][]string{}
@@ -245,8 +263,8 @@
 	}
 	q.mu.Lock()
 	verdicts := q.tracker.RecordEnd(sinceBoot()-time.Since(e.brokeAt), quarantine.WorkerEnd{
-		Service: r.service, Version: e.worker.Version, Worker: workerKey(e.worker), IDs: r.parts, Weight: e.weight,
-		IsWhole: !r.hasPrompt(), OnTrial: e.onTrial,
+		Service: r.service, Version: e.worker.Version, Worker: workerKey(e.worker), IDs: r.parts, Whole: r.whole, Weight: e.weight,
+		OnTrial: e.onTrial,
 	})
 	q.mu.Unlock()
 	q.log.Info("worker has ended under a request", append(q.fieldsOf(e), zap.Float64("weight", e.weight))...)
@@ -277,8 +295,8 @@
 func (q *quarantineGuard) fieldsOf(e endedAttempt) []zap.Field {
 	r := e.request
 	q.mu.Lock()
-	evidence := make([]quarantine.Summary, 0, maxLoggedParts)
-	for _, id := range r.parts[:min(len(r.parts), maxLoggedParts)] {
+	evidence := make([]quarantine.Summary, 0, maxLoggedParts+1)
+	for _, id := range append(r.parts[:min(len(r.parts), maxLoggedParts):min(len(r.parts), maxLoggedParts)], r.whole) {
 		evidence = append(evidence, q.tracker.Summarize(sinceBoot(), quarantine.Part{Service: r.service, ID: id}))
 	}
 	q.mu.Unlock()
@@ -342,7 +360,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for a, r := range q.pending {
-		if d := q.tracker.Decide(sinceBoot(), r.service, r.parts); d.Action == quarantine.Refuse {
+		if d := q.tracker.Decide(sinceBoot(), r.service, r.identities()); d.Action == quarantine.Refuse {
 			_ = a.exchange.conn.Close() // fails only on a closed connection
 		}
 	}
--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"net"
 	"net/http"
@@ -33,27 +34,36 @@
 	survivalTime = time.Second
 )
 
-// partIDs returns what a request may have in common with others that end workers: the parts of its
-// prompt without the last one, which is its own, or without a prompt the whole request.
-func (r *request) partIDs() []uint64 {
+// promptParts returns the parts of the prompt without the last one, which is the request's own.
+func (r *request) promptParts() []uint64 {
 	prompt := r.inbound.meta.Prompt
 	if len(prompt) == 0 {
-		return []uint64{r.inbound.fingerprint(r.customer.Name)}
+		return nil
 	}
-	out := make([]uint64, 0, len(prompt)-1)
+	out := make([]uint64, 0, len(prompt))
 	for _, part := range prompt[:len(prompt)-1] {
 		out = append(out, part.ID)
 	}
 	return out
 }
 
-// fingerprint returns a hash of the method, target and body of a request of a customer.
+// identities returns what the request may have in common with others that end workers: the parts of its prompt,
+// and the whole request, which its caller may repeat.
+func (r *request) identities() []uint64 {
+	return append(r.parts[:len(r.parts):len(r.parts)], r.whole)
+}
+
+// fingerprint returns a hash of the method, target, prompt and body of a request of a customer. A repeat has the
+// same one.
 func (r *inboundRequest) fingerprint(customer string) uint64 {
 	h := xxhash.New()
 	for _, field := range []string{customer, r.method, r.host, r.target} {
 		_, _ = h.WriteString(field) // writing to a hash returns no error
 		_, _ = h.Write([]byte{0})
 	}
+	for _, part := range r.meta.Prompt {
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, part.ID))
+	}
 	_, _ = h.Write(r.body)
 	return h.Sum64()
 }
@@ -112,7 +122,7 @@
 
 // decide returns what the quarantine says of the request now.
 func (r *request) decide() quarantine.Decision {
-	return r.gateway.quarantine.decide(r.service, r.parts)
+	return r.gateway.quarantine.decide(r.service, r.identities())
 }
 
 // notSentAgain returns a refusal, or upstream_failed if the request may have run.
@@ -142,21 +152,31 @@
 // turnOf returns the turn that the request must take. The suspected whole requests of a service have one
 // in common: two of them on one server could not be told apart.
 func (r *request) turnOf(d quarantine.Decision) quarantine.Part {
-	if r.hasPrompt() || d.OnProbation {
-		return d.Part
+	if d.IsWhole && !d.OnProbation {
+		return quarantine.Part{Service: d.Part.Service}
 	}
-	return quarantine.Part{Service: d.Part.Service}
+	return d.Part
 }
 
-// recordSurvival records that a worker has answered the request, or writes on long after it began.
-// Another request with the same suspected part may go then. A worker that failed has not shown that it can
-// run the request.
+// recordSurvival records that a worker writes on long after it began with the request, which speaks for the parts
+// of its prompt. Another request with the same suspected part may go then.
 func (r *request) recordSurvival(a *attempt) {
 	r.releaseAlone()
-	if !a.survived && a.exchange.resp.StatusCode < http.StatusInternalServerError {
+	if !a.survived {
 		a.survived = true
-		r.gateway.quarantine.recordSurvival(r.service, r.parts, a.workBegan(r.hasPrompt()))
+		r.gateway.quarantine.recordSurvival(r, a.workBegan(r.hasPrompt()))
+	}
+}
+
+// recordFinished records that a worker has answered the request. A worker that failed has not shown that it can run
+// the request.
+func (r *request) recordFinished(a *attempt) {
+	if a.exchange.resp.StatusCode >= http.StatusInternalServerError {
+		r.releaseAlone()
+		return
 	}
+	r.recordSurvival(a)
+	r.gateway.quarantine.recordWholeFinished(r, a.workBegan(r.hasPrompt()))
 }
 
 // workBegan returns when the worker began with the request: of a stream, whose header comes with its
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -44,8 +44,10 @@
 	// runCount is the number of workers that ran the request or may have.
 	runCount int
 
-	// parts is what the request may have in common with others under which workers end.
+	// parts are the parts of the prompt that the request may have in common with others under which workers end,
+	// and whole stands for the request itself.
 	parts []uint64
+	whole uint64
 	// endedWorkers is the number of workers that ended shortly after they had begun to answer the
 	// request. The reader of an answer that was set aside counts too.
 	endedWorkers atomic.Int32
@@ -101,7 +103,7 @@
 	ctx, cancel := context.WithDeadline(ctx, r.deadline)
 	defer cancel()
 	r.gateway.dispatcher.recordFirstAttempt(r.service)
-	r.parts = r.partIDs()
+	r.parts, r.whole = r.promptParts(), r.inbound.fingerprint(r.customer.Name)
 	defer r.releaseAlone()
 	defer r.returnRetry()
 	defer r.dropHedged()
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -60,7 +60,7 @@
 	}
 	if ended {
 		a.exchange.releaseConn(r.gateway.pool)
-		r.recordSurvival(a)
+		r.recordFinished(a)
 		return forward.Answered, true
 	}
 	buffer.reset()
@@ -79,7 +79,7 @@
 		return r.abortResponse()
 	}
 	a.exchange.releaseConn(r.gateway.pool)
-	r.recordSurvival(a)
+	r.recordFinished(a)
 	return forward.Answered, true
 }
 
@@ -148,7 +148,7 @@
 			r.sendStreamHeader(resp)
 		}
 		a.exchange.releaseConn(r.gateway.pool)
-		r.recordSurvival(a)
+		r.recordFinished(a)
 		return forward.Answered, true
 	}
 	if err == nil {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -16,7 +16,7 @@
 			continue
 		}
 		p := t.ledger.parts[other]
-		if p == nil || p.isWhole() && t.hasAllEndsOf(part, other) {
+		if p == nil || p.isWhole && t.hasAllEndsOf(part, other) {
 			continue
 		}
 		for worker := range p.crashes {
@@ -142,8 +142,8 @@
 }
 
 // isExplainedLater reports whether the ends that condemn a part are those of suspected parts further back
-// in prompts, which will be condemned or cleared first. Sound first parts have the ends of several fatal
-// parts behind them, and may reach the threshold before each of these.
+// in prompts, or of one suspected whole request, which will be condemned or cleared first. Sound first parts
+// have the ends of several fatal parts behind them, and may reach the threshold before each of these.
 func (t *Tracker) isExplainedLater(now Elapsed, c candidate, suspects []candidate) bool {
 	if c.isWhole {
 		return false
@@ -151,7 +151,7 @@
 	without := t.explained(c.part)
 	own := t.ledger.parts[c.part]
 	for _, s := range suspects {
-		if s.isWhole || s.position <= c.position {
+		if s.position <= c.position || s.isWhole && t.sharedEnds(c.part, s.part) < len(own.crashes) {
 			continue
 		}
 		for worker := range t.ledger.parts[s.part].crashes {
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -7,9 +7,12 @@
 )
 
 const (
-	// maxParts bounds the parts with evidence in a Ledger. The one whose last evidence is oldest
+	// maxParts bounds the parts of prompts with evidence in a Ledger. The one whose last evidence is oldest
 	// yields to a new one.
 	maxParts = 1024
+	// maxWholes bounds the whole requests with evidence, nearly all of which are seen once: evidence on
+	// them must not push out that on parts. Of those with the fewest ends the oldest one yields.
+	maxWholes = 1024
 	// maxVerdicts bounds the verdicts in a Ledger. The one that ends first yields to a new one, and
 	// those of operators yield last.
 	maxVerdicts = 256
@@ -17,6 +20,10 @@
 	maxCrashesPerPart = 128
 	// maxOriginsPerPart bounds the gateways whose finished requests are kept for one part.
 	maxOriginsPerPart = 64
+	// maxCrashesPerWhole and maxOriginsPerWhole are these bounds for a whole request. A few ends condemn it, and
+	// a few finished ones clear it.
+	maxCrashesPerWhole = 8
+	maxOriginsPerWhole = 8
 )
 
 // maxSequence bounds the sequences of verdicts, which other processes and the store state. Each later
@@ -102,7 +109,9 @@
 // Ledger holds what gateways know of parts. Records merge to the same state in any order and
 // however often they arrive.
 type Ledger struct {
-	parts    map[Part]*partRecords
+	parts map[Part]*partRecords
+	// wholes is the number of parts that are whole requests.
+	wholes   int
 	verdicts map[Part]*versioned[Verdict]
 	// version increases with each change. A reader names the version up to which it has read.
 	version int64
@@ -121,14 +130,22 @@
 	crashes  map[uint64]*versioned[Crash]
 	finished map[uint64]*versioned[Finished]
 	lastAt   Elapsed
+	// isWhole is set if the part is a whole request.
+	isWhole bool
 }
 
-// isWhole reports whether the part is a whole request.
-func (p *partRecords) isWhole() bool {
-	for _, c := range p.crashes {
-		return c.value.IsWhole
+func (p *partRecords) maxCrashes() int {
+	if p.isWhole {
+		return maxCrashesPerWhole
 	}
-	return false
+	return maxCrashesPerPart
+}
+
+func (p *partRecords) maxOrigins() int {
+	if p.isWhole {
+		return maxOriginsPerWhole
+	}
+	return maxOriginsPerPart
 }
 
 // NewLedger returns an empty Ledger. The first version must be above all versions of earlier
@@ -191,8 +208,8 @@
 }
 
 func (l *Ledger) mergeCrash(from Source, part Part, c Crash) bool {
-	p := l.recordsOf(part, c.At)
-	if known := p.crashes[c.Worker]; known != nil && !c.outweighs(&known.value) || known == nil && len(p.crashes) >= maxCrashesPerPart {
+	p := l.recordsOf(part, c.At, c.IsWhole)
+	if known := p.crashes[c.Worker]; known != nil && !c.outweighs(&known.value) || known == nil && len(p.crashes) >= p.maxCrashes() {
 		return false
 	}
 	l.version++
@@ -202,11 +219,11 @@
 }
 
 func (l *Ledger) mergeFinished(from Source, part Part, f Finished) bool {
-	p := l.recordsOf(part, f.At)
+	p := l.recordsOf(part, f.At, false)
 	p.lastAt = max(p.lastAt, f.At)
 	known := p.finished[f.Origin]
 	if known == nil {
-		if len(p.finished) >= maxOriginsPerPart {
+		if len(p.finished) >= p.maxOrigins() {
 			return false
 		}
 		known = &versioned[Finished]{value: Finished{Origin: f.Origin, At: f.At - 2*finishedTTL}}
@@ -253,30 +270,59 @@
 	return true
 }
 
-// recordsOf returns the records of a part, created if missing.
-func (l *Ledger) recordsOf(part Part, at Elapsed) *partRecords {
+// recordsOf returns the records of a part, created if missing. A part is a whole request once an end says so.
+func (l *Ledger) recordsOf(part Part, at Elapsed, isWhole bool) *partRecords {
 	p := l.parts[part]
-	if p != nil {
+	if p != nil && (p.isWhole || !isWhole) {
 		return p
 	}
-	if len(l.parts) >= maxParts {
+	if isWhole && l.wholes >= maxWholes {
+		l.dropWhole()
+	}
+	if !isWhole && len(l.parts)-l.wholes >= maxParts {
 		l.dropPart()
 	}
-	p = &partRecords{crashes: map[uint64]*versioned[Crash]{}, finished: map[uint64]*versioned[Finished]{}, lastAt: at}
-	l.parts[part] = p
+	if p == nil {
+		p = &partRecords{crashes: map[uint64]*versioned[Crash]{}, finished: map[uint64]*versioned[Finished]{}, lastAt: at}
+		l.parts[part] = p
+	}
+	if isWhole {
+		p.isWhole = true
+		l.wholes++
+	}
 	return p
 }
 
-// dropPart removes the part whose last evidence is oldest.
+// remove removes the records of a part.
+func (l *Ledger) remove(part Part) {
+	if l.parts[part].isWhole {
+		l.wholes--
+	}
+	delete(l.parts, part)
+}
+
+// dropPart removes the part of prompts whose last evidence is oldest.
 func (l *Ledger) dropPart() {
-	var oldest Part
-	found := false
+	l.dropFirst(false, func(p, q *partRecords) bool { return p.lastAt < q.lastAt })
+}
+
+// dropWhole removes the oldest one of the whole requests with the fewest ends.
+func (l *Ledger) dropWhole() {
+	l.dropFirst(true, func(p, q *partRecords) bool {
+		return len(p.crashes) < len(q.crashes) || len(p.crashes) == len(q.crashes) && p.lastAt < q.lastAt
+	})
+}
+
+// dropFirst removes the part, or whole request, that is before all others.
+func (l *Ledger) dropFirst(isWhole bool, isBefore func(p, q *partRecords) bool) {
+	var first Part
+	var records *partRecords
 	for part, p := range l.parts {
-		if !found || p.lastAt < l.parts[oldest].lastAt {
-			oldest, found = part, true
+		if p.isWhole == isWhole && (records == nil || isBefore(p, records)) {
+			first, records = part, p
 		}
 	}
-	delete(l.parts, oldest)
+	l.remove(first)
 }
 
 // Expire removes evidence that is older than its window and verdicts that ended long ago.
@@ -288,7 +334,7 @@
 			}
 		}
 		if len(p.crashes) == 0 && now-p.lastAt > evidenceWindow {
-			delete(l.parts, part)
+			l.remove(part)
 		}
 	}
 	for part, v := range l.verdicts {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -11,8 +11,8 @@
 // Elapsed is a reading of a clock that also counts time in which the machine was suspended.
 type Elapsed = time.Duration
 
-// Part is what requests of a service may have in common: a part of their prompts or, of a request
-// without a prompt, the whole request.
+// Part is what requests of a service may have in common: a part of their prompts, or the whole request if it
+// is repeated.
 type Part struct {
 	Service string
 	ID      uint64
@@ -39,6 +39,8 @@
 type Decision struct {
 	Action Action
 	Part   Part
+	// IsWhole is set if the part is a whole request.
+	IsWhole bool
 	// OnProbation is set with SendAlone if the part was condemned before. Nothing presses then to
 	// find out whether it still ends workers.
 	OnProbation bool
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -183,21 +183,38 @@
 	s.finished, s.finishedAt = s.finishedNow(now)+1, now
 	var cleared []Verdict
 	for _, id := range ids {
-		part := Part{name, id}
-		if v, ok := t.clear(now, part); ok {
+		if v, ok := t.recordFinished(now, begun, Part{name, id}); ok {
 			cleared = append(cleared, v)
 		}
-		k, ok := t.known.Get(part)
-		if !ok {
-			k = &knownPart{}
-			t.known.Add(part, k)
-		}
-		k.add(now, begun)
-		t.publishFinished(now, part, k)
 	}
 	return cleared
 }
 
+// RecordWholeFinished records that a request with a prompt ended in order, as a whole. Nearly each such request is
+// a new one, so that only those that are in evidence are counted.
+func (t *Tracker) RecordWholeFinished(now, begun Elapsed, part Part) []Verdict {
+	if t.ledger.parts[part] == nil && t.ledger.verdicts[part] == nil {
+		return nil
+	}
+	if v, ok := t.recordFinished(now, begun, part); ok {
+		return []Verdict{v}
+	}
+	return nil
+}
+
+// recordFinished records that a request with a part ended in order. It returns the condemnation that ends by it.
+func (t *Tracker) recordFinished(now, begun Elapsed, part Part) (cleared Verdict, ok bool) {
+	cleared, ok = t.clear(now, part)
+	k, isKnown := t.known.Get(part)
+	if !isKnown {
+		k = &knownPart{}
+		t.known.Add(part, k)
+	}
+	k.add(now, begun)
+	t.publishFinished(now, part, k)
+	return cleared, ok
+}
+
 // publishFinished states the finished requests of a part that was accused of more than one end, which
 // few are, or condemned.
 func (t *Tracker) publishFinished(now Elapsed, part Part, k *knownPart) {
@@ -227,11 +244,11 @@
 	Service, Version string
 	// Worker is the ID of the worker and of its start.
 	Worker string
-	IDs    []uint64
+	// IDs are the parts of the prompt, and Whole is the whole request; 0 for none.
+	IDs   []uint64
+	Whole uint64
 	// Weight is how much the request is accused; see Weight.
 	Weight float64
-	// IsWhole is set if the request has no prompt, so that its one part is the whole request.
-	IsWhole bool
 	// OnTrial is set if the request was sent as a suspected one, apart from others like it.
 	OnTrial bool
 }
@@ -243,15 +260,21 @@
 	end := t.endOf(now, e.Service, worker)
 	end.begun += e.Weight
 	for i, id := range e.IDs {
-		part := Part{e.Service, id}
-		t.ledger.mergeCrash(NoSource, part, Crash{Worker: worker, Weight: e.Weight, Position: i, IsWhole: e.IsWhole, OnTrial: e.OnTrial, At: now})
-		if k, ok := t.known.Peek(part); ok {
-			t.publishFinished(now, part, k)
-		}
+		t.recordCrash(now, Part{e.Service, id}, Crash{Worker: worker, Weight: e.Weight, Position: i, OnTrial: e.OnTrial, At: now})
+	}
+	if e.Whole != 0 {
+		t.recordCrash(now, Part{e.Service, e.Whole}, Crash{Worker: worker, Weight: e.Weight, Position: len(e.IDs), IsWhole: true, OnTrial: e.OnTrial, At: now})
 	}
 	return t.judge(now, e.Service, e.Version)
 }
 
+func (t *Tracker) recordCrash(now Elapsed, part Part, c Crash) {
+	t.ledger.mergeCrash(NoSource, part, c)
+	if k, ok := t.known.Peek(part); ok {
+		t.publishFinished(now, part, k)
+	}
+}
+
 func (t *Tracker) endOf(now Elapsed, name string, worker uint64) *workerEnd {
 	s := t.serviceOf(name)
 	end := s.ends[worker]
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -362,6 +362,11 @@
 		for origin := range uint64(maxOriginsPerPart) {
 			tracker.ledger.Merge(NoSource, Record{Part: Part{testService, i}, Finished: &Finished{Origin: origin, Count: commonFinishes, Begun: make([]Elapsed, commonFinishes)}})
 		}
+		whole := Part{testService, 1<<32 + i}
+		for worker := range uint64(maxCrashesPerPart) {
+			tracker.ledger.Merge(NoSource, Record{Part: whole, Crash: &Crash{Worker: worker, Weight: 1, IsWhole: true}})
+			tracker.ledger.Merge(NoSource, Record{Part: whole, Finished: &Finished{Origin: worker, Count: commonFinishes, Begun: make([]Elapsed, commonFinishes)}})
+		}
 		tracker.ledger.Merge(NoSource, Record{Part: Part{testService, i}, Verdict: &Verdict{Part: Part{testService, i}, Sequence: 1, Condemned: true, Until: time.Hour}})
 	}
 	used := liveHeap() - before
--- a/internal/quarantine/turnedfatal_test.go
+++ b/internal/quarantine/turnedfatal_test.go
@@ -9,8 +9,8 @@
 
 // wholeEnd returns the end of a server under a request without a prompt.
 func wholeEnd(worker int, id uint64, onTrial bool) WorkerEnd {
-	e := endOf(worker, id)
-	e.IsWhole, e.OnTrial = true, onTrial
+	e := endOf(worker)
+	e.Whole, e.OnTrial = id, onTrial
 	return e
 }
 
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -109,7 +109,7 @@
 	switch {
 	case p == nil || len(p.crashes) == 0:
 		return false
-	case !p.isWhole():
+	case !p.isWhole:
 		return t.isExplainedByParts(now, part)
 	}
 	for other := range t.ledger.verdicts {
@@ -185,7 +185,8 @@
 			return Decision{Action: Refuse, Part: part}
 		}
 		if out.Action == Send && t.isSuspected(now, part) {
-			out = Decision{Action: SendAlone, Part: part, OnProbation: t.isOnProbation(now, part)}
+			p := t.ledger.parts[part]
+			out = Decision{Action: SendAlone, Part: part, IsWhole: p != nil && p.isWhole, OnProbation: t.isOnProbation(now, part)}
 		}
 	}
 	return out
--- /dev/null
+++ b/internal/quarantine/whole_test.go
@@ -0,0 +1,89 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// streamEnd returns the end of a worker under a request with a prompt.
+func streamEnd(worker int, whole uint64, ids ...uint64) WorkerEnd {
+	e := endOf(worker, ids...)
+	e.Whole = whole
+	return e
+}
+
+// Guards against a sound part that is condemned in place of the one request that is repeated, and against requests
+// of a fatal part that hide it since one of them was repeated.
+func TestRepeatedRequestIsToldFromItsParts(t *testing.T) {
+	const request, part = uint64(0xfa7a1), uint64(0x77)
+	tracker := newTestTracker("a")
+	for i := range 3 {
+		tracker.RecordEnd(moment(i), streamEnd(i, request, 1, part))
+	}
+	assert.Equal(t, tracker.Decide(moment(4), testService, []uint64{1, part, request}).Action, Refuse)
+	assert.Equal(t, tracker.Decide(moment(4), testService, []uint64{1, part, 9}).Action, Send)
+
+	tracker = newTestTracker("a")
+	for i := range 5 {
+		whole := request
+		if i%2 == 1 {
+			whole += uint64(i)
+		}
+		tracker.RecordEnd(moment(i), streamEnd(i, whole, 1, part))
+	}
+	assert.Equal(t, tracker.Decide(moment(6), testService, []uint64{1, part, 9}).Action, Refuse)
+}
+
+// Guards against a sound part that is condemned while the repeated request that ends the workers is on trial.
+func TestPartWaitsForTrialOfRequest(t *testing.T) {
+	const request, other, part = uint64(0xfa7a1), uint64(0xb0b), uint64(0x77)
+	tracker := newTestTracker("a")
+	for i := range 4 {
+		tracker.RecordEnd(moment(i), streamEnd(i, other, 1))
+		for _, v := range tracker.RecordEnd(moment(i), streamEnd(i, request, 1, part)) {
+			assert.Equal(t, v.Part.ID, request)
+		}
+	}
+	assert.Equal(t, tracker.Decide(moment(5), testService, []uint64{1, part, 9}).Action == Refuse, false)
+	e := streamEnd(5, request, 1, part)
+	e.OnTrial = true
+	tracker.RecordEnd(moment(6), e)
+	assert.Equal(t, tracker.Decide(moment(7), testService, []uint64{1, part, request}).Action, Refuse)
+	assert.Equal(t, tracker.Decide(moment(7), testService, []uint64{1, part, 9}).Action == Refuse, false)
+}
+
+// Guards against requests that are seen once and push the evidence on parts, or on a repeated request, out.
+func TestWholeRequestsDoNotPushOutEvidence(t *testing.T) {
+	const part, request = uint64(0x77), uint64(0xfa7a1)
+	l := NewLedger(0)
+	crash := func(id, worker uint64, isWhole bool) {
+		l.Merge(NoSource, Record{Part: Part{testService, id}, Crash: &Crash{Worker: worker, Weight: 1, IsWhole: isWhole, At: time.Duration(worker)}})
+	}
+	crash(part, 1, false)
+	crash(request, 1, true)
+	crash(request, 2, true)
+	for i := range uint64(3 * maxWholes) {
+		crash(1<<40+i, 3+i, true)
+	}
+	assert.Equal(t, l.wholes, maxWholes)
+	assert.Equal(t, len(l.parts), maxWholes+1)
+	assert.Assert(t, l.parts[Part{testService, part}] != nil)
+	assert.Assert(t, l.parts[Part{testService, request}] != nil)
+	l.Expire(time.Hour)
+	assert.Equal(t, l.wholes, 0)
+}
+
+// Guards against requests that are seen once and push out the finished requests of common parts.
+func TestFinishedWholeRequestsAreKeptOnlyInEvidence(t *testing.T) {
+	tracker := newTestTracker("a")
+	known := tracker.known.Len()
+	tracker.RecordWholeFinished(time.Second, time.Second, Part{testService, 5})
+	assert.Equal(t, tracker.known.Len(), known)
+	tracker.RecordEnd(moment(0), streamEnd(0, 5, 1))
+	tracker.RecordEnd(moment(1), streamEnd(1, 5, 1))
+	assert.Equal(t, tracker.Decide(moment(2), testService, []uint64{1, 5}).Action, SendAlone)
+	tracker.RecordWholeFinished(moment(3), moment(2), Part{testService, 5})
+	assert.Equal(t, tracker.Decide(moment(4), testService, []uint64{1, 5}).Action, Send)
+}
