Accuse streams whose worker ends before their header

Cause: a stream whose header had not come was taken for one that waited, and accused of nothing, however often its workers ended. Change: it is accused like a plain request, fully if no other request of the gateway waited at the worker or if it was sent on trial, by three quarters otherwise. What waits at a worker and is sound finishes elsewhere, which takes an end back.

--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -19,9 +19,8 @@
 const (
 	// maxEndedWorkers is how many workers may end under one request.
 	maxEndedWorkers = 2
-	// sharedWeight is the accusation of a request without a prompt whose answer had not begun, and that
-	// was not alone on its server: its header comes only when the work is done. Two such ends make a
-	// suspect of a service of any size.
+	// sharedWeight is the accusation of a request whose answer had not begun, and that was not alone on its
+	// server: it may have waited there. Two such ends make a suspect of a service of any size.
 	sharedWeight = 0.75
 	// maxAloneWait bounds the wait of a request with a suspected part, and maxAloneShare the share of
 	// its remaining time.
@@ -198,9 +197,6 @@
 	switch {
 	case !a.begunAt.IsZero():
 		end.weight = quarantine.Weight(time.Since(a.begunAt))
-	case r.hasPrompt():
-		r.gateway.quarantine.logUncounted(end, beforeHeader)
-		return
 	case a.wasAlone, r.turn != nil:
 		end.weight = 1
 	default:
@@ -225,7 +221,6 @@
 type uncountedReason string
 
 const (
-	beforeHeader    uncountedReason = "before_header"
 	longAfterHeader uncountedReason = "long_after_header"
 	workerLeaves    uncountedReason = "worker_leaves"
 	workerAccepts   uncountedReason = "worker_accepts_connections"
--- a/internal/quarantine/policy_test.go
+++ b/internal/quarantine/policy_test.go
@@ -66,6 +66,8 @@
 }
 
 const (
+	// waitingWeight is the accusation of a request whose answer had not begun, as in package gateway.
+	waitingWeight = 0.75
 	modelStep     = 10 * time.Millisecond
 	modelExchange = 300 * time.Millisecond
 	modelRestart  = 3300 * time.Millisecond
@@ -216,7 +218,11 @@
 		if r.worker != w {
 			return false
 		}
-		if weight := Weight(now - r.begunAt); now >= r.begunAt && weight > 0 {
+		weight := Weight(now - r.begunAt)
+		if now < r.begunAt {
+			weight = waitingWeight
+		}
+		if weight > 0 {
 			m.trackers[r.gateway].RecordEnd(now, WorkerEnd{Service: testService, Version: "v1", Worker: r.name, IDs: r.ids, Weight: weight})
 		}
 		return true
