Keep a condemned request condemned when a common part has its ends

Callers saw: a repeated request that was refused was passed on again, and up to a quarter of the sound streams were refused in its place. Cause: a condemned whole request explained no end of a part that had all of its ends and one more. Where few workers are left, a common part is under each end, so that one more sufficed to condemn it, which acquitted the request. The preference of positions ranked a plain request before the parts of others' prompts, too. Change: only another whole request takes the place of a condemned one, and whole requests stand behind all parts. Evidence: TestCommonPartDoesNotTakePlaceOfCondemnedRequest fails before.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -8,7 +8,8 @@
 )
 
 // explained returns the ends of workers of the service of a part that condemned parts explain. A whole
-// request that had all ends of a condemned one, and more, explains these itself.
+// request that had all ends of a condemned one, and more, explains these itself. A part of prompts does not: where
+// few workers are left, a common part is under each end.
 func (t *Tracker) explained(part Part) map[uint64]bool {
 	out := map[uint64]bool{}
 	for other, v := range t.ledger.verdicts {
@@ -16,7 +17,7 @@
 			continue
 		}
 		p := t.ledger.parts[other]
-		if p == nil || p.isWhole && t.hasAllEndsOf(part, other) {
+		if p == nil || p.isWhole && t.isWhole(part) && t.hasAllEndsOf(part, other) {
 			continue
 		}
 		for worker := range p.crashes {
@@ -26,12 +27,20 @@
 	return out
 }
 
+func (t *Tracker) isWhole(part Part) bool {
+	p := t.ledger.parts[part]
+	return p != nil && p.isWhole
+}
+
 // hasAllEndsOf reports whether workers ended under a part whenever they did under another, and more often.
 func (t *Tracker) hasAllEndsOf(part, other Part) bool {
 	p, q := t.ledger.parts[part], t.ledger.parts[other]
 	return p != nil && part != other && len(p.crashes) > len(q.crashes) && t.sharedEnds(part, other) == len(q.crashes)
 }
 
+// behindAllParts is the position of whole requests: they are behind the parts of prompts, also of those of others.
+const behindAllParts = math.MaxInt
+
 // candidate is a part with the evidence against it.
 type candidate struct {
 	part Part
@@ -206,6 +215,9 @@
 		out.position = max(out.position, c.Position)
 		out.isWhole = out.isWhole || c.IsWhole
 	}
+	if out.isWhole {
+		out.position = behindAllParts
+	}
 	firstAt := out.cumulate(atDifferentMoments(ends), finished, math.Log(fatalShare/t.otherChance(now, part, explained)))
 	before := map[uint64]int{}
 	for _, f := range finished {
--- a/internal/quarantine/verdicts.go
+++ b/internal/quarantine/verdicts.go
@@ -185,8 +185,7 @@
 			return Decision{Action: Refuse, Part: part}
 		}
 		if out.Action == Send && t.isSuspected(now, part) {
-			p := t.ledger.parts[part]
-			out = Decision{Action: SendAlone, Part: part, IsWhole: p != nil && p.isWhole, OnProbation: t.isOnProbation(now, part)}
+			out = Decision{Action: SendAlone, Part: part, IsWhole: t.isWhole(part), OnProbation: t.isOnProbation(now, part)}
 		}
 	}
 	return out
--- a/internal/quarantine/whole_test.go
+++ b/internal/quarantine/whole_test.go
@@ -36,6 +36,21 @@
 	assert.Equal(t, tracker.Decide(moment(6), testService, []uint64{1, part, 9}).Action, Refuse)
 }
 
+// Guards against a common part that takes the place of a condemned request: it was under all of its ends, and under one
+// more for another reason.
+func TestCommonPartDoesNotTakePlaceOfCondemnedRequest(t *testing.T) {
+	const request, part = uint64(0xfa7a1), uint64(0x77)
+	tracker := newTestTracker("a")
+	for i := range 3 {
+		tracker.RecordEnd(moment(i), streamEnd(i, request))
+		tracker.RecordEnd(moment(i), streamEnd(i, 0x100+uint64(i), 1, part))
+	}
+	assert.Equal(t, tracker.Decide(moment(4), testService, []uint64{request}).Action, Refuse)
+	tracker.RecordEnd(moment(5), streamEnd(5, 0x105, 1, part))
+	assert.Equal(t, tracker.Decide(moment(6), testService, []uint64{request}).Action, Refuse)
+	assert.Equal(t, tracker.Decide(moment(6), testService, []uint64{1, part, 9}).Action == Refuse, false)
+}
+
 // Guards against a sound part that is condemned while the repeated request that ends the workers is on trial.
 func TestPartWaitsForTrialOfRequest(t *testing.T) {
 	const request, other, part = uint64(0xfa7a1), uint64(0xb0b), uint64(0x77)
