Find ends of workers by closing addresses and by the list of workers

Cause: only a refused connection, at once or 120 ms after a break, was a sign of an end. Change: a new connection that is closed in order within 50 ms is one (a worker with too many connections resets them, which shows nothing). Breaks without a sign wait up to 10 s for the list of workers: a later start under the same ID, or an entry that is removed without draining. Answers that are awaited from a worker that has started again, or whose entry is gone and whose address does not answer, are broken off; the request is accused by how long it was at work when the worker was last heard of. Requests that were sent after the end accuse nobody: a dead worker behind an accepting address got requests for seconds, each of which was accused.

--- a/internal/gateway/connpool.go
+++ b/internal/gateway/connpool.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,6 +61,9 @@
 	longestSilence time.Duration
 	guard          *overloadGuard
 	closed         sync.Once
+	// run is the run of the worker whose answer is awaited, and workerEnded is set once that is known to be over.
+	run         *workerRun
+	workerEnded atomic.Bool
 	// onReadTimeout is called at each read timeout, if set. It returns the next read deadline,
 	// or the zero time to let the read fail.
 	onReadTimeout func() time.Time
@@ -74,6 +78,12 @@
 	for {
 		n, err := c.Conn.Read(p)
 		c.received += int64(n)
+		if n > 0 {
+			c.recordRead()
+		}
+		if err != nil && c.workerEnded.Load() {
+			return n, errWorkerEnded
+		}
 		if bound := c.head.Add(p[:n]); bound != nil {
 			return 0, bound
 		}
--- a/internal/gateway/crashforms_test.go
+++ b/internal/gateway/crashforms_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -129,9 +130,24 @@
 			}
 		}
 	}
+	if out.late > maxLateEnds || out.refused > 0 {
+		for _, gw := range gateways {
+			logQuarantine(t, gw)
+		}
+	}
 	return out
 }
 
+// logQuarantine writes what a gateway logged on ends of workers and verdicts.
+func logQuarantine(t *testing.T, gw *gatewayHarness) {
+	t.Helper()
+	for line := range strings.SplitSeq(gw.log.String(), "\n") {
+		if strings.Contains(line, `"part":"quarantine"`) {
+			t.Log(line)
+		}
+	}
+}
+
 // startExchangingGateways starts gateways that exchange what they know, unless they have no relay.
 func startExchangingGateways(t *testing.T, f *crashFleet, n int, hasRelay bool) []*gatewayHarness {
 	t.Helper()
@@ -223,18 +239,35 @@
 	checkCrashPlays(t, plays)
 }
 
-// Guards against requests that go on to end workers that keep their connections and answer nothing any more.
-func TestSilentEndsAreCounted(t *testing.T) {
-	var plays []crashPlay
-	for _, kind := range []fatalKind{fatalPartOfMany, repeatedStream, repeatedGet} {
-		for _, form := range []forwarding.EndForm{forwarding.Silent, forwarding.Dark} {
-			for _, same := range []bool{false, true} {
-				name := fmt.Sprintf("%v/dark=%v/same=%v", kind, form == forwarding.Dark, same)
-				plays = append(plays, crashPlay{name: name, fatal: kind, form: form, delay: 60 * time.Millisecond, workers: 8, restart: 2 * time.Second, keepsID: same})
-			}
-		}
+// silentPlays returns cases of workers that keep their connections and answer nothing any more.
+func silentPlays(same bool, form forwarding.EndForm, kinds ...fatalKind) []crashPlay {
+	var out []crashPlay
+	for _, kind := range kinds {
+		name := fmt.Sprintf("%v/dark=%v/same=%v", kind, form == forwarding.Dark, same)
+		out = append(out, crashPlay{name: name, fatal: kind, form: form, delay: 60 * time.Millisecond, workers: 8, restart: 2 * time.Second, keepsID: same})
 	}
-	checkCrashPlays(t, plays)
+	return out
+}
+
+// Guards against streams that go on to end workers that fall silent and start again, or whose machine is lost.
+func TestSilentEndsAreCounted(t *testing.T) {
+	plays := silentPlays(true, forwarding.Silent, fatalPartOfMany, repeatedStream)
+	plays = append(plays, silentPlays(true, forwarding.Dark, fatalPartOfMany, repeatedStream)...)
+	checkCrashPlays(t, append(plays, silentPlays(false, forwarding.Dark, fatalPartOfMany, repeatedStream)...))
+}
+
+// Guards against requests that go on to hang workers whose address still accepts connections once their entry is
+// removed.
+func TestHungWorkersAreCounted(t *testing.T) {
+	checkCrashPlays(t, silentPlays(false, forwarding.Silent, fatalPartOfMany, repeatedStream, repeatedGet))
+}
+
+// Guards against a plain request that goes on to end workers that fall silent: its attempts are over before the end
+// of their worker is known.
+func TestSilentEndsUnderPlainRequestAreCounted(t *testing.T) {
+	plays := silentPlays(true, forwarding.Silent, repeatedGet)
+	plays = append(plays, silentPlays(true, forwarding.Dark, repeatedGet)...)
+	checkCrashPlays(t, append(plays, silentPlays(false, forwarding.Dark, repeatedGet)...))
 }
 
 // Guards against a stream that ends workers long after the header of its answer and is never accused of it.
--- a/internal/gateway/dispatcher.go
+++ b/internal/gateway/dispatcher.go
@@ -54,7 +54,7 @@
 	// extraBytes is the mean number of bytes of an attempt beyond the body of its request, by route.
 	extraBytes map[string]float64
 	// onWorkers is called with the usable workers when they have changed; it may be nil.
-	onWorkers func([]forward.Worker)
+	onWorkers func(usable []forward.Worker, find func(id string) (forward.Worker, bool))
 	log       *zap.Logger
 }
 
@@ -160,10 +160,17 @@
 		d.rollouts.recordBaseline(usable)
 	}
 	if d.onWorkers != nil {
-		d.onWorkers(usable)
+		d.onWorkers(usable, d.workers.Find)
 	}
 }
 
+// findWorker returns a worker that is listed, also one that leaves.
+func (d *dispatcher) findWorker(id string) (forward.Worker, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.workers.Find(id)
+}
+
 // isInUse reports whether a worker is listed and does not leave. The end of one that leaves is
 // expected.
 func (d *dispatcher) isInUse(w forward.Worker) bool {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -82,6 +82,8 @@
 	writeOK       bool
 	stopAfterFunc func() bool
 	isDone        bool
+	// onEnd is called when the answer is not awaited any more, if set.
+	onEnd func()
 	// hadOtherAnswer reports whether an answer to another request was skipped. Nobody knows what
 	// else will come on the connection then, so that it is not used again.
 	hadOtherAnswer bool
@@ -217,8 +219,7 @@
 	if e.isDone {
 		return
 	}
-	e.isDone = true
-	e.receivedBytes, e.longestSilence = e.conn.received-e.receivedBefore, e.conn.longestSilence
+	e.end()
 	select {
 	case <-e.writeDone:
 	default:
@@ -243,9 +244,17 @@
 	if e.isDone {
 		return
 	}
+	e.end()
+	e.closeConn()
+}
+
+// end records that the answer is not awaited any more.
+func (e *exchange) end() {
 	e.isDone = true
 	e.receivedBytes, e.longestSilence = e.conn.received-e.receivedBefore, e.conn.longestSilence
-	e.closeConn()
+	if e.onEnd != nil {
+		e.onEnd()
+	}
 }
 
 func (e *exchange) closeConn() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,6 +229,7 @@
 	now := sinceBoot()
 	g.dispatcher.tick(now)
 	g.quarantine.tick(now)
+	g.endChangedRuns()
 	if n%idleCleanupTicks == 0 {
 		g.pool.closeUnused(g.dispatcher.usableAddresses())
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -1,16 +1,12 @@
 package gateway
 
 import (
-	"errors"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 
-	lru "github.com/hashicorp/golang-lru/v2/simplelru"
 	"go.uber.org/zap"
 
 	"github.com/borageflow/borageflow/internal/errkind"
@@ -20,16 +16,6 @@
 )
 
 const (
-	// endProbeTimeout bounds the connection attempt that shows whether a worker has ended. One whose
-	// machine does not answer at all is not taken for ended.
-	endProbeTimeout = 100 * time.Millisecond
-	// endRecheckDelay is the time after the break of an answer in which its worker may end. Workers that
-	// crash cut connections up to 40 ms before they refuse new ones.
-	endRecheckDelay = 120 * time.Millisecond
-	// maxRechecksPerWorker bounds the broken attempts of a worker that wait for that look.
-	maxRechecksPerWorker = 64
-	// maxKnownEnds bounds the ended workers that are remembered.
-	maxKnownEnds = 1024
 	// aloneSlot is the time that one request with a suspected part takes until all gateways know
 	// how it ended: to the beginning of its answer, and an exchange with a relay.
 	aloneSlot = 300 * time.Millisecond
@@ -52,10 +38,7 @@
 	pending map[*attempt]*request
 	// pendingWorkers counts them by worker.
 	pendingWorkers map[string]*pendingWorker
-	// rechecks holds the broken attempts whose workers are looked at again, by worker.
-	rechecks map[string][]endedAttempt
-	// ends holds the workers that are known to have ended.
-	ends *lru.LRU[string, struct{}]
+	ends           endFinder
 	// gateways is the number of gateways that exchange what they know.
 	gateways int
 	// cursors holds how far the records are exchanged with each relay.
@@ -77,13 +60,9 @@
 }
 
 func newQuarantineGuard(origin string, isRelay bool, m *gatewayMetrics, log *zap.Logger) *quarantineGuard {
-	ends, err := lru.NewLRU[string, struct{}](maxKnownEnds, nil)
-	if err != nil {
-		panic(err) // only a size below 1 fails
-	}
 	q := &quarantineGuard{
 		log: log, metrics: m, tracker: quarantine.NewTracker(origin, time.Now().Add(-sinceBoot())),
-		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, pendingWorkers: map[string]*pendingWorker{}, rechecks: map[string][]endedAttempt{}, ends: ends, gateways: 1, cursors: map[string]*news.QuarantineCursor{}, writer: newCondemnationWriter(isRelay),
+		turns: map[quarantine.Part]*aloneTurn{}, pending: map[*attempt]*request{}, pendingWorkers: map[string]*pendingWorker{}, ends: newEndFinder(), gateways: 1, cursors: map[string]*news.QuarantineCursor{}, writer: newCondemnationWriter(isRelay),
 	}
 	m.set.NewGauge("borageflow_gateway_condemned_parts", func() float64 { return float64(len(q.condemnations())) })
 	m.set.NewGauge("borageflow_gateway_dropped_verdicts", func() float64 { return float64(q.droppedVerdicts()) })
@@ -149,6 +128,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.pending[a] = r
+	q.beginWait(a)
 	w := q.pendingWorkers[a.worker.ID]
 	if w == nil {
 		w = &pendingWorker{}
@@ -226,8 +206,8 @@
 	q.logVerdicts(cleared, "a worker answered the request")
 }
 
-// setWorkers sets the usable workers.
-func (q *quarantineGuard) setWorkers(workers []forward.Worker) {
+// setWorkers sets the usable workers. find returns a worker that is listed, also one that leaves.
+func (q *quarantineGuard) setWorkers(workers []forward.Worker, find func(id string) (forward.Worker, bool)) {
 	counts, versions := map[string]int{}, map[string][]string{}
 	for _, w := range workers {
 		counts[w.Service]++
@@ -240,6 +220,7 @@
 	for service, n := range counts {
 		q.tracker.SetWorkers(sinceBoot(), service, n, versions[service])
 	}
+	q.ends.compare(find)
 }
 
 // tick removes what is out of date.
@@ -255,29 +236,6 @@
 	q.apply(verdicts, "workers ended under requests with it")
 }
 
-// recordEnd records that a worker ended under a request, and logs it.
-func (q *quarantineGuard) recordEnd(e endedAttempt) {
-	r := e.request
-	if e.weight >= sharedWeight {
-		r.endedWorkers.Add(1)
-	}
-	q.mu.Lock()
-	verdicts := q.tracker.RecordEnd(sinceBoot()-time.Since(e.brokeAt), quarantine.WorkerEnd{
-		Service: r.service, Version: e.worker.Version, Worker: workerKey(e.worker), IDs: r.parts, Whole: r.whole, Weight: e.weight,
-		OnTrial: e.onTrial,
-	})
-	q.mu.Unlock()
-	q.log.Info("worker has ended under a request", append(q.fieldsOf(e), zap.Float64("weight", e.weight))...)
-	q.metrics.countWorkerEnd(r.service)
-	q.apply(verdicts, "workers ended under requests with it")
-}
-
-// logUncounted writes why a broken answer does not count as the end of its worker.
-func (q *quarantineGuard) logUncounted(e endedAttempt, reason uncountedReason) {
-	q.metrics.countUncountedBreak(string(reason))
-	q.log.Info("answer broke off, which counts as no end of a worker", append(q.fieldsOf(e), zap.String("reason", string(reason)))...)
-}
-
 // logSuspect writes whether a request with a suspected part was sent, and why not.
 func (q *quarantineGuard) logSuspect(r *request, d quarantine.Decision, refusal *errkind.Error) {
 	q.mu.Lock()
@@ -291,65 +249,6 @@
 		zap.Any("evidence", evidence), zap.Bool("on_probation", d.OnProbation), zap.Bool("on_trial", r.turn != nil), zap.String("outcome", outcome))
 }
 
-// fieldsOf returns the fields of a log line on a broken answer.
-func (q *quarantineGuard) fieldsOf(e endedAttempt) []zap.Field {
-	r := e.request
-	q.mu.Lock()
-	evidence := make([]quarantine.Summary, 0, maxLoggedParts+1)
-	for _, id := range append(r.parts[:min(len(r.parts), maxLoggedParts):min(len(r.parts), maxLoggedParts)], r.whole) {
-		evidence = append(evidence, q.tracker.Summarize(sinceBoot(), quarantine.Part{Service: r.service, ID: id}))
-	}
-	q.mu.Unlock()
-	sinceBegin := int64(-1)
-	if !e.begunAt.IsZero() {
-		sinceBegin = e.brokeAt.Sub(e.begunAt).Milliseconds()
-	}
-	return []zap.Field{
-		zap.String("worker", e.worker.ID), zap.String("service", r.service), zap.String("version", e.worker.Version),
-		zap.String("request", r.inbound.meta.RequestID), zap.String("customer", r.customer.Name), zap.Any("evidence", evidence),
-		zap.Bool("was_alone", e.wasAlone), zap.Bool("on_trial", e.onTrial), zap.Int64("since_begin_ms", sinceBegin),
-		zap.Int64("since_break_ms", time.Since(e.brokeAt).Milliseconds()),
-	}
-}
-
-// recheckEnd looks later whether the worker of a broken attempt has ended after all, and records that.
-// Breaks of one worker wait for the same look.
-func (g *Gateway) recheckEnd(e endedAttempt) {
-	q, key := g.quarantine, workerKey(e.worker)
-	q.mu.Lock()
-	waiting, isRunning := q.rechecks[key]
-	if len(waiting) < maxRechecksPerWorker {
-		q.rechecks[key] = append(waiting, e)
-	}
-	q.mu.Unlock()
-	if isRunning {
-		return
-	}
-	g.goroutines.Go(func() { g.protect("check of a worker", func() { g.runRecheck(e.worker, key) }) })
-}
-
-// runRecheck waits and then records the broken attempts of a worker if it has ended.
-func (g *Gateway) runRecheck(w forward.Worker, key string) {
-	timer := time.NewTimer(endRecheckDelay)
-	defer timer.Stop()
-	select {
-	case <-g.ctx.Done():
-	case <-timer.C:
-	}
-	ended := g.ctx.Err() == nil && g.hasEnded(w)
-	g.quarantine.mu.Lock()
-	waiting := g.quarantine.rechecks[key]
-	delete(g.quarantine.rechecks, key)
-	g.quarantine.mu.Unlock()
-	for _, e := range waiting {
-		if !ended {
-			g.quarantine.logUncounted(e, workerAccepts)
-			continue
-		}
-		g.quarantine.recordEnd(e)
-	}
-}
-
 // apply logs verdicts and closes the connections of attempts that wait at workers and that a verdict
 // condemns.
 func (q *quarantineGuard) apply(verdicts []quarantine.Verdict, reason string) {
@@ -381,30 +280,3 @@
 		q.log.Info("requests with a part are not refused any more", fields...)
 	}
 }
-
-// workerKey identifies one run of a worker.
-func workerKey(w forward.Worker) string { return w.ID + "@" + strconv.FormatInt(w.StartUnixMs, 36) }
-
-// hasEnded reports whether the process of a worker has ended: its machine refuses connections.
-func (g *Gateway) hasEnded(w forward.Worker) bool {
-	key := workerKey(w)
-	g.quarantine.mu.Lock()
-	known := g.quarantine.ends.Contains(key)
-	g.quarantine.mu.Unlock()
-	if known {
-		return true
-	}
-	dialer := net.Dialer{Timeout: endProbeTimeout}
-	c, err := dialer.DialContext(g.ctx, "tcp", w.Address)
-	if err == nil {
-		_ = c.Close() // nothing was written
-		return false
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return false
-	}
-	g.quarantine.mu.Lock()
-	defer g.quarantine.mu.Unlock()
-	g.quarantine.ends.Add(key, struct{}{})
-	return true
-}
--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -190,33 +191,49 @@
 // recordBreak records that the answer of an attempt broke off. If the worker has ended, the request is
 // accused of that by how recently its answer had begun.
 func (r *request) recordBreak(a *attempt, err error) {
-	if cause := framing.CauseOf(err); cause != framing.BrokenOff && cause != framing.InsideEvent || errors.Is(err, net.ErrClosed) || isReadTimeout(err) {
+	isLost := a.exchange.conn.workerEnded.Load() || errors.Is(err, syscall.ETIMEDOUT)
+	cause := framing.CauseOf(err)
+	isBreak := isLost || (cause == framing.BrokenOff || cause == framing.InsideEvent) && !isReadTimeout(err)
+	if !isBreak || errors.Is(err, net.ErrClosed) {
 		return
 	}
-	end := endedAttempt{request: r, worker: a.worker, begunAt: a.begunAt, brokeAt: time.Now(), wasAlone: a.wasAlone, onTrial: r.turn != nil}
+	q := r.gateway.quarantine
+	end := endedAttempt{request: r, worker: a.worker, startedAt: a.started, begunAt: a.begunAt, brokeAt: time.Now(), wasAlone: a.wasAlone, onTrial: r.turn != nil}
+	if run := a.exchange.conn.run; isLost && run != nil {
+		end.brokeAt = q.endOf(run, a.begunAt.IsZero())
+	}
+	end.weight = end.accusation()
+	sign := q.knownEnd(a.worker).sign
 	switch {
-	case !a.begunAt.IsZero():
-		end.weight = quarantine.Weight(time.Since(a.begunAt))
-	case a.wasAlone, r.turn != nil:
-		end.weight = 1
-	default:
-		end.weight = sharedWeight
-	}
-	if end.weight == 0 {
-		r.gateway.quarantine.logUncounted(end, longAfterHeader)
+	case end.weight == 0:
+		q.logUncounted(end, longAfterHeader)
 		return
-	}
-	if !r.gateway.dispatcher.isInUse(a.worker) {
-		r.gateway.quarantine.logUncounted(end, workerLeaves)
+	case sign == noEnd && !r.gateway.dispatcher.isInUse(a.worker):
+		q.logUncounted(end, workerLeaves)
 		return
+	case sign == noEnd:
+		if sign = probeAddress(r.gateway.ctx, a.worker.Address, 0); sign != noEnd {
+			q.recordKnownEnd(a.worker, knownEnd{sign, end.brokeAt})
+		}
 	}
-	if r.gateway.hasEnded(a.worker) {
-		r.gateway.quarantine.recordEnd(end)
+	if sign != noEnd {
+		q.recordEnd(end, sign)
 		return
 	}
 	r.gateway.recheckEnd(end)
 }
 
+// accusation returns how much the request of a broken attempt is accused if its worker has ended.
+func (e endedAttempt) accusation() float64 {
+	switch {
+	case !e.begunAt.IsZero():
+		return quarantine.Weight(e.brokeAt.Sub(e.begunAt))
+	case e.wasAlone, e.onTrial:
+		return 1
+	}
+	return sharedWeight
+}
+
 // uncountedReason is why a broken answer does not count as the end of its worker. The list is closed.
 type uncountedReason string
 
@@ -224,14 +241,17 @@
 	longAfterHeader uncountedReason = "long_after_header"
 	workerLeaves    uncountedReason = "worker_leaves"
 	workerAccepts   uncountedReason = "worker_accepts_connections"
+	// afterEnd means that the request was sent when the worker had ended already.
+	afterEnd uncountedReason = "after_end"
 )
 
 // endedAttempt is an attempt whose answer broke off and whose worker has ended, or may end soon.
 type endedAttempt struct {
-	request          *request
-	worker           forward.Worker
-	begunAt, brokeAt time.Time
-	weight           float64
+	request *request
+	worker  forward.Worker
+	// startedAt is when the request was sent, begunAt when the header of its answer arrived.
+	startedAt, begunAt, brokeAt time.Time
+	weight                      float64
 	// wasAlone and onTrial are those of the attempt and of its request at the break.
 	wasAlone, onTrial bool
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -241,6 +241,8 @@
 
 // WorkerEnd is the end of a worker while a request with some parts was on it.
 type WorkerEnd struct {
+	// Ago is how long ago the worker ended.
+	Ago              time.Duration
 	Service, Version string
 	// Worker is the ID of the worker and of its start.
 	Worker string
@@ -257,13 +259,14 @@
 // condemned by it.
 func (t *Tracker) RecordEnd(now Elapsed, e WorkerEnd) []Verdict {
 	worker := xxhash.Sum64String(e.Worker)
-	end := t.endOf(now, e.Service, worker)
+	at := now - e.Ago
+	end := t.endOf(at, e.Service, worker)
 	end.begun += e.Weight
 	for i, id := range e.IDs {
-		t.recordCrash(now, Part{e.Service, id}, Crash{Worker: worker, Weight: e.Weight, Position: i, OnTrial: e.OnTrial, At: now})
+		t.recordCrash(now, Part{e.Service, id}, Crash{Worker: worker, Weight: e.Weight, Position: i, OnTrial: e.OnTrial, At: at})
 	}
 	if e.Whole != 0 {
-		t.recordCrash(now, Part{e.Service, e.Whole}, Crash{Worker: worker, Weight: e.Weight, Position: len(e.IDs), IsWhole: true, OnTrial: e.OnTrial, At: now})
+		t.recordCrash(now, Part{e.Service, e.Whole}, Crash{Worker: worker, Weight: e.Weight, Position: len(e.IDs), IsWhole: true, OnTrial: e.OnTrial, At: at})
 	}
 	return t.judge(now, e.Service, e.Version)
 }
