Accuse whole requests of ends long after their header

Callers saw: a repeated stream that ends its worker 0.6 to 3 s after the header was passed on for as long as it came (BUDGET). Cause: an accusation halves each 0.15 s after the header and is 0 from 0.8 s on, and a stream that was written for a second counted as a sign that it is sound. Change: the whole request is accused for 30 s, by 0.7. With such ends alone it is condemned on trial only, and it is cleared by a complete answer only. Parts of prompts are accused as before: requests that share one are too many at a worker. What a gateway states of requests that it sees for the first time is bounded to what another one reads in a second, divided by the number of gateways. TestLateEndsCondemnRequestOnTrial and TestLateEndsAreStatedWithinBound (1 to 103 gateways) hold.

--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -102,6 +102,7 @@
 		case r.gateway.quarantine.takeAlone(now, r.turnOf(d), d.OnProbation):
 			turn := r.turnOf(d)
 			r.turn = &turn
+			r.wasOnTrial.Store(true)
 			return nil
 		case d.OnProbation || now.After(until):
 			return r.notSentAgain(errkind.New(errkind.Overloaded, "requests like this are sent one at a time: workers have ended under them").WithRetryAfter(maxAloneWait))
@@ -198,14 +199,14 @@
 		return
 	}
 	q := r.gateway.quarantine
-	end := endedAttempt{request: r, worker: a.worker, startedAt: a.started, begunAt: a.begunAt, brokeAt: time.Now(), wasAlone: a.wasAlone, onTrial: r.turn != nil}
+	end := endedAttempt{request: r, worker: a.worker, startedAt: a.started, begunAt: a.begunAt, brokeAt: time.Now(), wasAlone: a.wasAlone, onTrial: r.wasOnTrial.Load()}
 	if run := a.exchange.conn.run; isLost && run != nil {
 		end.brokeAt = q.endOf(run, a.begunAt.IsZero())
 	}
-	end.weight = end.accusation()
+	end.weight, end.wholeWeight = end.accusation()
 	sign := q.knownEnd(a.worker).sign
 	switch {
-	case end.weight == 0:
+	case end.wholeWeight == 0:
 		q.logUncounted(end, longAfterHeader)
 		return
 	case sign == noEnd && !r.gateway.dispatcher.isInUse(a.worker):
@@ -223,15 +224,16 @@
 	r.gateway.recheckEnd(end)
 }
 
-// accusation returns how much the request of a broken attempt is accused if its worker has ended.
-func (e endedAttempt) accusation() float64 {
+// accusation returns how much the parts and the whole request of a broken attempt are accused if its worker has ended.
+func (e endedAttempt) accusation() (parts, whole float64) {
 	switch {
 	case !e.begunAt.IsZero():
-		return quarantine.Weight(e.brokeAt.Sub(e.begunAt))
+		sinceBegin := e.brokeAt.Sub(e.begunAt)
+		return quarantine.Weight(sinceBegin), quarantine.WholeWeight(sinceBegin)
 	case e.wasAlone, e.onTrial:
-		return 1
+		return 1, 1
 	}
-	return sharedWeight
+	return sharedWeight, sharedWeight
 }
 
 // uncountedReason is why a broken answer does not count as the end of its worker. The list is closed.
@@ -251,7 +253,8 @@
 	worker  forward.Worker
 	// startedAt is when the request was sent, begunAt when the header of its answer arrived.
 	startedAt, begunAt, brokeAt time.Time
-	weight                      float64
-	// wasAlone and onTrial are those of the attempt and of its request at the break.
+	// weight and wholeWeight are how much the parts and the whole request are accused.
+	weight, wholeWeight float64
+	// wasAlone is that of the attempt, and onTrial is set if its request was sent as a suspected one.
 	wasAlone, onTrial bool
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -53,6 +53,8 @@
 	endedWorkers atomic.Int32
 	// turn is the turn that the request has taken because it is suspected; see turnOf.
 	turn *quarantine.Part
+	// wasOnTrial is set once the request has taken a turn. The reader of a held answer reads it too.
+	wasOnTrial atomic.Bool
 	// hedge is the attempt at a second worker while the present one is silent, and hedged the attempt of one that has
 	// won and is continued next.
 	hedge  *hedge
--- a/internal/gateway/workerends.go
+++ b/internal/gateway/workerends.go
@@ -196,11 +196,11 @@
 	}
 	q.mu.Lock()
 	verdicts := q.tracker.RecordEnd(sinceBoot(), quarantine.WorkerEnd{
-		Ago: time.Since(e.brokeAt), Service: r.service, Version: e.worker.Version, Worker: workerKey(e.worker), IDs: r.parts, Whole: r.whole, Weight: e.weight,
+		Ago: time.Since(e.brokeAt), Service: r.service, Version: e.worker.Version, Worker: workerKey(e.worker), IDs: r.parts, Whole: r.whole, Weight: e.weight, WholeWeight: e.wholeWeight,
 		OnTrial: e.onTrial,
 	})
 	q.mu.Unlock()
-	q.log.Info("worker has ended under a request", append(q.fieldsOf(e), zap.Float64("weight", e.weight), zap.String("sign", string(sign)))...)
+	q.log.Info("worker has ended under a request", append(q.fieldsOf(e), zap.Float64("weight", e.weight), zap.Float64("whole_weight", e.wholeWeight), zap.String("sign", string(sign)))...)
 	q.metrics.countWorkerEnd(r.service)
 	q.apply(verdicts, "workers ended under requests with it")
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -52,6 +52,8 @@
 	isWhole  bool
 	// onTrial is set if one of the ends was under a request that was sent alone.
 	onTrial bool
+	// mostWeight is the greatest weight of an end.
+	mostWeight float64
 	// wasAnswered is set if requests with the part finished before the first of the ends, and isCommon
 	// if many did at one gateway.
 	wasAnswered, isCommon bool
@@ -174,13 +176,13 @@
 }
 
 // needsTrial reports whether a whole request must end a server while it is sent alone before it is
-// condemned: it was answered before, or another suspect was on the same servers when they ended. Callers
-// repeat sound requests that were cut together with a fatal one.
+// condemned: it was answered before, each end came late, or another suspect was on the same servers when they ended.
+// Callers repeat sound requests that were cut together with a fatal one.
 func (t *Tracker) needsTrial(c candidate, suspects []candidate) bool {
 	if !c.isWhole || c.onTrial {
 		return false
 	}
-	return c.wasAnswered || slices.ContainsFunc(suspects, func(s candidate) bool {
+	return c.wasAnswered || c.mostWeight < leastUntriedWeight || slices.ContainsFunc(suspects, func(s candidate) bool {
 		return s.isWhole && s.part != c.part && c.ratio-s.ratio <= ratioMargin && t.sharedEnds(c.part, s.part) >= minSuspectEnds
 	})
 }
@@ -240,11 +242,12 @@
 			c.ratio -= penalty
 		}
 		if c.ratio <= 0 {
-			c.ratio, c.ends, c.onTrial, firstAt = 0, 0, false, end.At
+			c.ratio, c.ends, c.onTrial, c.mostWeight, firstAt = 0, 0, false, 0, end.At
 		}
 		c.ratio += end.Weight * ratioPerEnd
 		c.ends++
 		c.onTrial = c.onTrial || end.OnTrial
+		c.mostWeight = max(c.mostWeight, end.Weight)
 	}
 	c.ratio = max(c.ratio-penalty*float64(len(finished)-next), 0)
 	return firstAt
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -56,8 +56,22 @@
 	weightHalfLife = 150 * time.Millisecond
 	// minWeight is the least weight of an accusation that is recorded.
 	minWeight = 0.1
+	// lateWeight is the accusation of a whole request that was at work for longer when its worker ended, up to
+	// maxLateTime. Requests that share a part of a prompt are too many at a worker for the part to be accused.
+	lateWeight  = 0.7
+	maxLateTime = 30 * time.Second
+	// leastUntriedWeight is the weight of one end at least without which a whole request is condemned on trial only.
+	leastUntriedWeight = 0.75
 )
 
+// WholeWeight is Weight for the whole request, which is accused also of a late end: callers may repeat it.
+func WholeWeight(sinceBegin time.Duration) float64 {
+	if sinceBegin > maxLateTime {
+		return 0
+	}
+	return max(Weight(sinceBegin), lateWeight)
+}
+
 // Weight returns how much a request whose answer began some time ago is accused of the end of its
 // worker, 0 to 1.
 func Weight(sinceBegin time.Duration) float64 {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -84,6 +84,37 @@
 	finishedSequence int64
 	// settleTime is how long the end of a worker is known before it can condemn a part.
 	settleTime time.Duration
+	late       lateBudget
+}
+
+// lateBudget bounds the whole requests that a gateway states for the first time after a late end. A worker may end
+// under many, nearly all of which are seen once, and other gateways read a bounded number of records.
+type lateBudget struct {
+	perSecond, left float64
+	at              Elapsed
+}
+
+const (
+	// lateRecordsPerSecond is the number of such requests of all gateways: what one reads in a second.
+	lateRecordsPerSecond = 768
+	// minLateRecordsPerSecond is the least number of one gateway.
+	minLateRecordsPerSecond = 8
+)
+
+// setGateways divides the bound between the gateways.
+func (b *lateBudget) setGateways(n int) {
+	b.perSecond = max(lateRecordsPerSecond/float64(max(n, 1)), minLateRecordsPerSecond)
+}
+
+// take reports whether one more request may be stated, and counts it.
+func (b *lateBudget) take(now Elapsed) bool {
+	b.left = min(b.left+b.perSecond*max(now-b.at, 0).Seconds(), b.perSecond)
+	b.at = now
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
 }
 
 // knownPart holds when the last requests of this gateway with a part began that have finished, up to
@@ -144,10 +175,12 @@
 	if err != nil {
 		panic(err) // only a size below 1 fails
 	}
-	return &Tracker{
+	t := &Tracker{
 		origin: xxhash.Sum64String(origin), ledger: NewLedger(time.Now().UnixNano()), services: map[string]*service{}, known: known,
 		probation: map[Part]Elapsed{}, firstSequence: started.UnixMilli(),
 	}
+	t.late.setGateways(1)
+	return t
 }
 
 func (t *Tracker) serviceOf(name string) *service {
@@ -171,6 +204,7 @@
 // SetGateways sets the number of gateways that exchange what they know, this one included.
 func (t *Tracker) SetGateways(n int) {
 	t.settleTime = 0
+	t.late.setGateways(n)
 	if n > 1 {
 		t.settleTime = min(time.Duration(n)*settlePerGateway, maxSettleTime)
 	}
@@ -249,8 +283,9 @@
 	// IDs are the parts of the prompt, and Whole is the whole request; 0 for none.
 	IDs   []uint64
 	Whole uint64
-	// Weight is how much the request is accused; see Weight.
-	Weight float64
+	// Weight is how much the parts are accused, and WholeWeight how much the whole request is, if that is more; see
+	// Weight and WholeWeight.
+	Weight, WholeWeight float64
 	// OnTrial is set if the request was sent as a suspected one, apart from others like it.
 	OnTrial bool
 }
@@ -263,10 +298,13 @@
 	end := t.endOf(at, e.Service, worker)
 	end.begun += e.Weight
 	for i, id := range e.IDs {
-		t.recordCrash(now, Part{e.Service, id}, Crash{Worker: worker, Weight: e.Weight, Position: i, OnTrial: e.OnTrial, At: at})
+		if e.Weight > 0 {
+			t.recordCrash(now, Part{e.Service, id}, Crash{Worker: worker, Weight: e.Weight, Position: i, OnTrial: e.OnTrial, At: at})
+		}
 	}
-	if e.Whole != 0 {
-		t.recordCrash(now, Part{e.Service, e.Whole}, Crash{Worker: worker, Weight: e.Weight, Position: len(e.IDs), IsWhole: true, OnTrial: e.OnTrial, At: at})
+	whole := Part{e.Service, e.Whole}
+	if e.Whole != 0 && (e.Weight > 0 || t.ledger.parts[whole] != nil || t.late.take(now)) {
+		t.recordCrash(now, whole, Crash{Worker: worker, Weight: max(e.Weight, e.WholeWeight), Position: len(e.IDs), IsWhole: true, OnTrial: e.OnTrial, At: at})
 	}
 	return t.judge(now, e.Service, e.Version)
 }
--- a/internal/quarantine/whole_test.go
+++ b/internal/quarantine/whole_test.go
@@ -102,3 +102,36 @@
 	tracker.RecordWholeFinished(moment(3), moment(2), Part{testService, 5})
 	assert.Equal(t, tracker.Decide(moment(4), testService, []uint64{1, 5}).Action, Send)
 }
+
+// Guards against a request that ends workers long after it has begun and is never condemned, and against a sound one
+// that is condemned for such ends without a trial.
+func TestLateEndsCondemnRequestOnTrial(t *testing.T) {
+	const request, part = uint64(0xfa7a1), uint64(0x77)
+	lateEnd := func(worker int, onTrial bool) WorkerEnd {
+		e := streamEnd(worker, request, 1, part)
+		e.Weight, e.WholeWeight, e.OnTrial = 0, WholeWeight(3*time.Second), onTrial
+		return e
+	}
+	tracker := newTestTracker("a")
+	for i := range 5 {
+		assert.Equal(t, len(tracker.RecordEnd(moment(i), lateEnd(i, false))), 0)
+	}
+	assert.Equal(t, tracker.Decide(moment(6), testService, []uint64{1, part, request}).Action, SendAlone)
+	assert.Equal(t, tracker.Decide(moment(6), testService, []uint64{1, part, 9}).Action, Send)
+	tracker.RecordEnd(moment(7), lateEnd(7, true))
+	assert.Equal(t, tracker.Decide(moment(8), testService, []uint64{1, part, request}).Action, Refuse)
+	assert.Equal(t, tracker.Decide(moment(8), testService, []uint64{1, part, 9}).Action, Send)
+}
+
+// Guards against late ends of many workers at once whose records keep those that matter from other gateways.
+func TestLateEndsAreStatedWithinBound(t *testing.T) {
+	for _, gateways := range []int{1, 4, 29, 103} {
+		tracker := newTestTracker("a")
+		tracker.SetGateways(gateways)
+		for i := range 5000 {
+			tracker.RecordEnd(moment(0), WorkerEnd{Service: testService, Worker: "w", Whole: 1<<40 + uint64(i), WholeWeight: lateWeight})
+		}
+		records, _ := tracker.Changes(0, 1<<20, NoSource)
+		assert.Assert(t, len(records)*gateways <= lateRecordsPerSecond+gateways*minLateRecordsPerSecond, "%d records of each of %d gateways", len(records), gateways)
+	}
+}
