--- a/internal/framing/cause.go
+++ b/internal/framing/cause.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+	"net/http"
 
 	"github.com/rotisserie/eris"
 )
@@ -20,6 +22,10 @@
 	ErrStalled = eris.New("no event of the stream arrived before its deadline")
 	// ErrSenderEnded is the error of an answer that ended with its connection and whose sender was not seen alive.
 	ErrSenderEnded = eris.New("answer ended with its connection, and so did its worker")
+	// ErrRequestUnread is the error of an answer that ended with its connection before its sender had read the request.
+	ErrRequestUnread = eris.Wrap(io.ErrUnexpectedEOF, "answer ended with its connection before the request was read")
+	// ErrNoStatus is the error of an answer whose status is none.
+	ErrNoStatus = eris.New("answer has no valid status")
 	// ErrNotContinued is the error of an answer to a resumption that does not continue the stream.
 	ErrNotContinued = eris.New("answer does not continue the stream that broke off")
 )
@@ -47,6 +53,14 @@
 // Causes lists every Cause.
 var Causes = []Cause{BrokenOff, InsideEvent, Silent, OverBound, NoAnswer, NotContinued, OutOfTime}
 
+// IsInterim reports whether a status announces that the answer follows. A switch of protocols announces none.
+func IsInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
+// IsFinal reports whether a status is that of an answer.
+func IsFinal(status int) bool { return status >= http.StatusOK && status < 600 }
+
 // CauseOf returns the cause that an error of reading an answer stands for.
 func CauseOf(err error) Cause {
 	var timeout interface{ Timeout() bool }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -192,7 +192,8 @@
 // body passes on whole chunks only once it has all of what follows them.
 func (e *exchange) hasBody() bool { return e.resp != nil && e.conn.received > e.bodyStart }
 
-// readFinalResponse reads the header of the next response whose status is not 1xx.
+// readFinalResponse reads the header of the next response whose status is not 1xx. After any other status that is none
+// of an answer, nobody knows where the next response begins.
 func (e *exchange) readFinalResponse(method string) (*http.Response, error) {
 	req := &http.Request{Method: method}
 	for range maxInformationalResponses + 1 {
@@ -203,8 +204,11 @@
 		if err != nil {
 			return nil, eris.Wrap(err, "answer cannot be read")
 		}
-		if resp.StatusCode >= http.StatusOK {
+		switch {
+		case framing.IsFinal(resp.StatusCode):
 			return resp, nil
+		case !framing.IsInterim(resp.StatusCode):
+			return nil, eris.Wrapf(framing.ErrNoStatus, "status %d", resp.StatusCode)
 		}
 	}
 	return nil, eris.New("worker sent only informational responses")
