--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -65,6 +65,9 @@
 	IsStream  bool
 	Events    int
 	TailBytes int
+	// RequestUnread reports whether the sender ended the connection without having read the whole request. It may have
+	// been stopped within the answer, too.
+	RequestUnread bool
 	// SenderLives reports whether the sender was seen alive after the end. It counts only where IsUnmarked.
 	SenderLives bool
 }
@@ -76,6 +79,9 @@
 	if e.Err != nil && !errors.Is(e.Err, io.EOF) {
 		return false
 	}
+	if e.RequestUnread && e.Framing == CloseDelimited {
+		return false
+	}
 	if !e.IsStream {
 		return true
 	}
@@ -88,8 +94,11 @@
 
 // Why returns why an answer is not whole that ended without an error.
 func (e Ending) Why() error {
-	if e.IsUnmarked() {
+	switch {
+	case e.IsUnmarked():
 		return ErrSenderEnded
+	case e.RequestUnread && e.Framing == CloseDelimited:
+		return ErrRequestUnread
 	}
 	return ErrInsideEvent
 }
--- a/internal/framing/framing_test.go
+++ b/internal/framing/framing_test.go
@@ -57,3 +57,24 @@
 		assert.Equal(t, IsNoAnswer(eris.Wrap(err, "answer cannot be read")), true, "%v", err)
 	}
 }
+
+// Guards against a part that counts as whole because its sender closed the connection before it had read the request.
+func TestUnreadRequestLeavesUnmarkedEndOpen(t *testing.T) {
+	for _, f := range []Framing{CloseDelimited, ContentLength, Chunked} {
+		for _, e := range []Ending{{Framing: f, SenderLives: true, RequestUnread: true}, {Framing: f, IsStream: true, Events: 2, SenderLives: true, RequestUnread: true}} {
+			assert.Equal(t, e.Complete(), f != CloseDelimited)
+		}
+	}
+	e := Ending{Framing: CloseDelimited, SenderLives: true, RequestUnread: true}
+	assert.Equal(t, CauseOf(e.Why()), BrokenOff)
+}
+
+// Guards against a status that is none of an answer.
+func TestStatuses(t *testing.T) {
+	for _, status := range []int{-1, 0, 1, 20, 99, 101, 600, 999} {
+		assert.Assert(t, !IsInterim(status) && !IsFinal(status), "%d", status)
+	}
+	assert.Assert(t, IsInterim(100) && IsInterim(103) && IsInterim(199))
+	assert.Assert(t, IsFinal(200) && IsFinal(599))
+	assert.Equal(t, CauseOf(eris.Wrap(ErrNoStatus, "answer cannot be read")), NoAnswer)
+}
--- a/internal/gateway/held.go
+++ b/internal/gateway/held.go
@@ -107,6 +107,7 @@
 			ending := framing.Ending{Framing: framing.Of(resp), IsStream: true, Events: count, TailBytes: len(event)}
 			// While the answer is read, no run is kept for a second one: a worker that has ended is to be known at once.
 			ending.SenderLives = ending.IsUnmarked() && g.isAlive(h.ctx, h.attempt.worker, 0) && g.isAlive(h.ctx, h.attempt.worker, settleTime)
+			ending.RequestUnread = ending.IsUnmarked() && !h.attempt.exchange.isRequestRead()
 			switch {
 			case ending.Complete():
 				return nil
--- a/internal/netpeek/netpeek.go
+++ b/internal/netpeek/netpeek.go
@@ -50,3 +50,27 @@
 	}
 	return state
 }
+
+// tcpClosed is the state of a TCP connection that was reset, TCP_CLOSE in Linux. One that the other side alone has
+// closed in order is in another state.
+const tcpClosed = 7
+
+// IsReset reports whether the other side has reset the connection, also after it had closed it in order. It is true if
+// the connection was closed on this side.
+func IsReset(c net.Conn) bool {
+	sys, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sys.SyscallConn()
+	if err != nil {
+		return true
+	}
+	state := uint8(tcpClosed)
+	err = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			state = info.State
+		}
+	})
+	return err != nil || state == tcpClosed
+}
