--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -345,32 +345,46 @@
 }
 
 // ChangedSince returns at most limit records that changed after a version, the oldest changes first,
-// and the version up to which they reach. Those that came from the reader are left out.
+// and the version up to which they reach. Those that came from the reader are left out, and so are whole requests
+// with one end beyond a share of the limit: nearly all of them are never seen again, and the others must not wait
+// for them.
 func (l *Ledger) ChangedSince(version int64, limit int, reader Source) ([]Record, int64) {
 	if version >= l.version {
 		return nil, l.version
 	}
-	var changed []versioned[Record]
-	add := func(at int64, from Source, r Record) {
+	type change struct {
+		versioned[Record]
+		isSeenOnce bool
+	}
+	var changed []change
+	add := func(at int64, from Source, isSeenOnce bool, r Record) {
 		if at > version && (from != reader || reader == NoSource) {
-			changed = append(changed, versioned[Record]{value: r, version: at})
+			changed = append(changed, change{versioned[Record]{value: r, version: at}, isSeenOnce})
 		}
 	}
 	for part, p := range l.parts {
+		isSeenOnce := p.isWhole && len(p.crashes) == 1
 		for _, c := range p.crashes {
 			crash := c.value
-			add(c.version, c.from, Record{Part: part, Crash: &crash})
+			add(c.version, c.from, isSeenOnce, Record{Part: part, Crash: &crash})
 		}
 		for _, f := range p.finished {
 			finished := f.value
-			add(f.version, f.from, Record{Part: part, Finished: &finished})
+			add(f.version, f.from, false, Record{Part: part, Finished: &finished})
 		}
 	}
 	for part, v := range l.verdicts {
 		verdict := v.value
-		add(v.version, v.from, Record{Part: part, Verdict: &verdict})
+		add(v.version, v.from, false, Record{Part: part, Verdict: &verdict})
 	}
-	slices.SortFunc(changed, func(a, b versioned[Record]) int { return cmp.Compare(a.version, b.version) })
+	slices.SortFunc(changed, func(a, b change) int { return cmp.Compare(a.version, b.version) })
+	seenOnce := 0
+	changed = slices.DeleteFunc(changed, func(c change) bool {
+		if c.isSeenOnce {
+			seenOnce++
+		}
+		return c.isSeenOnce && seenOnce > max(limit/seenOnceShare, 1)
+	})
 	upTo := l.version
 	if len(changed) > limit {
 		changed = changed[:limit]
@@ -382,3 +396,6 @@
 	}
 	return out, upTo
 }
+
+// seenOnceShare divides the records of a message: whole requests with one end may fill one part.
+const seenOnceShare = 16
--- a/internal/quarantine/whole_test.go
+++ b/internal/quarantine/whole_test.go
@@ -135,3 +135,26 @@
 		assert.Assert(t, len(records)*gateways <= lateRecordsPerSecond+gateways*minLateRecordsPerSecond, "%d records of each of %d gateways", len(records), gateways)
 	}
 }
+
+// Guards against evidence on parts and verdicts that wait for requests that are seen once: a sound part was condemned
+// in a large fleet since the ends under the fatal one came late.
+func TestWholeRequestsLeaveRoomInMessages(t *testing.T) {
+	const limit = 256
+	l := NewLedger(0)
+	for i := range uint64(maxWholes) {
+		l.Merge(NoSource, Record{Part: Part{testService, 1<<40 + i}, Crash: &Crash{Worker: i, Weight: 1, IsWhole: true}})
+	}
+	for worker := range uint64(2) {
+		l.Merge(NoSource, Record{Part: Part{testService, 1 << 40}, Crash: &Crash{Worker: 1<<20 + worker, Weight: 1, IsWhole: true}})
+		l.Merge(NoSource, Record{Part: Part{testService, fatal}, Crash: &Crash{Worker: worker, Weight: 1}})
+	}
+	records, upTo := l.ChangedSince(0, limit, NoSource)
+	assert.Equal(t, upTo, l.Version())
+	found := map[uint64]int{}
+	for _, r := range records {
+		found[r.Part.ID]++
+	}
+	assert.Equal(t, found[fatal], 2)
+	assert.Equal(t, found[1<<40], 3)
+	assert.Equal(t, len(records), 5+limit/seenOnceShare)
+}
