Keep no requests for ends that the list of workers may show

Cause: found by reading. Broken attempts waited up to 10 s for the list of workers with their requests, bodies included, which no bound on memory counts; and a worker without a stated start that is back under its ID counted as ended for good, so that its further ends were taken for the first one. Change: at most 256 attempts wait in all, without their requests and with the first 128 bytes of their IDs. A worker of which bytes are read a second after its end has not ended. The ends that a list shows are recorded when it arrives, not at the next tick.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -118,7 +118,11 @@
 	g.quarantine = newQuarantineGuard(g.origin, s.isRelay(), m, observe.ComponentLogger(log, "quarantine"))
 	g.dispatcher = newDispatcher(s, observe.ComponentLogger(log, "state"))
 	g.admission = newAdmissionGuard(g.dispatcher, m, observe.ComponentLogger(log, "admission"))
-	g.dispatcher.onWorkers = g.quarantine.setWorkers
+	g.dispatcher.onWorkers = func(usable []forward.Worker, find func(id string) (forward.Worker, bool)) {
+		if g.quarantine.setWorkers(usable, find) {
+			g.goroutines.Go(func() { g.protect("ends of workers", g.endChangedRuns) })
+		}
+	}
 	if counted, ok := deps.Store.(interface{ Bytes() int64 }); ok {
 		// Where the store lies is not known.
 		m.set.NewGauge(`borageflow_gateway_domain_bytes_total{cause="store",domain="unknown"}`, func() float64 { return float64(counted.Bytes()) })
@@ -229,7 +233,6 @@
 	now := sinceBoot()
 	g.dispatcher.tick(now)
 	g.quarantine.tick(now)
-	g.endChangedRuns()
 	if n%idleCleanupTicks == 0 {
 		g.pool.closeUnused(g.dispatcher.usableAddresses())
 	}
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -206,8 +206,9 @@
 	q.logVerdicts(cleared, "a worker answered the request")
 }
 
-// setWorkers sets the usable workers. find returns a worker that is listed, also one that leaves.
-func (q *quarantineGuard) setWorkers(workers []forward.Worker, find func(id string) (forward.Worker, bool)) {
+// setWorkers sets the usable workers. find returns a worker that is listed, also one that leaves. It reports whether
+// the list shows runs of workers to be over.
+func (q *quarantineGuard) setWorkers(workers []forward.Worker, find func(id string) (forward.Worker, bool)) bool {
 	counts, versions := map[string]int{}, map[string][]string{}
 	for _, w := range workers {
 		counts[w.Service]++
@@ -221,11 +222,13 @@
 		q.tracker.SetWorkers(sinceBoot(), service, n, versions[service])
 	}
 	q.ends.compare(find)
+	return len(q.ends.changed) > 0
 }
 
 // tick removes what is out of date.
 func (q *quarantineGuard) tick(now time.Duration) {
 	q.mu.Lock()
+	q.ends.expire()
 	verdicts := q.tracker.Tick(now)
 	for part, turn := range q.turns {
 		if !turn.taken && time.Since(turn.at) > maxAloneWait {
--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -199,7 +199,10 @@
 		return
 	}
 	q := r.gateway.quarantine
-	end := endedAttempt{request: r, worker: a.worker, startedAt: a.started, begunAt: a.begunAt, brokeAt: time.Now(), wasAlone: a.wasAlone, onTrial: r.wasOnTrial.Load()}
+	end := endedAttempt{
+		request: r, requestID: r.inbound.meta.RequestID, customer: r.customer.Name, parts: r.parts, whole: r.whole, worker: a.worker,
+		startedAt: a.started, begunAt: a.begunAt, brokeAt: time.Now(), wasAlone: a.wasAlone, onTrial: r.wasOnTrial.Load(),
+	}
 	if run := a.exchange.conn.run; isLost && run != nil {
 		end.brokeAt = q.endOf(run, a.begunAt.IsZero())
 	}
@@ -249,8 +252,12 @@
 
 // endedAttempt is an attempt whose answer broke off and whose worker has ended, or may end soon.
 type endedAttempt struct {
-	request *request
-	worker  forward.Worker
+	// request is nil once the attempt waits for the list of workers, which may outlast the request.
+	request             *request
+	requestID, customer string
+	parts               []uint64
+	whole               uint64
+	worker              forward.Worker
 	// startedAt is when the request was sent, begunAt when the header of its answer arrived.
 	startedAt, begunAt, brokeAt time.Time
 	// weight and wholeWeight are how much the parts and the whole request are accused.
--- a/internal/gateway/workerends.go
+++ b/internal/gateway/workerends.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -34,8 +35,12 @@
 	maxUnresolvedTime = 10 * time.Second
 	// clockSlack is by how much the times of one attempt on two clocks may differ.
 	clockSlack = time.Millisecond
-	// maxKnownEnds bounds the ended workers that are remembered, and those with broken attempts that wait.
+	// maxKnownEnds bounds the ended workers that are remembered.
 	maxKnownEnds = 1024
+	// maxUnresolved bounds the broken attempts that wait for the list of workers, and maxKeptIDBytes the ID that is
+	// kept of each of their requests: both stay in memory after the requests.
+	maxUnresolved  = 256
+	maxKeptIDBytes = 128
 )
 
 // endSign is what shows that a worker has ended. The list is closed.
@@ -63,7 +68,9 @@
 	// rechecks holds the broken attempts whose workers are looked at again, and unresolved those whose workers
 	// were alive then, by worker.
 	rechecks, unresolved map[string][]endedAttempt
-	runs                 map[string]*workerRun
+	// unresolvedCount is the number of unresolved attempts of all workers.
+	unresolvedCount int
+	runs            map[string]*workerRun
 	// changed holds the runs that the list of workers shows to be over.
 	changed []changedRun
 }
@@ -95,7 +102,7 @@
 		sign := signOfEntry(run.worker, find)
 		if sign == noEnd {
 			if listed, ok := find(run.worker.ID); ok && listed.Draining {
-				delete(e.unresolved, key) // its end is expected
+				e.takeUnresolved(key) // its end is expected
 			}
 			continue
 		}
@@ -118,19 +125,29 @@
 	return noEnd
 }
 
-// keepUnresolved keeps broken attempts for the case that the list of workers shows an end later.
+// keepUnresolved keeps broken attempts, but not their requests, for the case that the list of workers shows an end later.
 func (e *endFinder) keepUnresolved(key string, attempts []endedAttempt) {
-	if len(e.unresolved) < maxKnownEnds {
-		e.unresolved[key] = append(e.unresolved[key], attempts...)
-		e.unresolved[key] = e.unresolved[key][:min(len(e.unresolved[key]), maxRechecksPerWorker)]
+	for _, a := range attempts[:min(len(attempts), maxUnresolved-e.unresolvedCount)] {
+		a.requestID = strings.Clone(a.requestID[:min(len(a.requestID), maxKeptIDBytes)])
+		a.request = nil
+		e.unresolved[key] = append(e.unresolved[key], a)
+		e.unresolvedCount++
 	}
 }
 
+// takeUnresolved removes and returns the attempts of a worker that wait for the list of workers.
+func (e *endFinder) takeUnresolved(key string) []endedAttempt {
+	out := e.unresolved[key]
+	delete(e.unresolved, key)
+	e.unresolvedCount -= len(out)
+	return out
+}
+
 // expire drops the attempts that have waited too long for an end.
 func (e *endFinder) expire() {
 	for key, attempts := range e.unresolved {
 		if time.Since(attempts[0].brokeAt) > maxUnresolvedTime {
-			delete(e.unresolved, key)
+			e.takeUnresolved(key)
 		}
 	}
 }
@@ -141,15 +158,13 @@
 func (g *Gateway) endChangedRuns() {
 	q := g.quarantine
 	q.mu.Lock()
-	q.ends.expire()
 	changed := q.ends.changed
 	q.ends.changed = nil
 	q.mu.Unlock()
 	for _, c := range changed {
 		key := workerKey(c.run.worker)
 		q.mu.Lock()
-		broken := q.ends.unresolved[key]
-		delete(q.ends.unresolved, key)
+		broken := q.ends.takeUnresolved(key)
 		q.mu.Unlock()
 		if len(broken) > 0 {
 			q.recordKnownEnd(c.run.worker, knownEnd{c.sign, broken[0].brokeAt})
@@ -190,18 +205,17 @@
 		q.logUncounted(e, afterEnd)
 		return
 	}
-	r := e.request
-	if e.weight >= sharedWeight {
-		r.endedWorkers.Add(1)
+	if e.weight >= sharedWeight && e.request != nil {
+		e.request.endedWorkers.Add(1)
 	}
 	q.mu.Lock()
 	verdicts := q.tracker.RecordEnd(sinceBoot(), quarantine.WorkerEnd{
-		Ago: time.Since(e.brokeAt), Service: r.service, Version: e.worker.Version, Worker: workerKey(e.worker), IDs: r.parts, Whole: r.whole, Weight: e.weight, WholeWeight: e.wholeWeight,
-		OnTrial: e.onTrial,
+		Ago: time.Since(e.brokeAt), Service: e.worker.Service, Version: e.worker.Version, Worker: workerKey(e.worker), IDs: e.parts, Whole: e.whole,
+		Weight: e.weight, WholeWeight: e.wholeWeight, OnTrial: e.onTrial,
 	})
 	q.mu.Unlock()
 	q.log.Info("worker has ended under a request", append(q.fieldsOf(e), zap.Float64("weight", e.weight), zap.Float64("whole_weight", e.wholeWeight), zap.String("sign", string(sign)))...)
-	q.metrics.countWorkerEnd(r.service)
+	q.metrics.countWorkerEnd(e.worker.Service)
 	q.apply(verdicts, "workers ended under requests with it")
 }
 
@@ -213,11 +227,11 @@
 
 // fieldsOf returns the fields of a log line on a broken answer.
 func (q *quarantineGuard) fieldsOf(e endedAttempt) []zap.Field {
-	r := e.request
+	logged := min(len(e.parts), maxLoggedParts)
 	q.mu.Lock()
-	evidence := make([]quarantine.Summary, 0, maxLoggedParts+1)
-	for _, id := range append(r.parts[:min(len(r.parts), maxLoggedParts):min(len(r.parts), maxLoggedParts)], r.whole) {
-		evidence = append(evidence, q.tracker.Summarize(sinceBoot(), quarantine.Part{Service: r.service, ID: id}))
+	evidence := make([]quarantine.Summary, 0, logged+1)
+	for _, id := range append(e.parts[:logged:logged], e.whole) {
+		evidence = append(evidence, q.tracker.Summarize(sinceBoot(), quarantine.Part{Service: e.worker.Service, ID: id}))
 	}
 	q.mu.Unlock()
 	sinceBegin := int64(-1)
@@ -225,8 +239,8 @@
 		sinceBegin = e.brokeAt.Sub(e.begunAt).Milliseconds()
 	}
 	return []zap.Field{
-		zap.String("worker", e.worker.ID), zap.String("service", r.service), zap.String("version", e.worker.Version),
-		zap.String("request", r.inbound.meta.RequestID), zap.String("customer", r.customer.Name), zap.Any("evidence", evidence),
+		zap.String("worker", e.worker.ID), zap.String("service", e.worker.Service), zap.String("version", e.worker.Version),
+		zap.String("request", e.requestID), zap.String("customer", e.customer), zap.Any("evidence", evidence),
 		zap.Bool("was_alone", e.wasAlone), zap.Bool("on_trial", e.onTrial), zap.Int64("since_begin_ms", sinceBegin),
 		zap.Int64("since_break_ms", time.Since(e.brokeAt).Milliseconds()),
 	}
@@ -282,11 +296,17 @@
 // workerKey identifies one run of a worker.
 func workerKey(w forward.Worker) string { return w.ID + "@" + strconv.FormatInt(w.StartUnixMs, 36) }
 
-// knownEnd returns how a worker showed that it had ended. Its sign is noEnd if it has not.
+// knownEnd returns how a worker showed that it had ended. Its sign is noEnd if it has not, or if it is back without
+// stating a later start.
 func (q *quarantineGuard) knownEnd(w forward.Worker) knownEnd {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	end, _ := q.ends.known.Peek(workerKey(w))
+	key := workerKey(w)
+	end, ok := q.ends.known.Peek(key)
+	if run := q.ends.runs[key]; ok && run != nil && run.livesAfter(end.at) {
+		q.ends.known.Remove(key)
+		return knownEnd{}
+	}
 	return end
 }
 
--- a/internal/gateway/workerrun.go
+++ b/internal/gateway/workerrun.go
@@ -61,6 +61,15 @@
 	}
 }
 
+// lateBytesTime is how long after the end of a worker its last bytes may be read.
+const lateBytesTime = time.Second
+
+// livesAfter reports whether bytes of the worker were read that it cannot have sent before an end at a time.
+func (r *workerRun) livesAfter(at time.Time) bool {
+	since := sinceBoot() - time.Duration(r.lastReadAt.Load())
+	return time.Now().Add(-since).After(at.Add(lateBytesTime))
+}
+
 // recordRead records that bytes of the worker were read.
 func (c *conn) recordRead() {
 	if c.run != nil {
