--- a/internal/quarantine/policy_test.go
+++ b/internal/quarantine/policy_test.go
@@ -417,17 +417,31 @@
 	}
 }
 
+// fleetSize is the size of a modelled fleet.
+type fleetSize struct {
+	gateways, workers int
+	perSecond         float64
+}
+
 // Guards against sound requests that are condemned because their callers repeat them after they were cut, beside a fatal
 // part, ordinary ends and ends of many workers at one moment.
 func TestRepeatedSoundRequestsAreNotCondemned(t *testing.T) {
-	type size struct {
-		gateways, workers int
-		perSecond         float64
-	}
-	sizes := []size{{3, 9, 70}}
-	if *fullModel {
-		sizes = append(sizes, size{29, 250, 700}, size{103, 910, 4800})
+	checkRepeatedSoundRequests(t, fleetSize{3, 9, 70})
+}
+
+// Guards against the same in large fleets, where the evidence of a second fills more than a message.
+func TestRepeatedSoundRequestsOfLargeFleetsAreNotCondemned(t *testing.T) {
+	if !*fullModel {
+		t.Skip("takes some minutes: run it with -full-model")
 	}
+	checkRepeatedSoundRequests(t, fleetSize{29, 250, 700}, fleetSize{103, 910, 4800})
+}
+
+// fullModel makes the models of large fleets play.
+var fullModel = flag.Bool("full-model", false, "play the models of large fleets, which takes some minutes")
+
+func checkRepeatedSoundRequests(t *testing.T, sizes ...fleetSize) {
+	t.Helper()
 	for _, s := range sizes {
 		for i, c := range []model{{crashesPerMinute: 0.3}, {massCrash: 0.5}, {fatalShare: 0.05, fatalParts: 1}, {fatalShare: 0.3, fatalParts: 2, crashesPerMinute: 0.3}} {
 			c.gateways, c.workers, c.perSecond = s.gateways, s.workers, s.perSecond
@@ -441,9 +455,6 @@
 	}
 }
 
-// fullModel makes models play the users' larger sizes too, which takes some minutes.
-var fullModel = flag.Bool("full-model", false, "play models of 29 and 103 gateways too")
-
 // TestPolicyQuarantine prints the ended workers and the sound requests refused over the share of fatal
 // requests, the number of fatal parts, ordinary ends and the size of the fleet. Run it with -v.
 func TestPolicyQuarantine(t *testing.T) {
