--- a/api/api_gen.go
+++ b/api/api_gen.go
@@ -1773,8 +1773,8 @@
 	// like it.
 	OnTrial bool `json:"onTrial,omitempty,omitzero"`
 
-	// Part is the ID of the part of a prompt, or the hash of a request without one,
-	// in hexadecimal.
+	// Part is the ID of the part of a prompt, or the hash of a whole request, in
+	// hexadecimal.
 	Part string `json:"part"`
 
 	// Position is the index of the part in the prompt.
@@ -1807,7 +1807,7 @@
 	// Weight is how much the requests are accused of the end of the worker, 0 to 1.
 	Weight float64 `json:"weight,omitempty,omitzero"`
 
-	// Whole is set if the part is a whole request without a prompt.
+	// Whole is set if the part is a whole request.
 	Whole bool `json:"whole,omitempty,omitzero"`
 }
 
--- a/internal/forward/store.go
+++ b/internal/forward/store.go
@@ -75,7 +75,7 @@
 // Condemnation is a decision on a part of requests under which workers end, as the store keeps it.
 type Condemnation struct {
 	Service string
-	// Part is the ID of the part of a prompt, or the hash of a request without one.
+	// Part is the ID of the part of a prompt, or the hash of a whole request.
 	Part uint64
 	// Sequence orders the decisions on a part.
 	Sequence int64
--- a/internal/gateway/quarantineadmin.go
+++ b/internal/gateway/quarantineadmin.go
@@ -16,7 +16,7 @@
 // CondemnedPart is a part of requests that is condemned or on probation, for operators.
 type CondemnedPart struct {
 	Service string `json:"service"`
-	// Part is the ID of the part of a prompt, or the hash of a request without one, in hexadecimal.
+	// Part is the ID of the part of a prompt, or the hash of a whole request, in hexadecimal.
 	Part string `json:"part"`
 	// Version is the version of the workers' software on which the part was condemned; empty for
 	// all.
