--- a/test/soak/caller.go
+++ b/test/soak/caller.go
@@ -21,6 +21,7 @@
 	incarnation         int
 	sentAt, endedAt     time.Time
 	status              int // HTTP status; 0 if no response header arrived
+	retryAfter          string
 	signature           string
 	answer              string
 	complete            bool // the body was read to its end without an error
@@ -98,7 +99,7 @@
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
-	c.status, c.signature = resp.StatusCode, resp.Header.Get("X-Signature")
+	c.status, c.signature, c.retryAfter = resp.StatusCode, resp.Header.Get("X-Signature"), resp.Header.Get("Retry-After")
 	raw, err := io.ReadAll(resp.Body)
 	c.answer, c.complete = string(raw), err == nil
 }
