Send no request on before its broken attempts are settled

Cause: the logs show breaks whose workers refused connections only at the second look 120 ms later. Until then the end is not counted, and the request was sent on, up to the number of attempts of its route. Evidence: TestRequestIsNotSentOnBeforeItsBreaksAreSettled fails before (3 servers ended, 2 allowed); it passes three times under the race detector.

--- a/internal/gateway/crash_test.go
+++ b/internal/gateway/crash_test.go
@@ -221,6 +221,27 @@
 	}
 }
 
+// Guards against a request that ends a third server because the ends of the first two are known a moment after the
+// breaks of their answers, and against a suspect that ends a second one on trial.
+func TestRequestIsNotSentOnBeforeItsBreaksAreSettled(t *testing.T) {
+	t.Parallel()
+	f := newCrashFleet(t, time.Minute)
+	f.endDelay = 40 * time.Millisecond
+	for range 8 {
+		f.start()
+	}
+	gw := startGatewayWith(t, testSettings(t), f.store)
+	for i := range 60 {
+		gw.call("GET", fmt.Sprintf("/safe/sound-%d", i), "")
+	}
+	for _, want := range []int{2, 1} {
+		before := f.endCount()
+		gw.call("GET", "/safe/fatal", "")
+		time.Sleep(2 * f.endDelay)
+		assert.Equal(t, f.endCount()-before, want, gw.log.String())
+	}
+}
+
 // Guards against a request with a suspected part that waits for its own turn when its first worker was
 // full.
 func TestRequestSentAloneMayBeRepeated(t *testing.T) {
--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -27,6 +27,8 @@
 	// its remaining time.
 	maxAloneWait  = 1500 * time.Millisecond
 	maxAloneShare = 0.25
+	// settlePoll is how often a request looks whether its breaks are settled.
+	settlePoll = 10 * time.Millisecond
 	// alonePoll is how often a waiting request looks for a verdict.
 	alonePoll = 20 * time.Millisecond
 	// survivalTime is the time after the beginning of an answer from which its request counts as
@@ -137,6 +139,20 @@
 // hasEndedTooMany reports whether the request must not be sent to another worker.
 func (r *request) hasEndedTooMany() bool { return r.endedWorkers.Load() >= maxEndedWorkers }
 
+// awaitSettledBreaks waits until it is known whether the workers of broken attempts have ended, if another attempt could
+// end one too many. A worker that crashes may refuse connections only some milliseconds after it has closed them.
+func (r *request) awaitSettledBreaks(ctx context.Context) {
+	for r.unsettledBreaks.Load() > 0 && (r.endedWorkers.Load()+r.unsettledBreaks.Load() >= maxEndedWorkers || r.isSuspected()) {
+		timer := time.NewTimer(settlePoll)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
 // isSuspected reports whether the request has a suspected or condemned part.
 func (r *request) isSuspected() bool {
 	return r.decide().Action != quarantine.Send
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,6 +51,8 @@
 	// endedWorkers is the number of workers that ended shortly after they had begun to answer the
 	// request. The reader of an answer that was set aside counts too.
 	endedWorkers atomic.Int32
+	// unsettledBreaks is the number of broken attempts of which it is not known yet whether their workers have ended.
+	unsettledBreaks atomic.Int32
 	// turn is the turn that the request has taken because it is suspected; see turnOf.
 	turn *quarantine.Part
 	// wasOnTrial is set once the request has taken a turn. The reader of a held answer reads it too.
@@ -156,6 +158,7 @@
 		if outcome == outcomeEscalated || outcome == forward.Overtaken {
 			continue
 		}
+		r.awaitSettledBreaks(ctx)
 		retry := forward.RetryState{
 			Outcome: outcome, Idempotent: r.route.Idempotent(), Runs: r.runCount, MaxAttempts: r.maxRuns(),
 			Remaining: r.remaining(), TakeBudget: func() bool { return r.takeRetry(outcome.RetryCause()) },
--- a/internal/gateway/workerends.go
+++ b/internal/gateway/workerends.go
@@ -254,6 +254,7 @@
 	waiting, isRunning := q.ends.rechecks[key]
 	if len(waiting) < maxRechecksPerWorker {
 		q.ends.rechecks[key] = append(waiting, e)
+		e.request.unsettledBreaks.Add(1)
 	}
 	q.mu.Unlock()
 	if isRunning {
@@ -284,12 +285,14 @@
 	if sign == noEnd {
 		for _, e := range waiting {
 			q.logUncounted(e, workerAccepts)
+			e.request.unsettledBreaks.Add(-1)
 		}
 		return
 	}
 	q.recordKnownEnd(w, knownEnd{sign, waiting[0].brokeAt})
 	for _, e := range waiting {
 		q.recordEnd(e, sign)
+		e.request.unsettledBreaks.Add(-1)
 	}
 }
 
