Let the gateways of the process test exchange, and log a suspect once

Cause: the relays of the soak's harness do not all know each other, so that relay 0 learned nothing of what the others saw; and a suspect that has its turn wrote a line for each attempt at a worker that is not there. Change: the test has one relay, which all three gateways use. The line is written when a turn is taken or refused.

--- a/internal/gateway/quarantinerequest.go
+++ b/internal/gateway/quarantinerequest.go
@@ -83,8 +83,9 @@
 	if d.Action == quarantine.Send {
 		return nil
 	}
+	hadTurn := r.turn != nil
 	refusal := r.awaitTurn(ctx, d)
-	if d.Action == quarantine.SendAlone {
+	if d.Action == quarantine.SendAlone && (refusal != nil || !hadTurn) {
 		r.gateway.quarantine.logSuspect(r, d, refusal)
 	}
 	return refusal
--- a/test/soak/fatalprocesses_test.go
+++ b/test/soak/fatalprocesses_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -161,10 +162,9 @@
 			st := newStore()
 			st.put("config", "main", configForVersion(1))
 			workers := startWorkerProcesses(t, st, 6)
-			sc := &scenario{store: st, bounds: boundsForSeed(relaySeed), size: scenarioSize{gateways: 3}}
+			sc := &scenario{store: st}
 			dir := t.TempDir()
-			assert.NilError(t, sc.startGateways(dir, buildDaemon(t, dir), serve(t, st)))
-			t.Cleanup(sc.closeGateways)
+			startGatewaysOfOneRelay(t, sc, dir, serve(t, st))
 			for _, g := range sc.gateways {
 				limitedProcess{health: g.healthAddress}.awaitReady(t)
 			}
@@ -187,10 +187,28 @@
 			assert.Check(t, late <= maxLateArrivals, "%d ended late", late)
 			assert.Check(t, refused == 0, "%d sound streams were refused as condemned", refused)
 			assert.Check(t, asked > 0 && served*10 >= asked*9, "%d of %d sound streams were served", served, asked)
+			if t.Failed() {
+				logQuarantine(t, dir)
+			}
 		})
 	}
 }
 
+// startGatewaysOfOneRelay starts three gateways that exchange what they know through the first one. The relays of a
+// scenario do not all know each other.
+func startGatewaysOfOneRelay(t *testing.T, sc *scenario, dir, storeAddress string) {
+	t.Helper()
+	binary := buildDaemon(t, dir)
+	t.Cleanup(sc.closeGateways)
+	bounds := boundsForSeed(relaySeed)
+	for n := range 3 {
+		g, err := newGateway(dir, binary, n, storeAddress, sc.gateways[:min(n, 1)], bounds)
+		assert.NilError(t, err)
+		sc.gateways = append(sc.gateways, g)
+		bounds.useRelays = false
+	}
+}
+
 // playRepeatedStream sends sound streams, and from the second second on one fatal stream again and again. It returns
 // the sound ones.
 func playRepeatedStream(sc *scenario, fatal string) []call {
@@ -217,3 +235,19 @@
 	group.Wait()
 	return sc.calls.list
 }
+
+// logQuarantine writes what the gateways logged on ends of workers and verdicts.
+func logQuarantine(t *testing.T, dir string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "gateway-*.log"))
+	assert.NilError(t, err)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		assert.NilError(t, err)
+		for line := range strings.SplitSeq(string(raw), "\n") {
+			if strings.Contains(line, `"part":"quarantine"`) {
+				t.Log(line)
+			}
+		}
+	}
+}
