Keep all ends of a fatal part, so that they accuse no sound one

Callers saw: in the largest fleet 15% of the sound requests were refused beside two fatal parts in 30% of the requests. Cause: a part kept 128 ended workers. Hundreds end before a fatal part is condemned there; those that were not kept explained nothing, and accused the sound parts that they share. Change: a part keeps up to 1,024, more than a fleet has; all parts together as many as before, 131,072, and the part whose last evidence is oldest makes room. Evidence: TestAllEndsOfFatalPartExplainThoseOfSoundOnes fails with 128.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -15,8 +15,10 @@
 	// maxVerdicts bounds the verdicts in a Ledger. The one that ends first yields to a new one, and
 	// those of operators yield last.
 	maxVerdicts = 256
-	// maxCrashesPerPart bounds the ended workers that are kept for one part.
-	maxCrashesPerPart = 128
+	// maxCrashesPerPart bounds the ended workers that are kept for one part: more than a fleet has, since ends of a
+	// fatal part that are not known would accuse sound parts. maxCrashes bounds those of all parts of prompts.
+	maxCrashesPerPart = 1024
+	maxCrashes        = 128 * maxParts
 	// maxOriginsPerPart bounds the gateways whose finished requests are kept for one part.
 	maxOriginsPerPart = 64
 	// maxWholeCrashes bounds the ended workers that are kept for all whole requests together, most of which have one.
@@ -109,15 +111,28 @@
 // however often they arrive.
 type Ledger struct {
 	parts map[Part]*partRecords
-	// wholes is the number of parts that are whole requests, and wholeCrashes that of their ended workers.
-	wholes, wholeCrashes int
-	verdicts             map[Part]*versioned[Verdict]
+	// shared and wholes are the sizes of the tables of parts of prompts and of whole requests.
+	shared, wholes tableSize
+	verdicts       map[Part]*versioned[Verdict]
 	// version increases with each change. A reader names the version up to which it has read.
 	version int64
 	// droppedVerdicts counts the verdicts that made room for later ones.
 	droppedVerdicts int
 }
 
+// tableSize is the number of parts in a table, and that of their ended workers.
+type tableSize struct {
+	parts, crashes int
+}
+
+// table returns the size of the table of whole requests, or of parts of prompts.
+func (l *Ledger) table(isWhole bool) *tableSize {
+	if isWhole {
+		return &l.wholes
+	}
+	return &l.shared
+}
+
 type versioned[T any] struct {
 	value   T
 	version int64
@@ -200,16 +215,19 @@
 }
 
 func (l *Ledger) mergeCrash(from Source, part Part, c Crash) bool {
-	if c.IsWhole && l.wholeCrashes >= maxWholeCrashes {
+	if c.IsWhole && l.wholes.crashes >= maxWholeCrashes {
 		l.dropWhole()
 	}
+	if !c.IsWhole && l.shared.crashes >= maxCrashes {
+		l.dropPart()
+	}
 	p := l.recordsOf(part, c.At, c.IsWhole)
 	known := p.crashes[c.Worker]
 	if known != nil && !c.outweighs(&known.value) || known == nil && len(p.crashes) >= maxCrashesPerPart && !l.dropCrashBefore(p, c.At) {
 		return false
 	}
-	if known == nil && p.isWhole {
-		l.wholeCrashes++
+	if known == nil {
+		l.table(p.isWhole).crashes++
 	}
 	l.version++
 	p.crashes[c.Worker] = &versioned[Crash]{c, l.version, from}
@@ -234,9 +252,7 @@
 
 func (l *Ledger) deleteCrash(p *partRecords, worker uint64) {
 	delete(p.crashes, worker)
-	if p.isWhole {
-		l.wholeCrashes--
-	}
+	l.table(p.isWhole).crashes--
 }
 
 func (l *Ledger) mergeFinished(from Source, part Part, f Finished) bool {
@@ -297,30 +313,32 @@
 	if p != nil && (p.isWhole || !isWhole) {
 		return p
 	}
-	if isWhole && l.wholes >= maxWholes {
+	if isWhole && l.wholes.parts >= maxWholes {
 		l.dropWhole()
 	}
-	if !isWhole && len(l.parts)-l.wholes >= maxParts {
+	if !isWhole && l.shared.parts >= maxParts {
 		l.dropPart()
 	}
 	if p == nil {
-		p = &partRecords{crashes: map[uint64]*versioned[Crash]{}, finished: map[uint64]*versioned[Finished]{}, lastAt: at}
+		p = &partRecords{crashes: map[uint64]*versioned[Crash]{}, finished: map[uint64]*versioned[Finished]{}, lastAt: at, isWhole: isWhole}
 		l.parts[part] = p
+		l.table(isWhole).parts++
+		return p
 	}
-	if isWhole {
-		p.isWhole = true
-		l.wholes++
-		l.wholeCrashes += len(p.crashes)
-	}
+	l.shared.parts--
+	l.shared.crashes -= len(p.crashes)
+	l.wholes.parts++
+	l.wholes.crashes += len(p.crashes)
+	p.isWhole = true
 	return p
 }
 
 // remove removes the records of a part.
 func (l *Ledger) remove(part Part) {
-	if p := l.parts[part]; p.isWhole {
-		l.wholes--
-		l.wholeCrashes -= len(p.crashes)
-	}
+	p := l.parts[part]
+	size := l.table(p.isWhole)
+	size.parts--
+	size.crashes -= len(p.crashes)
 	delete(l.parts, part)
 }
 
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -356,14 +356,14 @@
 		}
 	}
 	for i := range uint64(maxParts) {
-		for worker := range uint64(maxCrashesPerPart) {
+		for worker := range uint64(maxCrashes / maxParts) {
 			tracker.ledger.Merge(NoSource, Record{Part: Part{testService, i}, Crash: &Crash{Worker: worker, Weight: 1}})
 		}
 		for origin := range uint64(maxOriginsPerPart) {
 			tracker.ledger.Merge(NoSource, Record{Part: Part{testService, i}, Finished: &Finished{Origin: origin, Count: commonFinishes, Begun: make([]Elapsed, commonFinishes)}})
 		}
 		whole := Part{testService, 1<<32 + i}
-		for worker := range uint64(maxCrashesPerPart) {
+		for worker := range uint64(maxCrashes / maxParts) {
 			tracker.ledger.Merge(NoSource, Record{Part: whole, Crash: &Crash{Worker: worker, Weight: 1, IsWhole: true}})
 			tracker.ledger.Merge(NoSource, Record{Part: whole, Finished: &Finished{Origin: worker, Count: commonFinishes, Begun: make([]Elapsed, commonFinishes)}})
 		}
--- a/internal/quarantine/whole_test.go
+++ b/internal/quarantine/whole_test.go
@@ -82,13 +82,13 @@
 	for i := range uint64(3 * maxWholes) {
 		crash(1<<40+i, 3+i, true)
 	}
-	assert.Equal(t, l.wholes, maxWholes)
+	assert.Equal(t, l.wholes.parts, maxWholes)
 	assert.Equal(t, len(l.parts), maxWholes+1)
 	assert.Assert(t, l.parts[Part{testService, part}] != nil)
 	assert.Assert(t, l.parts[Part{testService, request}] != nil)
 	l.Expire(time.Hour)
-	assert.Equal(t, l.wholes, 0)
-	assert.Equal(t, l.wholeCrashes, 0)
+	assert.Equal(t, l.wholes, tableSize{})
+	assert.Equal(t, l.shared, tableSize{})
 }
 
 // Guards against requests that are seen once and push out the finished requests of common parts.
@@ -179,18 +179,40 @@
 	}
 }
 
-// Guards against ends of many whole requests that take the memory of a gateway.
-func TestEndsOfWholeRequestsAreBounded(t *testing.T) {
-	l := NewLedger(0)
-	for i := range uint64(400) {
-		for worker := range uint64(maxCrashesPerPart) {
-			l.Merge(NoSource, Record{Part: Part{testService, i}, Crash: &Crash{Worker: worker, Weight: 1, IsWhole: true, At: time.Duration(i)}})
+// Guards against ends of many parts or whole requests that take the memory of a gateway.
+func TestEndsAreBounded(t *testing.T) {
+	for _, isWhole := range []bool{false, true} {
+		l := NewLedger(0)
+		limit := map[bool]int{false: maxCrashes, true: maxWholeCrashes}[isWhole]
+		for i := range uint64(limit/maxCrashesPerPart + 3) {
+			for worker := range uint64(maxCrashesPerPart + 1) {
+				l.Merge(NoSource, Record{Part: Part{testService, i}, Crash: &Crash{Worker: worker, Weight: 1, IsWhole: isWhole, At: time.Duration(i)}})
+			}
+		}
+		kept := 0
+		for _, p := range l.parts {
+			assert.Assert(t, len(p.crashes) <= maxCrashesPerPart)
+			kept += len(p.crashes)
+		}
+		assert.Equal(t, *l.table(isWhole), tableSize{len(l.parts), kept})
+		assert.Assert(t, kept <= limit && kept > limit/2, "%d", kept)
+	}
+}
+
+// Guards against sound parts that are condemned because only some of the ends under a fatal part are known: in a large
+// fleet hundreds of workers end before it is condemned.
+func TestAllEndsOfFatalPartExplainThoseOfSoundOnes(t *testing.T) {
+	const ends = 500
+	tracker := newTestTracker("a")
+	tracker.SetWorkers(0, testService, 910, []string{"v1"})
+	for i := range ends {
+		for _, v := range tracker.RecordEnd(moment(0)+time.Duration(i)*60*time.Millisecond, endOf(i, 1, 2000+uint64(i%10), fatal)) {
+			assert.Equal(t, v.Part.ID, fatal)
 		}
 	}
-	kept := 0
-	for _, p := range l.parts {
-		kept += len(p.crashes)
+	now := moment(0) + ends*60*time.Millisecond
+	assert.Equal(t, tracker.Decide(now, testService, []uint64{fatal}).Action, Refuse)
+	for id := range uint64(10) {
+		assert.Equal(t, tracker.Decide(now, testService, []uint64{2000 + id}).Action, Send)
 	}
-	assert.Equal(t, kept, l.wholeCrashes)
-	assert.Assert(t, kept <= maxWholeCrashes, "%d", kept)
 }
