--- a/review/standin-2/gateway.go
+++ b/review/standin-2/gateway.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,9 +29,14 @@
 	cmd                   *exec.Cmd
 }
 
-// freeAddress returns an address of the loopback network with a free port.
+// reservedAddresses counts the addresses that freeAddress has returned.
+var reservedAddresses atomic.Uint32
+
+// freeAddress returns a free port of a loopback address of its own. On a shared address, a connection could take the port
+// before the gateway listens on it.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	n := reservedAddresses.Add(1)
+	l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 20+os.Getpid()%200, 1+os.Getpid()/200%200, n))
 	if err != nil {
 		return "", err
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -42,7 +42,7 @@
 	}
 	scenes := map[string]func(*scene) (verdict, error){
 		"foreign-model": foreignModel, "plain-stream": plainStream,
-		"lost-target": lostTarget, "cutting-version": cuttingVersion,
+		"lost-target": lostTarget, "cutting-version": cuttingVersion, "foreign-entry": foreignEntry,
 	}
 	if len(os.Args) != 3 || scenes[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin-2 SCENE RECORD")
--- a/review/standin-2/rollouts.go
+++ b/review/standin-2/rollouts.go
@@ -24,40 +24,49 @@
 	drainAfter = 3 * time.Second
 )
 
-// order orders a rollout of the plain service to version 2 and plays the platform until the rollout has ended: the old
-// workers are stopped at once when it is completed, and the new ones drain some seconds after it was rolled back.
-func (s *scene) order() {
-	s.note("operator orders version 2 of %s within %v", plainService, rolloutDuration)
-	s.store.put(wire.Rollouts, plainService, wireRollout{plainService, "2", rolloutDuration.Seconds()})
+// order orders a rollout of the plain service and plays the platform until it has ended: the old workers are stopped at
+// once when it is completed, and the new ones drain drainAfter after it was rolled back.
+func (s *scene) order(version string) {
+	s.note("operator orders version %s of %s within %v", version, plainService, rolloutDuration)
+	s.store.put(wire.Rollouts, plainService, wireRollout{plainService, version, rolloutDuration.Seconds()})
 	go func() {
-		state := ""
-		for state != "completed" && state != "rolled_back" {
-			time.Sleep(20 * time.Millisecond)
-			if now := s.store.statusOf(wire.Rollouts, plainService, "State"); now != state {
-				state = now
-				s.note("rollout is recorded as %s", state)
-			}
-		}
-		version, why := "1", "the rollout is completed"
+		state := s.awaitEnd(version)
 		if state == "rolled_back" {
-			version, why = "2", "the rollout was rolled back"
 			time.Sleep(drainAfter)
 		}
 		s.mu.Lock()
 		workers := append([]*worker(nil), s.workers...)
 		s.mu.Unlock()
 		for _, w := range workers {
-			if w.entry.Service == plainService && w.entry.Version == version {
-				s.note("platform stops worker %s: %s", w.id, why)
-				s.store.remove(wire.Workers, w.id)
-				if state == "completed" {
-					w.close()
-				}
+			isTarget := w.entry.Version == version
+			if w.entry.Service != plainService || w.isUnlisted || isTarget != (state == "rolled_back") {
+				continue
+			}
+			s.note("platform takes worker %s away: the rollout is recorded as %s", w.id, state)
+			s.store.remove(wire.Workers, w.id)
+			if state == "completed" {
+				w.close()
 			}
 		}
 	}()
 }
 
+// awaitEnd waits until the rollout to a version has ended, and returns its state.
+func (s *scene) awaitEnd(version string) string {
+	for state := ""; ; time.Sleep(20 * time.Millisecond) {
+		if s.store.statusOf(wire.Rollouts, plainService, "Target") != version {
+			continue
+		}
+		if now := s.store.statusOf(wire.Rollouts, plainService, "State"); now != state {
+			state = now
+			s.note("rollout to version %s is recorded as %s", version, state)
+		}
+		if state == "completed" || state == "rolled_back" {
+			return state
+		}
+	}
+}
+
 // lostTarget plays a rollout whose new worker is lost for good soon after it has started.
 func lostTarget(s *scene) (verdict, error) {
 	if err := s.startFleet(6, map[string]int{"m0": 90, "m1": 90, "m2": 95}); err != nil {
@@ -67,8 +76,8 @@
 	end := s.now() + 90*time.Second
 	s.startTraffic(&group, 40, 6, 6, end)
 	time.Sleep(time.Second)
-	s.order()
-	if err := s.startPlain(1, "c", "2", 0); err != nil {
+	s.order("2")
+	if err := s.startPlain(1, "c", "2"); err != nil {
 		return verdict{}, err
 	}
 	time.Sleep(2 * time.Second)
@@ -89,12 +98,8 @@
 	s.startTraffic(&group, 10, 37, 15, begin+30*time.Second)
 	time.Sleep(time.Second)
 	ordered := s.now()
-	s.order()
-	cutsEvery := int64(0)
-	if s.hasTrouble {
-		cutsEvery = 2
-	}
-	if err := s.startPlain(4, "c", "2", cutsEvery); err != nil {
+	s.order("2")
+	if err := s.startPlain(4, "c", "2", s.badly()); err != nil {
 		return verdict{}, err
 	}
 	group.Wait()
@@ -131,37 +136,98 @@
 	return e
 }
 
-// lostLookups counts the unsafe requests that ran, whose answers were cut and whose callers got no success.
+// lostLookups counts the unsafe requests that ran, whose answers were bad and whose callers got no success.
 func (s *scene) lostLookups() int {
 	n := 0
 	for i := range s.tries {
 		t := &s.tries[i]
-		if _, cut := s.cuts[t.id]; cut && t.kind == "host-lookup" && !t.served() {
+		if _, isBad := s.bad[t.id]; isBad && t.kind == "host-lookup" && !t.served() {
 			n++
 		}
 	}
 	return n
 }
 
+// badly lets half of the answers of a worker be bad ones, if there is trouble.
+func (s *scene) badly() func(*worker) {
+	return func(w *worker) {
+		if s.hasTrouble {
+			w.badEvery = 2
+		}
+	}
+}
+
 // judgeExposure checks what the bad version got.
 func (s *scene) judgeExposure(ordered time.Duration) verdict {
 	var lastAllowed time.Duration
-	if len(s.cuts) >= maxBadAnswers {
-		lastAllowed = s.timeOfCut(maxBadAnswers) + rollbackTime
+	if len(s.bad) >= maxBadAnswers {
+		lastAllowed = s.timeOfBad(maxBadAnswers) + rollbackTime
 	}
 	e := s.exposure(ordered, lastAllowed)
 	allowed := int(canaryShare*float64(e.all)) + canarySlack
-	why := fmt.Sprintf("version 2 got %d of the %d requests that reached its service in the time of its rollout, allowed %d; it gave %d bad answers and got %d requests later than %v after the 50th; %d host-lookups ran whose callers got no answer; recorded state %q",
-		e.target, e.all, allowed, len(s.cuts), e.late, rollbackTime, s.lostLookups(), s.store.statusOf(wire.Rollouts, plainService, "State"))
-	return verdict{len(s.cuts) > 0 && (e.target > allowed || e.late > 0), why}
+	why := fmt.Sprintf("version 2 got %d of the %d requests that reached its service in the time of its rollout, allowed %d; it gave %d bad answers and got %d requests later than %v after the 50th; %d host-lookups ran whose callers got no good answer; recorded state %q",
+		e.target, e.all, allowed, len(s.bad), e.late, rollbackTime, s.lostLookups(), s.store.statusOf(wire.Rollouts, plainService, "State"))
+	return verdict{len(s.bad) > 0 && (e.target > allowed || e.late > 0), why}
 }
 
-// timeOfCut returns the time of the n-th cut.
-func (s *scene) timeOfCut(n int) time.Duration {
+// timeOfBad returns the time of the n-th bad answer.
+func (s *scene) timeOfBad(n int) time.Duration {
 	var times []time.Duration
-	for _, at := range s.cuts {
+	for _, at := range s.bad {
 		times = append(times, at)
 	}
 	slices.Sort(times)
 	return times[n-1]
 }
+
+// foreignEntry plays a rollout to a good version beside an entry of another writer that lacks a field: that of an instance with a
+// later build, which nobody ordered.
+func foreignEntry(s *scene) (verdict, error) {
+	if err := s.startFleet(2, map[string]int{"m0": 90, "m1": 90, "m2": 95}); err != nil {
+		return verdict{}, err
+	}
+	if err := s.startUnordered(); err != nil {
+		return verdict{}, err
+	}
+	var group sync.WaitGroup
+	s.startTraffic(&group, 10, 37, 15, s.now()+25*time.Second)
+	time.Sleep(4 * time.Second)
+	s.order("2")
+	if err := s.startPlain(4, "c", "2"); err != nil {
+		return verdict{}, err
+	}
+	group.Wait()
+	all, foreign := 0, 0
+	for _, runs := range s.runs {
+		for _, r := range runs {
+			all++
+			if r.version == unorderedVersion {
+				foreign++
+			}
+		}
+	}
+	return verdict{foreign > 0, fmt.Sprintf("%d of %d runs were at the instance with the version that nobody ordered", foreign, all)}, nil
+}
+
+// unorderedVersion is the version of an instance that is no worker to use.
+const unorderedVersion = "3"
+
+// startUnordered starts that instance. Another writer writes its entry, without a version if there is trouble, or none.
+func (s *scene) startUnordered() error {
+	w := &worker{id: "i-d0000001", entry: workerEntry{Service: plainService, Version: unorderedVersion, Slots: plainSlots}, isUnlisted: true}
+	if err := s.start(w); err != nil {
+		return err
+	}
+	if s.hasTrouble {
+		s.note("another writer writes an entry of %s without a version", w.id)
+		s.store.put(wire.Workers, w.id, foreignSpec{w.entry.Service, w.entry.Address, w.entry.Zone, w.entry.State, w.entry.Slots, w.entry.Born})
+	}
+	return nil
+}
+
+// foreignSpec is an entry without a version.
+type foreignSpec struct {
+	Service, Address, Zone, State string
+	Slots                         int
+	Born                          int64 `json:"born"`
+}
--- a/review/standin-2/scene.go
+++ b/review/standin-2/scene.go
@@ -27,8 +27,8 @@
 	tries []try
 	// runs are the runs of workers, by request ID.
 	runs map[string][]runOfWorker
-	// cuts are the times at which a worker has cut its answer, by request ID.
-	cuts map[string]time.Duration
+	// bad are the times of bad answers, by request ID.
+	bad map[string]time.Duration
 }
 
 // runOfWorker is one run of a request.
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &scene{hasTrouble: hasTrouble, dir: dir, started: time.Now(), events: 6, eventTime: 20 * time.Millisecond, file: file, record: bufio.NewWriter(file), runs: map[string][]runOfWorker{}, cuts: map[string]time.Duration{}}
+	s := &scene{hasTrouble: hasTrouble, dir: dir, started: time.Now(), events: 6, eventTime: 20 * time.Millisecond, file: file, record: bufio.NewWriter(file), runs: map[string][]runOfWorker{}, bad: map[string]time.Duration{}}
 	s.note("trouble: %v", hasTrouble)
 	if s.store, err = startStore(); err != nil {
 		return nil, err
@@ -71,10 +71,10 @@
 	s.note("worker %s runs %s, version %s, model %q, customer %q", r.worker, id, r.version, r.model, r.customer)
 }
 
-// recordCut records that a worker cuts its answer.
-func (s *scene) recordCut(id, worker string) {
+// recordBad records a bad answer.
+func (s *scene) recordBad(id, worker string) {
 	s.mu.Lock()
-	s.cuts[id] = s.now()
+	s.bad[id] = s.now()
 	s.mu.Unlock()
 	s.note("worker %s cuts its answer to %s", worker, id)
 }
--- a/review/standin-2/scenes.go
+++ b/review/standin-2/scenes.go
@@ -88,16 +88,19 @@
 			return err
 		}
 	}
-	if err := s.startPlain(4, "b", "1", 0); err != nil {
+	if err := s.startPlain(4, "b", "1"); err != nil {
 		return err
 	}
 	return s.startGateways(2)
 }
 
-// startPlain starts workers of the plain service.
-func (s *scene) startPlain(n int, prefix, version string, cutsEvery int64) error {
+// startPlain starts workers of the plain service, each set by the given functions.
+func (s *scene) startPlain(n int, prefix, version string, set ...func(*worker)) error {
 	for i := range n {
-		w := &worker{id: fmt.Sprintf("i-%s%07x", prefix, i+1), cutsEvery: cutsEvery, entry: workerEntry{Service: plainService, Version: version, Slots: plainSlots}}
+		w := &worker{id: fmt.Sprintf("i-%s%07x", prefix, i+1), entry: workerEntry{Service: plainService, Version: version, Slots: plainSlots}}
+		for _, f := range set {
+			f(w)
+		}
 		if err := s.start(w); err != nil {
 			return err
 		}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -34,13 +34,15 @@
 	models []string
 	// confidence is that of its answers, by model.
 	confidence map[string]int
-	// cutsEvery makes a plain worker cut each so many-th answer in its middle; 0 for none.
-	cutsEvery int64
-	answers   atomic.Int64
-	running   atomic.Int64
-	server    *http.Server
-	closed    chan struct{}
-	closeOnce sync.Once
+	// badEvery makes a plain worker cut each so many-th answer in its middle, 0 for none.
+	badEvery int64
+	answers  atomic.Int64
+	// isUnlisted is set for an instance that writes no entry.
+	isUnlisted bool
+	running    atomic.Int64
+	server     *http.Server
+	closed     chan struct{}
+	closeOnce  sync.Once
 }
 
 const (
@@ -64,8 +66,10 @@
 	s.workers = append(s.workers, w)
 	s.mu.Unlock()
 	s.note("worker %s of %s starts, version %s", w.id, w.entry.Service, w.entry.Version)
-	s.store.put(wire.Workers, w.id, w.entry)
-	go w.renew()
+	if !w.isUnlisted {
+		s.store.put(wire.Workers, w.id, w.entry)
+		go w.renew()
+	}
 	return nil
 }
 
@@ -135,8 +139,8 @@
 	time.Sleep(plainTime)
 	text := "answer to " + id + "\n" + strings.Repeat("x", plainBytes)
 	out.Header().Set("Content-Length", strconv.Itoa(len(text)))
-	if w.cutsEvery > 0 && w.answers.Add(1)%w.cutsEvery == 0 {
-		w.scene.recordCut(id, w.id)
+	if w.badEvery > 0 && w.answers.Add(1)%w.badEvery == 0 {
+		w.scene.recordBad(id, w.id)
 		_, _ = io.WriteString(out, text[:len(text)/2]) // the connection is closed next
 		_ = http.NewResponseController(out).Flush()
 		panic(http.ErrAbortHandler)
